--- /dev/null
+++ b/internal/request/code.go
@@ -0,0 +1,133 @@
+package request
+
+import (
+	"net/http"
+	"time"
+)
+
+// Code numbers a result; docs/RESULT-CODES.md has the table.
+type Code uint16
+
+// The result codes. A code never changes its meaning; new ones are added.
+const (
+	OK Code = 0
+
+	UnknownService     Code = 1001
+	UnknownKind        Code = 1002
+	KeyMissing         Code = 1003
+	BodyTooLarge       Code = 1004
+	BadDeadline        Code = 1005
+	BadRequest         Code = 1006
+	KeyReusedOtherBody Code = 1007
+	KeyTooLong         Code = 1008
+
+	Overloaded        Code = 2001
+	OverloadedBelow   Code = 2002
+	DeadlineTooClose  Code = 2003
+	WaitedTooLong     Code = 2004
+	ColdTarget        Code = 2005
+	LinkFull          Code = 2006
+	ConnectionsFull   Code = 2007
+	Draining          Code = 2008
+	Quarantined       Code = 2009
+	CallerLeft        Code = 2010
+	TooManyDuplicates Code = 2011
+
+	NoTarget          Code = 3001
+	TargetUnreachable Code = 3002
+	TargetDied        Code = 3003
+	AnswerCut         Code = 3004
+	DeadlinePassed    Code = 3005
+	PeerIncompatible  Code = 3006
+	BrokenFrame       Code = 3007
+
+	ClaimUnavailable Code = 4001
+	ClaimInDoubt     Code = 4002
+	ClaimRunning     Code = 4003
+	OutcomeUnknown   Code = 4004
+	AnswerNotKept    Code = 4005
+
+	Internal Code = 5001
+)
+
+// Row is one row of the table of result codes.
+type Row struct {
+	Code       Code
+	Name       string
+	Status     int
+	Outcome    Outcome
+	Elsewhere  bool
+	Later      bool
+	RetryAfter time.Duration
+	Meaning    string
+}
+
+// Rows is the table of result codes in order. Elsewhere says that another
+// target may still take the call now, Later that the same call may succeed
+// after RetryAfter.
+var Rows = []Row{
+	{UnknownService, "unknown-service", http.StatusNotFound, NotRun, false, false, 0, "no service in the configuration matches the call"},
+	{UnknownKind, "unknown-kind", http.StatusNotFound, NotRun, false, false, 0, "no kind of the service matches method and path"},
+	{KeyMissing, "key-missing", http.StatusBadRequest, NotRun, false, false, 0, "the kind may not be repeated and needs an Idempotency-Key"},
+	{BodyTooLarge, "body-too-large", http.StatusRequestEntityTooLarge, NotRun, false, false, 0, "the body is over the limit of its kind"},
+	{BadDeadline, "bad-deadline", http.StatusBadRequest, NotRun, false, false, 0, "the deadline header cannot be read"},
+	{BadRequest, "bad-request", http.StatusBadRequest, NotRun, false, false, 0, "the request cannot be read"},
+	{KeyReusedOtherBody, "key-reused-with-another-body", http.StatusUnprocessableEntity, NotRun, false, false, 0, "the Idempotency-Key was used before with another body"},
+	{KeyTooLong, "key-too-long", http.StatusBadRequest, NotRun, false, false, 0, "the Idempotency-Key is over its limit"},
+
+	{Overloaded, "overloaded", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the target is full and takes only more important work"},
+	{OverloadedBelow, "overloaded-below", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "a service further down takes only more important work"},
+	{DeadlineTooClose, "deadline-too-close", http.StatusServiceUnavailable, NotRun, false, false, 0, "the deadline cannot be met any more"},
+	{WaitedTooLong, "waited-too-long", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the call waited for a slot until waiting no longer helped"},
+	{ColdTarget, "cold-target", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the target has just started and takes little work yet"},
+	{LinkFull, "link-full", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "the link between regions is full and the call is not important enough"},
+	{ConnectionsFull, "connections-full", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the target's connections are all in use"},
+	{Draining, "draining", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the target is leaving and takes no new work"},
+	{Quarantined, "quarantined", http.StatusServiceUnavailable, NotRun, false, true, time.Minute, "targets died while they worked on this request"},
+	{CallerLeft, "caller-left", 499, NotRun, false, false, 0, "the caller went away before the call was handed to a target"},
+	{TooManyDuplicates, "too-many-duplicates", http.StatusTooManyRequests, NotRun, false, true, time.Second, "the same request is already in flight too often"},
+
+	{NoTarget, "no-target", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "no target of the service is known in reach"},
+	{TargetUnreachable, "target-unreachable", http.StatusBadGateway, NotRun, true, true, time.Second, "the chosen target could not be reached"},
+	{TargetDied, "target-died", http.StatusBadGateway, Unknown, false, true, time.Second, "the target went away while it worked on the call"},
+	{AnswerCut, "answer-cut", http.StatusBadGateway, Unknown, false, true, time.Second, "the answer ended early and was thrown away"},
+	{DeadlinePassed, "deadline-passed", http.StatusGatewayTimeout, Unknown, false, false, 0, "the deadline passed while the target worked on the call"},
+	{PeerIncompatible, "peer-incompatible", http.StatusBadGateway, NotRun, true, true, time.Second, "the peer speaks another version of the protocol"},
+	{BrokenFrame, "broken-frame", http.StatusBadGateway, Unknown, false, true, time.Second, "a frame between nodes had a wrong length or checksum"},
+
+	{ClaimUnavailable, "claim-unavailable", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "no quorum could record the claim, so the action was not started"},
+	{ClaimInDoubt, "claim-in-doubt", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "it is not known whether the claim was recorded; the action was not started by this attempt"},
+	{ClaimRunning, "claim-running", http.StatusConflict, Unknown, false, true, time.Second, "an earlier attempt with this key still runs; its answer is kept for a resend"},
+	{OutcomeUnknown, "outcome-unknown", http.StatusConflict, Unknown, false, false, 0, "an earlier attempt with this key may have run; it is never run again"},
+	{AnswerNotKept, "answer-not-kept", http.StatusConflict, Ran, false, false, 0, "the action ran once; its answer was too large to keep"},
+
+	{Internal, "internal", http.StatusInternalServerError, Unknown, false, false, 0, "a fault of the node itself"},
+}
+
+var rowByCode = indexRows()
+
+func indexRows() map[Code]Row {
+	index := make(map[Code]Row, len(Rows))
+	for _, row := range Rows {
+		index[row.Code] = row
+	}
+	return index
+}
+
+// Describe gives the row of a code, and the row of [Internal] for a code that
+// the table lacks.
+func Describe(code Code) Row {
+	row, ok := rowByCode[code]
+	if !ok {
+		return rowByCode[Internal]
+	}
+	return row
+}
+
+// String gives the code's name.
+func (c Code) String() string {
+	if c == OK {
+		return "ok"
+	}
+	return Describe(c).Name
+}
--- /dev/null
+++ b/magnolia-load/main.go
@@ -0,0 +1,4 @@
+// Command magnolia-load is a part of magnoliawall.
+package main
+
+func main() {}
--- /dev/null
+++ b/magnoliad/main.go
@@ -0,0 +1,4 @@
+// Command magnoliad is a part of magnoliawall.
+package main
+
+func main() {}
