--- /dev/null
+++ b/internal/terminal/terminal_test.go
@@ -0,0 +1,82 @@
+package terminal_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/suite"
+	"github.com/magnoliawall/magnoliawall/internal/terminal"
+)
+
+func TestTerminal(t *testing.T) { suite.Run(t, "terminal") }
+
+type row struct {
+	Node    string   `json:"node"`
+	Calls   int      `json:"calls"`
+	Regions []string `json:"regions,omitempty"`
+	Hidden  string   `json:"-"`
+}
+
+var _ = ginkgo.Describe("Table", func() {
+	var out *bytes.Buffer
+	var streams *terminal.Streams
+
+	ginkgo.BeforeEach(func() {
+		out = &bytes.Buffer{}
+		streams = &terminal.Streams{Out: out, Width: 20}
+	})
+
+	fill := func() error {
+		table := terminal.Table{Streams: streams, Header: []string{"NODE", "STATE"}}
+		table.Add("a", "up\nsince\tnoon")
+		table.Add("consumo-1", "a text that is too long")
+		return table.Render()
+	}
+
+	ginkgo.It("writes tabs, no header and no colour in a pipe", func() {
+		gomega.Expect(fill()).To(gomega.Succeed())
+		gomega.Expect(out.String()).To(gomega.Equal(
+			"a\tup since noon\nconsumo-1\ta text that is too long\n"))
+	})
+
+	ginkgo.It("aligns columns and cuts the last one on a terminal", func() {
+		streams.OutTerminal = true
+		gomega.Expect(fill()).To(gomega.Succeed())
+		gomega.Expect(out.String()).To(gomega.Equal(
+			"NODE       STATE\na          up since…\nconsumo-1  a text t…\n"))
+	})
+
+	ginkgo.It("colours the header where colour is on", func() {
+		streams.OutTerminal, streams.Color = true, true
+		gomega.Expect(fill()).To(gomega.Succeed())
+		gomega.Expect(out.String()).To(gomega.HavePrefix("\x1b[1mNODE\x1b[0m     "))
+	})
+})
+
+var _ = ginkgo.Describe("WriteFields", func() {
+	rows := []row{{Node: "a<b", Calls: 3, Regions: []string{"sur"}}, {Node: "c"}}
+
+	ginkgo.It("keeps the asked fields in their order", func() {
+		var out bytes.Buffer
+		gomega.Expect(terminal.WriteFields(&out, rows, []string{"regions", "node"})).To(gomega.Succeed())
+		gomega.Expect(out.String()).To(gomega.MatchJSON(
+			`[{"regions":["sur"],"node":"a<b"},{"regions":null,"node":"c"}]`))
+		gomega.Expect(out.String()).To(gomega.ContainSubstring("a<b"))
+	})
+
+	ginkgo.It("names the known fields and writes nothing on an unknown one", func() {
+		var out bytes.Buffer
+		err := terminal.WriteFields(&out, rows, []string{"node", "Hidden"})
+		gomega.Expect(err).To(gomega.MatchError(`unknown JSON field "Hidden"; choose from: node, calls, regions`))
+		gomega.Expect(out.Len()).To(gomega.BeZero())
+	})
+
+	ginkgo.It("writes an empty array for no rows", func() {
+		var out bytes.Buffer
+		gomega.Expect(terminal.WriteFields[row](&out, nil, []string{"node"})).To(gomega.Succeed())
+		gomega.Expect(out.String()).To(gomega.Equal("[]\n"))
+	})
+})
