--- /dev/null
+++ b/magnolia-load/internal/target/report.go
@@ -0,0 +1,71 @@
+package target
+
+import "time"
+
+// Load is what a target says of itself at its load endpoint.
+type Load struct {
+	InFlight int  `json:"in-flight"`
+	Waiting  int  `json:"waiting"`
+	Slots    int  `json:"slots"`
+	Draining bool `json:"draining"`
+}
+
+// Lie says how a report misleads.
+type Lie uint8
+
+// The lies.
+const (
+	Honest Lie = iota
+	AlwaysIdle
+	AlwaysFull
+)
+
+// Report is the load report of a target: late by Lag and bent by Lie.
+type Report struct {
+	Lag time.Duration
+	Lie Lie
+
+	seen []observation
+}
+
+type observation struct {
+	at   time.Time
+	load Load
+}
+
+// Observe takes the true load at a time; times do not go back.
+func (r *Report) Observe(now time.Time, load Load) {
+	r.forget(now)
+	r.seen = append(r.seen, observation{at: now, load: load})
+}
+
+// Read gives the load as reported at a time: the newest observation that is
+// at least Lag old.
+func (r *Report) Read(now time.Time) Load {
+	var load Load
+	for _, entry := range r.seen {
+		if entry.at.After(now.Add(-r.Lag)) {
+			break
+		}
+		load = entry.load
+	}
+	return r.bend(load)
+}
+
+func (r *Report) bend(load Load) Load {
+	switch r.Lie {
+	case AlwaysIdle:
+		load.InFlight, load.Waiting = 0, 0
+	case AlwaysFull:
+		load.InFlight = load.Slots
+	}
+	return load
+}
+
+// forget drops observations that no later Read can return.
+func (r *Report) forget(now time.Time) {
+	due := now.Add(-r.Lag)
+	for len(r.seen) > 1 && !r.seen[1].at.After(due) {
+		r.seen = r.seen[1:]
+	}
+}
