Add the peer protocol: yamux streams, checked frames, calls and answers

Cause: nodes need one multiplexed connection per pair with frames that carry length, call id and checksum. Change: internal/adapter/peer with hello and version check, frames, typed messages, call exchanges that reuse streams, bodies held back until the target's node consents. Conclusion: the node and the control parts can be wired over it.

--- /dev/null
+++ b/internal/adapter/peer/exchange.go
@@ -0,0 +1,185 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// Exchange is one call to a peer and its answer, on one stream.
+type Exchange struct {
+	transport *Transport
+	address   Address
+	stream    *Stream
+	call      request.CallID
+	stop      func() bool
+	answer    *bodyReader
+	// sent is closed when the body has gone out as a whole; nil means that it
+	// went out before the answer was awaited.
+	sent chan struct{}
+}
+
+// Call sends the header and the body and reads the header of the answer. When
+// the header asks to await the peer's consent, the body is only read from its
+// source once the peer has given it. An error before anything was sent is a
+// [*NotSentError].
+func (tr *Transport) Call(ctx context.Context, address Address, call request.CallID, header *peerpb.CallHeader, body io.Reader) (*Exchange, *peerpb.AnswerHeader, error) {
+	stream, err := tr.Open(ctx, address, KindCall)
+	if err != nil {
+		return nil, nil, &NotSentError{Reason: err}
+	}
+	exchange := &Exchange{transport: tr, address: address, stream: stream, call: call}
+	exchange.stop = context.AfterFunc(ctx, func() { _ = stream.Close() })
+	answer, err := exchange.start(header, body)
+	if err != nil {
+		exchange.Abort()
+		return nil, nil, err
+	}
+	return exchange, answer, nil
+}
+
+// NotSentError tells that no byte of a call left this process.
+type NotSentError struct{ Reason error }
+
+// Error describes the reason.
+func (ns *NotSentError) Error() string { return "call was not sent: " + ns.Reason.Error() }
+
+// Unwrap gives the reason.
+func (ns *NotSentError) Unwrap() error { return ns.Reason }
+
+func (ex *Exchange) start(header *peerpb.CallHeader, body io.Reader) (*peerpb.AnswerHeader, error) {
+	if err := ex.stream.AddMessage(FrameMessage, ex.call, header); err != nil {
+		return nil, &NotSentError{Reason: err}
+	}
+	if !header.GetAwaitContinue() {
+		if err := sendBody(ex.stream, ex.call, body, nil); err != nil {
+			return nil, err
+		}
+		return ex.receiveAnswer()
+	}
+	return ex.startAwaiting(body)
+}
+
+func (ex *Exchange) startAwaiting(body io.Reader) (*peerpb.AnswerHeader, error) {
+	if err := ex.stream.Flush(); err != nil {
+		return nil, err
+	}
+	frame, err := ex.receive()
+	if err != nil {
+		return nil, err
+	}
+	if frame.Kind == FrameMessage {
+		return ex.decodeAnswer(frame)
+	}
+	if frame.Kind != FrameContinue {
+		return nil, fmt.Errorf("%w: kind %d in place of an answer", ErrUnexpectedFrame, frame.Kind)
+	}
+	ex.sent = make(chan struct{})
+	go ex.sendRest(body)
+	return ex.receiveAnswer()
+}
+
+func (ex *Exchange) receive() (Frame, error) {
+	frame, err := ex.stream.Receive()
+	if err != nil {
+		return Frame{}, fmt.Errorf("receive answer: %w", unexpected(err))
+	}
+	if frame.Call != ex.call {
+		return Frame{}, fmt.Errorf("%w: %d in place of %d", ErrOtherCall, frame.Call, ex.call)
+	}
+	return frame, nil
+}
+
+func (ex *Exchange) receiveAnswer() (*peerpb.AnswerHeader, error) {
+	frame, err := ex.receive()
+	if err != nil {
+		return nil, err
+	}
+	return ex.decodeAnswer(frame)
+}
+
+func (ex *Exchange) decodeAnswer(frame Frame) (*peerpb.AnswerHeader, error) {
+	if frame.Kind != FrameMessage {
+		return nil, fmt.Errorf("%w: kind %d in place of an answer", ErrUnexpectedFrame, frame.Kind)
+	}
+	header := &peerpb.AnswerHeader{}
+	if err := proto.Unmarshal(frame.Payload, header); err != nil {
+		return nil, fmt.Errorf("decode answer: %w", err)
+	}
+	ex.answer = newBodyReader(ex.stream, ex.call)
+	return header, nil
+}
+
+// Body reads the body of the answer; it ends with io.EOF only when all of it
+// arrived and matched.
+func (ex *Exchange) Body() io.Reader {
+	return ex.answer
+}
+
+// Report gives what the peer's end frame told, or nil before the body was read
+// to its end.
+func (ex *Exchange) Report() *peerpb.Report {
+	if ex.answer == nil || ex.answer.end == nil {
+		return nil
+	}
+	return ex.answer.end.GetReport()
+}
+
+// Finish ends the exchange; a stream that is clean is kept for the next one.
+func (ex *Exchange) Finish() {
+	running := ex.stop()
+	if !running || ex.answer == nil || !ex.answer.complete() {
+		ex.close()
+		return
+	}
+	if !ex.bodySent() {
+		ex.close()
+		return
+	}
+	ex.transport.Keep(ex.address, ex.stream)
+}
+
+func (ex *Exchange) sendRest(body io.Reader) {
+	if err := sendBody(ex.stream, ex.call, body, nil); err != nil {
+		_ = ex.stream.Close()
+		return
+	}
+	close(ex.sent)
+}
+
+// bodySent tells whether the body has gone out as a whole. An answer that came
+// before leaves the stream in the middle of a body.
+func (ex *Exchange) bodySent() bool {
+	if ex.sent == nil {
+		return true
+	}
+	select {
+	case <-ex.sent:
+		return true
+	default:
+		return false
+	}
+}
+
+// Abort closes the stream, which cancels the call at the peer.
+func (ex *Exchange) Abort() {
+	ex.stop()
+	ex.close()
+}
+
+func (ex *Exchange) close() {
+	_ = ex.stream.Close()
+}
+
+// WasSent tells whether an error of [Transport.Call] may have left the call
+// running at the peer.
+func WasSent(err error) bool {
+	notSent := &NotSentError{}
+	return !errors.As(err, &notSent)
+}
--- /dev/null
+++ b/internal/adapter/peer/inbound.go
@@ -0,0 +1,177 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// Inbound is one call from a peer. Its handler reads the body, then answers
+// exactly once.
+type Inbound struct {
+	Header *peerpb.CallHeader
+	Call   request.CallID
+
+	stream    *Stream
+	body      io.Reader
+	pipe      *io.PipeWriter
+	pipeEnd   *io.PipeReader
+	continued bool
+	answered  error
+}
+
+// Remote tells which peer sent the call.
+func (in *Inbound) Remote() Hello {
+	return in.stream.remote
+}
+
+// Body gives the body of the call; the peer is asked for it at the first read
+// when it waits for consent.
+func (in *Inbound) Body() io.Reader {
+	return inboundBody{inbound: in}
+}
+
+type inboundBody struct{ inbound *Inbound }
+
+// Read asks for the body where the peer awaits that, and reads it.
+func (ib inboundBody) Read(data []byte) (int, error) {
+	in := ib.inbound
+	if in.Header.GetAwaitContinue() && !in.continued {
+		in.continued = true
+		in.stream.Add(Frame{Kind: FrameContinue, Call: in.Call})
+		if err := in.stream.Flush(); err != nil {
+			return 0, err
+		}
+	}
+	return in.body.Read(data)
+}
+
+// Answer sends the answer. The report is taken when the body is through.
+func (in *Inbound) Answer(header *peerpb.AnswerHeader, body io.Reader, report func() *peerpb.Report) error {
+	if err := in.stream.AddMessage(FrameMessage, in.Call, header); err != nil {
+		in.answered = err
+		return err
+	}
+	in.answered = sendBody(in.stream, in.Call, body, report)
+	return in.answered
+}
+
+// CallHandler serves one call. The context ends when the caller goes away.
+type CallHandler func(ctx context.Context, call *Inbound)
+
+const smallBodyTimeout = 10 * time.Second
+
+// ServeCalls makes a stream handler that serves one call after the other on a
+// stream. While a call is served, the stream is read on, so that a caller that
+// goes away ends the call's context at once.
+func ServeCalls(serve CallHandler) Handler {
+	return func(ctx context.Context, stream *Stream) {
+		frame, err := stream.Receive()
+		for err == nil {
+			frame, err = serveOne(ctx, stream, frame, serve)
+		}
+	}
+}
+
+// serveOne serves the call that starts with the frame and returns the frame
+// that starts the next one.
+func serveOne(ctx context.Context, stream *Stream, first Frame, serve CallHandler) (Frame, error) {
+	inbound, err := decodeInbound(stream, first)
+	if err != nil {
+		return Frame{}, err
+	}
+	if !inbound.Header.GetAwaitContinue() {
+		if err := inbound.readSmallBody(); err != nil {
+			return Frame{}, err
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		serve(ctx, inbound)
+		inbound.closeBody()
+	}()
+	next, err := inbound.watch()
+	if err != nil {
+		cancel()
+	}
+	<-done
+	return next, errors.Join(err, inbound.answered)
+}
+
+func decodeInbound(stream *Stream, first Frame) (*Inbound, error) {
+	if first.Kind != FrameMessage {
+		return nil, fmt.Errorf("%w: kind %d in place of a call", ErrUnexpectedFrame, first.Kind)
+	}
+	header := &peerpb.CallHeader{}
+	if err := proto.Unmarshal(first.Payload, header); err != nil {
+		return nil, fmt.Errorf("decode call: %w", err)
+	}
+	inbound := &Inbound{Header: header, Call: first.Call, stream: stream}
+	if header.GetAwaitContinue() {
+		inbound.pipeEnd, inbound.pipe = io.Pipe()
+		inbound.body = inbound.pipeEnd
+	}
+	return inbound, nil
+}
+
+// readSmallBody reads a body that its sender sent without awaiting consent:
+// one part at most.
+func (in *Inbound) readSmallBody() error {
+	if err := in.stream.conn.SetReadDeadline(time.Now().Add(smallBodyTimeout)); err != nil {
+		return err
+	}
+	reader := newBodyReader(in.stream, in.Call)
+	body, err := io.ReadAll(io.LimitReader(reader, BodyPart+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > BodyPart {
+		return fmt.Errorf("%w: body over one part without consent", ErrFrameTooLong)
+	}
+	in.body = bytes.NewReader(body)
+	return in.stream.conn.SetReadDeadline(time.Time{})
+}
+
+// watch passes a body that awaited consent on to the handler, then waits for
+// the next call or the caller's leaving.
+func (in *Inbound) watch() (Frame, error) {
+	if in.pipe != nil {
+		if err := in.passBody(); err != nil {
+			return Frame{}, err
+		}
+	}
+	return in.stream.Receive()
+}
+
+func (in *Inbound) passBody() error {
+	reader := newBodyReader(in.stream, in.Call)
+	_, err := io.Copy(discardAfterClose{in.pipe}, reader)
+	_ = in.pipe.CloseWithError(err)
+	return err
+}
+
+// discardAfterClose goes on taking a body that its handler no longer reads.
+type discardAfterClose struct{ pipe *io.PipeWriter }
+
+// Write never fails.
+func (dc discardAfterClose) Write(data []byte) (int, error) {
+	_, _ = dc.pipe.Write(data)
+	return len(data), nil
+}
+
+func (in *Inbound) closeBody() {
+	if in.pipeEnd != nil {
+		_ = in.pipeEnd.Close()
+	}
+}
--- /dev/null
+++ b/internal/adapter/peer/stream.go
@@ -0,0 +1,116 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// Kind tells what a stream is for.
+type Kind uint8
+
+// The kinds of stream.
+const (
+	KindCall Kind = iota + 1
+	KindQuorum
+	KindRegistry
+	KindControl
+	KindQuarantine
+	kindLimit
+)
+
+// ErrUnexpectedFrame tells that a peer broke the order of frames.
+var ErrUnexpectedFrame = errors.New("peer sent a frame out of order")
+
+// Stream is one ordered channel of frames between two peers. One goroutine may
+// send while another receives.
+type Stream struct {
+	conn     net.Conn
+	remote   Hello
+	kind     Kind
+	opened   bool
+	outgoing []byte
+	incoming []byte
+}
+
+// Remote tells who is at the other end.
+func (st *Stream) Remote() Hello {
+	return st.remote
+}
+
+// Add buffers a frame for the next [Stream.Flush].
+func (st *Stream) Add(frame Frame) {
+	if !st.opened {
+		st.opened = true
+		st.outgoing = AppendFrame(st.outgoing, Frame{Kind: FrameOpen, Payload: []byte{byte(st.kind)}})
+	}
+	st.outgoing = AppendFrame(st.outgoing, frame)
+}
+
+// AddMessage buffers a frame that holds one message.
+func (st *Stream) AddMessage(kind FrameKind, call request.CallID, message proto.Message) error {
+	payload, err := proto.Marshal(message)
+	if err != nil {
+		return fmt.Errorf("encode message: %w", err)
+	}
+	if len(payload) > MaxPayload {
+		return fmt.Errorf("%w: %d bytes", ErrFrameTooLong, len(payload))
+	}
+	st.Add(Frame{Kind: kind, Call: call, Payload: payload})
+	return nil
+}
+
+// Flush writes what was added.
+func (st *Stream) Flush() error {
+	if len(st.outgoing) == 0 {
+		return nil
+	}
+	_, err := st.conn.Write(st.outgoing)
+	st.outgoing = st.outgoing[:0]
+	return err
+}
+
+// Send writes one message at once.
+func (st *Stream) Send(call request.CallID, message proto.Message) error {
+	if err := st.AddMessage(FrameMessage, call, message); err != nil {
+		return err
+	}
+	return st.Flush()
+}
+
+// Receive reads the next frame. Its payload is valid until the next call.
+func (st *Stream) Receive() (Frame, error) {
+	frame, buffer, err := ReadFrame(st.conn, st.incoming)
+	st.incoming = buffer
+	return frame, err
+}
+
+// ReceiveMessage reads the next frame, which must hold a message.
+func (st *Stream) ReceiveMessage(message proto.Message) (request.CallID, error) {
+	frame, err := st.Receive()
+	if err != nil {
+		return 0, err
+	}
+	if frame.Kind != FrameMessage {
+		return 0, fmt.Errorf("%w: kind %d in place of a message", ErrUnexpectedFrame, frame.Kind)
+	}
+	if err := proto.Unmarshal(frame.Payload, message); err != nil {
+		return 0, fmt.Errorf("decode message: %w", err)
+	}
+	return frame.Call, nil
+}
+
+// SetDeadline bounds all sending and receiving; the zero time lifts the bound.
+func (st *Stream) SetDeadline(at time.Time) error {
+	return st.conn.SetDeadline(at)
+}
+
+// Close ends the stream at once; the other end reads an error or end of file.
+func (st *Stream) Close() error {
+	return st.conn.Close()
+}
