Add the latency adapter for connections between places

Cause: patch times and recovery depend on the 1 ms and 20 ms between failure domains and regions, which loopback does not have. Change: magnolia-load/internal/link, a dialer that delays both directions of a connection by the pair of places. Before: nothing.

--- /dev/null
+++ b/magnolia-load/internal/link/link.go
@@ -0,0 +1,93 @@
+// Package link puts the latency between two places on the connections of a
+// process, so that a mesh on loopback has the distances of the real one.
+//
+// # Usage
+//
+//	links := link.NewMap(link.Latencies{Domains: time.Millisecond, Regions: 20 * time.Millisecond})
+//	links.Put("127.0.0.1:4001", request.Place{Region: "sur", Domain: "sur-a"})
+//	dial := links.Dialer(request.Place{Region: "norte", Domain: "norte-a"})
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// Latencies are the one-way latencies of the brief.
+type Latencies struct {
+	// Domains is the latency between failure domains of one region.
+	Domains time.Duration
+	// Regions is the latency between regions.
+	Regions time.Duration
+	// Callers is the latency between a caller and its entry node.
+	Callers time.Duration
+}
+
+// Between gives the one-way latency between two places.
+func (l Latencies) Between(from, to request.Place) time.Duration {
+	switch {
+	case from.Region != to.Region:
+		return l.Regions
+	case from.Domain != to.Domain:
+		return l.Domains
+	}
+	return 0
+}
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Map knows the place behind each address.
+type Map struct {
+	latencies Latencies
+
+	mu     sync.RWMutex
+	places map[string]request.Place
+}
+
+// NewMap gives a map without addresses.
+func NewMap(latencies Latencies) *Map {
+	return &Map{latencies: latencies, places: make(map[string]request.Place)}
+}
+
+// Put tells the place of an address.
+func (m *Map) Put(address string, place request.Place) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.places[address] = place
+}
+
+// Dialer gives the dial of a process at a place. An address without a place
+// has no latency.
+func (m *Map) Dialer(from request.Place) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		m.mu.RLock()
+		to, known := m.places[address]
+		m.mu.RUnlock()
+		latency := time.Duration(0)
+		if known {
+			latency = m.latencies.Between(from, to)
+		}
+		return dialDelayed(ctx, network, address, latency)
+	}
+}
+
+// CallerDialer gives the dial of a caller.
+func (m *Map) CallerDialer() Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		return dialDelayed(ctx, network, address, m.latencies.Callers)
+	}
+}
+
+func dialDelayed(ctx context.Context, network, address string, latency time.Duration) (net.Conn, error) {
+	dialer := &net.Dialer{}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil || latency == 0 {
+		return conn, err
+	}
+	return Delay(conn, latency), nil
+}
