--- /dev/null
+++ b/internal/core/admission/gate.go
@@ -0,0 +1,270 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+const (
+	defaultSojourn     = 50 * time.Millisecond
+	defaultLongestWait = 200 * time.Millisecond
+	// minLine is the number of calls that may wait at any target.
+	minLine = 4
+	// levelHorizon is the time over which the level brings the line back to its
+	// sojourn target.
+	levelHorizon = 200 * time.Millisecond
+	// adjustInterval is the time between two changes of the level.
+	adjustInterval = 10 * time.Millisecond
+	minRetryAfter  = time.Second
+	maxRetryAfter  = 10 * time.Second
+)
+
+// Gate admits calls to one target.
+type Gate struct {
+	// Slots is the number of calls that the target announces to work on at
+	// once. It may change while the gate is in use.
+	Slots int
+	// Warm starts with all slots open, for a target that has been at work
+	// before its node started.
+	Warm bool
+	// Sojourn is the time in the line that the level aims at. Zero is 50 ms.
+	Sojourn time.Duration
+	// LongestWait bounds the line to what the target clears in this time.
+	// Zero is 200 ms.
+	LongestWait time.Duration
+	// Below holds the levels of the services that the target calls. It may be
+	// nil.
+	Below *Levels
+
+	started    bool
+	limiter    limiter
+	line       line
+	running    map[request.CallID]struct{}
+	demand     demand
+	pace       pace
+	level      request.Level
+	adjustedAt time.Time
+}
+
+// Arrive decides on an inbound call. Decisions on other calls that follow from
+// it are appended to notices.
+func (g *Gate) Arrive(now time.Time, work request.Work, notices []Notice) (Decision, []Notice) {
+	g.start(now)
+	if now.Add(g.pace.shortest).After(work.Deadline) {
+		return refusal(request.DeadlineTooClose, 0), notices
+	}
+	if g.Below != nil && doomed(work, g.Below.Below(work.RootKind, now)) {
+		return g.refuse(request.OverloadedBelow, work.Priority), notices
+	}
+	g.demand.note(work.Priority)
+	if g.line.size() == 0 && len(g.running) < g.limiter.places() {
+		g.running[work.Call] = struct{}{}
+		return Decision{Verdict: Admit}, notices
+	}
+	return g.queue(now, work, notices)
+}
+
+// Finish ends an admitted call.
+func (g *Gate) Finish(now time.Time, call request.CallID, sample Sample, notices []Notice) []Notice {
+	if _, ok := g.running[call]; !ok {
+		return notices
+	}
+	g.limiter.finish(now, sample, len(g.running))
+	g.pace.finish(now, sample)
+	delete(g.running, call)
+	return g.startWaiting(now, notices)
+}
+
+// Cancel ends a waiting or running call whose answer nobody wants any more.
+func (g *Gate) Cancel(now time.Time, call request.CallID, notices []Notice) []Notice {
+	if _, ok := g.running[call]; !ok {
+		g.line.remove(call)
+		return notices
+	}
+	delete(g.running, call)
+	return g.startWaiting(now, notices)
+}
+
+// Tick refuses waiting calls whose time is over, and adjusts the level.
+func (g *Gate) Tick(now time.Time, notices []Notice) []Notice {
+	g.start(now)
+	g.limiter.resize(g.Slots)
+	notices = g.expire(now, notices)
+	notices = g.startWaiting(now, notices)
+	g.adjust(now)
+	return notices
+}
+
+// Level is the lowest priority that is still taken here and below for a root
+// kind. It travels back on answers.
+func (g *Gate) Level(rootKind request.KindName, now time.Time) request.Level {
+	if g.Below == nil {
+		return g.level
+	}
+	return max(g.level, g.Below.Below(rootKind, now))
+}
+
+// Limit is the number of calls that the target is given at once.
+func (g *Gate) Limit() int {
+	return g.limiter.places()
+}
+
+// Running is the number of calls that the target works on.
+func (g *Gate) Running() int {
+	return len(g.running)
+}
+
+// Waiting is the number of calls in the line.
+func (g *Gate) Waiting() int {
+	return g.line.size()
+}
+
+func (g *Gate) start(now time.Time) {
+	if g.started {
+		return
+	}
+	g.started = true
+	g.running = make(map[request.CallID]struct{})
+	g.adjustedAt = now
+	g.limiter.start(g.Slots, now)
+	if g.Warm {
+		g.limiter.limit = g.limiter.slots
+		g.limiter.phase = steady
+	}
+}
+
+// queue puts a call into the line or refuses it.
+func (g *Gate) queue(now time.Time, work request.Work, notices []Notice) (Decision, []Notice) {
+	rate := g.rate(now)
+	place := rankOf(work)
+	if g.hopeless(now, work, place, rate) {
+		return refusal(request.DeadlineTooClose, 0), notices
+	}
+	if work.Priority < g.level && g.line.size() >= g.capacity(rate, g.sojourn()) {
+		return g.refuse(request.Overloaded, work.Priority), notices
+	}
+	if g.line.size() >= g.capacity(rate, g.longestWait()) {
+		if g.line.lowest().rank >= place {
+			return g.refuse(g.fullCode(), work.Priority), notices
+		}
+		notices = g.dropLowest(notices)
+	}
+	g.line.insert(waiter{rank: place, call: work.Call, since: now, deadline: work.Deadline})
+	return Decision{Verdict: Wait}, notices
+}
+
+// hopeless tells whether the calls ahead take until after the deadline.
+func (g *Gate) hopeless(now time.Time, work request.Work, place rank, rate float64) bool {
+	if rate <= 0 {
+		return false
+	}
+	wait := time.Duration(float64(g.line.ahead(place)) / rate * float64(time.Second))
+	return now.Add(wait + g.pace.shortest).After(work.Deadline)
+}
+
+func (g *Gate) dropLowest(notices []Notice) []Notice {
+	dropped := g.line.dropLowest()
+	bucket := request.Priority(dropped.rank % request.BucketCount)
+	return append(notices, Notice{Call: dropped.call, Decision: g.refuse(request.Overloaded, bucket)})
+}
+
+// startWaiting fills free places from the line.
+func (g *Gate) startWaiting(now time.Time, notices []Notice) []Notice {
+	for g.line.size() > 0 && len(g.running) < g.limiter.places() {
+		next := g.line.takeHighest()
+		if now.Add(g.pace.shortest).After(next.deadline) {
+			notices = append(notices, Notice{Call: next.call, Decision: refusal(request.DeadlineTooClose, 0)})
+			continue
+		}
+		g.running[next.call] = struct{}{}
+		notices = append(notices, Notice{Call: next.call, Decision: Decision{Verdict: Admit}})
+	}
+	return notices
+}
+
+// expire refuses the waiting calls that have no time left.
+func (g *Gate) expire(now time.Time, notices []Notice) []Notice {
+	kept := g.line.waiters[:0]
+	for _, waiting := range g.line.waiters {
+		switch {
+		case now.Add(g.pace.shortest).After(waiting.deadline):
+			notices = append(notices, Notice{Call: waiting.call, Decision: refusal(request.DeadlineTooClose, 0)})
+		case now.Sub(waiting.since) > 2*g.longestWait():
+			bucket := request.Priority(waiting.rank % request.BucketCount)
+			notices = append(notices, Notice{Call: waiting.call, Decision: g.refuse(request.WaitedTooLong, bucket)})
+		default:
+			kept = append(kept, waiting)
+		}
+	}
+	g.line.waiters = kept
+	return notices
+}
+
+// adjust sets the level to what the target clears, corrected by how far the
+// line is from its sojourn target. Free places count as a negative line.
+func (g *Gate) adjust(now time.Time) {
+	interval := now.Sub(g.adjustedAt)
+	if interval < adjustInterval {
+		return
+	}
+	g.adjustedAt = now
+	excess := g.line.size() + len(g.running) - g.limiter.places()
+	g.demand.advance(now, interval, g.level, excess < 0)
+	rate := g.rate(now)
+	if rate <= 0 {
+		return
+	}
+	sojourn := float64(excess) / rate
+	correction := (g.sojourn().Seconds() - sojourn) / levelHorizon.Seconds()
+	g.level = g.demand.levelFor(rate * (1 + correction))
+}
+
+// rate is what the target clears per second at its limit.
+func (g *Gate) rate(now time.Time) float64 {
+	latency := g.pace.latency
+	if len(g.running) >= g.limiter.places() {
+		latency = max(latency, now.Sub(g.pace.finishedAt))
+	}
+	if latency <= 0 {
+		return 0
+	}
+	return g.limiter.limit / latency.Seconds()
+}
+
+// capacity is the number of waiting calls that are cleared in the time.
+func (g *Gate) capacity(rate float64, wait time.Duration) int {
+	return max(minLine, int(rate*wait.Seconds()))
+}
+
+func (g *Gate) sojourn() time.Duration {
+	if g.Sojourn == 0 {
+		return defaultSojourn
+	}
+	return g.Sojourn
+}
+
+func (g *Gate) longestWait() time.Duration {
+	if g.LongestWait == 0 {
+		return defaultLongestWait
+	}
+	return g.LongestWait
+}
+
+func (g *Gate) fullCode() request.Code {
+	if g.limiter.phase == cold {
+		return request.ColdTarget
+	}
+	return request.Overloaded
+}
+
+// refuse spreads the time to come back over the buckets, so that the refused
+// do not return at one moment.
+func (g *Gate) refuse(code request.Code, priority request.Priority) Decision {
+	spread := maxRetryAfter - minRetryAfter
+	return refusal(code, minRetryAfter+spread*time.Duration(priority.Bucket())/request.BucketCount)
+}
+
+func refusal(code request.Code, retryAfter time.Duration) Decision {
+	return Decision{Verdict: Refuse, Code: code, RetryAfter: retryAfter}
+}
--- /dev/null
+++ b/internal/core/admission/levels.go
@@ -0,0 +1,131 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+const (
+	defaultHold = 500 * time.Millisecond
+	// levelSmoothing is the time constant over which the levels of a service's
+	// targets are averaged.
+	levelSmoothing = 20 * time.Millisecond
+	// releaseTime is the time in which an unconfirmed level falls by one
+	// importance.
+	releaseTime = 100 * time.Millisecond
+)
+
+// Levels keeps the levels that came back from services below, by root kind.
+// The levels of one service's targets are averaged over a short time; among
+// services the highest counts.
+type Levels struct {
+	// Hold is how long a level stands without an answer that confirms it;
+	// then it falls. Zero is half a second.
+	Hold time.Duration
+
+	rows map[request.KindName]*levelRow
+}
+
+type levelRow struct {
+	services []heardLevel
+}
+
+type heardLevel struct {
+	service request.ServiceName
+	level   float64
+	at      time.Time
+}
+
+// Learn takes the level on an answer of a service.
+func (l *Levels) Learn(service request.ServiceName, rootKind request.KindName, level request.Level, now time.Time) {
+	heard := l.find(service, rootKind)
+	if heard == nil {
+		if level == 0 {
+			return
+		}
+		l.add(heardLevel{service: service, level: float64(level), at: now}, rootKind)
+		return
+	}
+	current := l.current(heard, now)
+	weight := 1 - math.Exp(-now.Sub(heard.at).Seconds()/levelSmoothing.Seconds())
+	heard.level = current + weight*(float64(level)-current)
+	heard.at = now
+}
+
+// Of gives the level of one service for a root kind.
+func (l *Levels) Of(service request.ServiceName, rootKind request.KindName, now time.Time) request.Level {
+	heard := l.find(service, rootKind)
+	if heard == nil {
+		return 0
+	}
+	return request.Level(l.current(heard, now))
+}
+
+// Below gives the highest level of all services below for a root kind.
+func (l *Levels) Below(rootKind request.KindName, now time.Time) request.Level {
+	row := l.rows[rootKind]
+	if row == nil {
+		return 0
+	}
+	highest := 0.0
+	for index := range row.services {
+		highest = max(highest, l.current(&row.services[index], now))
+	}
+	return request.Level(highest)
+}
+
+// Refuses tells whether a call that is about to be sent to a service would be
+// refused there or further down.
+func (l *Levels) Refuses(service request.ServiceName, work request.Work, now time.Time) bool {
+	return doomed(work, l.Of(service, work.RootKind, now))
+}
+
+// doomed tells whether the level refuses the work. Work on which something was
+// spent is given up only for a whole importance: the level is older than the
+// service's own decision, which may still take it.
+func doomed(work request.Work, level request.Level) bool {
+	priority := work.Priority
+	if work.Spent > 0 {
+		priority += request.BucketCount
+	}
+	return priority < level
+}
+
+func (l *Levels) current(heard *heardLevel, now time.Time) float64 {
+	hold := l.Hold
+	if hold == 0 {
+		hold = defaultHold
+	}
+	unconfirmed := now.Sub(heard.at) - hold
+	if unconfirmed <= 0 {
+		return heard.level
+	}
+	return max(0, heard.level-request.BucketCount*unconfirmed.Seconds()/releaseTime.Seconds())
+}
+
+func (l *Levels) find(service request.ServiceName, rootKind request.KindName) *heardLevel {
+	row := l.rows[rootKind]
+	if row == nil {
+		return nil
+	}
+	for index := range row.services {
+		if row.services[index].service == service {
+			return &row.services[index]
+		}
+	}
+	return nil
+}
+
+func (l *Levels) add(heard heardLevel, rootKind request.KindName) {
+	if l.rows == nil {
+		l.rows = make(map[request.KindName]*levelRow)
+	}
+	row := l.rows[rootKind]
+	if row == nil {
+		row = &levelRow{}
+		l.rows[rootKind] = row
+	}
+	row.services = append(row.services, heard)
+}
