Read, check and match the configuration

Cause: the node needs kinds and rules of requests by service, method and path, and operators need every fault of a document named at once. Change: internal/strictjson decodes JSON with comments over the syntax tree and goes on after a fault; internal/configuration checks the whole document and compiles a matcher. claims.record-retention is new: the answer of an action may be dropped before the record that it ran.

--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -11,7 +11,8 @@
 //	if err != nil {
 //		return err
 //	}
-//	kind, ok := document.Services["subsidios"].Kinds["file"]
+//	matcher := configuration.Compile(document)
+//	name, kind, ok := matcher.Match("subsidios", "POST", "/requests")
 package configuration
 
 import (
@@ -54,6 +55,9 @@
 type Claims struct {
 	// Retention is how long the answer of an action is kept for resends.
 	Retention Duration `json:"retention"`
+	// RecordRetention is how long it is kept that the action ran, at least as
+	// long as its answer.
+	RecordRetention Duration `json:"record-retention"`
 	// KeptAnswer is the largest answer that is kept.
 	KeptAnswer Bytes `json:"kept-answer"`
 }
--- /dev/null
+++ b/internal/configuration/unit.go
@@ -0,0 +1,89 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Units of [Bytes].
+const (
+	KiB Bytes = 1 << 10
+	MiB Bytes = 1 << 20
+	GiB Bytes = 1 << 30
+)
+
+var byteUnits = []struct {
+	suffix string
+	size   Bytes
+}{{"GiB", GiB}, {"MiB", MiB}, {"KiB", KiB}, {"B", 1}}
+
+// UnmarshalJSON reads a time as text, as in "250ms" or "4s".
+func (d *Duration) UnmarshalJSON(text []byte) error {
+	var word string
+	if err := json.Unmarshal(text, &word); err != nil {
+		return fmt.Errorf("%s is not a time; write a text such as \"250ms\" or \"4s\"", text)
+	}
+	parsed, err := time.ParseDuration(word)
+	if err != nil {
+		return fmt.Errorf("%q is not a time; write a text such as \"250ms\" or \"4s\"", word)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalJSON writes the time as text.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads a size as a number of bytes or as text, as in "32MiB".
+func (b *Bytes) UnmarshalJSON(text []byte) error {
+	var number int64
+	if json.Unmarshal(text, &number) == nil {
+		*b = Bytes(number)
+		return nil
+	}
+	var word string
+	if err := json.Unmarshal(text, &word); err != nil {
+		return fmt.Errorf("%s is not a size; write a number of bytes or a text such as \"32MiB\"", text)
+	}
+	parsed, ok := parseBytes(word)
+	if !ok {
+		return fmt.Errorf("%q is not a size; write a number of bytes or a text such as \"32MiB\"", word)
+	}
+	*b = parsed
+	return nil
+}
+
+func parseBytes(word string) (Bytes, bool) {
+	for _, unit := range byteUnits {
+		digits, found := strings.CutSuffix(word, unit.suffix)
+		if !found {
+			continue
+		}
+		number, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 64)
+		if err != nil || number < 0 || number > int64(1<<62/unit.size) {
+			return 0, false
+		}
+		return Bytes(number) * unit.size, true
+	}
+	return 0, false
+}
+
+// String writes the size with the largest unit that divides it.
+func (b Bytes) String() string {
+	for _, unit := range byteUnits {
+		if b != 0 && b%unit.size == 0 {
+			return strconv.FormatInt(int64(b/unit.size), 10) + unit.suffix
+		}
+	}
+	return strconv.FormatInt(int64(b), 10) + "B"
+}
+
+// MarshalJSON writes the size as text.
+func (b Bytes) MarshalJSON() ([]byte, error) {
+	return json.Marshal(b.String())
+}
--- /dev/null
+++ b/internal/strictjson/source.go
@@ -0,0 +1,38 @@
+package strictjson
+
+import (
+	"bytes"
+	"strings"
+)
+
+// Source is a text that was read and the places of its fields.
+type Source struct {
+	text    []byte
+	offsets map[string]int
+}
+
+// Has tells whether the text gives the field.
+func (s *Source) Has(field string) bool {
+	_, ok := s.offsets[field]
+	return ok
+}
+
+// Line gives the line of a field, or of the nearest enclosing field that the
+// text has.
+func (s *Source) Line(field string) int {
+	for {
+		if offset, ok := s.offsets[field]; ok {
+			return bytes.Count(s.text[:offset], []byte("\n")) + 1
+		}
+		cut := strings.LastIndexAny(field, ".[")
+		if cut < 0 {
+			return 1
+		}
+		field = field[:cut]
+	}
+}
+
+// Fault builds a fault at a field.
+func (s *Source) Fault(field, problem, advice string) Fault {
+	return Fault{Line: s.Line(field), Field: field, Problem: problem, Advice: advice}
+}
