Patch and compare configurations, and name all faults

Cause: an operator's patch must say which operation fails at which path, and a stale base must show what changed since. Tests read documents with faults from testdata/faults, each with the list of the faults that must be named and no others. Seen failing: a field given twice moved the line of the faults of the first one; mended in strictjson.

--- /dev/null
+++ b/internal/configuration/parse_test.go
@@ -0,0 +1,103 @@
+package configuration_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+)
+
+// Each file lists the faults that must be named, and no others may be.
+func TestFaultsAreAllNamed(t *testing.T) {
+	files, err := filepath.Glob("testdata/faults/*.jsonc")
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.NewWithT(t).Expect(files).NotTo(gomega.BeEmpty())
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			expect := gomega.NewWithT(t).Expect
+			text, err := os.ReadFile(file)
+			expect(err).NotTo(gomega.HaveOccurred())
+			document, err := configuration.Parse(text)
+			expect(document).To(gomega.BeNil())
+			var faults configuration.Faults
+			expect(errors.As(err, &faults)).To(gomega.BeTrue())
+			wanted := wantedLines(string(text))
+			expect(faults).To(gomega.HaveLen(len(wanted)), err.Error())
+			for _, line := range wanted {
+				expect(err.Error()).To(gomega.ContainSubstring(line))
+			}
+		})
+	}
+}
+
+func wantedLines(text string) []string {
+	var wanted []string
+	for line := range strings.Lines(text) {
+		if want, ok := strings.CutPrefix(line, "// want: "); ok {
+			wanted = append(wanted, strings.TrimSpace(want))
+		}
+	}
+	return wanted
+}
+
+func TestExamplesAreWhole(t *testing.T) {
+	for _, name := range []string{"gota-justa.jsonc", "ktsra.jsonc"} {
+		expect := gomega.NewWithT(t).Expect
+		text := example(t, name)
+		document, err := configuration.Parse(text)
+		expect(err).NotTo(gomega.HaveOccurred())
+		expect(document.Services).To(gomega.HaveLen(4))
+		formatted, err := configuration.Patch(text, []byte(`[{"op": "test", "path": "/retry/allowance-per-root", "value": 3}]`))
+		expect(err).NotTo(gomega.HaveOccurred())
+		expect(string(formatted)).To(gomega.Equal(string(text)), "the example has the standard layout")
+	}
+}
+
+func TestPatch(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	text := example(t, "gota-justa.jsonc")
+	patched, err := configuration.Patch(text, []byte(`[
+		{"op": "replace", "path": "/services/consumo/slots", "value": 12},
+		{"op": "remove", "path": "/services/agenda/kinds/free-slots"},
+		{"op": "add", "path": "/services/agenda/calls/0", "value": "consumo"},
+	]`))
+	expect(err).NotTo(gomega.HaveOccurred())
+	expect(string(patched)).To(gomega.ContainSubstring("// Consumption records"))
+	changes, err := configuration.Difference(text, patched)
+	expect(err).NotTo(gomega.HaveOccurred())
+	var lines []string
+	for _, change := range changes {
+		lines = append(lines, change.String())
+	}
+	expect(lines).To(gomega.HaveLen(3))
+	expect(lines[0]).To(gomega.ContainSubstring(`services.agenda.calls: ["subsidios"`))
+	expect(lines[1]).To(gomega.ContainSubstring(`services.agenda.kinds.free-slots: removed {`))
+	expect(lines[2]).To(gomega.Equal("services.consumo.slots: 10 -> 12"))
+	_, err = configuration.Parse(patched)
+	expect(err).To(gomega.MatchError(gomega.ContainSubstring(`"consumo" is listed twice`)))
+}
+
+func TestPatchNamesTheBadOperation(t *testing.T) {
+	text := example(t, "gota-justa.jsonc")
+	for patch, want := range map[string]string{
+		`[{"op": "test", "path": "/retry/allowance-per-root", "value": 3}, {"op": "remove", "path": "/services/nowhere"}]`: `patch operation 2, remove "/services/nowhere": value not found`,
+		`[{"op": "test", "path": "/retry/allowance-per-root", "value": 4}]`:                                                `patch operation 1, test "/retry/allowance-per-root": values differ`,
+		`[{"op": "turn", "path": "/retry"}]`:  `patch operation 1, turn "/retry": unknown operation`,
+		`[{"op": "add", "path": "/retry/x"}]`: `patch operation 1, add "/retry/x": missing required member "value"`,
+		`{"op": "add"}`:                       `is not a list`,
+		`[]`:                                  `has no operation`,
+		`[{"op": "remove", "path": "retry"}]`: `lacks a forward slash prefix`,
+		`[7]`:                                 `patch operation 1`,
+	} {
+		expect := gomega.NewWithT(t).Expect
+		_, err := configuration.Patch(text, []byte(patch))
+		expect(err).To(gomega.MatchError(gomega.ContainSubstring(want)), patch)
+		_, ok := configuration.AsPatchError(err)
+		expect(ok).To(gomega.BeTrue())
+	}
+}
--- /dev/null
+++ b/internal/configuration/patch.go
@@ -0,0 +1,106 @@
+package configuration
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// PatchError says which operation of an RFC 6902 patch cannot be applied.
+type PatchError struct {
+	// Operation is the place of the operation in the patch, from one; zero if
+	// the patch as a whole cannot be read.
+	Operation int
+	// Name is the operation, as in "replace".
+	Name string
+	// Path is the JSON pointer that it names.
+	Path string
+	// Problem says what is wrong and what to do.
+	Problem string
+}
+
+// Error describes the failed operation.
+func (p *PatchError) Error() string {
+	if p.Operation == 0 {
+		return "patch: " + p.Problem
+	}
+	return fmt.Sprintf("patch operation %d, %s %q: %s", p.Operation, p.Name, p.Path, p.Problem)
+}
+
+// Patch applies an RFC 6902 patch to a text of JSON with comments and gives the
+// new text in the standard layout. Comments are kept. The error is a
+// [*PatchError]; the new text is not checked, see [Parse].
+func Patch(text, operations []byte) ([]byte, error) {
+	document, err := hujson.Parse(text)
+	if err != nil {
+		return nil, &PatchError{Problem: "the document to patch cannot be read: " + err.Error()}
+	}
+	list, err := parseOperations(operations)
+	if err != nil {
+		return nil, err
+	}
+	for i, operation := range list {
+		if err := applyOperation(&document, operation); err != nil {
+			return nil, operationError(i+1, operation, err)
+		}
+	}
+	document.Format()
+	return document.Pack(), nil
+}
+
+func parseOperations(operations []byte) ([]hujson.Value, error) {
+	value, err := hujson.Parse(operations)
+	if err != nil {
+		return nil, &PatchError{Problem: err.Error() + "; write an RFC 6902 patch"}
+	}
+	list, ok := value.Value.(*hujson.Array)
+	if !ok {
+		return nil, &PatchError{Problem: "is not a list; write an RFC 6902 patch"}
+	}
+	if len(list.Elements) == 0 {
+		return nil, &PatchError{Problem: "has no operation; write at least one"}
+	}
+	return list.Elements, nil
+}
+
+func applyOperation(document *hujson.Value, operation hujson.Value) error {
+	single := hujson.Value{Value: &hujson.Array{Elements: []hujson.Value{operation}}}
+	return document.Patch(single.Pack())
+}
+
+func operationError(number int, operation hujson.Value, cause error) error {
+	problem := strings.TrimPrefix(cause.Error(), "hujson: ")
+	problem = strings.TrimPrefix(problem, "patch operation 0: ")
+	if problem == "value not found" {
+		problem += "; look at the path in the version that the patch is based on"
+	}
+	return &PatchError{
+		Operation: number,
+		Name:      memberText(operation, "op"),
+		Path:      memberText(operation, "path"),
+		Problem:   problem,
+	}
+}
+
+func memberText(operation hujson.Value, name string) string {
+	object, ok := operation.Value.(*hujson.Object)
+	if !ok {
+		return ""
+	}
+	for _, member := range object.Members {
+		literal, isLiteral := member.Value.Value.(hujson.Literal)
+		if isLiteral && member.Name.Value.(hujson.Literal).String() == name {
+			return literal.String()
+		}
+	}
+	return ""
+}
+
+// AsPatchError gives the PatchError within an error.
+func AsPatchError(err error) (*PatchError, bool) {
+	var patchErr *PatchError
+	ok := errors.As(err, &patchErr)
+	return patchErr, ok
+}
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -116,8 +116,12 @@
 		name := member.Name.Value.(hujson.Literal).String()
 		memberPath := join(path, name)
 		if seen[name] {
-			d.source.offsets[memberPath] = member.Name.StartOffset
-			d.fault(memberPath, "is given twice", "keep one of them")
+			d.faults = append(d.faults, Fault{
+				Line:    d.source.lineAt(member.Name.StartOffset),
+				Field:   memberPath,
+				Problem: "is given twice",
+				Advice:  "keep one of them",
+			})
 			continue
 		}
 		seen[name] = true
--- a/internal/strictjson/source.go
+++ b/internal/strictjson/source.go
@@ -22,7 +22,7 @@
 func (s *Source) Line(field string) int {
 	for {
 		if offset, ok := s.offsets[field]; ok {
-			return bytes.Count(s.text[:offset], []byte("\n")) + 1
+			return s.lineAt(offset)
 		}
 		cut := strings.LastIndexAny(field, ".[")
 		if cut < 0 {
@@ -32,6 +32,10 @@
 	}
 }
 
+func (s *Source) lineAt(offset int) int {
+	return bytes.Count(s.text[:offset], []byte("\n")) + 1
+}
+
 // Fault builds a fault at a field.
 func (s *Source) Fault(field, problem, advice string) Fault {
 	return Fault{Line: s.Line(field), Field: field, Problem: problem, Advice: advice}
