Choose targets by what the node measures itself

Cause: a call needs a target that can take it, and health and load reports lag or mislead.

Change: internal/core/choice keeps a rendezvous subset of the targets in three tiers (domain, region, other regions) and takes the cheaper of two by calls in flight, latency and failures seen by the node; a report can at most double a cost. Failing targets are ejected and probed; when most seem to fail the ejections are ignored.

--- /dev/null
+++ b/internal/core/choice/entry.go
@@ -0,0 +1,99 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// entry is what the node knows of one target from its own calls.
+type entry struct {
+	target   Target
+	rank     uint64
+	inFlight int
+
+	latency    float64
+	measuredAt time.Time
+	failures   float64
+
+	load       Load
+	reportedAt time.Time
+
+	refusedUntil    time.Time
+	refusedPriority request.Priority
+
+	connected   bool
+	unreachable bool
+	left        bool
+	ejected     bool
+	probing     bool
+	ejectUntil  time.Time
+	ejection    time.Duration
+
+	warmFrom time.Time
+	warmTime time.Duration
+}
+
+// refuses says whether the target is known to be unable to take the call.
+func (e *entry) refuses(now time.Time, priority request.Priority) bool {
+	if e.inFlight >= int(max(e.target.Slots, 1)) {
+		return true
+	}
+	return priority <= e.refusedPriority && now.Before(e.refusedUntil)
+}
+
+// probeDue says whether an ejected target may be tried with one call. A call
+// that may not be repeated comes later than others, by MaxEjection.
+func (e *entry) probeDue(now time.Time) bool {
+	return e.ejected && !now.Before(e.ejectUntil)
+}
+
+// warm draws whether a target whose share still grows takes part this time.
+func (e *entry) warm(now time.Time, random *rand.Rand) bool {
+	if e.warmTime == 0 {
+		return true
+	}
+	age := now.Sub(e.warmFrom)
+	if age >= e.warmTime {
+		return true
+	}
+	share := DefaultColdShare + (1-DefaultColdShare)*float64(age)/float64(e.warmTime)
+	return random.Float64() < share
+}
+
+// cost estimates the time that another call would take at the target.
+func (e *entry) cost(now time.Time, typical float64, staleness time.Duration) float64 {
+	latency := typical
+	if e.latency > 0 {
+		latency += (e.latency - typical) * freshness(now.Sub(e.measuredAt), staleness)
+	}
+	queue := float64(e.inFlight+1) / float64(max(e.target.Slots, 1))
+	report := 1 + float64(e.load)*freshness(now.Sub(e.reportedAt), staleness)
+	return max(latency, 1) * queue * report * (1 + failureCost*e.failures)
+}
+
+func (e *entry) report(now time.Time, load Load) {
+	if !(load >= 0) {
+		load = 0
+	}
+	e.load = min(load, 1)
+	e.reportedAt = now
+}
+
+func (e *entry) measure(now time.Time, latency time.Duration) {
+	measured := float64(max(latency, 0))
+	if e.latency == 0 {
+		e.latency = measured
+	}
+	e.latency += (measured - e.latency) * latencyGain
+	e.measuredAt = now
+}
+
+// freshness weighs a value down with its age, to half at staleness.
+func freshness(age, staleness time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return float64(staleness) / float64(staleness+age)
+}
