--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// AdminHandler serves /metrics, /healthz and /readyz.
+func (no *Node) AdminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", no.serveMetrics)
+	mux.HandleFunc("GET /healthz", serveHealth)
+	mux.HandleFunc("GET /readyz", no.serveReady)
+	return mux
+}
+
+func (no *Node) serveMetrics(writer http.ResponseWriter, _ *http.Request) {
+	no.counters.set.WritePrometheus(writer)
+	metrics.WriteProcessMetrics(writer)
+}
+
+func serveHealth(writer http.ResponseWriter, _ *http.Request) {
+	_, _ = writer.Write([]byte("ok\n"))
+}
+
+func (no *Node) serveReady(writer http.ResponseWriter, _ *http.Request) {
+	if no.drain.draining() {
+		http.Error(writer, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = writer.Write([]byte("ready\n"))
+}
--- /dev/null
+++ b/internal/node/attempt.go
@@ -0,0 +1,286 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/core/choice"
+	"github.com/magnoliawall/magnoliawall/internal/core/retry"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// heldAnswer is the largest answer that is held until all of it is there, so
+// that a cut one can still be refused.
+const heldAnswer = peer.BodyPart
+
+// attempt is one sending of a call to one target.
+type attempt struct {
+	choice   choice.Choice
+	share    retry.Allowance
+	started  time.Time
+	exchange *peer.Exchange
+	header   *peerpb.AnswerHeader
+	held     []byte
+	refusal  *web.Refusal
+}
+
+// send tries targets until one answers or no retry is left, and writes the
+// answer.
+func (no *Node) send(ctx context.Context, writer http.ResponseWriter, og *outgoing) {
+	og.edge = no.edges.of(og.kind.Service)
+	refused := false
+	og.root.wait(time.Now())
+	defer func() { og.root.resume(time.Now(), refused) }()
+	tried := make([]request.NodeID, 0, 4)
+	for used := 0; ; used++ {
+		at := no.try(ctx, og, tried)
+		if at.refusal == nil {
+			no.deliver(ctx, writer, og, at)
+			return
+		}
+		decision := no.mayRetry(og, at.refusal, used)
+		count(no.counters.retries, decision.Reason)
+		if decision.Reason != retry.Allowed || !pause(ctx, decision.Backoff) {
+			refused = true
+			no.refuse(writer, at.refusal)
+			return
+		}
+		tried = append(tried, at.choice.Target.Node)
+	}
+}
+
+func (no *Node) mayRetry(og *outgoing, refusal *web.Refusal, used int) retry.Decision {
+	og.edge.lock.Lock()
+	defer og.edge.lock.Unlock()
+	og.root.lock.Lock()
+	defer og.root.lock.Unlock()
+	return no.retryPolicy.Decide(time.Now(), retry.Attempt{
+		Rule:     og.kind.Repeat,
+		Retries:  og.kind.Retries,
+		Used:     used,
+		Code:     refusal.Code,
+		Outcome:  refusal.Outcome,
+		BodyLost: og.body.lost(),
+		Deadline: og.work.Deadline,
+	}, &og.root.account, &og.edge.budget)
+}
+
+func pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// try sends the call to one target and holds a small answer.
+func (no *Node) try(ctx context.Context, og *outgoing, tried []request.NodeID) *attempt {
+	at := &attempt{started: time.Now()}
+	if no.traffic.refuses(at.started, og.kind.Service, og.work) {
+		at.refusal = web.NewRefusal(request.OverloadedBelow, "")
+		return at
+	}
+	call := choice.Call{
+		Service:    og.kind.Service,
+		Priority:   og.work.Priority,
+		Repeatable: og.kind.Repeat == request.Repeatable,
+		Sparing:    og.sparing(no.Configuration.Current().Half),
+		Exclude:    tried,
+	}
+	random := randomPool.Get().(*rand.Rand)
+	picked, code := no.Chooser.Pick(at.started, random, call)
+	randomPool.Put(random)
+	if code == request.UnknownService {
+		code = request.NoTarget
+	}
+	if code != request.OK {
+		at.refusal = web.NewRefusal(code, "")
+		return at
+	}
+	at.choice = picked
+	no.Chooser.Sent(picked)
+	no.exchange(ctx, og, at)
+	no.judge(ctx, og, at, call)
+	return at
+}
+
+// exchange runs the call up to the header of its answer, and to the end of a
+// small one.
+func (no *Node) exchange(ctx context.Context, og *outgoing, at *attempt) {
+	at.share = og.handOver()
+	header := no.callHeader(og, at)
+	address := peer.Address(at.choice.Target.Address)
+	exchange, answer, err := no.Transport.Call(ctx, address, no.nextCall(), header, og.body.reader())
+	if err != nil {
+		at.refusal = callFailure(ctx, og, err)
+		return
+	}
+	at.exchange = exchange
+	at.header = answer
+	if answer.GetCode() == 0 && !isSmall(answer) {
+		return
+	}
+	at.held, err = io.ReadAll(io.LimitReader(exchange.Body(), heldAnswer+1))
+	if err != nil {
+		exchange.Abort()
+		at.refusal = callFailure(ctx, og, err)
+		return
+	}
+	if len(at.held) > heldAnswer {
+		return
+	}
+	no.settle(og, at)
+	if answer.GetCode() != 0 {
+		at.refusal = refusalOf(answer)
+	}
+}
+
+// isSmall tells whether the answer may fit what is held; an answer of unknown
+// length is read until it proves larger.
+func isSmall(answer *peerpb.AnswerHeader) bool {
+	return answer.GetBodyLength() <= heldAnswer
+}
+
+func refusalOf(answer *peerpb.AnswerHeader) *web.Refusal {
+	return &web.Refusal{
+		Code:       request.Code(answer.GetCode()),
+		Outcome:    request.Outcome(answer.GetOutcome()),
+		RetryAfter: time.Duration(answer.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
+
+func (no *Node) callHeader(og *outgoing, at *attempt) *peerpb.CallHeader {
+	return &peerpb.CallHeader{
+		Service:              string(og.kind.Service),
+		Kind:                 string(og.kind.Name),
+		Method:               og.method,
+		Path:                 og.path,
+		Headers:              og.headers,
+		Root:                 og.work.Root[:],
+		RootKind:             string(og.work.RootKind),
+		Priority:             uint32(og.work.Priority),
+		RemainingUs:          og.work.Deadline.Sub(at.started).Microseconds(),
+		SpentUs:              og.work.Spent.Microseconds(),
+		Allowance:            uint32(at.share),
+		BodyLength:           og.body.length,
+		AwaitContinue:        og.body.large(),
+		ConfigurationVersion: uint64(og.version),
+		Depth:                og.depth,
+	}
+}
+
+// callFailure names what became of a call whose exchange broke.
+func callFailure(ctx context.Context, og *outgoing, err error) *web.Refusal {
+	switch {
+	case og.body.tooLarge():
+		refusal := web.NewRefusal(request.BodyTooLarge, "")
+		refusal.Outcome = request.Unknown
+		return refusal
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return withOutcome(web.NewRefusal(request.DeadlinePassed, ""), err)
+	case ctx.Err() != nil:
+		return withOutcome(web.NewRefusal(request.CallerLeft, ""), err)
+	case errors.Is(err, peer.ErrIncompatible):
+		return web.NewRefusal(request.PeerIncompatible, "")
+	case !peer.WasSent(err):
+		return web.NewRefusal(request.TargetUnreachable, "")
+	case errors.Is(err, peer.ErrFrameChecksum), errors.Is(err, peer.ErrFrameKind),
+		errors.Is(err, peer.ErrFrameTooLong), errors.Is(err, peer.ErrOtherCall), errors.Is(err, peer.ErrUnexpectedFrame):
+		return web.NewRefusal(request.BrokenFrame, "")
+	}
+	return web.NewRefusal(request.AnswerCut, "")
+}
+
+func withOutcome(refusal *web.Refusal, err error) *web.Refusal {
+	refusal.Outcome = request.NotRun
+	if peer.WasSent(err) {
+		refusal.Outcome = request.Unknown
+	}
+	return refusal
+}
+
+// handOver takes the share of the root's allowance that goes with an attempt.
+func (og *outgoing) handOver() retry.Allowance {
+	og.root.lock.Lock()
+	defer og.root.lock.Unlock()
+	return og.root.account.HandOver()
+}
+
+// settle takes back what the answer did not spend and learns its level.
+func (no *Node) settle(og *outgoing, at *attempt) {
+	report := at.exchange.Report()
+	at.exchange.Finish()
+	if report == nil {
+		return
+	}
+	og.root.lock.Lock()
+	og.root.account.Return(at.share, retry.Allowance(report.GetUnspent()))
+	og.root.lock.Unlock()
+	no.traffic.learn(time.Now(), og.kind.Service, og.work.RootKind, request.Level(report.GetLevel()))
+}
+
+// judge tells the chooser what the answer says of its target.
+func (no *Node) judge(ctx context.Context, og *outgoing, at *attempt, call choice.Call) {
+	now := time.Now()
+	answer := choice.Answer{Result: choice.Succeeded, Latency: now.Sub(at.started), Bytes: max(og.body.length, 0) + int64(len(at.held))}
+	if at.refusal != nil {
+		answer.Result = choice.ResultOf(at.refusal.Code)
+	}
+	if at.refusal != nil && ctx.Err() != nil {
+		answer.Result = choice.Neutral
+	}
+	if at.exchange != nil {
+		if report := at.exchange.Report(); report != nil {
+			answer.Load = choice.Load(report.GetLoad()) / loadUnit
+		}
+	}
+	no.Chooser.Answered(now, at.choice, call, answer)
+	if answer.Result == choice.Succeeded {
+		og.edge.success()
+	}
+}
+
+// deliver writes the answer to the caller. An answer that is cut after its
+// first bytes went out breaks the caller's connection.
+func (no *Node) deliver(ctx context.Context, writer http.ResponseWriter, og *outgoing, at *attempt) {
+	headers := writer.Header()
+	web.DecodeHeaders(headers, at.header.GetHeaders())
+	if at.exchange.Report() != nil {
+		headers.Set("Content-Length", strconv.Itoa(len(at.held)))
+	} else if at.header.GetBodyLength() >= 0 {
+		headers.Set("Content-Length", strconv.FormatInt(at.header.GetBodyLength(), 10))
+	}
+	writer.WriteHeader(int(at.header.GetStatus()))
+	if _, err := writer.Write(at.held); err != nil {
+		at.exchange.Abort()
+		return
+	}
+	if at.exchange.Report() == nil {
+		no.deliverRest(ctx, writer, og, at)
+	}
+	no.counters.answers.Inc()
+}
+
+func (no *Node) deliverRest(ctx context.Context, writer http.ResponseWriter, og *outgoing, at *attempt) {
+	_, err := io.Copy(writer, at.exchange.Body())
+	if err != nil {
+		at.exchange.Abort()
+		count(no.counters.refusals, callFailure(ctx, og, err).Code)
+		panic(http.ErrAbortHandler)
+	}
+	no.settle(og, at)
+}
--- /dev/null
+++ b/internal/node/inbound.go
@@ -0,0 +1,231 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/admission"
+	"github.com/magnoliawall/magnoliawall/internal/core/retry"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// loadUnit is the load of a target that is just full, as peers report it.
+const loadUnit = 1000
+
+// arrival is a call from a peer for the local target.
+type arrival struct {
+	node    *Node
+	inbound *peer.Inbound
+	kind    *configuration.CompiledKind
+	work    request.Work
+	root    *root
+	unspent retry.Allowance
+	left    bool
+}
+
+// serveCall serves one call of a peer.
+func (no *Node) serveCall(ctx context.Context, inbound *peer.Inbound) {
+	now := time.Now()
+	no.counters.inbound.Inc()
+	ar, refusal := no.arrive(inbound, now)
+	if refusal != nil {
+		ar.refuse(refusal)
+		return
+	}
+	if !no.drain.enter() {
+		ar.refuse(web.NewRefusal(request.Draining, ""))
+		return
+	}
+	defer no.drain.leave()
+	ctx, cancel := context.WithDeadline(ctx, ar.work.Deadline)
+	defer cancel()
+	ar.root = no.roots.enter(ar.work, inbound.Header.GetDepth(), retry.Allowance(inbound.Header.GetAllowance()), now)
+	defer ar.leave()
+	if ar.kind.Repeat == request.Once {
+		ar.serveOnce(ctx)
+		return
+	}
+	ar.serveRepeatable(ctx)
+}
+
+func (no *Node) arrive(inbound *peer.Inbound, now time.Time) (*arrival, *web.Refusal) {
+	header := inbound.Header
+	ar := &arrival{node: no, inbound: inbound, unspent: retry.Allowance(header.GetAllowance())}
+	if request.ServiceName(header.GetService()) != no.Service {
+		return ar, web.NewRefusal(request.TargetUnreachable, "this node has no target of "+header.GetService())
+	}
+	kind, ok := no.Configuration.Current().Matcher.Kind(request.KindName(header.GetKind()))
+	if !ok {
+		return ar, web.NewRefusal(request.UnknownKind, header.GetKind())
+	}
+	ar.kind = kind
+	ar.work = request.Work{
+		Call:     no.nextCall(),
+		RootKind: request.KindName(header.GetRootKind()),
+		Kind:     kind.Name,
+		Priority: request.Priority(min(header.GetPriority(), uint32(request.MaxPriority))),
+		Spent:    time.Duration(header.GetSpentUs()) * time.Microsecond,
+		Deadline: now.Add(time.Duration(header.GetRemainingUs()) * time.Microsecond),
+	}
+	copy(ar.work.Root[:], header.GetRoot())
+	return ar, nil
+}
+
+// leave ends the root's call here, once.
+func (ar *arrival) leave() {
+	if ar.left || ar.root == nil {
+		return
+	}
+	ar.left = true
+	ar.unspent = ar.node.roots.leave(ar.root)
+}
+
+// report is what goes back with each answer.
+func (ar *arrival) report() *peerpb.Report {
+	ar.leave()
+	current := ar.node.traffic.gauge(time.Now(), ar.work.RootKind)
+	return &peerpb.Report{
+		Level:    uint32(current.level),
+		Load:     uint32((current.running + current.waiting) * loadUnit / max(current.limit, 1)),
+		Unspent:  uint32(ar.unspent),
+		Draining: ar.node.drain.draining(),
+	}
+}
+
+func (ar *arrival) refuse(refusal *web.Refusal) {
+	count(ar.node.counters.below, refusal.Code)
+	header := &peerpb.AnswerHeader{
+		Status:       uint32(request.Describe(refusal.Code).Status),
+		Code:         uint32(refusal.Code),
+		Outcome:      uint32(refusal.Outcome),
+		RetryAfterMs: refusal.RetryAfter.Milliseconds(),
+	}
+	_ = ar.inbound.Answer(header, nil, ar.report)
+}
+
+func (ar *arrival) serveRepeatable(ctx context.Context) {
+	if refusal := ar.admit(ctx); refusal != nil {
+		ar.refuse(refusal)
+		return
+	}
+	ar.run(ctx)
+}
+
+// admit waits for the gate's consent.
+func (ar *arrival) admit(ctx context.Context) *web.Refusal {
+	traffic := ar.node.traffic
+	decision, wake := traffic.arrive(time.Now(), ar.work)
+	if decision.Verdict == admission.Wait {
+		select {
+		case decision = <-wake:
+		case <-ctx.Done():
+			traffic.cancel(time.Now(), ar.work.Call)
+			return leftRefusal(ctx)
+		}
+	}
+	if decision.Verdict == admission.Admit {
+		return nil
+	}
+	refusal := web.NewRefusal(decision.Code, "")
+	if decision.RetryAfter > 0 {
+		refusal.RetryAfter = decision.RetryAfter
+	}
+	return refusal
+}
+
+// leftRefusal names why a call ended before it was handed to the target.
+func leftRefusal(ctx context.Context) *web.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return web.NewRefusal(request.DeadlineTooClose, "")
+	}
+	return web.NewRefusal(request.CallerLeft, "")
+}
+
+// run hands the admitted call to the target and passes its answer on.
+func (ar *arrival) run(ctx context.Context) {
+	started := time.Now()
+	belowBefore, _ := ar.root.waited()
+	response, err := ar.node.Target.Send(ctx, ar.targetCall())
+	if err != nil {
+		ar.finish(started, belowBefore, admission.Failed)
+		ar.refuse(ar.targetFailure(ctx, err))
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	header := &peerpb.AnswerHeader{
+		Status:     uint32(response.StatusCode),
+		Headers:    web.EncodeHeaders(response.Header),
+		BodyLength: response.ContentLength,
+	}
+	finished := false
+	report := func() *peerpb.Report {
+		finished = true
+		ar.finish(started, belowBefore, resultOf(response))
+		return ar.report()
+	}
+	if err := ar.inbound.Answer(header, response.Body, report); err != nil && !finished {
+		ar.finish(started, belowBefore, admission.Failed)
+	}
+}
+
+func resultOf(response *http.Response) admission.Result {
+	if response.StatusCode >= http.StatusInternalServerError {
+		return admission.Failed
+	}
+	return admission.Succeeded
+}
+
+// finish frees the call's place at the target.
+func (ar *arrival) finish(started time.Time, belowBefore time.Duration, result admission.Result) {
+	now := time.Now()
+	below, refused := ar.root.waited()
+	if result == admission.Failed && refused {
+		result = admission.RefusedBelow
+	}
+	ar.node.traffic.finish(now, ar.work.Call, admission.Sample{
+		Latency: now.Sub(started),
+		Below:   below - belowBefore,
+		Result:  result,
+	})
+}
+
+func (ar *arrival) targetCall() web.TargetCall {
+	header := ar.inbound.Header
+	headers := make(http.Header, len(header.GetHeaders())+2)
+	web.DecodeHeaders(headers, header.GetHeaders())
+	headers.Set(web.HeaderTraceparent, web.FormatTraceparent(ar.work.Root, ar.work.Call))
+	headers.Set(web.HeaderDeadline, time.Until(ar.work.Deadline).Round(time.Microsecond).String())
+	return web.TargetCall{
+		Method:     header.GetMethod(),
+		Path:       header.GetPath(),
+		Host:       string(ar.node.Service),
+		Headers:    headers,
+		Body:       ar.inbound.Body(),
+		BodyLength: header.GetBodyLength(),
+	}
+}
+
+func (ar *arrival) targetFailure(ctx context.Context, err error) *web.Refusal {
+	sent := &web.SentError{}
+	if !errors.As(err, &sent) {
+		if ctx.Err() != nil {
+			return leftRefusal(ctx)
+		}
+		return web.NewRefusal(request.TargetUnreachable, "")
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return web.NewRefusal(request.DeadlinePassed, "")
+	case ctx.Err() != nil:
+		refusal := web.NewRefusal(request.CallerLeft, "")
+		refusal.Outcome = request.Unknown
+		return refusal
+	}
+	return web.NewRefusal(request.TargetDied, "")
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,185 @@
+// Package node is one node of magnoliawall: the only way into its local target
+// and the only way from the target to other services. It joins the cores to
+// HTTP on the one side and to the peers on the other.
+//
+// The way of a call: [Node.CallerHandler] or [Node.TargetHandler] matches it to
+// a kind and ties it to its root request, the chooser picks a target, the call
+// goes to the target's node, which admits it, hands it to the target and sends
+// the answer back.
+//
+// # Usage
+//
+//	no := &node.Node{
+//		ID:            "norte-a-1",
+//		Service:       "agenda",
+//		Configuration: node.NewHolder(active),
+//		Chooser:       chooser,
+//		Transport:     transport,
+//		Target:        target,
+//	}
+//	err := no.Run(ctx, node.Listeners{Callers: callers, Target: outbound, Peers: peers, Admin: admin})
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	randv2 "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/phuslu/log"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/core/choice"
+	"github.com/magnoliawall/magnoliawall/internal/core/retry"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+// Node is one node. The exported fields are set before Run.
+type Node struct {
+	ID            request.NodeID
+	Place         request.Place
+	Service       request.ServiceName
+	Configuration *Holder
+	Chooser       *choice.Chooser
+	Transport     *peer.Transport
+	Target        *web.TargetClient
+	Logger        *log.Logger
+
+	roots       rootTable
+	edges       edgeTable
+	traffic     *traffic
+	counters    *counters
+	retryPolicy retry.Policy
+	drain       drainer
+	calls       atomic.Uint64
+}
+
+// Listeners are the sockets of a node; a nil one is not served.
+type Listeners struct {
+	Callers net.Listener
+	Target  net.Listener
+	Peers   net.Listener
+	Admin   net.Listener
+}
+
+var randomPool = sync.Pool{New: func() any {
+	return randv2.New(randv2.NewPCG(randv2.Uint64(), randv2.Uint64()))
+}}
+
+// Prepare readies the node for its first call; Run does so by itself.
+func (no *Node) Prepare() {
+	if no.traffic != nil {
+		return
+	}
+	no.counters = newCounters()
+	no.traffic = newTraffic(no.slots())
+	no.calls.Store(uint64(time.Now().UnixNano()))
+	if no.Transport.Handlers == nil {
+		no.Transport.Handlers = make(map[peer.Kind]peer.Handler)
+	}
+	no.Transport.Handlers[peer.KindCall] = peer.ServeCalls(no.serveCall)
+	no.Target.Start()
+}
+
+func (no *Node) slots() int {
+	return no.Configuration.Current().Document.Services[no.Service].Slots
+}
+
+// Run serves until the context ends, then drains: no call in flight is cut.
+func (no *Node) Run(ctx context.Context, listeners Listeners) error {
+	no.Prepare()
+	group := run.Group{}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	no.addDrain(&group, ctx)
+	no.addServer(&group, listeners.Callers, no.CallerHandler())
+	no.addServer(&group, listeners.Target, no.TargetHandler())
+	no.addServer(&group, listeners.Admin, no.AdminHandler())
+	no.addPeers(&group, running, listeners.Peers)
+	no.addGate(&group, running)
+	return group.Run()
+}
+
+// CallerHandler serves the calls of callers.
+func (no *Node) CallerHandler() http.Handler {
+	return no.serveSource(fromCaller)
+}
+
+// TargetHandler serves the calls of the local target.
+func (no *Node) TargetHandler() http.Handler {
+	return no.serveSource(fromTarget)
+}
+
+func (no *Node) addServer(group *run.Group, listener net.Listener, handler http.Handler) {
+	if listener == nil {
+		return
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	group.Add(func() error {
+		return server.Serve(listener)
+	}, func(error) {
+		_ = server.Shutdown(context.Background())
+	})
+}
+
+func (no *Node) addPeers(group *run.Group, ctx context.Context, listener net.Listener) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error {
+		return no.Transport.Serve(ctx, listener)
+	}, func(error) {
+		cancel()
+		_ = no.Transport.Close()
+		no.Target.Close()
+	})
+}
+
+func (no *Node) addGate(group *run.Group, ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error {
+		no.tick(ctx)
+		return nil
+	}, func(error) { cancel() })
+}
+
+func (no *Node) tick(ctx context.Context) {
+	ticker := time.NewTicker(gateInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			no.traffic.setSlots(no.slots())
+			no.traffic.tick(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (no *Node) nextCall() request.CallID {
+	return request.CallID(no.calls.Add(1))
+}
+
+func (no *Node) newRoot() request.RootID {
+	id := request.RootID{}
+	binary.BigEndian.PutUint64(id[:8], randv2.Uint64())
+	_, _ = rand.Read(id[8:])
+	return id
+}
--- /dev/null
+++ b/internal/node/path_test.go
@@ -0,0 +1,177 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/core/choice"
+	"github.com/magnoliawall/magnoliawall/internal/node"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+var place = request.Place{Region: "norte", Domain: "norte-a"}
+
+// host is one node with its target, in this process.
+type host struct {
+	node     *node.Node
+	callers  string
+	outbound string
+	target   choice.Target
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+func startHost(t testing.TB, id request.NodeID, service request.ServiceName, target http.Handler) *host {
+	t.Helper()
+	text, err := os.ReadFile("../../examples/gota-justa.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	active, err := node.NewActive(1, text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(target)
+	t.Cleanup(server.Close)
+	no := &node.Node{
+		ID:            id,
+		Place:         place,
+		Service:       service,
+		Configuration: node.NewHolder(active),
+		Chooser:       &choice.Chooser{Self: id, Place: place},
+		Transport:     &peer.Transport{Self: peer.Hello{Node: id, Place: place, Service: service}},
+		Target:        &web.TargetClient{Address: server.Listener.Addr().String(), Connections: 100},
+	}
+	no.Prepare()
+	peers, callers, outbound := listen(t), listen(t), listen(t)
+	ctx, stop := context.WithCancel(t.Context())
+	ho := &host{
+		node:     no,
+		callers:  "http://" + callers.Addr().String(),
+		outbound: "http://" + outbound.Addr().String(),
+		target:   choice.Target{Node: id, Incarnation: 1, Address: peers.Addr().String(), Place: place, Slots: 50},
+		stop:     stop,
+		done:     make(chan error, 1),
+	}
+	go func() {
+		ho.done <- no.Run(ctx, node.Listeners{Callers: callers, Target: outbound, Peers: peers})
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-ho.done
+		ho.done <- nil
+	})
+	return ho
+}
+
+func connect(hosts ...*host) {
+	views := map[request.ServiceName][]choice.Target{}
+	for _, ho := range hosts {
+		views[ho.node.Service] = append(views[ho.node.Service], ho.target)
+	}
+	for _, ho := range hosts {
+		for service, targets := range views {
+			ho.node.Chooser.Update(time.Now(), choice.View{Service: service, Targets: targets})
+		}
+	}
+}
+
+func call(t testing.TB, base, service, method, path string, body io.Reader, headers ...string) (*http.Response, []byte) {
+	t.Helper()
+	outgoing, err := http.NewRequestWithContext(t.Context(), method, base+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	outgoing.Host = service
+	for index := 0; index+1 < len(headers); index += 2 {
+		outgoing.Header.Set(headers[index], headers[index+1])
+	}
+	answer, err := http.DefaultClient.Do(outgoing)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	content, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer, content
+}
+
+func TestCallGoesTheWholeWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sums := func(writer http.ResponseWriter, incoming *http.Request) {
+		hash := sha256.New()
+		length, _ := io.Copy(hash, incoming.Body)
+		_, _ = fmt.Fprintf(writer, "%s %d %x", incoming.URL.RequestURI(), length, hash.Sum(nil))
+	}
+	entry := startHost(t, "one", "agenda", http.NotFoundHandler())
+	evidence := startHost(t, "two", "evidencia", http.HandlerFunc(sums))
+	connect(entry, evidence)
+
+	photo := bytes.Repeat([]byte("meter pit "), 2<<20)
+	answer, content := call(t, entry.callers, "evidencia", http.MethodPut, "/claims/7/photos/3", bytes.NewReader(photo))
+	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusOK), string(content))
+	g.Expect(string(content)).To(gomega.Equal(fmt.Sprintf("/claims/7/photos/3 %d %x", len(photo), sha256.Sum256(photo))))
+
+	chunked := io.MultiReader(strings.NewReader("small "), strings.NewReader("photo"))
+	_, content = call(t, entry.callers, "evidencia", http.MethodPut, "/claims/7/photos/4", chunked)
+	g.Expect(string(content)).To(gomega.HavePrefix("/claims/7/photos/4 11 "))
+}
+
+func TestTargetCallsFurtherThroughItsNode(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var deep *host
+	consumo := startHost(t, "three", "consumo", http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+		_, _ = writer.Write([]byte("readings for " + incoming.Header.Get("Traceparent")[3:35]))
+	}))
+	deep = startHost(t, "two", "agenda", http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+		_, content := call(t, deep.outbound, "consumo", http.MethodGet, "/members/9/readings", nil,
+			"Traceparent", incoming.Header.Get("Traceparent"))
+		_, _ = writer.Write(content)
+	}))
+	entry := startHost(t, "one", "evidencia", http.NotFoundHandler())
+	connect(entry, deep, consumo)
+
+	trace := "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	_, content := call(t, entry.callers, "agenda", http.MethodGet, "/visits/7/checklist", nil, "Traceparent", trace)
+	g.Expect(string(content)).To(gomega.Equal("readings for 0af7651916cd43dd8448eb211c80319c"))
+}
+
+func TestRefusalsAreProblemDocuments(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entry := startHost(t, "one", "agenda", http.NotFoundHandler())
+	connect(entry)
+
+	answer, content := call(t, entry.callers, "nowhere", http.MethodGet, "/", nil)
+	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusNotFound))
+	g.Expect(answer.Header.Get("Content-Type")).To(gomega.Equal("application/problem+json"))
+	g.Expect(content).To(gomega.ContainSubstring(`"code":1001`))
+
+	answer, content = call(t, entry.callers, "evidencia", http.MethodPut, "/claims/7/photos/3", strings.NewReader("x"))
+	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable), string(content))
+	g.Expect(content).To(gomega.ContainSubstring(`"outcome":"not-run"`))
+}
--- /dev/null
+++ b/internal/node/roots.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/retry"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+const rootShards = 64
+
+// root is a root request of which the local target works on one call or more.
+// Outbound calls of the target are tied to it by their trace id.
+type root struct {
+	lock     sync.Mutex
+	account  retry.Account
+	work     request.Work
+	depth    uint32
+	started  time.Time
+	inbound  int
+	outbound int
+	// belowSince is when the target last began to wait for other services.
+	belowSince time.Time
+	below      time.Duration
+	// refused says that a service below refused a call of this root.
+	refused bool
+}
+
+// rootTable holds the roots in flight at one node.
+type rootTable struct {
+	shards [rootShards]rootShard
+}
+
+type rootShard struct {
+	lock  sync.Mutex
+	roots map[request.RootID]*root
+}
+
+func (rt *rootTable) shard(id request.RootID) *rootShard {
+	return &rt.shards[id[15]%rootShards]
+}
+
+// enter adds an inbound call with the share of the allowance that came with it.
+// Calls of one root at one node share their allowance.
+func (rt *rootTable) enter(work request.Work, depth uint32, share retry.Allowance, now time.Time) *root {
+	shard := rt.shard(work.Root)
+	shard.lock.Lock()
+	defer shard.lock.Unlock()
+	current := shard.roots[work.Root]
+	if current == nil {
+		current = &root{work: work, depth: depth, started: now}
+		if shard.roots == nil {
+			shard.roots = make(map[request.RootID]*root)
+		}
+		shard.roots[work.Root] = current
+	}
+	current.lock.Lock()
+	defer current.lock.Unlock()
+	current.inbound++
+	current.account.Left += share
+	if work.Deadline.After(current.work.Deadline) {
+		current.work.Deadline = work.Deadline
+	}
+	return current
+}
+
+// leave ends an inbound call and gives back what it leaves unspent: all of it
+// when it is the last of its root here, nothing otherwise.
+func (rt *rootTable) leave(current *root) retry.Allowance {
+	shard := rt.shard(current.work.Root)
+	shard.lock.Lock()
+	defer shard.lock.Unlock()
+	current.lock.Lock()
+	defer current.lock.Unlock()
+	current.inbound--
+	if current.inbound > 0 {
+		return 0
+	}
+	delete(shard.roots, current.work.Root)
+	return current.account.Close()
+}
+
+// find gives the root that an outbound call of the target belongs to.
+func (rt *rootTable) find(id request.RootID) (*root, bool) {
+	shard := rt.shard(id)
+	shard.lock.Lock()
+	defer shard.lock.Unlock()
+	current, ok := shard.roots[id]
+	return current, ok
+}
+
+// wait and resume frame the time in which the target waits for a call below.
+func (ro *root) wait(now time.Time) {
+	ro.lock.Lock()
+	defer ro.lock.Unlock()
+	if ro.outbound == 0 {
+		ro.belowSince = now
+	}
+	ro.outbound++
+}
+
+func (ro *root) resume(now time.Time, refused bool) {
+	ro.lock.Lock()
+	defer ro.lock.Unlock()
+	ro.outbound--
+	ro.refused = ro.refused || refused
+	if ro.outbound == 0 {
+		ro.below += now.Sub(ro.belowSince)
+	}
+}
+
+// waited gives the time spent waiting below so far, and whether a service
+// below refused.
+func (ro *root) waited() (time.Duration, bool) {
+	ro.lock.Lock()
+	defer ro.lock.Unlock()
+	return ro.below, ro.refused
+}
--- /dev/null
+++ b/internal/node/source.go
@@ -0,0 +1,201 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+const (
+	maxKeyLength = 255
+	maxDepth     = 64
+)
+
+// origin tells on which of its listeners a node got a call.
+type origin uint8
+
+const (
+	// fromCaller is a call from outside: a root request.
+	fromCaller origin = iota
+	// fromTarget is a call of the local target.
+	fromTarget
+)
+
+// outgoing is a call on its way from this node to a target.
+type outgoing struct {
+	kind    *configuration.CompiledKind
+	version configuration.Version
+	method  string
+	path    string
+	headers []*peerpb.Header
+	body    *callBody
+	work    request.Work
+	depth   uint32
+	root    *root
+	tied    bool
+	edge    *edge
+}
+
+// sparing tells whether the call is refused sooner than sent over a full link.
+func (og *outgoing) sparing(half request.Importance) bool {
+	return og.kind.Repeat == request.Repeatable && og.work.Priority.Importance() < half
+}
+
+// prepare matches a call to its kind and ties it to its root request.
+func (no *Node) prepare(incoming *http.Request, from origin, now time.Time) (*outgoing, *web.Refusal) {
+	current := no.Configuration.Current()
+	service := serviceOf(incoming)
+	if !current.Matcher.HasService(service) {
+		return nil, web.NewRefusal(request.UnknownService, "service "+string(service)+" is not in the configuration")
+	}
+	_, kind, ok := current.Matcher.Match(service, incoming.Method, incoming.URL.Path)
+	if !ok {
+		return nil, web.NewRefusal(request.UnknownKind, incoming.Method+" "+incoming.URL.Path+" is no kind of "+string(service))
+	}
+	if refusal := checkKey(incoming, kind); refusal != nil {
+		return nil, refusal
+	}
+	og := &outgoing{
+		kind:    kind,
+		version: current.Version,
+		method:  incoming.Method,
+		path:    incoming.URL.RequestURI(),
+		headers: web.EncodeHeaders(incoming.Header),
+	}
+	no.tie(og, incoming, from, now, current)
+	if og.depth > maxDepth {
+		return nil, web.NewRefusal(request.BadRequest, "calls are nested too deep")
+	}
+	if refusal := og.bound(incoming, now); refusal != nil {
+		return nil, refusal
+	}
+	return og, og.readBody(incoming)
+}
+
+// tie sets root, priority and allowance. A call of the local target that names
+// no root in flight has no allowance.
+func (no *Node) tie(og *outgoing, incoming *http.Request, from origin, now time.Time, current *Active) {
+	id, traced := web.ParseTraceparent(incoming.Header.Get(web.HeaderTraceparent))
+	if from == fromTarget && traced {
+		if parent, ok := no.roots.find(id); ok {
+			og.tieTo(parent, now)
+			og.work.Call = no.nextCall()
+			return
+		}
+	}
+	if !traced {
+		id = no.newRoot()
+	}
+	og.work = request.Work{
+		Call:     no.nextCall(),
+		Root:     id,
+		RootKind: og.kind.Name,
+		Kind:     og.kind.Name,
+		Priority: request.NewPriority(og.kind.Importance, request.BucketOf(id)),
+		Deadline: now.Add(og.kind.Deadline),
+	}
+	og.root = &root{work: og.work, started: now}
+	if from == fromCaller {
+		og.root.account.Left = current.Allowance
+	}
+}
+
+func (og *outgoing) tieTo(parent *root, now time.Time) {
+	og.root = parent
+	og.tied = true
+	og.depth = parent.depth + 1
+	og.work = parent.work
+	og.work.Kind = og.kind.Name
+	og.work.Spent += now.Sub(parent.started)
+	importance := max(parent.work.Priority.Importance(), og.kind.Importance)
+	og.work.Priority = request.NewPriority(importance, parent.work.Priority.Bucket())
+	og.work.Deadline = earlier(parent.work.Deadline, now.Add(og.kind.Deadline))
+}
+
+func earlier(one, other time.Time) time.Time {
+	if one.Before(other) {
+		return one
+	}
+	return other
+}
+
+// bound takes the caller's own deadline where that is sooner.
+func (og *outgoing) bound(incoming *http.Request, now time.Time) *web.Refusal {
+	text := incoming.Header.Get(web.HeaderDeadline)
+	if text == "" {
+		return nil
+	}
+	remaining, err := time.ParseDuration(text)
+	if err != nil || remaining <= 0 {
+		return web.NewRefusal(request.BadDeadline, web.HeaderDeadline+` must be a duration that is left, such as "800ms"`)
+	}
+	og.work.Deadline = earlier(og.work.Deadline, now.Add(remaining))
+	return nil
+}
+
+func (og *outgoing) readBody(incoming *http.Request) *web.Refusal {
+	body, err := newCallBody(incoming.Body, incoming.ContentLength, int64(og.kind.BodyLimit))
+	if errors.Is(err, errBodyTooLarge) {
+		return web.NewRefusal(request.BodyTooLarge, "")
+	}
+	if err != nil {
+		return web.NewRefusal(request.BadRequest, "the body ended early")
+	}
+	if og.kind.Repeat == request.Once && body.large() {
+		return web.NewRefusal(request.BodyTooLarge, "a call that may not be repeated takes a small body only")
+	}
+	og.body = body
+	return nil
+}
+
+func checkKey(incoming *http.Request, kind *configuration.CompiledKind) *web.Refusal {
+	key := incoming.Header.Get(web.HeaderIdempotencyKey)
+	if len(key) > maxKeyLength {
+		return web.NewRefusal(request.KeyTooLong, "")
+	}
+	if key == "" && kind.Repeat == request.Once {
+		return web.NewRefusal(request.KeyMissing, "send an "+web.HeaderIdempotencyKey+" that is new for each action and the same for its resends")
+	}
+	return nil
+}
+
+// serviceOf takes the service from its header, or from the first label of the
+// host name.
+func serviceOf(incoming *http.Request) request.ServiceName {
+	if name := incoming.Header.Get(web.HeaderService); name != "" {
+		return request.ServiceName(name)
+	}
+	host, _, _ := strings.Cut(incoming.Host, ":")
+	label, _, _ := strings.Cut(host, ".")
+	return request.ServiceName(label)
+}
+
+// serveSource serves the calls that this node sends on: of callers and of the
+// local target.
+func (no *Node) serveSource(from origin) http.HandlerFunc {
+	return func(writer http.ResponseWriter, incoming *http.Request) {
+		now := time.Now()
+		no.counters.calls.Inc()
+		og, refusal := no.prepare(incoming, from, now)
+		if refusal != nil {
+			no.refuse(writer, refusal)
+			return
+		}
+		ctx, cancel := context.WithDeadline(incoming.Context(), og.work.Deadline)
+		defer cancel()
+		no.send(ctx, writer, og)
+		no.counters.duration.UpdateDuration(now)
+	}
+}
+
+func (no *Node) refuse(writer http.ResponseWriter, refusal *web.Refusal) {
+	count(no.counters.refusals, refusal.Code)
+	web.WriteRefusal(writer, refusal)
+}
--- /dev/null
+++ b/internal/node/traffic.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/admission"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+const gateInterval = 10 * time.Millisecond
+
+// traffic guards the gate of the local target and the levels of the services
+// below by one lock, and wakes the calls that wait.
+type traffic struct {
+	lock    sync.Mutex
+	levels  admission.Levels
+	gate    admission.Gate
+	waiting map[request.CallID]chan admission.Decision
+	notices []admission.Notice
+}
+
+func newTraffic(slots int) *traffic {
+	tr := &traffic{waiting: make(map[request.CallID]chan admission.Decision)}
+	tr.gate.Slots = slots
+	tr.gate.Below = &tr.levels
+	return tr
+}
+
+// arrive decides on a call. The channel is set when the call has to wait.
+func (tr *traffic) arrive(now time.Time, work request.Work) (admission.Decision, <-chan admission.Decision) {
+	tr.lock.Lock()
+	defer tr.lock.Unlock()
+	decision, notices := tr.gate.Arrive(now, work, tr.notices[:0])
+	var wake chan admission.Decision
+	if decision.Verdict == admission.Wait {
+		wake = make(chan admission.Decision, 1)
+		tr.waiting[work.Call] = wake
+	}
+	tr.deliver(notices)
+	return decision, wake
+}
+
+func (tr *traffic) finish(now time.Time, call request.CallID, sample admission.Sample) {
+	tr.lock.Lock()
+	defer tr.lock.Unlock()
+	tr.deliver(tr.gate.Finish(now, call, sample, tr.notices[:0]))
+}
+
+func (tr *traffic) cancel(now time.Time, call request.CallID) {
+	tr.lock.Lock()
+	defer tr.lock.Unlock()
+	delete(tr.waiting, call)
+	tr.deliver(tr.gate.Cancel(now, call, tr.notices[:0]))
+}
+
+func (tr *traffic) tick(now time.Time) {
+	tr.lock.Lock()
+	defer tr.lock.Unlock()
+	tr.deliver(tr.gate.Tick(now, tr.notices[:0]))
+}
+
+// deliver wakes the calls whose decision fell. Each channel takes one decision.
+func (tr *traffic) deliver(notices []admission.Notice) {
+	for _, notice := range notices {
+		wake, ok := tr.waiting[notice.Call]
+		if !ok {
+			continue
+		}
+		delete(tr.waiting, notice.Call)
+		wake <- notice.Decision
+	}
+	tr.notices = notices[:0]
+}
+
+func (tr *traffic) setSlots(slots int) {
+	tr.lock.Lock()
+	defer tr.lock.Unlock()
+	tr.gate.Slots = slots
+}
+
+func (tr *traffic) learn(now time.Time, service request.ServiceName, rootKind request.KindName, level request.Level) {
+	tr.lock.Lock()
+	defer tr.lock.Unlock()
+	tr.levels.Learn(service, rootKind, level, now)
+}
+
+func (tr *traffic) refuses(now time.Time, service request.ServiceName, work request.Work) bool {
+	tr.lock.Lock()
+	defer tr.lock.Unlock()
+	return tr.levels.Refuses(service, work, now)
+}
+
+// gauge is what the gate tells of itself.
+type gauge struct {
+	level   request.Level
+	limit   int
+	running int
+	waiting int
+}
+
+func (tr *traffic) gauge(now time.Time, rootKind request.KindName) gauge {
+	tr.lock.Lock()
+	defer tr.lock.Unlock()
+	return gauge{
+		level:   tr.gate.Level(rootKind, now),
+		limit:   tr.gate.Limit(),
+		running: tr.gate.Running(),
+		waiting: tr.gate.Waiting(),
+	}
+}
