--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -58,7 +58,7 @@
 	return empty
 }
 
-func (no *Node) addDrain(group *run.Group, ctx context.Context) {
+func (no *Node) addDrain(ctx context.Context, group *run.Group) {
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error {
 		<-ctx.Done()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,12 +104,12 @@
 	group := run.Group{}
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	no.addDrain(&group, ctx)
+	no.addDrain(ctx, &group)
 	no.addServer(&group, listeners.Callers, no.CallerHandler())
 	no.addServer(&group, listeners.Target, no.TargetHandler())
 	no.addServer(&group, listeners.Admin, no.AdminHandler())
-	no.addPeers(&group, running, listeners.Peers)
-	no.addGate(&group, running)
+	no.addPeers(running, &group, listeners.Peers)
+	no.addGate(running, &group)
 	return group.Run()
 }
 
@@ -140,7 +140,7 @@
 	})
 }
 
-func (no *Node) addPeers(group *run.Group, ctx context.Context, listener net.Listener) {
+func (no *Node) addPeers(ctx context.Context, group *run.Group, listener net.Listener) {
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error {
 		return no.Transport.Serve(ctx, listener)
@@ -151,7 +151,7 @@
 	})
 }
 
-func (no *Node) addGate(group *run.Group, ctx context.Context) {
+func (no *Node) addGate(ctx context.Context, group *run.Group) {
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error {
 		no.tick(ctx)
