--- /dev/null
+++ b/magnolia-load/internal/command/demo/demo.go
@@ -0,0 +1,124 @@
+// Package demo is the command `magnolia-load demo`.
+//
+// # Usage
+//
+//	command := demo.New(tools)
+//	command.For = 10 * time.Second
+//	err := command.Run(ctx)
+package demo
+
+import (
+	"context"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/terminal"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/experiment"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/mesh"
+)
+
+const (
+	shareBefore = 0.3
+	shareDuring = 0.3
+	factor      = 2
+)
+
+// Options are the flags of the command.
+type Options struct {
+	For   time.Duration `default:"10s" help:"Length of the load on each version."`
+	JSON  bool          `name:"json" help:"Write the tables as one JSON document."`
+	Serve bool          `help:"Leave the mesh up and print lines to copy."`
+	Seed  uint64        `default:"1" help:"Seed of the load."`
+
+	tools *factory.Factory
+}
+
+// Document is the outcome as JSON. Its times are in seconds; those at the top
+// are of magnoliawall.
+type Document struct {
+	Seed         uint64             `json:"seed"`
+	RecoveryTime *float64           `json:"recovery-time"`
+	PatchTime    *float64           `json:"patch-in-force-time"`
+	Magnoliawall experiment.Summary `json:"magnoliawall"`
+	Naive        experiment.Summary `json:"naive"`
+}
+
+// New gives the command.
+func New(tools *factory.Factory) *Options {
+	return &Options{tools: tools}
+}
+
+// Help tells of the command at length.
+func (o *Options) Help() string {
+	return `Brings up the Gota Justa mesh in small within this process and on loopback:
+four services in a chain, a node and a stand-in target of each in every failure
+domain of three regions. The load doubles for a while and then ends, and the
+configuration is patched in the middle. The naive version gets the same load.
+
+Examples:
+  magnolia-load demo
+  magnolia-load demo --for 20s --json
+  magnolia-load demo --serve`
+}
+
+// Run runs the command.
+func (o *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	o.tools = tools
+	if o.Serve {
+		return o.serve(ctx)
+	}
+	ours, err := o.try(ctx, "magnoliawall", tools.Systems.Magnolia())
+	if err != nil {
+		return err
+	}
+	naive, err := o.try(ctx, "naive", tools.Systems.Naive())
+	if err != nil {
+		return err
+	}
+	document := Document{
+		Seed:         o.Seed,
+		RecoveryTime: ours.RecoveryTime,
+		PatchTime:    ours.PatchTime,
+		Magnoliawall: ours,
+		Naive:        naive,
+	}
+	if o.JSON {
+		return terminal.WriteJSON(tools.Streams.Out, document)
+	}
+	return render(tools.Streams, document)
+}
+
+func (o *Options) try(ctx context.Context, name string, system mesh.System) (experiment.Summary, error) {
+	streams := o.tools.Streams
+	streams.Progressf("%s: starting the mesh", name)
+	trial := experiment.Trial{
+		Design: o.tools.Design(),
+		System: system,
+		Load:   o.load(),
+		Patch:  true,
+		Progress: func(progress experiment.Progress) {
+			streams.Progressf("%s: %3.0fs %-12s %4.0f requests/s, %4.0f answered whole",
+				name, progress.At.Seconds(), progress.Phase, progress.Offered, progress.Goodput)
+		},
+	}
+	outcome, err := trial.Run(ctx)
+	if err != nil {
+		return experiment.Summary{}, err
+	}
+	if outcome.PatchErr != nil {
+		streams.Errorf("%s: the patch did not come into force: %v", name, outcome.PatchErr)
+	}
+	return experiment.Summarize(outcome), ctx.Err()
+}
+
+func (o *Options) load() experiment.Load {
+	before := time.Duration(shareBefore * float64(o.For))
+	during := time.Duration(shareDuring * float64(o.For))
+	return experiment.Load{
+		Seed:   o.Seed,
+		Before: before,
+		During: during,
+		After:  o.For - before - during,
+		Factor: factor,
+	}
+}
--- /dev/null
+++ b/magnolia-load/internal/experiment/experiment.go
@@ -0,0 +1,196 @@
+// Package experiment runs one load on one version of a mesh and gives the
+// figures: the load is steady, then an overload, then steady again.
+//
+// # Usage
+//
+//	trial := experiment.Trial{
+//		Design: mesh.GotaJusta(),
+//		System: &mesh.Naive{},
+//		Load:   experiment.Load{Seed: 1, Before: time.Second, During: time.Second, After: time.Second, Factor: 2},
+//	}
+//	report, err := trial.Run(ctx)
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/link"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/load"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/mesh"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/target"
+)
+
+// The names of the phases.
+const (
+	Steady   = "steady"
+	Overload = "overload"
+	Recovery = "after"
+)
+
+const (
+	progressInterval = time.Second
+	patchedKind      = "agenda/day"
+	patchedDeadline  = 1900 * time.Millisecond
+	callerAttempts   = 3
+)
+
+// Load is the course of the load.
+type Load struct {
+	Seed   uint64
+	Before time.Duration
+	During time.Duration
+	After  time.Duration
+	// Factor is on all rates during the overload.
+	Factor float64
+	// Slowness is on the service times of the deepest service during the
+	// overload; zero leaves them.
+	Slowness float64
+}
+
+// Progress is told each second of a run.
+type Progress struct {
+	At      time.Duration
+	Phase   string
+	Offered float64
+	Goodput float64
+}
+
+// Trial is one run. Its fields are set before Run.
+type Trial struct {
+	Design    mesh.Design
+	System    mesh.System
+	Load      Load
+	Latencies link.Latencies
+	// Patch tells whether the configuration is patched in the middle.
+	Patch bool
+	// Progress is told of the course; it may be nil.
+	Progress func(Progress)
+}
+
+// Outcome is all that a run gave.
+type Outcome struct {
+	Plan    load.Plan
+	Samples []load.Sample
+	Work    map[target.AttemptName]time.Duration
+	Calls   map[target.AttemptName]int
+	Records *target.Records
+	// PatchTime is the time from acceptance to in force on all nodes.
+	PatchTime time.Duration
+	PatchErr  error
+}
+
+// Run brings the mesh up, sends the load and takes the mesh down.
+func (t *Trial) Run(ctx context.Context) (Outcome, error) {
+	running := &mesh.Mesh{Design: t.Design, System: t.System, Seed: t.Load.Seed, Latencies: t.Latencies}
+	if err := running.Start(ctx); err != nil {
+		return Outcome{}, err
+	}
+	outcome := t.drive(ctx, running)
+	return outcome, running.Stop()
+}
+
+func (t *Trial) drive(ctx context.Context, running *mesh.Mesh) Outcome {
+	plan := t.plan(len(running.Callers()))
+	patched := make(chan struct{})
+	outcome := Outcome{Plan: plan, Records: running.Records}
+	runner := &load.Runner{
+		Plan:    plan,
+		Callers: running.Callers(),
+		Label:   "run",
+		Reached: func(phase load.Phase) {
+			t.slow(running, phase)
+			if phase.Name == Overload && t.Patch {
+				go func() {
+					defer close(patched)
+					outcome.PatchTime, outcome.PatchErr = t.System.Patch(ctx, patchedKind, patchedDeadline)
+				}()
+			}
+		},
+	}
+	watching, stop := context.WithCancel(ctx)
+	go t.watch(watching, runner)
+	outcome.Samples = runner.Run(ctx)
+	stop()
+	if t.Patch && ctx.Err() == nil {
+		<-patched
+	}
+	outcome.Work, outcome.Calls = running.Records.Work(), running.Records.Calls()
+	return outcome
+}
+
+func (t *Trial) slow(running *mesh.Mesh, phase load.Phase) {
+	factor := 1.0
+	if phase.Name == Overload && t.Load.Slowness > 0 {
+		factor = t.Load.Slowness
+	}
+	running.Slow(t.Design.Deepest, factor)
+}
+
+func (t *Trial) plan(entries int) load.Plan {
+	return load.Plan{
+		Seed:     t.Load.Seed,
+		Kinds:    t.Design.Kinds,
+		Entries:  entries,
+		Attempts: callerAttempts,
+		Phases: []load.Phase{
+			{Name: Steady, Length: t.Load.Before, Factor: 1},
+			{Name: Overload, Length: t.Load.During, Factor: t.Load.Factor},
+			{Name: Recovery, Length: t.Load.After, Factor: 1},
+		},
+	}
+}
+
+// watch tells the progress of the run.
+func (t *Trial) watch(ctx context.Context, runner *load.Runner) {
+	if t.Progress == nil {
+		return
+	}
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for at := progressInterval; ; at += progressInterval {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		span := load.Span{From: at - progressInterval, To: at}
+		samples := runner.Samples()
+		t.Progress(Progress{
+			At:      at,
+			Phase:   phaseAt(runner.Plan, at),
+			Offered: runner.Plan.OfferedIn(span),
+			Goodput: load.Goodput(samples, span, load.Each),
+		})
+	}
+}
+
+func phaseAt(plan load.Plan, at time.Duration) string {
+	for _, phase := range plan.Phases {
+		if span := plan.SpanOf(phase.Name); at > span.From && at <= span.To {
+			return phase.Name
+		}
+	}
+	return "last answers"
+}
+
+// Deep weighs a request by the calls of the deepest service that it makes.
+func (o Outcome) Deep(sample load.Sample) float64 {
+	return o.Plan.Kinds[sample.Kind].Deep
+}
+
+// Important counts the requests of kinds that may not be repeated which
+// arrived within a span, and those of them that were lost.
+func (o Outcome) Important(span load.Span) (arrived, lost int) {
+	for _, sample := range o.Samples {
+		if o.Plan.Kinds[sample.Kind].Repeat != request.Once || !span.Holds(sample.Arrived) {
+			continue
+		}
+		arrived++
+		if !sample.Whole() {
+			lost++
+		}
+	}
+	return arrived, lost
+}
--- a/magnolia-load/internal/load/caller.go
+++ b/magnolia-load/internal/load/caller.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,9 +28,6 @@
 	Entry string
 	// Dial opens connections; nil means a plain TCP connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// DeadlineHeader names the header that tells the time left; empty sends
-	// none.
-	DeadlineHeader string
 
 	client *http.Client
 }
@@ -94,10 +90,7 @@
 	if kind.Repeat == request.Once {
 		headers.Set(target.KeyHeader, string(key))
 	}
-	if c.DeadlineHeader != "" {
-		left := (kind.Patience - deadlineMargin).Milliseconds()
-		headers.Set(c.DeadlineHeader, strconv.FormatInt(left, 10))
-	}
+	headers.Set(target.DeadlineHeader, (kind.Patience - deadlineMargin).String())
 	return outgoing, nil
 }
 
--- a/magnolia-load/internal/load/plan.go
+++ b/magnolia-load/internal/load/plan.go
@@ -129,3 +129,14 @@
 	}
 	return Span{}
 }
+
+// OfferedIn gives the requests a second that the plan has within a span.
+func (p Plan) OfferedIn(span Span) float64 {
+	count := 0
+	for _, arrival := range p.Arrivals() {
+		if span.Holds(arrival.At) {
+			count++
+		}
+	}
+	return float64(count) / span.Seconds()
+}
--- /dev/null
+++ b/magnolia-load/internal/mesh/mesh.go
@@ -0,0 +1,182 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/samber/oops"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/link"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/load"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/target"
+)
+
+const (
+	loopback      = "127.0.0.1:0"
+	readyLimit    = 20 * time.Second
+	readyInterval = 20 * time.Millisecond
+)
+
+// Host is one instance of a service and where it runs.
+type Host struct {
+	Node    request.NodeID
+	Place   request.Place
+	Service Service
+	// Target is the address of the stand-in target.
+	Target string
+}
+
+// Endpoints are where a node takes the calls of callers and of its target.
+type Endpoints struct {
+	Callers  string
+	Outbound string
+}
+
+// System is a version of the nodes of a mesh.
+type System interface {
+	// Begin takes what all nodes share.
+	Begin(design Design, links *link.Map, seed uint64) error
+	// Add prepares the node of a host.
+	Add(host Host) (Endpoints, error)
+	// Run runs all nodes until the context ends.
+	Run(ctx context.Context) error
+	// Patch sets the deadline of a kind in the configuration and gives the time
+	// from its acceptance until it is in force on all nodes.
+	Patch(ctx context.Context, kind request.KindName, deadline time.Duration) (time.Duration, error)
+}
+
+// Mesh is a running mesh. Its exported fields are set before Start.
+type Mesh struct {
+	Design    Design
+	System    System
+	Seed      uint64
+	Latencies link.Latencies
+	Records   *target.Records
+
+	targets map[request.ServiceName][]*target.Target
+	callers []*load.Caller
+	outer   context.CancelFunc
+	inner   context.CancelFunc
+	nodes   errgroup.Group
+	stands  errgroup.Group
+}
+
+// Start brings up all targets and nodes and returns when each entry serves.
+func (m *Mesh) Start(ctx context.Context) error {
+	if m.Records == nil {
+		m.Records = target.NewRecords()
+	}
+	m.targets = make(map[request.ServiceName][]*target.Target)
+	links := link.NewMap(m.Latencies)
+	if err := m.System.Begin(m.Design, links, m.Seed); err != nil {
+		return err
+	}
+	standing, stopStands := context.WithCancel(context.WithoutCancel(ctx))
+	m.inner = stopStands
+	for _, place := range m.Design.Places {
+		for _, service := range m.Design.Services {
+			if err := m.addHost(standing, links, place, service); err != nil {
+				stopStands()
+				return err
+			}
+		}
+	}
+	serving, stopNodes := context.WithCancel(context.WithoutCancel(ctx))
+	m.outer = stopNodes
+	m.nodes.Go(func() error { return m.System.Run(serving) })
+	return m.waitReady(ctx)
+}
+
+// Stop ends the nodes and then the targets.
+func (m *Mesh) Stop() error {
+	for _, caller := range m.callers {
+		caller.Close()
+	}
+	m.outer()
+	err := m.nodes.Wait()
+	m.inner()
+	return errors.Join(err, m.stands.Wait())
+}
+
+// Callers gives a caller for each entry node.
+func (m *Mesh) Callers() []*load.Caller { return m.callers }
+
+// Targets gives the targets of a service.
+func (m *Mesh) Targets(service request.ServiceName) []*target.Target { return m.targets[service] }
+
+// Slow makes the service times of a service factor times longer.
+func (m *Mesh) Slow(service request.ServiceName, factor float64) {
+	for _, stand := range m.targets[service] {
+		stand.Slow(factor)
+	}
+}
+
+func (m *Mesh) addHost(ctx context.Context, links *link.Map, place request.Place, service Service) error {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return oops.Wrapf(err, "the target of %s cannot listen", service.Name)
+	}
+	host := Host{
+		Node:    request.NodeID(fmt.Sprintf("%s-%s", service.Name, place.Domain)),
+		Place:   place,
+		Service: service,
+		Target:  listener.Addr().String(),
+	}
+	endpoints, err := m.System.Add(host)
+	if err != nil {
+		return err
+	}
+	stand := &target.Target{
+		Service:     service.Name,
+		Listener:    listener,
+		Outbound:    endpoints.Outbound,
+		Slots:       service.Slots,
+		Connections: service.Connections,
+		Behaviours:  service.Behaviours,
+		Records:     m.Records,
+		Seed:        m.Seed + uint64(len(m.callers)),
+	}
+	m.targets[service.Name] = append(m.targets[service.Name], stand)
+	m.stands.Go(func() error { return stand.Run(ctx) })
+	caller := &load.Caller{Entry: endpoints.Callers, Dial: links.CallerDialer()}
+	caller.Start()
+	m.callers = append(m.callers, caller)
+	return nil
+}
+
+// waitReady sends one request of each repeatable kind by each entry until all
+// are answered whole.
+func (m *Mesh) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	var probes errgroup.Group
+	for entry, caller := range m.callers {
+		probes.Go(func() error { return m.probe(ctx, entry, caller) })
+	}
+	return probes.Wait()
+}
+
+func (m *Mesh) probe(ctx context.Context, entry int, caller *load.Caller) error {
+	for index, kind := range m.Design.Kinds {
+		if kind.Repeat == request.Once {
+			continue
+		}
+		name := fmt.Sprintf("ready-%d-%d-%d", m.Seed, entry, index)
+		for count := 0; ; count++ {
+			reply := caller.Send(ctx, kind, request.IdempotencyKey(name), target.AttemptName(fmt.Sprintf("%s-%d", name, count)))
+			if reply.Result == load.Whole {
+				break
+			}
+			if ctx.Err() != nil {
+				return oops.Errorf("the mesh does not serve %s: the last answer was %s %s", kind.Name, reply.Result, reply.Code)
+			}
+			time.Sleep(readyInterval)
+		}
+	}
+	return nil
+}
--- a/magnolia-load/internal/target/handler.go
+++ b/magnolia-load/internal/target/handler.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/answer"
 )
@@ -22,12 +23,12 @@
 	AttemptHeader = "Load-Attempt"
 	// CrashHeader marks a request that crashes each target that runs it.
 	CrashHeader = "Load-Crash"
-	// DeadlineHeader holds the time left for the answer in milliseconds.
-	DeadlineHeader = "Deadline-Ms"
+	// DeadlineHeader holds the time left for the answer, as in "800ms".
+	DeadlineHeader = web.HeaderDeadline
 	// KeyHeader holds the caller's name for an action that may not be repeated.
-	KeyHeader = "Idempotency-Key"
+	KeyHeader = web.HeaderIdempotencyKey
 	// TraceHeader ties a call to its root, as in W3C Trace Context.
-	TraceHeader = "Traceparent"
+	TraceHeader = web.HeaderTraceparent
 )
 
 // The paths on which a target tells of itself.
@@ -161,7 +162,7 @@
 		below.Header.Set(KeyHeader, parent.Header.Get(KeyHeader)+"/"+string(next.Service))
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		below.Header.Set(DeadlineHeader, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+		below.Header.Set(DeadlineHeader, time.Until(deadline).String())
 	}
 	response, err := t.client.Do(below)
 	if err != nil {
@@ -192,9 +193,9 @@
 
 // withDeadline bounds the request's context by its deadline header.
 func withDeadline(call *http.Request) (context.Context, context.CancelFunc) {
-	left, err := strconv.ParseInt(call.Header.Get(DeadlineHeader), 10, 64)
+	left, err := time.ParseDuration(call.Header.Get(DeadlineHeader))
 	if err != nil {
 		return context.WithCancel(call.Context())
 	}
-	return context.WithTimeout(call.Context(), time.Duration(left)*time.Millisecond)
+	return context.WithTimeout(call.Context(), left)
 }
--- a/magnolia-load/internal/target/target_test.go
+++ b/magnolia-load/internal/target/target_test.go
@@ -104,7 +104,7 @@
 		{Kind: "agenda/checklist", Pattern: "GET /checklists/{visit}", Timing: target.Timing{Mean: time.Hour}},
 	}}
 	address := start(t, stand)
-	status, _, err := send("GET", address, "/checklists/1", map[string]string{target.DeadlineHeader: "1"})
+	status, _, err := send("GET", address, "/checklists/1", map[string]string{target.DeadlineHeader: "1ms"})
 	expect(err).NotTo(gomega.HaveOccurred())
 	expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
 	expect(records.Work()).To(gomega.HaveLen(1))
--- a/magnolia-load/main.go
+++ b/magnolia-load/main.go
@@ -1,4 +1,22 @@
-// Command magnolia-load is a part of magnoliawall.
+// Command magnolia-load shows and measures magnoliawall with stand-in targets.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/root"
+)
+
+func main() {
+	os.Exit(int(run()))
+}
+
+func run() root.ExitCode {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return root.Main(ctx, factory.New(), os.Args[1:])
+}
