--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
@@ -253,34 +252,3 @@
 		og.edge.success()
 	}
 }
-
-// deliver writes the answer to the caller. An answer that is cut after its
-// first bytes went out breaks the caller's connection.
-func (no *Node) deliver(ctx context.Context, writer http.ResponseWriter, og *outgoing, at *attempt) {
-	headers := writer.Header()
-	web.DecodeHeaders(headers, at.header.GetHeaders())
-	if at.exchange.Report() != nil {
-		headers.Set("Content-Length", strconv.Itoa(len(at.held)))
-	} else if at.header.GetBodyLength() >= 0 {
-		headers.Set("Content-Length", strconv.FormatInt(at.header.GetBodyLength(), 10))
-	}
-	writer.WriteHeader(int(at.header.GetStatus()))
-	if _, err := writer.Write(at.held); err != nil {
-		at.exchange.Abort()
-		return
-	}
-	if at.exchange.Report() == nil {
-		no.deliverRest(ctx, writer, og, at)
-	}
-	no.counters.answers.Inc()
-}
-
-func (no *Node) deliverRest(ctx context.Context, writer http.ResponseWriter, og *outgoing, at *attempt) {
-	_, err := io.Copy(writer, at.exchange.Body())
-	if err != nil {
-		at.exchange.Abort()
-		count(no.counters.refusals, callFailure(ctx, og, err).Code)
-		panic(http.ErrAbortHandler)
-	}
-	no.settle(og, at)
-}
