--- a/internal/core/choice/chooser.go
+++ b/internal/core/choice/chooser.go
@@ -1,11 +1,13 @@
 // Package choice picks the target for one outbound call.
 //
-// A node keeps for each service that it calls a bounded subset of the targets,
-// taken by rendezvous hashing (Thaler and Ravishankar, 1998) in each of three
-// tiers: its own failure domain, its own region, and the other regions. A
-// farther tier is used only when no target of a nearer one can take the call.
-// Within a tier the cheaper of two random targets is taken (Mitzenmacher, "The
-// Power of Two Choices in Randomized Load Balancing", 2001). The cost of a
+// A node keeps connections for each service that it calls to a bounded subset
+// of the targets, taken by rendezvous hashing (Thaler and Ravishankar, 1998) in
+// each of three tiers: its own failure domain, its own region, and the other
+// regions. A farther tier is used only when no target of a nearer one can take
+// the call. Within a tier the cheaper of two targets is taken (Mitzenmacher,
+// "The Power of Two Choices in Randomized Load Balancing", 2001). The two are
+// drawn at random, or, for a call with a fingerprint, among the two of each
+// failure domain that rank first for it by rendezvous hashing. The cost of a
 // target is what the node has measured itself: calls in flight, latency and
 // failures. The load that a target reports can at most double its cost.
 //
@@ -52,6 +54,8 @@
 	failureGain          = 0.2
 	latencyGain          = 0.2
 	failureCost          = 4
+	homesPerDomain       = 2
+	unreachableTime      = 5 * time.Second
 )
 
 // Call is one outbound call that needs a target.
@@ -64,6 +68,16 @@
 	Sparing bool
 	// Exclude lists the nodes that were tried before.
 	Exclude []request.NodeID
+	// Fingerprint limits the call to two targets in each failure domain, so
+	// that resends of a request that crashes its targets reach no third one.
+	// Zero sets no limit.
+	Fingerprint request.Fingerprint
+	// Alone limits the call to the first of these targets.
+	Alone bool
+	// AvoidNodes are taken only when there is no other target, AvoidDomains
+	// never.
+	AvoidNodes   []request.NodeID
+	AvoidDomains []request.DomainName
 }
 
 // Chooser picks targets for the calls of one node. The exported fields are set
@@ -152,20 +166,20 @@
 
 // Connected tells that a connection to the node stands.
 func (c *Chooser) Connected(now time.Time, service request.ServiceName, node request.NodeID) {
-	c.change(service, node, func(found *entry) {
+	c.change(service, node, func(services *pool, found *entry) {
 		found.connected = true
 		if found.unreachable {
-			c.readmit(now, found)
+			services.readmit(now, found)
 		}
 	})
 }
 
 // Lost tells that the connection to the node broke or could not be made.
 func (c *Chooser) Lost(now time.Time, service request.ServiceName, node request.NodeID) {
-	c.change(service, node, func(found *entry) {
+	c.change(service, node, func(services *pool, found *entry) {
 		found.connected = false
-		found.unreachable = true
-		c.eject(now, found, false)
+		found.lose(now)
+		services.eject(now, found, false)
 	})
 }
 
@@ -180,7 +194,7 @@
 	defer services.mutex.Unlock()
 	var wanted []Target
 	for _, entries := range services.tiers {
-		for _, candidate := range entries {
+		for _, candidate := range entries[:min(len(entries), c.PerTier)] {
 			wanted = append(wanted, candidate.target)
 		}
 	}
@@ -192,7 +206,7 @@
 	return (*c.pools.Load())[service]
 }
 
-func (c *Chooser) change(service request.ServiceName, node request.NodeID, apply func(*entry)) {
+func (c *Chooser) change(service request.ServiceName, node request.NodeID, apply func(*pool, *entry)) {
 	services := c.find(service)
 	if services == nil {
 		return
@@ -200,7 +214,7 @@
 	services.mutex.Lock()
 	defer services.mutex.Unlock()
 	if found := services.entries[node]; found != nil {
-		apply(found)
+		apply(services, found)
 	}
 }
 
--- a/internal/core/choice/cost_test.go
+++ b/internal/core/choice/cost_test.go
@@ -41,7 +41,7 @@
 	return func() {
 		index++
 		now = now.Add(time.Millisecond)
-		call := choice.Call{Service: names[index%len(names)], Priority: 200, Repeatable: true, Sparing: true}
+		call := choice.Call{Service: names[index%len(names)], Priority: 200, Repeatable: true, Sparing: true, Fingerprint: request.Fingerprint(index)}
 		picked, _ := chooser.Pick(now, source, call)
 		chooser.Sent(picked)
 		chooser.Answered(now, picked, call, answer)
--- a/internal/core/choice/entry.go
+++ b/internal/core/choice/entry.go
@@ -10,6 +10,7 @@
 // entry is what the node knows of one target from its own calls.
 type entry struct {
 	target   Target
+	hash     uint64
 	rank     uint64
 	inFlight int
 
@@ -25,6 +26,7 @@
 
 	connected   bool
 	unreachable bool
+	lostAt      time.Time
 	left        bool
 	ejected     bool
 	probing     bool
--- /dev/null
+++ b/internal/core/choice/home_test.go
@@ -0,0 +1,91 @@
+package choice_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/choice"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/internal/suite"
+)
+
+// TestFingerprintReachesTwoTargetsOfEachDomain sends one request from many
+// nodes under random answers.
+func TestFingerprintReachesTwoTargetsOfEachDomain(t *testing.T) {
+	suite.Check(t, 100, func(r *rapid.T) {
+		expect := gomega.NewWithT(r)
+		targets := mesh(rapid.IntRange(1, 6).Draw(r, "targets per domain"))
+		source := rand.New(rand.NewPCG(rapid.Uint64().Draw(r, "seed"), 1))
+		reached := map[request.DomainName]map[request.NodeID]bool{}
+		for sender := range 5 {
+			chooser := &choice.Chooser{Self: request.NodeID(fmt.Sprintf("sender-%d", sender)), Place: here}
+			chooser.Update(start, choice.View{Service: service, Targets: targets})
+			now := start
+			for range 40 {
+				call := choice.Call{Service: service, Repeatable: true, Fingerprint: 99}
+				picked, code := chooser.Pick(now, source, call)
+				if code != request.OK {
+					continue
+				}
+				domain := picked.Target.Place.Domain
+				if reached[domain] == nil {
+					reached[domain] = map[request.NodeID]bool{}
+				}
+				reached[domain][picked.Target.Node] = true
+				chooser.Sent(picked)
+				result := choice.Result(source.IntN(int(choice.Left)))
+				chooser.Answered(now, picked, call, choice.Answer{Result: result, Latency: time.Millisecond})
+				now = now.Add(50 * time.Millisecond)
+			}
+		}
+		for domain, nodes := range reached {
+			expect.Expect(len(nodes)).To(gomega.BeNumerically("<=", 2), "%s: %v", domain, nodes)
+		}
+	})
+}
+
+// TestAloneGoesToOneTargetThatIsNotAvoided holds for all senders alike.
+func TestAloneGoesToOneTargetThatIsNotAvoided(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	targets := mesh(4)
+	source := random()
+	for fingerprint := request.Fingerprint(1); fingerprint < 50; fingerprint++ {
+		avoided := targets[fingerprint%4].Node
+		reached := map[request.NodeID]bool{}
+		for sender := range 5 {
+			chooser := &choice.Chooser{Self: request.NodeID(fmt.Sprintf("sender-%d", sender)), Place: here}
+			chooser.Update(start, choice.View{Service: service, Targets: targets})
+			call := choice.Call{Service: service, Fingerprint: fingerprint, Alone: true, AvoidNodes: []request.NodeID{avoided}}
+			picked, code := chooser.Pick(start, source, call)
+			expect.Expect(code).To(gomega.Equal(request.OK))
+			expect.Expect(picked.Target.Place).To(gomega.Equal(here))
+			reached[picked.Target.Node] = true
+		}
+		expect.Expect(reached).To(gomega.HaveLen(1))
+		expect.Expect(reached).NotTo(gomega.HaveKey(avoided))
+	}
+}
+
+func TestAvoidedDomainIsNeverTaken(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	chooser := newChooser(mesh(2))
+	call := choice.Call{Service: service, Fingerprint: 5, Alone: true, AvoidDomains: []request.DomainName{here.Domain}}
+	picked, code := chooser.Pick(start, random(), call)
+	expect.Expect(code).To(gomega.Equal(request.OK))
+	expect.Expect(picked.Target.Place.Domain).NotTo(gomega.Equal(here.Domain))
+}
+
+func TestOnlyTargetIsTakenThoughAvoided(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	targets := mesh(1)[:1]
+	chooser := newChooser(targets)
+	call := choice.Call{Service: service, Fingerprint: 5, Alone: true, AvoidNodes: []request.NodeID{targets[0].Node}}
+	picked, code := chooser.Pick(start, random(), call)
+	expect.Expect(code).To(gomega.Equal(request.OK))
+	expect.Expect(picked.Target.Node).To(gomega.Equal(targets[0].Node))
+}
--- a/internal/core/choice/judge.go
+++ b/internal/core/choice/judge.go
@@ -19,21 +19,21 @@
 		judged.measure(now, answer.Latency)
 		p.measure(answer.Latency)
 		judged.failures -= judged.failures * failureGain
-		p.chooser.readmit(now, judged)
+		p.readmit(now, judged)
 	case Refused:
 		judged.report(now, answer.Load)
 		judged.refuse(now.Add(p.chooser.RefusalHold), now, priority)
-		p.chooser.readmit(now, judged)
+		p.readmit(now, judged)
 	case Failed:
 		judged.failures += (1 - judged.failures) * failureGain
 		if probed || judged.failures > ejectionFailureShare {
-			p.chooser.eject(now, judged, probed)
+			p.eject(now, judged, probed)
 		}
 	case Died:
-		p.chooser.eject(now, judged, probed)
+		p.eject(now, judged, probed)
 	case Unreachable:
-		judged.unreachable = true
-		p.chooser.eject(now, judged, probed)
+		judged.lose(now)
+		p.eject(now, judged, probed)
 	case Left:
 		judged.left = true
 	case Neutral:
@@ -49,26 +49,38 @@
 	e.refusedUntil = until
 }
 
+// lose notes since when the target is out of reach.
+func (e *entry) lose(now time.Time) {
+	if !e.unreachable {
+		e.lostAt = now
+	}
+	e.unreachable = true
+}
+
 // eject leaves the target out for a time that doubles with each failed probe.
-func (c *Chooser) eject(now time.Time, failed *entry, probed bool) {
+func (p *pool) eject(now time.Time, failed *entry, probed bool) {
 	if failed.ejected && !probed && now.Before(failed.ejectUntil) {
 		return
 	}
-	failed.ejection = min(max(2*failed.ejection, c.Ejection), c.MaxEjection)
+	failed.ejection = min(max(2*failed.ejection, p.chooser.Ejection), p.chooser.MaxEjection)
+	if !failed.ejected {
+		p.ejected++
+	}
 	failed.ejected = true
 	failed.ejectUntil = now.Add(failed.ejection)
 }
 
 // readmit takes an ejected target back with a share that grows.
-func (c *Chooser) readmit(now time.Time, recovered *entry) {
+func (p *pool) readmit(now time.Time, recovered *entry) {
 	recovered.unreachable = false
 	if !recovered.ejected {
-		if now.Sub(recovered.ejectUntil) > c.MaxEjection {
+		if now.Sub(recovered.ejectUntil) > p.chooser.MaxEjection {
 			recovered.ejection = 0
 		}
 		return
 	}
 	recovered.ejected = false
+	p.ejected--
 	recovered.failures = 0
 	recovered.warmFrom = now
 	recovered.warmTime = DefaultReadmitTime
--- a/internal/core/choice/pool.go
+++ b/internal/core/choice/pool.go
@@ -27,7 +27,9 @@
 	mutex   sync.Mutex
 	entries map[request.NodeID]*entry
 	tiers   [tierCount][]*entry
+	domains [tierCount][][]*entry
 	typical float64
+	ejected int
 }
 
 func newPool(chooser *Chooser) *pool {
@@ -39,6 +41,7 @@
 func (p *pool) replace(now time.Time, targets []Target) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.ejected = 0
 	var ranked [tierCount][]*entry
 	for _, target := range targets {
 		if target.State == Draining {
@@ -50,9 +53,13 @@
 	p.entries = make(map[request.NodeID]*entry, len(targets))
 	for tier, candidates := range ranked {
 		slices.SortFunc(candidates, func(left, right *entry) int { return cmp.Compare(right.rank, left.rank) })
-		p.tiers[tier] = candidates[:min(len(candidates), p.chooser.PerTier)]
-		for _, kept := range p.tiers[tier] {
+		p.tiers[tier] = candidates
+		p.domains[tier] = groupByDomain(candidates)
+		for _, kept := range candidates {
 			p.entries[kept.target.Node] = kept
+			if kept.ejected {
+				p.ejected++
+			}
 		}
 	}
 }
@@ -71,7 +78,7 @@
 func (p *pool) take(now time.Time, target Target) *entry {
 	known := p.entries[target.Node]
 	if known == nil || known.target.Incarnation != target.Incarnation || known.target.Address != target.Address {
-		known = &entry{rank: rank(p.chooser.Self, target.Node)}
+		known = &entry{hash: xxhash.Sum64String(string(target.Node)), rank: rank(p.chooser.Self, target.Node)}
 	}
 	if target.State == Cold && known.target.State != Cold {
 		known.warmFrom = now
@@ -84,6 +91,21 @@
 	return known
 }
 
+func groupByDomain(entries []*entry) [][]*entry {
+	var groups [][]*entry
+	for _, member := range entries {
+		index := slices.IndexFunc(groups, func(group []*entry) bool {
+			return group[0].target.Place == member.target.Place
+		})
+		if index < 0 {
+			groups = append(groups, []*entry{member})
+			continue
+		}
+		groups[index] = append(groups[index], member)
+	}
+	return groups
+}
+
 // rank is the rendezvous weight of a target for one node.
 func rank(self, target request.NodeID) uint64 {
 	var digest xxhash.Digest
@@ -105,7 +127,7 @@
 	distrusted := p.mostFail()
 	code := request.NoTarget
 	for tier := range p.tiers {
-		found := p.best(now, random, call, p.tiers[tier], selection{distrusted: distrusted})
+		found := p.best(now, random, call, tier, selection{distrusted: distrusted})
 		if found == nil {
 			continue
 		}
@@ -131,10 +153,11 @@
 	wide := [...]selection{
 		{distrusted: distrusted, full: true},
 		{distrusted: true, full: true, unreachable: true},
+		{distrusted: true, full: true, unreachable: true, avoided: true},
 	}
 	for _, chosen := range wide {
 		for tier := range p.tiers {
-			found := p.best(now, random, call, p.tiers[tier], chosen)
+			found := p.best(now, random, call, tier, chosen)
 			if found == nil {
 				continue
 			}
@@ -159,12 +182,15 @@
 // dueProbe gives an ejected target that is to be tried with this call.
 func (p *pool) dueProbe(now time.Time, call *Call) *entry {
 	since := now
+	if call.Alone || p.ejected == 0 {
+		return nil
+	}
 	if !call.Repeatable {
 		since = now.Add(-p.chooser.MaxEjection)
 	}
 	for tier := range p.tiers {
 		for _, candidate := range p.tiers[tier] {
-			if candidate.probeDue(since) && !candidate.left && !excluded(call, candidate) {
+			if candidate.probeDue(since) && !candidate.left && !excluded(call, candidate) && p.isHome(now, call, tier, candidate) {
 				return candidate
 			}
 		}
@@ -175,6 +201,9 @@
 // mostFail says whether so many targets seem to fail that the judgement itself
 // is in doubt. Targets out of reach are a fact and don't count.
 func (p *pool) mostFail() bool {
+	if p.ejected == 0 {
+		return false
+	}
 	reachable, failing := 0, 0
 	for tier := range p.tiers {
 		for _, candidate := range p.tiers[tier] {
