--- /dev/null
+++ b/internal/core/drain/drain.go
@@ -0,0 +1,167 @@
+// Package drain stops one node and its target without cutting a request.
+//
+// A node that drains announces it, refuses new inbound requests with the code
+// Draining and finishes the requests in flight, uploads included. The calls
+// that those requests make go on. The node is empty when the last of them has
+// ended; a second signal or the upper bound of time ends the wait early.
+//
+// # Usage
+//
+//	stop := &drain.Drain{Limit: 10 * time.Minute}
+//	if code := stop.Enter(call); code != request.OK {
+//		return code
+//	}
+//	defer stop.Leave(call)
+//
+//	stop.Begin(now) // SIGTERM, or the platform's drain
+//	for !stop.Done(now) { ... }
+//
+// All methods may be called from several goroutines.
+package drain
+
+import (
+	"sync"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// DefaultLimit is the longest drain that a zero Limit stands for.
+const DefaultLimit = 15 * time.Minute
+
+// State is how far a node is on its way out.
+type State uint8
+
+// The states, in their order; a node never goes back.
+const (
+	Running State = iota
+	Draining
+	Empty
+	// Cut is the end of a drain that was ended early.
+	Cut
+)
+
+// String gives the state's name.
+func (s State) String() string {
+	switch s {
+	case Running:
+		return "running"
+	case Draining:
+		return "draining"
+	case Empty:
+		return "empty"
+	case Cut:
+		return "cut"
+	}
+	return "invalid"
+}
+
+// Ticket names one inbound request of the node.
+type Ticket uint64
+
+// Drain tracks the requests in flight. Limit is set before the first use.
+type Drain struct {
+	// Limit is the longest time that a drain waits for requests in flight.
+	Limit time.Duration
+
+	mutex    sync.Mutex
+	state    State
+	begun    time.Time
+	announce bool
+	inFlight map[Ticket]struct{}
+}
+
+// Enter takes in an inbound request, or gives the code that refuses it. A
+// request that entered is in flight until Leave: from the first byte of its
+// body until the last byte of its answer was sent.
+func (d *Drain) Enter(ticket Ticket) request.Code {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.state != Running {
+		return request.Draining
+	}
+	if d.inFlight == nil {
+		d.inFlight = map[Ticket]struct{}{}
+	}
+	d.inFlight[ticket] = struct{}{}
+	return request.OK
+}
+
+// MayCall says whether an outbound call may start. Calls of a request in
+// flight go on; zero stands for a call that no request is known for, which
+// goes on as long as any request is in flight.
+func (d *Drain) MayCall(ticket Ticket) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.state == Running {
+		return true
+	}
+	if d.state != Draining {
+		return false
+	}
+	if ticket == 0 {
+		return len(d.inFlight) > 0
+	}
+	_, ok := d.inFlight[ticket]
+	return ok
+}
+
+// Leave ends a request in flight.
+func (d *Drain) Leave(ticket Ticket) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	delete(d.inFlight, ticket)
+	if d.state == Draining && len(d.inFlight) == 0 {
+		d.state = Empty
+	}
+}
+
+// Begin starts the drain. A second call while requests are in flight ends it
+// early.
+func (d *Drain) Begin(now time.Time) State {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	switch d.state {
+	case Running:
+		d.begun = now
+		d.announce = true
+		d.state = Draining
+		if len(d.inFlight) == 0 {
+			d.state = Empty
+		}
+	case Draining:
+		d.state = Cut
+	}
+	return d.state
+}
+
+// Announce says once that the start of the drain is to be told to the peers
+// and the replica.
+func (d *Drain) Announce() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	due := d.announce
+	d.announce = false
+	return due
+}
+
+// Done says whether the node may exit.
+func (d *Drain) Done(now time.Time) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	limit := d.Limit
+	if limit == 0 {
+		limit = DefaultLimit
+	}
+	if d.state == Draining && now.Sub(d.begun) >= limit {
+		d.state = Cut
+	}
+	return d.state == Empty || d.state == Cut
+}
+
+// State gives the state and the number of requests in flight.
+func (d *Drain) State() (State, int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.state, len(d.inFlight)
+}
