Join drain and quarantine to the node

Cause: a node took new work while it stopped, and nothing held back a request that crashes its targets. Change: the drain and quarantine cores are asked on the way in, the fingerprint travels with the call, idle streams are kept by kind. Conclusion: reports of crashes do not leave the node yet; the registry will carry them.

--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -70,7 +70,7 @@
 	remote Hello
 
 	lock sync.Mutex
-	idle []*Stream
+	idle [kindLimit][]*Stream
 }
 
 // Serve accepts connections until the context ends or the listener fails.
@@ -166,10 +166,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if kind == KindCall {
-		if stream, ok := current.takeIdle(); ok {
-			return stream, nil
-		}
+	if stream, ok := current.takeIdle(kind); ok {
+		return stream, nil
 	}
 	conn, err := current.mux.OpenStream()
 	if err != nil {
@@ -179,7 +177,7 @@
 	return &Stream{conn: conn, remote: current.remote, kind: kind}, nil
 }
 
-// Keep hands a call stream back after a whole exchange, for the next one.
+// Keep hands a stream back after a whole exchange, for the next one of its kind.
 func (tr *Transport) Keep(address Address, stream *Stream) {
 	tr.lock.Lock()
 	current := tr.sessions[address]
@@ -336,25 +334,25 @@
 	}
 }
 
-func (se *session) takeIdle() (*Stream, bool) {
+func (se *session) takeIdle(kind Kind) (*Stream, bool) {
 	se.lock.Lock()
 	defer se.lock.Unlock()
-	last := len(se.idle) - 1
-	if last < 0 {
+	idle := se.idle[kind]
+	if len(idle) == 0 {
 		return nil, false
 	}
-	stream := se.idle[last]
-	se.idle = se.idle[:last]
+	stream := idle[len(idle)-1]
+	se.idle[kind] = idle[:len(idle)-1]
 	return stream, true
 }
 
 func (se *session) keep(stream *Stream) bool {
 	se.lock.Lock()
 	defer se.lock.Unlock()
-	if len(se.idle) >= idleStreams || se.mux.IsClosed() {
+	if len(se.idle[stream.kind]) >= idleStreams || se.mux.IsClosed() {
 		return false
 	}
-	se.idle = append(se.idle, stream)
+	se.idle[stream.kind] = append(se.idle[stream.kind], stream)
 	return true
 }
 
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -25,7 +25,7 @@
 }
 
 func (no *Node) serveReady(writer http.ResponseWriter, _ *http.Request) {
-	if no.drain.draining() {
+	if no.draining() {
 		http.Error(writer, "draining", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -63,7 +63,7 @@
 	defer og.root.lock.Unlock()
 	return no.retryPolicy.Decide(time.Now(), retry.Attempt{
 		Rule:     og.kind.Repeat,
-		Retries:  og.kind.Retries,
+		Retries:  og.retries(),
 		Used:     used,
 		Code:     refusal.Code,
 		Outcome:  refusal.Outcome,
@@ -72,6 +72,14 @@
 	}, &og.root.account, &og.edge.budget)
 }
 
+// retries is the bound of the call's kind. A suspect is not retried.
+func (og *outgoing) retries() int {
+	if og.suspect {
+		return 0
+	}
+	return og.kind.Retries
+}
+
 func pause(ctx context.Context, wait time.Duration) bool {
 	if wait <= 0 {
 		return ctx.Err() == nil
@@ -94,11 +102,15 @@
 		return at
 	}
 	call := choice.Call{
-		Service:    og.kind.Service,
-		Priority:   og.work.Priority,
-		Repeatable: og.kind.Repeat == request.Repeatable,
-		Sparing:    og.sparing(no.Configuration.Current().Half),
-		Exclude:    tried,
+		Service:     og.kind.Service,
+		Priority:    og.work.Priority,
+		Repeatable:  og.kind.Repeat == request.Repeatable,
+		Sparing:     og.sparing(no.Configuration.Current().Half),
+		Exclude:     tried,
+		Fingerprint: og.fingerprint,
+	}
+	if at.refusal = no.judgeSuspect(at.started, og, &call); at.refusal != nil {
+		return at
 	}
 	random := randomPool.Get().(*rand.Rand)
 	picked, code := no.Chooser.Pick(at.started, random, call)
@@ -179,6 +191,7 @@
 		AwaitContinue:        og.body.large(),
 		ConfigurationVersion: uint64(og.version),
 		Depth:                og.depth,
+		Fingerprint:          uint64(og.fingerprint),
 	}
 }
 
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -2,67 +2,53 @@
 
 import (
 	"context"
-	"sync"
+	"time"
 
 	"github.com/oklog/run"
-)
-
-// drainer counts the calls at work here and tells when the last one ended
-// after the node began to drain.
-type drainer struct {
-	lock    sync.Mutex
-	calls   int
-	leaving bool
-	empty   chan struct{}
-}
 
-// enter counts a call in, unless the node drains.
-func (dr *drainer) enter() bool {
-	dr.lock.Lock()
-	defer dr.lock.Unlock()
-	if dr.leaving {
-		return false
-	}
-	dr.calls++
-	return true
-}
-
-func (dr *drainer) leave() {
-	dr.lock.Lock()
-	defer dr.lock.Unlock()
-	dr.calls--
-	dr.closeWhenEmpty()
-}
-
-func (dr *drainer) closeWhenEmpty() {
-	if dr.leaving && dr.calls == 0 && dr.empty != nil {
-		close(dr.empty)
-		dr.empty = nil
-	}
-}
+	"github.com/magnoliawall/magnoliawall/internal/core/drain"
+)
 
-func (dr *drainer) draining() bool {
-	dr.lock.Lock()
-	defer dr.lock.Unlock()
-	return dr.leaving
-}
+const drainInterval = 20 * time.Millisecond
 
-// begin starts to drain; the channel closes when no call is left.
-func (dr *drainer) begin() <-chan struct{} {
-	dr.lock.Lock()
-	defer dr.lock.Unlock()
-	dr.leaving = true
-	empty := make(chan struct{})
-	dr.empty = empty
-	dr.closeWhenEmpty()
-	return empty
+// draining tells whether the node takes no new work any more.
+func (no *Node) draining() bool {
+	state, _ := no.Drain.State()
+	return state != drain.Running
 }
 
+// addDrain begins to drain when the context ends, and returns when no request
+// is in flight any more.
 func (no *Node) addDrain(ctx context.Context, group *run.Group) {
 	ctx, cancel := context.WithCancel(ctx)
+	interrupted := make(chan struct{})
 	group.Add(func() error {
 		<-ctx.Done()
-		<-no.drain.begin()
+		no.Drain.Begin(time.Now())
+		no.announceDrain()
+		no.awaitEmpty(interrupted)
 		return nil
-	}, func(error) { cancel() })
+	}, func(error) {
+		close(interrupted)
+		cancel()
+	})
+}
+
+func (no *Node) awaitEmpty(interrupted <-chan struct{}) {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for !no.Drain.Done(time.Now()) {
+		select {
+		case <-ticker.C:
+		case <-interrupted:
+			return
+		}
+	}
+}
+
+// announceDrain tells the registry that the target leaves.
+func (no *Node) announceDrain() {
+	if no.OnDrain != nil {
+		no.OnDrain()
+	}
 }
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -11,6 +11,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/core/admission"
+	"github.com/magnoliawall/magnoliawall/internal/core/drain"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
@@ -25,8 +26,10 @@
 	kind    *configuration.CompiledKind
 	work    request.Work
 	root    *root
-	unspent retry.Allowance
-	left    bool
+	// fingerprint names the request where it crashes targets.
+	fingerprint request.Fingerprint
+	unspent     retry.Allowance
+	left        bool
 }
 
 // serveCall serves one call of a peer.
@@ -38,11 +41,11 @@
 		ar.refuse(refusal)
 		return
 	}
-	if !no.drain.enter() {
-		ar.refuse(web.NewRefusal(request.Draining, ""))
+	if code := no.Drain.Enter(drain.Ticket(ar.work.Call)); code != request.OK {
+		ar.refuse(web.NewRefusal(code, ""))
 		return
 	}
-	defer no.drain.leave()
+	defer no.Drain.Leave(drain.Ticket(ar.work.Call))
 	ctx, cancel := context.WithDeadline(ctx, ar.work.Deadline)
 	defer cancel()
 	ar.root = no.roots.enter(ar.work, inbound.Header.GetDepth(), retry.Allowance(inbound.Header.GetAllowance()), now)
@@ -74,6 +77,7 @@
 		Deadline: now.Add(time.Duration(header.GetRemainingUs()) * time.Microsecond),
 	}
 	copy(ar.work.Root[:], header.GetRoot())
+	ar.fingerprint = request.Fingerprint(header.GetFingerprint())
 	return ar, nil
 }
 
@@ -94,7 +98,7 @@
 		Level:    uint32(current.level),
 		Load:     uint32((current.running + current.waiting) * loadUnit / max(current.limit, 1)),
 		Unspent:  uint32(ar.unspent),
-		Draining: ar.node.drain.draining(),
+		Draining: ar.node.draining(),
 	}
 }
 
@@ -110,11 +114,24 @@
 }
 
 func (ar *arrival) serveRepeatable(ctx context.Context) {
-	if refusal := ar.admit(ctx); refusal != nil {
+	if refusal := ar.admitAll(ctx); refusal != nil {
 		ar.refuse(refusal)
 		return
 	}
-	ar.run(ctx)
+	ar.finishSuspect(ar.run(ctx))
+}
+
+// admitAll asks the gate and, for a place at the target, the guard. The call is
+// in flight at the target only after both.
+func (ar *arrival) admitAll(ctx context.Context) *web.Refusal {
+	if refusal := ar.admit(ctx); refusal != nil {
+		return refusal
+	}
+	refusal := ar.admitSuspect(ctx)
+	if refusal != nil {
+		ar.node.traffic.cancel(time.Now(), ar.work.Call)
+	}
+	return refusal
 }
 
 // admit waits for the gate's consent.
@@ -147,15 +164,16 @@
 	return web.NewRefusal(request.CallerLeft, "")
 }
 
-// run hands the admitted call to the target and passes its answer on.
-func (ar *arrival) run(ctx context.Context) {
+// run hands the admitted call to the target and passes its answer on. It tells
+// whether the target answered as a whole.
+func (ar *arrival) run(ctx context.Context) bool {
 	started := time.Now()
 	belowBefore, _ := ar.root.waited()
 	response, err := ar.node.Target.Send(ctx, ar.targetCall())
 	if err != nil {
 		ar.finish(started, belowBefore, admission.Failed)
 		ar.refuse(ar.targetFailure(ctx, err))
-		return
+		return false
 	}
 	defer func() { _ = response.Body.Close() }()
 	header := &peerpb.AnswerHeader{
@@ -169,9 +187,11 @@
 		ar.finish(started, belowBefore, resultOf(response))
 		return ar.report()
 	}
-	if err := ar.inbound.Answer(header, response.Body, report); err != nil && !finished {
+	err = ar.inbound.Answer(header, response.Body, report)
+	if !finished {
 		ar.finish(started, belowBefore, admission.Failed)
 	}
+	return err == nil
 }
 
 func resultOf(response *http.Response) admission.Result {
@@ -227,5 +247,6 @@
 		refusal.Outcome = request.Unknown
 		return refusal
 	}
+	ar.node.checkTarget()
 	return web.NewRefusal(request.TargetDied, "")
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,8 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/core/choice"
+	"github.com/magnoliawall/magnoliawall/internal/core/drain"
+	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
@@ -56,14 +58,21 @@
 	Chooser       *choice.Chooser
 	Transport     *peer.Transport
 	Target        *web.TargetClient
-	Logger        *log.Logger
+	// Drain, Guard and Logger may be left nil.
+	Drain  *drain.Drain
+	Guard  *quarantine.Guard
+	Logger *log.Logger
+	// OnDrain is called when the node begins to drain, OnReport when its target
+	// died.
+	OnDrain  func()
+	OnReport func(quarantine.Report)
 
 	roots       rootTable
 	edges       edgeTable
 	traffic     *traffic
 	counters    *counters
 	retryPolicy retry.Policy
-	drain       drainer
+	suspects    waiters
 	calls       atomic.Uint64
 }
 
@@ -85,6 +94,12 @@
 		return
 	}
 	no.counters = newCounters()
+	if no.Drain == nil {
+		no.Drain = &drain.Drain{}
+	}
+	if no.Guard == nil {
+		no.Guard = &quarantine.Guard{Crash: quarantine.Crash{Node: no.ID, Domain: no.Place.Domain, Incarnation: 1}}
+	}
 	no.traffic = newTraffic(no.slots())
 	no.calls.Store(uint64(time.Now().UnixNano()))
 	if no.Transport.Handlers == nil {
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -41,6 +41,10 @@
 	root    *root
 	tied    bool
 	edge    *edge
+	// fingerprint names the request where it crashes targets; suspect says that
+	// it was at a crash.
+	fingerprint request.Fingerprint
+	suspect     bool
 }
 
 // sparing tells whether the call is refused sooner than sent over a full link.
@@ -152,6 +156,7 @@
 		return web.NewRefusal(request.BodyTooLarge, "a call that may not be repeated takes a small body only")
 	}
 	og.body = body
+	og.fingerprint = fingerprint(og.kind.Name, og.path, incoming.Header.Get(web.HeaderIdempotencyKey), body.held)
 	return nil
 }
 
--- /dev/null
+++ b/internal/node/suspect.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/core/choice"
+	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+const probeTimeout = 200 * time.Millisecond
+
+// fingerprint is a hash over kind, path, idempotency key and a small body.
+func fingerprint(kind request.KindName, path, key string, body []byte) request.Fingerprint {
+	hash := xxhash.New()
+	for _, part := range []string{string(kind), path, key} {
+		_, _ = hash.WriteString(part)
+		_, _ = hash.Write([]byte{0})
+	}
+	_, _ = hash.Write(body)
+	return request.Fingerprint(hash.Sum64())
+}
+
+// judgeSuspect limits a call by what is known of crashes that it was part of.
+func (no *Node) judgeSuspect(now time.Time, og *outgoing, call *choice.Call) *web.Refusal {
+	ruling := no.Guard.Judge(now, og.fingerprint)
+	switch ruling.Verdict {
+	case quarantine.Free:
+		return nil
+	case quarantine.Refused:
+		return web.NewRefusal(request.Quarantined, "")
+	case quarantine.Elsewhere:
+		call.AvoidDomains = ruling.Domains
+	}
+	call.Alone = true
+	call.AvoidNodes = ruling.Nodes
+	og.suspect = true
+	return nil
+}
+
+// admitSuspect asks the guard before a call is handed to the target. A suspect
+// waits until no other one runs.
+func (ar *arrival) admitSuspect(ctx context.Context) *web.Refusal {
+	no := ar.node
+	ticket := quarantine.Ticket(ar.work.Call)
+	for {
+		wake := no.suspects.expect(ticket)
+		switch no.Guard.Admit(time.Now(), ar.fingerprint, ticket) {
+		case quarantine.Run:
+			no.suspects.forget(ticket)
+			return nil
+		case quarantine.Refuse:
+			no.suspects.forget(ticket)
+			return web.NewRefusal(request.Quarantined, "")
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			no.Guard.Leave(ticket)
+			no.suspects.forget(ticket)
+			return leftRefusal(ctx)
+		}
+	}
+}
+
+// finishSuspect ends a call that the guard admitted.
+func (ar *arrival) finishSuspect(completed bool) {
+	ticket := quarantine.Ticket(ar.work.Call)
+	ar.node.suspects.wake(ar.node.Guard.Finish(time.Now(), ticket, completed))
+}
+
+// checkTarget makes suspects of all calls in flight when the target's process
+// is gone. A target that only broke one connection is still there.
+func (no *Node) checkTarget() {
+	conn, err := net.DialTimeout("tcp", no.Target.Address, probeTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	no.counters.deaths.Inc()
+	report := no.Guard.TargetDied(time.Now())
+	no.suspects.wake(no.Guard.Waiting())
+	if no.OnReport != nil && len(report.Fingerprints) > 0 {
+		no.OnReport(report)
+	}
+}
