--- a/internal/core/admission/alloc_test.go
+++ b/internal/core/admission/alloc_test.go
@@ -74,10 +74,12 @@
 		l.keep(l.gate.Finish(l.now, ended, sample, l.notices[:0]))
 	}
 	l.arrive()
-	l.keep(l.gate.Tick(l.now, l.notices[:0]))
+	if l.next%50 == 0 {
+		l.keep(l.gate.Tick(l.now, l.notices[:0]))
+	}
 	_ = l.gate.Level("agenda/checklist", l.now)
 	l.levels.Learn(serviceNames[l.next%20], "agenda/checklist", 10, l.now)
-	_ = l.levels.Of(serviceNames[l.next%20], "agenda/checklist", l.now)
+	_ = l.levels.Refuses(serviceNames[l.next%20], request.Work{RootKind: "agenda/checklist"}, l.now)
 }
 
 var serviceNames = names(110)
@@ -96,7 +98,9 @@
 	expect.Expect(testing.AllocsPerRun(2000, traffic.turn)).To(gomega.BeZero())
 }
 
-func BenchmarkArriveFinish(b *testing.B) {
+// BenchmarkCall takes all decisions on admission of one call, and every 50
+// calls a tick.
+func BenchmarkCall(b *testing.B) {
 	_, traffic := busyGate()
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -16,8 +16,11 @@
 	levelHorizon = 200 * time.Millisecond
 	// adjustInterval is the time between two changes of the level.
 	adjustInterval = 10 * time.Millisecond
-	minRetryAfter  = time.Second
-	maxRetryAfter  = 10 * time.Second
+	// ageShare is the number of sojourn targets after which a waiting call is
+	// served before calls of higher rank.
+	ageShare      = 2
+	minRetryAfter = time.Second
+	maxRetryAfter = 10 * time.Second
 )
 
 // Gate admits calls to one target.
@@ -90,7 +93,8 @@
 func (g *Gate) Tick(now time.Time, notices []Notice) []Notice {
 	g.start(now)
 	g.limiter.resize(g.Slots)
-	notices = g.expire(now, notices)
+	notices = g.line.expire(now, g.pace.shortest, notices)
+	g.line.age(now.Add(-ageShare * g.sojourn()))
 	notices = g.startWaiting(now, notices)
 	g.adjust(now)
 	return notices
@@ -145,7 +149,7 @@
 		return g.refuse(request.Overloaded, work.Priority), notices
 	}
 	if g.line.size() >= g.capacity(rate, g.longestWait()) {
-		if g.line.lowest().rank >= place {
+		if !g.line.displaces(place) {
 			return g.refuse(g.fullCode(), work.Priority), notices
 		}
 		notices = g.dropLowest(notices)
@@ -172,7 +176,7 @@
 // startWaiting fills free places from the line.
 func (g *Gate) startWaiting(now time.Time, notices []Notice) []Notice {
 	for g.line.size() > 0 && len(g.running) < g.limiter.places() {
-		next := g.line.takeHighest()
+		next := g.line.next()
 		if now.Add(g.pace.shortest).After(next.deadline) {
 			notices = append(notices, Notice{Call: next.call, Decision: refusal(request.DeadlineTooClose, 0)})
 			continue
@@ -183,24 +187,6 @@
 	return notices
 }
 
-// expire refuses the waiting calls that have no time left.
-func (g *Gate) expire(now time.Time, notices []Notice) []Notice {
-	kept := g.line.waiters[:0]
-	for _, waiting := range g.line.waiters {
-		switch {
-		case now.Add(g.pace.shortest).After(waiting.deadline):
-			notices = append(notices, Notice{Call: waiting.call, Decision: refusal(request.DeadlineTooClose, 0)})
-		case now.Sub(waiting.since) > 2*g.longestWait():
-			bucket := request.Priority(waiting.rank % request.BucketCount)
-			notices = append(notices, Notice{Call: waiting.call, Decision: g.refuse(request.WaitedTooLong, bucket)})
-		default:
-			kept = append(kept, waiting)
-		}
-	}
-	g.line.waiters = kept
-	return notices
-}
-
 // adjust sets the level to what the target clears, corrected by how far the
 // line is from its sojourn target. Free places count as a negative line.
 func (g *Gate) adjust(now time.Time) {
--- a/internal/core/admission/levels.go
+++ b/internal/core/admission/levels.go
@@ -11,10 +11,13 @@
 	defaultHold = 500 * time.Millisecond
 	// levelSmoothing is the time constant over which the levels of a service's
 	// targets are averaged.
-	levelSmoothing = 20 * time.Millisecond
+	levelSmoothing = 10 * time.Millisecond
 	// releaseTime is the time in which an unconfirmed level falls by one
 	// importance.
 	releaseTime = 100 * time.Millisecond
+	// highestInterval is the time for which the highest level of all services
+	// is kept.
+	highestInterval = 2 * time.Millisecond
 )
 
 // Levels keeps the levels that came back from services below, by root kind.
@@ -30,6 +33,9 @@
 
 type levelRow struct {
 	services []heardLevel
+	// highest is of all services at highestAt.
+	highest   float64
+	highestAt time.Time
 }
 
 type heardLevel struct {
@@ -63,17 +69,21 @@
 	return request.Level(l.current(heard, now))
 }
 
-// Below gives the highest level of all services below for a root kind.
+// Below gives the highest level of all services below for a root kind. It may
+// be some milliseconds old.
 func (l *Levels) Below(rootKind request.KindName, now time.Time) request.Level {
 	row := l.rows[rootKind]
 	if row == nil {
 		return 0
 	}
-	highest := 0.0
-	for index := range row.services {
-		highest = max(highest, l.current(&row.services[index], now))
+	if now.Sub(row.highestAt) >= highestInterval {
+		row.highestAt = now
+		row.highest = 0
+		for index := range row.services {
+			row.highest = max(row.highest, l.current(&row.services[index], now))
+		}
 	}
-	return request.Level(highest)
+	return request.Level(row.highest)
 }
 
 // Refuses tells whether a call that is about to be sent to a service would be
@@ -128,4 +138,5 @@
 		l.rows[rootKind] = row
 	}
 	row.services = append(row.services, heard)
+	row.highest = max(row.highest, heard.level)
 }
--- a/internal/core/admission/limit.go
+++ b/internal/core/admission/limit.go
@@ -10,16 +10,27 @@
 	coldShare = 8
 	// windowTime and windowSamples bound a window of measurement from below.
 	windowTime    = 100 * time.Millisecond
-	windowSamples = 8
-	// slowRatio is the ratio of latency to baseline above which the limiter
-	// checks whether concurrency is the cause.
+	windowSamples = 24
+	// patience is the number of slow windows before a probe.
+	patience = 20
+	// slowRatio is the ratio of latency to baseline above which a window counts
+	// as slow.
 	slowRatio = 1.5
-	// stepDown and stepUp change the limit.
-	stepDown = 0.75
+	// stepDown and stepUp change the limit in and after a probe.
+	stepDown = 0.85
 	stepUp   = 1.25
-	// helpRatio is the latency after a step down, relative to the one before,
-	// up to which the step counts as having helped.
-	helpRatio = 0.9
+	// shedDown lowers the limit when the target itself turned calls away.
+	shedDown = 0.75
+	// helpRatio is the latency in a probe, relative to the one before, up to
+	// which the lower limit counts as having helped.
+	helpRatio = 0.92
+	// probeError is the standard error, relative to the latency, at which a
+	// probe has seen enough; probeTime ends it in any case.
+	probeError = 0.045
+	probeTime  = time.Second
+	// significance is the number of standard errors by which a probe must lower
+	// the latency.
+	significance = 1.6
 	// busyShare is the share of the limit in use above which a window says
 	// something on the limit.
 	busyShare = 0.7
@@ -46,30 +57,16 @@
 // only when that lowers latency, as in the probing of BBR (Cardwell et al.,
 // "BBR: Congestion-Based Congestion Control", 2016).
 type limiter struct {
-	slots  float64
-	limit  float64
-	phase  phase
-	before time.Duration
-	// baseline is the own time at a concurrency that causes no queue.
-	baseline time.Duration
+	slots float64
+	limit float64
+	phase phase
+	// baseline is the own time, in seconds, at a concurrency that causes no
+	// queue.
+	baseline float64
 	window   window
-}
-
-// window gathers samples until they say enough.
-type window struct {
-	start   time.Time
-	sum     time.Duration
-	samples int
-	shed    int
-	peak    int
-}
-
-func (w *window) full(now time.Time) bool {
-	return w.samples >= windowSamples && now.Sub(w.start) >= windowTime
-}
-
-func (w *window) mean() time.Duration {
-	return w.sum / time.Duration(max(w.samples, 1))
+	// slow gathers the slow windows in a row before a probe.
+	slow        window
+	slowWindows int
 }
 
 // start sets the first limit of a cold target.
@@ -91,7 +88,7 @@
 }
 
 func (l *limiter) places() int {
-	return int(l.limit)
+	return int(math.Round(l.limit))
 }
 
 // finish takes a sample of a call that ended while inFlight calls ran.
@@ -101,12 +98,18 @@
 	case Shed:
 		l.window.shed++
 	case Succeeded:
-		l.window.sum += max(sample.Latency-sample.Below, 0)
-		l.window.samples++
+		l.window.add(max(sample.Latency-sample.Below, 0))
 		l.open()
 	}
-	if l.window.shed > 0 || l.window.full(now) {
-		l.close(now)
+	switch {
+	case l.window.shed > 0:
+		l.yield(now)
+	case l.phase == settling:
+		l.settle(now)
+	case l.phase == probing:
+		l.probe(now)
+	case l.window.samples >= windowSamples && now.Sub(l.window.start) >= windowTime:
+		l.judge(now)
 	}
 }
 
@@ -121,62 +124,72 @@
 	}
 }
 
-// close ends a window and sets the limit for the next one.
-func (l *limiter) close(now time.Time) {
-	ended := l.window
-	if ended.shed > 0 && now.Sub(ended.start) < windowTime {
+// yield lowers the limit, once in a window, as the target itself turned calls
+// away.
+func (l *limiter) yield(now time.Time) {
+	if now.Sub(l.window.start) < windowTime {
 		return
 	}
+	l.restart(steady, now)
+	l.lower(shedDown)
+}
+
+// judge grows the limit while latency is near the baseline. When it has not
+// been for some windows, a probe begins.
+func (l *limiter) judge(now time.Time) {
+	ended := l.window
 	l.window = window{start: now}
-	if ended.shed > 0 {
-		l.lower()
-		l.phase = steady
-		return
-	}
 	mean := ended.mean()
 	if l.baseline == 0 || mean < l.baseline {
 		l.baseline = mean
 	}
-	busy := float64(ended.peak) >= busyShare*l.limit
-	switch l.phase {
-	case steady:
-		l.judge(mean, busy)
-	case settling:
-		l.phase = probing
-	case probing:
-		l.conclude(mean)
-	}
-}
-
-// judge grows the limit while latency is near the baseline and begins a probe
-// when it is not.
-func (l *limiter) judge(mean time.Duration, busy bool) {
-	if !busy {
+	if l.phase == cold || float64(ended.peak) < busyShare*l.limit {
 		return
 	}
-	if float64(mean) <= slowRatio*float64(l.baseline) {
+	if mean <= slowRatio*l.baseline {
 		l.limit = math.Min(math.Max(l.limit+1, l.limit*stepUp), l.slots)
+		l.slow, l.slowWindows = window{}, 0
 		return
 	}
-	if l.limit < 2 {
+	l.slow.merge(ended)
+	l.slowWindows++
+	if l.slowWindows < patience || l.limit < 2 {
 		return
 	}
-	l.before = mean
-	l.lower()
 	l.phase = settling
+	l.lower(stepDown)
 }
 
-// conclude keeps the lower limit if it lowered latency. Otherwise the target
-// is slower for another cause: the slots are given back and the baseline moves.
-func (l *limiter) conclude(mean time.Duration) {
-	l.phase = steady
-	if float64(mean) <= helpRatio*float64(l.before) {
+// settle waits until the calls that were admitted before the step have ended.
+func (l *limiter) settle(now time.Time) {
+	if float64(l.window.samples) >= l.limit {
+		l.phase = probing
+		l.window = window{start: now}
+	}
+}
+
+// probe keeps the lower limit if it lowered latency. Otherwise the target is
+// slower for another cause: the slots are given back and the baseline moves.
+func (l *limiter) probe(now time.Time) {
+	before, after := l.slow.mean(), l.window.mean()
+	deviation := math.Sqrt(l.slow.meanVariance() + l.window.meanVariance())
+	if l.window.samples < windowSamples || deviation > probeError*before && now.Sub(l.window.start) < probeTime {
+		return
+	}
+	l.restart(steady, now)
+	if after <= helpRatio*before && before-after >= significance*deviation {
 		return
 	}
-	l.baseline = mean
+	l.baseline = after
 	l.limit = math.Min(l.limit/stepDown, l.slots)
 }
 
-func (l *limiter) lower() {
-	l.limit = math.Max(1, l.limit*stepDown)
+func (l *limiter) restart(next phase, now time.Time) {
+	l.phase = next
+	l.window = window{start: now}
+	l.slow, l.slowWindows = window{}, 0
+}
+
+func (l *limiter) lower(step float64) {
+	l.limit = math.Max(1, l.limit*step)
 }
--- a/internal/core/admission/line.go
+++ b/internal/core/admission/line.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 	"time"
@@ -37,25 +38,22 @@
 // compare orders by rank, and within a rank puts the older call last, so that
 // it is taken first.
 func (w waiter) compare(other waiter) int {
-	switch {
-	case w.rank != other.rank:
-		return int(w.rank) - int(other.rank)
-	case w.arrival > other.arrival:
-		return -1
-	case w.arrival < other.arrival:
-		return 1
-	}
-	return 0
+	return cmp.Or(cmp.Compare(w.rank, other.rank), cmp.Compare(other.arrival, w.arrival))
 }
 
-// line holds waiting calls, lowest rank first.
+// line holds waiting calls. Calls that waited for long are served first, in
+// order of arrival, and are not displaced any more: with a line that is never
+// empty, the lowest ranks would otherwise wait until their time is over.
 type line struct {
-	waiters  []waiter
+	// waiters has the lowest rank first.
+	waiters []waiter
+	// aged has the oldest call first.
+	aged     []waiter
 	arrivals uint64
 }
 
 func (l *line) size() int {
-	return len(l.waiters)
+	return len(l.waiters) + len(l.aged)
 }
 
 // ahead gives the number of waiting calls that are served before a new call of
@@ -64,7 +62,7 @@
 	index, _ := slices.BinarySearchFunc(l.waiters, place, func(waiting waiter, place rank) int {
 		return int(waiting.rank) - int(place)
 	})
-	return len(l.waiters) - index
+	return len(l.waiters) - index + len(l.aged)
 }
 
 func (l *line) insert(joining waiter) {
@@ -74,8 +72,9 @@
 	l.waiters = slices.Insert(l.waiters, index, joining)
 }
 
-func (l *line) lowest() waiter {
-	return l.waiters[0]
+// displaces tells whether a call of this rank goes before the lowest waiter.
+func (l *line) displaces(place rank) bool {
+	return len(l.waiters) > 0 && l.waiters[0].rank < place
 }
 
 func (l *line) dropLowest() waiter {
@@ -84,20 +83,55 @@
 	return dropped
 }
 
-func (l *line) takeHighest() waiter {
+// next takes the call that is served next.
+func (l *line) next() waiter {
+	if len(l.aged) > 0 {
+		taken := l.aged[0]
+		l.aged = slices.Delete(l.aged, 0, 1)
+		return taken
+	}
 	last := len(l.waiters) - 1
 	taken := l.waiters[last]
 	l.waiters = l.waiters[:last]
 	return taken
 }
 
-// remove drops a call from the line and tells whether it was there.
-func (l *line) remove(call request.CallID) bool {
-	for index := range l.waiters {
-		if l.waiters[index].call == call {
-			l.waiters = slices.Delete(l.waiters, index, index+1)
-			return true
+// age moves the calls that have waited since before a time to the aged ones.
+func (l *line) age(before time.Time) {
+	kept := l.waiters[:0]
+	for _, waiting := range l.waiters {
+		if waiting.since.After(before) {
+			kept = append(kept, waiting)
+			continue
+		}
+		index, _ := slices.BinarySearchFunc(l.aged, waiting, waiter.compareArrival)
+		l.aged = slices.Insert(l.aged, index, waiting)
+	}
+	l.waiters = kept
+}
+
+func (w waiter) compareArrival(other waiter) int {
+	return cmp.Compare(w.arrival, other.arrival)
+}
+
+// remove drops a call from the line.
+func (l *line) remove(call request.CallID) {
+	same := func(waiting waiter) bool { return waiting.call == call }
+	l.waiters = slices.DeleteFunc(l.waiters, same)
+	l.aged = slices.DeleteFunc(l.aged, same)
+}
+
+// expire drops the calls that cannot end before their deadline, even if they
+// started now and took only the shortest time, and appends a notice for each.
+func (l *line) expire(now time.Time, shortest time.Duration, notices []Notice) []Notice {
+	late := func(waiting waiter) bool {
+		if !now.Add(shortest).After(waiting.deadline) {
+			return false
 		}
+		notices = append(notices, Notice{Call: waiting.call, Decision: refusal(request.DeadlineTooClose, 0)})
+		return true
 	}
-	return false
+	l.waiters = slices.DeleteFunc(l.waiters, late)
+	l.aged = slices.DeleteFunc(l.aged, late)
+	return notices
 }
