--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
@@ -64,7 +63,7 @@
 	defer og.root.lock.Unlock()
 	return no.retryPolicy.Decide(time.Now(), retry.Attempt{
 		Rule:     og.kind.Repeat,
-		Retries:  og.kind.Retries,
+		Retries:  og.retries(),
 		Used:     used,
 		Code:     refusal.Code,
 		Outcome:  refusal.Outcome,
@@ -73,6 +72,14 @@
 	}, &og.root.account, &og.edge.budget)
 }
 
+// retries is the bound of the call's kind. A suspect is not retried.
+func (og *outgoing) retries() int {
+	if og.suspect {
+		return 0
+	}
+	return og.kind.Retries
+}
+
 func pause(ctx context.Context, wait time.Duration) bool {
 	if wait <= 0 {
 		return ctx.Err() == nil
@@ -95,11 +102,15 @@
 		return at
 	}
 	call := choice.Call{
-		Service:    og.kind.Service,
-		Priority:   og.work.Priority,
-		Repeatable: og.kind.Repeat == request.Repeatable,
-		Sparing:    og.sparing(no.Configuration.Current().Half),
-		Exclude:    tried,
+		Service:     og.kind.Service,
+		Priority:    og.work.Priority,
+		Repeatable:  og.kind.Repeat == request.Repeatable,
+		Sparing:     og.sparing(no.Configuration.Current().Half),
+		Exclude:     tried,
+		Fingerprint: og.fingerprint,
+	}
+	if at.refusal = no.judgeSuspect(at.started, og, &call); at.refusal != nil {
+		return at
 	}
 	random := randomPool.Get().(*rand.Rand)
 	picked, code := no.Chooser.Pick(at.started, random, call)
@@ -180,6 +191,7 @@
 		AwaitContinue:        og.body.large(),
 		ConfigurationVersion: uint64(og.version),
 		Depth:                og.depth,
+		Fingerprint:          uint64(og.fingerprint),
 	}
 }
 
@@ -253,34 +265,3 @@
 		og.edge.success()
 	}
 }
-
-// deliver writes the answer to the caller. An answer that is cut after its
-// first bytes went out breaks the caller's connection.
-func (no *Node) deliver(ctx context.Context, writer http.ResponseWriter, og *outgoing, at *attempt) {
-	headers := writer.Header()
-	web.DecodeHeaders(headers, at.header.GetHeaders())
-	if at.exchange.Report() != nil {
-		headers.Set("Content-Length", strconv.Itoa(len(at.held)))
-	} else if at.header.GetBodyLength() >= 0 {
-		headers.Set("Content-Length", strconv.FormatInt(at.header.GetBodyLength(), 10))
-	}
-	writer.WriteHeader(int(at.header.GetStatus()))
-	if _, err := writer.Write(at.held); err != nil {
-		at.exchange.Abort()
-		return
-	}
-	if at.exchange.Report() == nil {
-		no.deliverRest(ctx, writer, og, at)
-	}
-	no.counters.answers.Inc()
-}
-
-func (no *Node) deliverRest(ctx context.Context, writer http.ResponseWriter, og *outgoing, at *attempt) {
-	_, err := io.Copy(writer, at.exchange.Body())
-	if err != nil {
-		at.exchange.Abort()
-		count(no.counters.refusals, callFailure(ctx, og, err).Code)
-		panic(http.ErrAbortHandler)
-	}
-	no.settle(og, at)
-}
