--- a/magnolia-load/internal/measure/added.go
+++ b/magnolia-load/internal/measure/added.go
@@ -20,17 +20,18 @@
 )
 
 const (
-	addedAbout   = "Eight callers make the same call directly, directly again, through two nodes and through two naive nodes, one after the other in random order; the added time is the difference between calls of one round and the first direct one; noise is that of the second direct call."
-	addedCallers = 8
-	addedLength  = 4 * time.Second
-	addedWarm    = 500 * time.Millisecond
-	addedPause   = 4 * time.Millisecond
-	addedAnswer  = 1 << 10
-	addedKind    = "agenda/checklist"
-	highestAdded = 10 * time.Second
-	addedDigits  = 3
-	medianPart   = 50
-	tailPart     = 99
+	addedAbout     = "Eight callers make the same call directly, directly again, through two nodes and through two naive nodes, one after the other in random order; the added time is the difference between calls of one round and the first direct one; noise is that of the second direct call."
+	addedCallers   = 8
+	addedLength    = 4 * time.Second
+	addedWarm      = 500 * time.Millisecond
+	addedPause     = 4 * time.Millisecond
+	addedCostCalls = 1000
+	addedAnswer    = 1 << 10
+	addedKind      = "agenda/checklist"
+	highestAdded   = 10 * time.Second
+	addedDigits    = 3
+	medianPart     = 50
+	tailPart       = 99
 )
 
 // The ways of a call. The second direct call shows the noise of the machine.
@@ -49,6 +50,8 @@
 	until time.Time
 	warm  time.Time
 
+	costs [wayCount]time.Duration
+
 	mu    sync.Mutex
 	times [wayCount]*hdrhistogram.Histogram
 	extra [wayCount]*hdrhistogram.Histogram
@@ -87,6 +90,9 @@
 	err := trial.run(ctx, run.Seed)
 	share := (processorTime() - before).Seconds() / time.Since(begin).Seconds() / float64(runtime.NumCPU())
 	run.Progress("added-time: %d calls", trial.calls)
+	if err == nil {
+		err = trial.runCosts(ctx, run.Seed)
+	}
 	for _, running := range []*mesh.Mesh{ours, naive} {
 		if stopped := running.Stop(); err == nil {
 			err = stopped
@@ -146,6 +152,22 @@
 	return nil
 }
 
+// runCosts measures the processor time of a call on each way by itself, which
+// the noise of the machine moves less.
+func (a *added) runCosts(ctx context.Context, seed uint64) error {
+	for way := range wayCount {
+		before := processorTime()
+		for round := range addedCostCalls {
+			name := target.AttemptName(fmt.Sprintf("cost-%d-%d-%d", seed, round, way))
+			if reply := a.ways[way].Send(ctx, a.kind, "", name); reply.Result != load.Whole {
+				return oops.Errorf("call %s ended %s %s", name, reply.Result, reply.Code)
+			}
+		}
+		a.costs[way] = (processorTime() - before) / addedCostCalls
+	}
+	return nil
+}
+
 func (a *added) record(took [wayCount]time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -163,6 +185,11 @@
 		a.compared("median", unit, "", a.extra, medianPart),
 		a.compared("whole-call-99", unit, "", a.times, tailPart),
 		a.compared("whole-call-median", unit, "", a.times, medianPart),
+		{
+			Name: "processor", Unit: "ms a call", HasNaive: true,
+			Value: inMilliseconds(a.costs[throughOurs] - a.costs[direct]),
+			Naive: inMilliseconds(a.costs[throughNaive] - a.costs[direct]),
+		},
 		{Name: "noise-99", Unit: unit, Value: milliseconds(a.extra[directAgain], tailPart)},
 		{Name: "direct-call-99", Unit: unit, Value: milliseconds(a.times[direct], tailPart)},
 		{Name: "direct-call-median", Unit: unit, Value: milliseconds(a.times[direct], medianPart)},
@@ -179,7 +206,11 @@
 }
 
 func milliseconds(histogram *hdrhistogram.Histogram, part float64) float64 {
-	return float64(histogram.ValueAtQuantile(part)) / float64(time.Millisecond)
+	return inMilliseconds(time.Duration(histogram.ValueAtQuantile(part)))
+}
+
+func inMilliseconds(length time.Duration) float64 {
+	return float64(length) / float64(time.Millisecond)
 }
 
 // processorTime is what this process has used of the processors so far.
--- a/magnolia-load/internal/target/handler.go
+++ b/magnolia-load/internal/target/handler.go
@@ -114,6 +114,9 @@
 	if behaviour.Repeat == request.Once {
 		t.Records.Ran(Action{Kind: behaviour.Kind, Key: request.IdempotencyKey(call.Header.Get(KeyHeader))})
 	}
+	if behaviour.Broken {
+		panic(http.ErrAbortHandler)
+	}
 	service := t.draw(behaviour.Timing)
 	if !t.work(ctx, attempt, service/2) {
 		http.Error(writer, "cancelled", http.StatusServiceUnavailable)
--- a/magnolia-load/internal/target/target.go
+++ b/magnolia-load/internal/target/target.go
@@ -52,6 +52,8 @@
 	Timing  Timing
 	// AnswerSize is the length of the answer's payload in bytes.
 	AnswerSize int
+	// Broken drops the connection of every request in place of an answer.
+	Broken bool
 	// Calls are made one after the other in the middle of the service time.
 	Calls []Call
 }
