End a drain early only on a call of its own

Cause: a platform may both drain and signal a node; the second would have cut uploads in flight.

Change: Begin is idempotent; Cut ends the drain early.

--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -3,7 +3,8 @@
 // A node that drains announces it, refuses new inbound requests with the code
 // Draining and finishes the requests in flight, uploads included. The calls
 // that those requests make go on. The node is empty when the last of them has
-// ended; a second signal or the upper bound of time ends the wait early.
+// ended; Cut, for a second signal, or the upper bound of time ends the wait
+// early.
 //
 // # Usage
 //
@@ -37,8 +38,8 @@
 	Running State = iota
 	Draining
 	Empty
-	// Cut is the end of a drain that was ended early.
-	Cut
+	// Ended is the end of a drain that was ended early.
+	Ended
 )
 
 // String gives the state's name.
@@ -50,8 +51,8 @@
 		return "draining"
 	case Empty:
 		return "empty"
-	case Cut:
-		return "cut"
+	case Ended:
+		return "ended"
 	}
 	return "invalid"
 }
@@ -116,25 +117,32 @@
 	}
 }
 
-// Begin starts the drain. A second call while requests are in flight ends it
-// early.
+// Begin starts the drain. A second call changes nothing, since a platform may
+// both drain and signal.
 func (d *Drain) Begin(now time.Time) State {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	switch d.state {
-	case Running:
-		d.begun = now
-		d.announce = true
-		d.state = Draining
-		if len(d.inFlight) == 0 {
-			d.state = Empty
-		}
-	case Draining:
-		d.state = Cut
+	if d.state != Running {
+		return d.state
+	}
+	d.begun = now
+	d.announce = true
+	d.state = Draining
+	if len(d.inFlight) == 0 {
+		d.state = Empty
 	}
 	return d.state
 }
 
+// Cut ends a drain early, with the requests that are in flight.
+func (d *Drain) Cut() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.state == Draining {
+		d.state = Ended
+	}
+}
+
 // Announce says once that the start of the drain is to be told to the peers
 // and the replica.
 func (d *Drain) Announce() bool {
@@ -154,9 +162,9 @@
 		limit = DefaultLimit
 	}
 	if d.state == Draining && now.Sub(d.begun) >= limit {
-		d.state = Cut
+		d.state = Ended
 	}
-	return d.state == Empty || d.state == Cut
+	return d.state == Empty || d.state == Ended
 }
 
 // State gives the state and the number of requests in flight.
