Keep membership by leases, mergeable records and deltas

Cause: nodes announce themselves; there is no list of targets. A leaving target must be out everywhere in 2 s, a dead one in 5 s, also while replicas restart or are cut off.

--- /dev/null
+++ b/internal/core/membership/registry_test.go
@@ -0,0 +1,215 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/membership"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+const service request.ServiceName = "consumo"
+
+var start = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+
+func newRegistry(id request.NodeID) *membership.Registry {
+	registry := &membership.Registry{Self: id, RegisterRate: 1000}
+	registry.Start(start, 1)
+	return registry
+}
+
+func announce(node string, sequence membership.Sequence) membership.Announcement {
+	return membership.Announcement{
+		Node: request.NodeID(node), Incarnation: 1, Sequence: sequence, Address: "127.0.0.1:7000",
+		Place: request.Place{Region: "norte", Domain: "norte-1"}, Service: service, Slots: 50,
+	}
+}
+
+func names(records []membership.Record) []string {
+	var nodes []string
+	for _, record := range records {
+		nodes = append(nodes, string(record.Node))
+	}
+	return nodes
+}
+
+// tick lets time pass as an adapter does.
+func tick(registry *membership.Registry, from time.Time, span time.Duration) time.Time {
+	end := from.Add(span)
+	for now := from; now.Before(end); now = now.Add(100 * time.Millisecond) {
+		registry.Tick(now)
+	}
+	registry.Tick(end)
+	return end
+}
+
+func TestDeadNodeIsOutAndPulledWithinFiveSeconds(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	registry := newRegistry("replica")
+	registry.Register(start, announce("a", 1))
+	view := &membership.View{Services: []request.ServiceName{service}}
+	view.Apply(start, registry.Subscribe(start, "caller", view.Subscription()))
+	expect.Expect(names(view.Records(service))).To(gomega.ConsistOf("a"))
+	now := tick(registry, start, membership.DefaultLeaseTime)
+	for _, update := range registry.Pull(now, "caller") {
+		view.Apply(now, update)
+	}
+	expect.Expect(view.Records(service)).To(gomega.BeEmpty())
+	expect.Expect(now.Sub(start)).To(gomega.BeNumerically("<", 5*time.Second))
+}
+
+func TestDrainingStateTravelsWithTheNextPull(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	registry := newRegistry("replica")
+	registry.Register(start, announce("a", 1))
+	view := &membership.View{Services: []request.ServiceName{service}}
+	view.Apply(start, registry.Subscribe(start, "caller", view.Subscription()))
+	leaving := announce("a", 2)
+	leaving.State = membership.Draining
+	registry.Register(start, leaving)
+	for _, update := range registry.Pull(start, "caller") {
+		changed, resync := view.Apply(start, update)
+		expect.Expect(changed).To(gomega.ConsistOf(service))
+		expect.Expect(resync).To(gomega.BeFalse())
+	}
+	expect.Expect(view.Records(service)[0].State).To(gomega.Equal(membership.Draining))
+}
+
+func TestBrokenSessionShortensTheLease(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	registry := newRegistry("replica")
+	registry.Register(start, announce("a", 1))
+	registry.Disconnected(start, "a")
+	tick(registry, start, membership.DefaultReconnectTime)
+	expect.Expect(registry.Records(service)).To(gomega.BeEmpty())
+}
+
+func TestReplicaThatStoodStillEndsNoLease(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	registry := newRegistry("replica")
+	registry.Register(start, announce("a", 1))
+	registry.Tick(start.Add(time.Minute))
+	registry.Tick(start.Add(time.Minute + 100*time.Millisecond))
+	expect.Expect(registry.Records(service)).To(gomega.HaveLen(1))
+	registry.Tick(start.Add(-time.Hour))
+	registry.Tick(start.Add(-time.Hour + 100*time.Millisecond))
+	expect.Expect(registry.Records(service)).To(gomega.HaveLen(1))
+}
+
+func TestNodeThatMovedIsNotDroppedByItsOldLease(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	first, second := newRegistry("first"), newRegistry("second")
+	first.Register(start, announce("a", 1))
+	second.ApplyReplica(start, "first", first.SubscribeReplica(start, "second"))
+	expect.Expect(second.Register(start, announce("a", 1)).Again).To(gomega.BeTrue())
+	expect.Expect(second.Register(start, announce("a", 2)).Granted).To(gomega.BeNumerically(">", 0))
+	now := tick(first, start, membership.DefaultLeaseTime)
+	for _, update := range first.Pull(now, "second") {
+		second.ApplyReplica(now, "first", update)
+	}
+	expect.Expect(names(second.Records(service))).To(gomega.ConsistOf("a"))
+}
+
+func TestRestartedReplicaGetsItsLeasesBack(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	first, second := newRegistry("first"), newRegistry("second")
+	for index := range 20 {
+		first.Register(start, announce(fmt.Sprintf("node-%d", index), 1))
+	}
+	second.ApplyReplica(start, "first", first.SubscribeReplica(start, "second"))
+
+	again := &membership.Registry{Self: "first"}
+	again.Start(start, 2)
+	again.ApplyReplica(start, "second", second.SubscribeReplica(start, "first"))
+	expect.Expect(again.Records(service)).To(gomega.HaveLen(20))
+	second.ApplyReplica(start, "first", again.SubscribeReplica(start, "second"))
+	expect.Expect(second.Records(service)).To(gomega.HaveLen(20))
+
+	expect.Expect(again.Renew(start, "node-7", 1, 1).Granted).To(gomega.BeNumerically(">", 0))
+	now := start
+	for range 7 {
+		now = tick(again, now, time.Second)
+		again.Renew(now, "node-7", 1, 1)
+	}
+	expect.Expect(names(again.Records(service))).To(gomega.ConsistOf("node-7"))
+}
+
+func TestEmptyRestartDropsNothingWhileWarming(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	first := newRegistry("first")
+	first.Register(start, announce("a", 1))
+	view := &membership.View{Services: []request.ServiceName{service}}
+	view.Apply(start, first.Subscribe(start, "caller", view.Subscription()))
+
+	again := newRegistry("first")
+	view.Connected()
+	view.Apply(start, again.Subscribe(start, "caller", view.Subscription()))
+	expect.Expect(names(view.Records(service))).To(gomega.ConsistOf("a"))
+	now := tick(again, start, membership.DefaultWarmTime)
+	for _, update := range again.Pull(now, "caller") {
+		_, resync := view.Apply(now, update)
+		expect.Expect(resync).To(gomega.BeTrue())
+	}
+	view.Apply(now, again.Subscribe(now, "caller", view.Subscription()))
+	expect.Expect(view.Records(service)).To(gomega.BeEmpty())
+}
+
+func TestStormIsTakenAtABoundedRate(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	registry := &membership.Registry{Self: "replica", RegisterRate: 100}
+	registry.Start(start, 1)
+	pending := map[int]bool{}
+	for index := range 500 {
+		pending[index] = true
+	}
+	now := start
+	for len(pending) > 0 {
+		taken := 0
+		for index := range 500 {
+			if !pending[index] {
+				continue
+			}
+			lease := registry.Register(now, announce(fmt.Sprintf("node-%d", index), 1))
+			if lease.Granted > 0 {
+				delete(pending, index)
+				taken++
+				continue
+			}
+			expect.Expect(lease.RetryAfter).To(gomega.BeNumerically(">", 0))
+		}
+		expect.Expect(taken).To(gomega.BeNumerically("<=", 25))
+		now = now.Add(100 * time.Millisecond)
+	}
+	expect.Expect(now.Sub(start)).To(gomega.BeNumerically("~", 5*time.Second, time.Second))
+}
+
+func TestSameListCostsADigest(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	registry := newRegistry("replica")
+	registry.Register(start, announce("a", 1))
+	view := &membership.View{Services: []request.ServiceName{service}}
+	view.Apply(start, registry.Subscribe(start, "caller", view.Subscription()))
+	view.Connected()
+	answer := registry.Subscribe(start, "caller", view.Subscription())
+	expect.Expect(answer.Lists[0].Whole).To(gomega.BeFalse())
+	_, resync := view.Apply(start, answer)
+	expect.Expect(resync).To(gomega.BeFalse())
+}
+
+func TestClockSetBackDoesNotLockANodeOut(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	registry := newRegistry("replica")
+	newer := announce("a", 1)
+	newer.Incarnation = 9
+	registry.Register(start, newer)
+	older := announce("a", 1)
+	expect.Expect(registry.Register(start, older).Granted).To(gomega.BeZero())
+	now := tick(registry, start, membership.DefaultLeaseTime)
+	lease := registry.Register(now, older)
+	expect.Expect(lease.Again).To(gomega.BeTrue())
+	older.Incarnation, older.Sequence = lease.Incarnation, lease.Above+1
+	expect.Expect(registry.Register(now, older).Granted).To(gomega.BeNumerically(">", 0))
+}
