Count only rows of codes in the documented table

Cause: the check counted the table of exit codes too and failed. Change: rows are counted by their four digits, as strict as before. Conclusion: the table test passes.

--- a/internal/request/table_test.go
+++ b/internal/request/table_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"os"
-	"strings"
+	"regexp"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -24,7 +24,8 @@
 			row.Code, row.Name, row.Status, row.Outcome, yes(row.Elsewhere), wait(row), row.Meaning)
 		g.Expect(string(page)).To(gomega.ContainSubstring(line))
 	}
-	g.Expect(strings.Count(string(page), "\n| ")).To(gomega.Equal(len(request.Rows) + 1))
+	documented := regexp.MustCompile(`(?m)^\| \d{4} `).FindAll(page, -1)
+	g.Expect(documented).To(gomega.HaveLen(len(request.Rows)))
 }
 
 func yes(flag bool) string {
