Keep versions and claims in one replicated state machine

Cause: nothing yet keeps an action that may not be repeated from running twice, and patches have no kept outcome. Change: internal/core/ledger holds numbered versions, outcomes of patches and claims; internal/core/claim is the node's side of one claim. A patch is applied and checked by the proposing replica, and the command carries a splice, so that replicas with other library versions reach the same text. The result code claim-in-doubt now says unknown: without a quorum's answer the node knows only of its own attempt, and an earlier one with the same key may have run. claim-unavailable is kept for a full ledger, whose answer makes not-run certain.

--- /dev/null
+++ b/internal/core/claim/attempt.go
@@ -0,0 +1,153 @@
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+type attemptState uint8
+
+const (
+	// asking waits for the ledger's answer to the claim.
+	asking attemptState = iota + 1
+	// running holds the claim; the target may have the request.
+	running
+	// storing waits for the finish to be stored.
+	storing
+	// releasing will never run; it waits for the release to be stored.
+	releasing
+)
+
+type caller struct {
+	call     request.CallID
+	deadline time.Time
+}
+
+// attempt is one attempt of this node at one action.
+type attempt struct {
+	request Request
+	state   attemptState
+	callers []caller
+	within  time.Duration
+	seen    ledger.Age
+	// giveUpAt is when an unanswered claim is given up.
+	giveUpAt time.Time
+	// proposeAt is when the command is proposed again.
+	proposeAt time.Time
+	command   []byte
+	answer    *Answer
+	lost      bool
+	// replyBy is when the callers get the answer though it is not stored.
+	replyBy time.Time
+	replied bool
+}
+
+func (a *attempt) claim(node request.NodeID) ledger.ClaimCommand {
+	return ledger.ClaimCommand{
+		Kind:         a.request.Kind,
+		Key:          a.request.Key,
+		Digest:       a.request.Digest,
+		Attempt:      a.request.Attempt,
+		Node:         node,
+		FinishWithin: a.within,
+		SeenAge:      a.seen,
+	}
+}
+
+func (a *attempt) finish() ledger.FinishCommand {
+	return ledger.FinishCommand{
+		Kind:       a.request.Kind,
+		Key:        a.request.Key,
+		Attempt:    a.request.Attempt,
+		KeepAnswer: a.request.KeepAnswer,
+		KeepRecord: a.request.KeepRecord,
+	}
+}
+
+func (c *Core) find(name request.AttemptID) *attempt {
+	for _, current := range c.attempts {
+		if current.request.Attempt == name {
+			return current
+		}
+	}
+	return nil
+}
+
+// joinable gives the attempt at a key that a further call can wait for.
+func (c *Core) joinable(kind request.KindName, key request.IdempotencyKey) *attempt {
+	for _, current := range c.attempts {
+		if current.state != releasing && current.request.Key == key && current.request.Kind == kind {
+			return current
+		}
+	}
+	return nil
+}
+
+func (c *Core) drop(gone *attempt) {
+	c.attempts = slices.DeleteFunc(c.attempts, func(one *attempt) bool { return one == gone })
+}
+
+func (c *Core) ask(now time.Time, current *attempt) {
+	command := current.claim(c.Node)
+	current.command = command.Encode()
+	current.proposeAt = now.Add(c.AskEvery)
+	c.actions = append(c.actions, Action{
+		Type:    Ask,
+		Attempt: current.request.Attempt,
+		Command: current.command,
+		Lookup:  command,
+	})
+}
+
+func (c *Core) release(now time.Time, current *attempt) {
+	release := ledger.ReleaseCommand{
+		Kind:    current.request.Kind,
+		Key:     current.request.Key,
+		Attempt: current.request.Attempt,
+	}
+	c.record(now, current, releasing, release.Encode())
+}
+
+func (c *Core) record(now time.Time, current *attempt, state attemptState, command []byte) {
+	current.state = state
+	current.command = command
+	c.propose(now, current)
+}
+
+func (c *Core) propose(now time.Time, current *attempt) {
+	current.proposeAt = now.Add(c.RecordEvery)
+	c.actions = append(c.actions, Action{Type: Record, Attempt: current.request.Attempt, Command: current.command})
+}
+
+func (c *Core) refuse(call request.CallID, code request.Code, outcome request.Outcome) {
+	c.actions = append(c.actions, Action{Type: Refuse, Call: call, Code: code, Outcome: outcome})
+}
+
+func (c *Core) refuseAll(current *attempt, code request.Code, outcome request.Outcome) {
+	for _, one := range current.callers {
+		c.refuse(one.call, code, outcome)
+	}
+	current.callers = nil
+}
+
+func (c *Core) reply(call request.CallID, answer *Answer) {
+	c.actions = append(c.actions, Action{Type: Reply, Call: call, Answer: answer})
+}
+
+func (c *Core) replyAll(current *attempt, answer *Answer) {
+	for _, one := range current.callers {
+		c.reply(one.call, answer)
+	}
+	current.callers = nil
+	current.replied = true
+}
+
+func earlier(left, right time.Time) time.Time {
+	if left.Before(right) {
+		return left
+	}
+	return right
+}
--- /dev/null
+++ b/internal/core/ledger/machine.go
@@ -0,0 +1,180 @@
+// Package ledger is the replicated state machine behind the quorum log: the
+// numbered versions of the configuration with the outcome of every patch, and
+// the claims on actions that may not be repeated.
+//
+// The same commands in the same order give the same state and results on every
+// replica. Everything that may differ between builds of the program (reading a
+// document, checking it, applying an RFC 6902 patch) happens before a command
+// is proposed, in [Machine.Prepare]; the command carries a splice of the text,
+// and applying it needs no library. A command that the log holds twice has the
+// effect of one, and its second result says the same as the first.
+//
+// Time is the ledger's age: the sum of what leaders measured with their
+// monotonic clocks and wrote by [AdvanceCommand], each step capped. A clock that
+// jumps moves it by one step at most.
+//
+// # Usage
+//
+//	machine := ledger.New()
+//	command, err := machine.Prepare(submission) // at the replica that proposes
+//	result, err := machine.Apply(index, command) // at every replica
+//	outcome, err := ledger.DecodePatch(result)
+//
+// [Machine.Lookup] answers a claim without a log entry where that is safe.
+package ledger
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger/ledgerpb"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// Age is the time that the ledger has counted since it began.
+type Age time.Duration
+
+// Limits of the state.
+const (
+	// MaxAdvance caps one step of the ledger's age.
+	MaxAdvance = 10 * time.Second
+	// FinishGrace is added to the time within which a node must finish.
+	FinishGrace = 5 * time.Second
+	// ClaimLifetime is the age after which a proposed claim is refused, and for
+	// which a released attempt is remembered.
+	ClaimLifetime = 10 * time.Minute
+	// SettleAfter is how long an outcome must have been in doubt before an
+	// operator can settle it.
+	SettleAfter = time.Minute
+	// MaxClaims bounds the claims in memory.
+	MaxClaims = 2_000_000
+	// MaxVersions bounds the history of versions.
+	MaxVersions = 16_384
+	// MaxOutcomes bounds the outcomes of patches.
+	MaxOutcomes = 32_768
+	// MaxSettlements bounds the list of settled claims.
+	MaxSettlements = 4_096
+)
+
+// Machine is the state machine. It is owned by one goroutine.
+type Machine struct {
+	applied uint64
+	age     Age
+	history history
+	book    book
+}
+
+// New gives the empty state, without a configuration.
+func New() *Machine {
+	return &Machine{history: newHistory(), book: newBook()}
+}
+
+// Applied is the index of the last command that was applied.
+func (m *Machine) Applied() uint64 {
+	return m.applied
+}
+
+// Age is the ledger's age.
+func (m *Machine) Age() Age {
+	return m.age
+}
+
+// Apply carries out the command at an index of the log and gives its encoded
+// result. An index that was applied before changes nothing and is an error.
+func (m *Machine) Apply(index uint64, command []byte) ([]byte, error) {
+	if index <= m.applied {
+		return nil, fmt.Errorf("index %d is applied already, the state is at %d", index, m.applied)
+	}
+	m.applied = index
+	decoded := new(ledgerpb.Command)
+	if err := proto.Unmarshal(command, decoded); err != nil {
+		return encode(malformed("the command cannot be read")), nil
+	}
+	return encode(m.apply(decoded)), nil
+}
+
+func (m *Machine) apply(command *ledgerpb.Command) *ledgerpb.Result {
+	switch body := command.GetBody().(type) {
+	case *ledgerpb.Command_Patch:
+		return &ledgerpb.Result{Body: &ledgerpb.Result_Patch{Patch: m.history.patch(body.Patch)}}
+	case *ledgerpb.Command_Claim:
+		return &ledgerpb.Result{Body: &ledgerpb.Result_Claim{Claim: m.book.claim(m.age, body.Claim)}}
+	case *ledgerpb.Command_Finish:
+		return recorded(m.age, m.book.finish(m.age, body.Finish))
+	case *ledgerpb.Command_Release:
+		return recorded(m.age, m.book.release(m.age, body.Release))
+	case *ledgerpb.Command_Advance:
+		return m.advance(body.Advance)
+	case *ledgerpb.Command_Settle:
+		return &ledgerpb.Result{Body: &ledgerpb.Result_Settle{Settle: m.book.settle(m.age, body.Settle)}}
+	}
+	return malformed("the command is of an unknown kind")
+}
+
+// advance is idempotent, since it names the age that it starts from.
+func (m *Machine) advance(advance *ledgerpb.Advance) *ledgerpb.Result {
+	if Age(advance.GetFrom()) == m.age && advance.GetElapsed() > 0 {
+		m.age += Age(min(time.Duration(advance.GetElapsed()), MaxAdvance))
+		m.book.expire(m.age)
+	}
+	return &ledgerpb.Result{Body: &ledgerpb.Result_Advance{Advance: &ledgerpb.AdvanceResult{Age: int64(m.age)}}}
+}
+
+func recorded(age Age, state ledgerpb.RecordState) *ledgerpb.Result {
+	result := &ledgerpb.RecordResult{State: state, Age: int64(age)}
+	return &ledgerpb.Result{Body: &ledgerpb.Result_Record{Record: result}}
+}
+
+func malformed(problem string) *ledgerpb.Result {
+	return &ledgerpb.Result{Body: &ledgerpb.Result_Malformed{Malformed: &ledgerpb.Malformed{Problem: problem}}}
+}
+
+func encode(message proto.Message) []byte {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+// Lookup answers a claim from the applied state of one replica, which may lag
+// behind the log, or says that only the log can answer it. It answers only for
+// a finished action: that an action ran never becomes untrue, so a replica that
+// is behind, or cut off from the quorum, cannot be wrong. It grants nothing.
+func (m *Machine) Lookup(command ClaimCommand) (ClaimResult, bool) {
+	holder, ok := m.book.claims[claimID(string(command.Kind), string(command.Key))]
+	if !ok || holder.state != heldFinished {
+		return ClaimResult{}, false
+	}
+	return claimResult(holder.result(m.age, command.Digest[:])), true
+}
+
+// Open lists the claims that are granted or in doubt, as operators see them.
+func (m *Machine) Open() []OpenClaim {
+	return m.book.open(m.age)
+}
+
+// Settlements lists the claims that operators settled, oldest first.
+func (m *Machine) Settlements() []*ledgerpb.Settlement {
+	return m.book.settlements
+}
+
+// ClaimCount is the number of claims in the state.
+func (m *Machine) ClaimCount() int {
+	return len(m.book.claims)
+}
+
+// OpenClaim is a claim whose action is not known to have run.
+type OpenClaim struct {
+	Kind    request.KindName
+	Key     request.IdempotencyKey
+	Attempt request.AttemptID
+	Node    request.NodeID
+	// InDoubt says that the time to finish is over, or that the node lost its
+	// target.
+	InDoubt bool
+	// Overdue is the age since the time to finish was over; negative before.
+	Overdue time.Duration
+}
--- /dev/null
+++ b/internal/core/ledger/prepare.go
@@ -0,0 +1,147 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger/ledgerpb"
+)
+
+// Limits of a submission.
+const (
+	maxPatchID    = 64
+	maxOperator   = 128
+	maxNote       = 1_024
+	maxOperations = 256 << 10
+	maxText       = 1 << 20
+	maxFaults     = 50
+)
+
+// Submission is an operator's patch as it was sent.
+type Submission struct {
+	ID       PatchID
+	Base     configuration.Version
+	Operator string
+	Note     string
+	// Operations is an RFC 6902 patch against the base.
+	Operations []byte
+	// Text is the whole first document; only with base zero, in place of
+	// Operations.
+	Text []byte
+	// At is the time of day of the submission, for the history only.
+	At time.Time
+}
+
+// BehindError says that the replica has not yet applied the version that a
+// patch is based on.
+type BehindError struct {
+	Base    configuration.Version
+	Current configuration.Version
+}
+
+// Error describes how far the replica is.
+func (b *BehindError) Error() string {
+	return fmt.Sprintf("version %d is not known here, the latest known is %d; look at the versions and send the patch again", b.Base, b.Current)
+}
+
+// Prepare reads and checks a submission against the state and gives the command
+// to propose. Faults of the patch are no error here: the command carries them,
+// so that the log keeps the outcome. An error means that nothing was decided.
+func (m *Machine) Prepare(submission Submission) ([]byte, error) {
+	if err := submission.check(); err != nil {
+		return nil, err
+	}
+	current := m.history.current()
+	if uint64(submission.Base) > current {
+		return nil, &BehindError{Base: submission.Base, Current: configuration.Version(current)}
+	}
+	patch := &ledgerpb.Patch{
+		Id:               string(submission.ID),
+		Content:          submission.content(),
+		Base:             uint64(submission.Base),
+		Operator:         submission.Operator,
+		Note:             submission.Note,
+		UnixMilliseconds: submission.At.UnixMilli(),
+	}
+	if uint64(submission.Base) == current {
+		m.evaluate(submission, patch)
+	}
+	return encode(&ledgerpb.Command{Body: &ledgerpb.Command_Patch{Patch: patch}}), nil
+}
+
+func (s Submission) check() error {
+	switch {
+	case s.ID == "" || len(s.ID) > maxPatchID:
+		return fmt.Errorf("the patch id has %d bytes; give 1 to %d", len(s.ID), maxPatchID)
+	case s.Operator == "" || len(s.Operator) > maxOperator:
+		return fmt.Errorf("the operator's name has %d bytes; give 1 to %d", len(s.Operator), maxOperator)
+	case len(s.Note) > maxNote:
+		return fmt.Errorf("the note has %d bytes; give at most %d", len(s.Note), maxNote)
+	case len(s.Operations) > maxOperations:
+		return fmt.Errorf("the patch has %d bytes; split it into patches of at most %d", len(s.Operations), maxOperations)
+	case len(s.Text) > maxText:
+		return fmt.Errorf("the document has %d bytes; at most %d are allowed", len(s.Text), maxText)
+	case s.Base == 0 && len(s.Text) == 0:
+		return errors.New("the base is 0, before the first version; look at the current version and base the patch on it")
+	case s.Base > 0 && len(s.Text) > 0:
+		return errors.New("a whole document can only be the first version; send an RFC 6902 patch")
+	}
+	return nil
+}
+
+// content identifies what the operator sent; each part is preceded by its
+// length.
+func (s Submission) content() []byte {
+	sum := sha256.New()
+	size := make([]byte, 0, 8)
+	parts := [][]byte{[]byte(s.Operator), []byte(s.Note), s.Operations, s.Text}
+	sum.Write(binary.BigEndian.AppendUint64(size, uint64(s.Base)))
+	for _, part := range parts {
+		sum.Write(binary.BigEndian.AppendUint64(size, uint64(len(part))))
+		sum.Write(part)
+	}
+	return sum.Sum(nil)
+}
+
+func (m *Machine) evaluate(submission Submission, patch *ledgerpb.Patch) {
+	text, err := submission.apply(m.history.text)
+	if err == nil {
+		_, err = configuration.Parse(text)
+	}
+	if err == nil && len(text) > maxText {
+		err = fmt.Errorf("the document would have %d bytes; at most %d are allowed", len(text), maxText)
+	}
+	if err != nil {
+		patch.Faults = faultLines(err)
+		return
+	}
+	digest := sha256.Sum256(text)
+	patch.TextDigest = digest[:]
+	patch.Splice = newSplice(m.history.text, text)
+}
+
+func (s Submission) apply(base []byte) ([]byte, error) {
+	if s.Base == 0 {
+		return s.Text, nil
+	}
+	return configuration.Patch(base, s.Operations)
+}
+
+func faultLines(err error) []string {
+	var faults configuration.Faults
+	if !errors.As(err, &faults) {
+		return []string{err.Error()}
+	}
+	lines := make([]string, 0, min(len(faults), maxFaults+1))
+	for i, fault := range faults {
+		if i == maxFaults {
+			return append(lines, fmt.Sprintf("and %d more", len(faults)-maxFaults))
+		}
+		lines = append(lines, fault.String())
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/naive/claim.go
@@ -0,0 +1,54 @@
+package naive
+
+import (
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/claim"
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// Claims is the naive twin of [claim.Core]: it keeps no claims, hands every
+// request to the target, and calls whatever did not answer not run.
+type Claims struct {
+	calls map[request.AttemptID]request.CallID
+}
+
+// Arrive runs the request.
+func (c *Claims) Arrive(_ time.Time, arrived claim.Request) []claim.Action {
+	if c.calls == nil {
+		c.calls = make(map[request.AttemptID]request.CallID)
+	}
+	c.calls[arrived.Attempt] = arrived.Call
+	return []claim.Action{{Type: claim.Run, Attempt: arrived.Attempt}}
+}
+
+// Answered gives the answer to the caller.
+func (c *Claims) Answered(_ time.Time, name request.AttemptID, answer *claim.Answer) []claim.Action {
+	return []claim.Action{{Type: claim.Reply, Call: c.calls[name], Answer: answer}}
+}
+
+// NotStarted refuses the call.
+func (c *Claims) NotStarted(_ time.Time, name request.AttemptID, code request.Code) []claim.Action {
+	return []claim.Action{{Type: claim.Refuse, Call: c.calls[name], Code: code, Outcome: request.NotRun}}
+}
+
+// Lost refuses the call.
+func (c *Claims) Lost(now time.Time, name request.AttemptID, code request.Code) []claim.Action {
+	return c.NotStarted(now, name, code)
+}
+
+// CallerLeft does nothing.
+func (*Claims) CallerLeft(time.Time, request.CallID) []claim.Action { return nil }
+
+// Claimed does nothing.
+func (*Claims) Claimed(time.Time, request.AttemptID, ledger.ClaimResult) []claim.Action { return nil }
+
+// Recorded does nothing.
+func (*Claims) Recorded(time.Time, request.AttemptID, ledger.RecordState) []claim.Action { return nil }
+
+// Tick does nothing.
+func (*Claims) Tick(time.Time) []claim.Action { return nil }
+
+// NextWake asks for no tick.
+func (*Claims) NextWake() (time.Time, bool) { return time.Time{}, false }
--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -95,8 +95,8 @@
 	{PeerIncompatible, "peer-incompatible", http.StatusBadGateway, NotRun, true, true, time.Second, "the peer speaks another version of the protocol"},
 	{BrokenFrame, "broken-frame", http.StatusBadGateway, Unknown, false, true, time.Second, "a frame between nodes had a wrong length or checksum"},
 
-	{ClaimUnavailable, "claim-unavailable", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "no quorum could record the claim, so the action was not started"},
-	{ClaimInDoubt, "claim-in-doubt", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "it is not known whether the claim was recorded; the action was not started by this attempt"},
+	{ClaimUnavailable, "claim-unavailable", http.StatusServiceUnavailable, NotRun, false, true, time.Minute, "the quorum holds as many claims as it can, and none on this key; the action was not started"},
+	{ClaimInDoubt, "claim-in-doubt", http.StatusServiceUnavailable, Unknown, false, true, time.Second, "no quorum answered; this attempt did not start the action, but an earlier one with this key may have"},
 	{ClaimRunning, "claim-running", http.StatusConflict, Unknown, false, true, time.Second, "an earlier attempt with this key still runs; its answer is kept for a resend"},
 	{OutcomeUnknown, "outcome-unknown", http.StatusConflict, Unknown, false, false, 0, "an earlier attempt with this key may have run; it is never run again"},
 	{AnswerNotKept, "answer-not-kept", http.StatusConflict, Ran, false, false, 0, "the action ran once; its answer was too large to keep"},
