Run actions that may not be repeated only under a claim

Cause: once kinds were refused. net/http resends a request with an Idempotency-Key by itself when a kept connection breaks: with the key and an empty body the stand-in ran the action 2 times for one call. Change: internal/node joins the claim core; a caller that leaves does not end a running action; a body that cannot be rewound keeps net/http from resending; refusals before the claim say unknown, since an earlier attempt may have run. internal/adapter/control carries commands to replicas, internal/adapter/operator answers operators from the ledger.

--- /dev/null
+++ b/internal/adapter/control/doc.go
@@ -0,0 +1,47 @@
+// Package control carries commands for the replicated log from a node to a
+// replica, over the peer protocol.
+//
+// [Client] tries the replicas in order, those of its own failure domain first.
+// A command whose fate is unknown is sent again to another replica: commands
+// are idempotent. What stays unknown at the deadline is [ErrInDoubt]; a command
+// that was certainly not recorded is [ErrUnavailable].
+//
+// # Usage
+//
+//	transport.Handlers[peer.KindControl] = (&control.Server{Ledger: replica}).Serve
+//
+//	client := &control.Client{Transport: transport, Replicas: addresses}
+//	result, err := client.Propose(ctx, command)
+package control
+
+import (
+	"context"
+	"errors"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
+)
+
+// Errors of a proposal.
+var (
+	// ErrUnavailable tells that a command was not recorded and will not be.
+	ErrUnavailable = errors.New("no quorum of replicas could be reached, nothing was recorded; try again")
+	// ErrInDoubt tells that a command may be recorded, now or later.
+	ErrInDoubt = errors.New("it is not known whether the command was recorded; send the same one again")
+)
+
+// Ledger is a replica of the control state.
+type Ledger interface {
+	// Propose records a command and gives its result. Its errors wrap
+	// [ErrUnavailable] or [ErrInDoubt].
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+	// Read calls look on a state that holds all that was recorded before.
+	Read(ctx context.Context, look func(*ledger.Machine)) error
+	// Peek calls look on the state as it is here, which may be behind.
+	Peek(ctx context.Context, look func(*ledger.Machine)) error
+}
+
+// Operations answers operators' requests.
+type Operations interface {
+	// Operate gives an HTTP status and a JSON document.
+	Operate(ctx context.Context, verb string, body []byte) (int, []byte)
+}
--- /dev/null
+++ b/internal/adapter/control/server.go
@@ -0,0 +1,54 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/control/controlpb"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+)
+
+const longestRequest = 30 * time.Second
+
+// Server answers nodes at a replica. The exported fields are set before Serve.
+type Server struct {
+	Ledger     Ledger
+	Operations Operations
+}
+
+// Serve answers the requests of one stream, one after the other.
+func (se *Server) Serve(ctx context.Context, stream *peer.Stream) {
+	for {
+		message := &controlpb.Request{}
+		call, err := stream.ReceiveMessage(message)
+		if err != nil {
+			return
+		}
+		if err := stream.Send(call, se.answer(ctx, message)); err != nil {
+			return
+		}
+	}
+}
+
+func (se *Server) answer(ctx context.Context, message *controlpb.Request) *controlpb.Answer {
+	remaining := time.Duration(message.GetRemainingUs()) * time.Microsecond
+	ctx, cancel := context.WithTimeout(ctx, min(remaining, longestRequest))
+	defer cancel()
+	if operation := message.GetOperation(); operation != nil {
+		status, body := se.Operations.Operate(ctx, operation.GetVerb(), operation.GetBody())
+		return &controlpb.Answer{Status: uint32(status), Result: body}
+	}
+	result, err := se.Ledger.Propose(ctx, message.GetCommand())
+	return encodeResult(result, err)
+}
+
+func encodeResult(result []byte, err error) *controlpb.Answer {
+	switch {
+	case err == nil:
+		return &controlpb.Answer{Result: result}
+	case errors.Is(err, ErrUnavailable):
+		return &controlpb.Answer{Failure: controlpb.Failure_FAILURE_UNAVAILABLE, Detail: err.Error()}
+	}
+	return &controlpb.Answer{Failure: controlpb.Failure_FAILURE_IN_DOUBT, Detail: err.Error()}
+}
--- /dev/null
+++ b/internal/adapter/operator/patches.go
@@ -0,0 +1,218 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
+)
+
+const (
+	shownSince = 20
+	shownRows  = 50
+	mostRows   = 1000
+)
+
+var patchStates = map[ledger.PatchState]string{
+	ledger.Accepted:     StateAccepted,
+	ledger.Stale:        StateStale,
+	ledger.Faulty:       StateFaulty,
+	ledger.OtherContent: StateOtherContent,
+	ledger.Forgotten:    StateForgotten,
+}
+
+// createPatch decides a patch. A resend with the same id is told the first
+// outcome again.
+func (se *Service) createPatch(ctx context.Context, patch Patch) (PatchOutcome, error) {
+	var command []byte
+	var prepareErr error
+	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) {
+		command, prepareErr = machine.Prepare(ledger.Submission{
+			ID:         ledger.PatchID(patch.ID),
+			Base:       patch.Base,
+			Operator:   patch.Operator,
+			Note:       patch.Note,
+			Operations: patch.Operations,
+			Text:       []byte(patch.Text),
+			At:         se.Now(),
+		})
+	})
+	if err != nil {
+		return PatchOutcome{}, err
+	}
+	if prepareErr != nil {
+		return PatchOutcome{}, badRequest{prepareErr.Error()}
+	}
+	result, err := se.Ledger.Propose(ctx, command)
+	if err != nil {
+		return PatchOutcome{}, err
+	}
+	outcome, err := ledger.DecodePatch(result)
+	if err != nil {
+		return PatchOutcome{}, err
+	}
+	return se.describe(ctx, outcome)
+}
+
+// describe adds to a stale outcome what was accepted since its base.
+func (se *Service) describe(ctx context.Context, outcome ledger.Outcome) (PatchOutcome, error) {
+	described := patchOutcome(outcome)
+	if outcome.State != ledger.Stale {
+		return described, nil
+	}
+	err := se.Ledger.Peek(ctx, func(machine *ledger.Machine) {
+		described.Since = versionChanges(machine.Since(outcome.Base, outcome.Version, shownSince))
+	})
+	return described, err
+}
+
+func patchOutcome(outcome ledger.Outcome) PatchOutcome {
+	return PatchOutcome{
+		ID:      string(outcome.ID),
+		State:   patchStates[outcome.State],
+		Version: outcome.Version,
+		Base:    outcome.Base,
+		Faults:  outcome.Faults,
+	}
+}
+
+func (se *Service) viewPatch(ctx context.Context, query PatchQuery) (PatchOutcome, error) {
+	var outcome ledger.Outcome
+	found := false
+	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) {
+		outcome, found = machine.Outcome(ledger.PatchID(query.ID))
+	})
+	if err != nil {
+		return PatchOutcome{}, err
+	}
+	if !found {
+		return PatchOutcome{}, notFound{"no patch " + query.ID + " was decided; send it again with the same id"}
+	}
+	return se.describe(ctx, outcome)
+}
+
+func (se *Service) listPatches(ctx context.Context, query Most) (PatchList, error) {
+	list := PatchList{Patches: []PatchOutcome{}}
+	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) {
+		for _, outcome := range machine.Outcomes(rows(query.Most)) {
+			list.Patches = append(list.Patches, patchOutcome(outcome))
+		}
+	})
+	return list, err
+}
+
+func rows(asked int) int {
+	if asked <= 0 {
+		return shownRows
+	}
+	return min(asked, mostRows)
+}
+
+func (se *Service) viewConfiguration(ctx context.Context, query VersionQuery) (Configuration, error) {
+	answer := Configuration{}
+	found := false
+	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) {
+		number, _ := machine.Current()
+		if query.Version != 0 {
+			number = query.Version
+		}
+		text, ok := machine.Text(number)
+		records := machine.Versions(number-1, number)
+		if !ok || number == 0 || len(records) == 0 {
+			return
+		}
+		found = true
+		answer = Configuration{VersionRow: versionRow(records[0]), Text: string(text)}
+	})
+	if err == nil && !found {
+		return answer, notFound{fmt.Sprintf("version %d is not known; look at the list of versions", query.Version)}
+	}
+	return answer, err
+}
+
+func (se *Service) checkConfiguration(_ context.Context, query Configuration) (PatchOutcome, error) {
+	_, err := configuration.Parse([]byte(query.Text))
+	faults := configuration.Faults{}
+	if err == nil {
+		return PatchOutcome{State: StateAccepted}, nil
+	}
+	answer := PatchOutcome{State: StateFaulty}
+	if !errors.As(err, &faults) {
+		answer.Faults = []string{err.Error()}
+		return answer, nil
+	}
+	for _, fault := range faults {
+		answer.Faults = append(answer.Faults, fault.String())
+	}
+	return answer, nil
+}
+
+func versionRow(record ledger.VersionRecord) VersionRow {
+	return VersionRow{
+		Version:  record.Number,
+		Operator: record.Operator,
+		Note:     record.Note,
+		At:       record.At,
+		PatchID:  string(record.PatchID),
+		Digest:   record.Digest,
+	}
+}
+
+func (se *Service) listVersions(ctx context.Context, query VersionRange) (Versions, error) {
+	list := Versions{Versions: []VersionRow{}}
+	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) {
+		current, _ := machine.Current()
+		upTo := query.UpTo
+		if upTo == 0 || upTo > current {
+			upTo = current
+		}
+		records := machine.Versions(query.After, upTo)
+		records = records[max(0, len(records)-rows(query.Most)):]
+		for _, record := range records {
+			list.Versions = append(list.Versions, versionRow(record))
+		}
+	})
+	return list, err
+}
+
+func (se *Service) diffVersions(ctx context.Context, query DifferenceQuery) (Difference, error) {
+	answer := Difference{From: query.From, To: query.To, Changes: []Change{}}
+	var before, after []byte
+	found := true
+	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) {
+		if query.To == 0 {
+			answer.To, _ = machine.Current()
+		}
+		var hasBefore, hasAfter bool
+		before, hasBefore = machine.Text(query.From)
+		after, hasAfter = machine.Text(answer.To)
+		found = hasBefore && hasAfter
+	})
+	if err != nil {
+		return answer, err
+	}
+	if !found {
+		return answer, notFound{fmt.Sprintf("version %d or %d is not known; look at the list of versions", query.From, answer.To)}
+	}
+	changes, err := configuration.Difference(before, after)
+	answer.Changes = changesOf(changes)
+	return answer, err
+}
+
+func changesOf(changes []configuration.Change) []Change {
+	described := make([]Change, 0, len(changes))
+	for _, change := range changes {
+		described = append(described, Change{Field: change.Field, Text: change.String()})
+	}
+	return described
+}
+
+func versionChanges(changes []ledger.VersionChange) []VersionChange {
+	described := make([]VersionChange, 0, len(changes))
+	for _, change := range changes {
+		described = append(described, VersionChange{VersionRow: versionRow(change.VersionRecord), Changes: changesOf(change.Changes)})
+	}
+	return described
+}
--- /dev/null
+++ b/internal/adapter/operator/web.go
@@ -0,0 +1,109 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+const (
+	maxRequest     = 2 << 20
+	operateTimeout = 10 * time.Second
+)
+
+// Operate carries out one request, here or at a replica.
+type Operate func(ctx context.Context, verb string, body []byte) (int, []byte)
+
+// Handler serves POST /v1/{verb}.
+func Handler(operate Operate) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+		ctx, cancel := context.WithTimeout(incoming.Context(), operateTimeout)
+		defer cancel()
+		body, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, maxRequest))
+		status, answer := http.StatusRequestEntityTooLarge, []byte(`{"error":"the request is too large"}`)
+		if err == nil {
+			status, answer = operate(ctx, incoming.PathValue("verb"), body)
+		}
+		writer.Header().Set("Content-Type", "application/json")
+		writer.WriteHeader(status)
+		_, _ = writer.Write(append(answer, '\n'))
+	})
+}
+
+// Client asks the operators' port of a node. The exported fields are set
+// before the first use.
+type Client struct {
+	// Base is the address of the port, as http://HOST:PORT.
+	Base string
+	HTTP *http.Client
+}
+
+// FailureError is a request that was not carried out.
+type FailureError struct {
+	Status  int
+	Failure Failure
+}
+
+// Error says why.
+func (fe *FailureError) Error() string { return fe.Failure.Error }
+
+// UnansweredError is a request whose answer did not come; it may have been
+// carried out.
+type UnansweredError struct{ Reason error }
+
+// Error says why.
+func (un *UnansweredError) Error() string { return "no answer: " + un.Reason.Error() }
+
+// Unwrap gives the reason.
+func (un *UnansweredError) Unwrap() error { return un.Reason }
+
+// Ask sends a request and reads its answer. It errors with [*FailureError] or
+// [*UnansweredError].
+func Ask[Answer any](ctx context.Context, client *Client, verb Verb, message any) (Answer, error) {
+	var answer Answer
+	body, err := json.Marshal(message)
+	if err != nil {
+		return answer, fmt.Errorf("encode request: %w", err)
+	}
+	outgoing, err := http.NewRequestWithContext(ctx, http.MethodPost, client.Base+"/v1/"+string(verb), bytes.NewReader(body))
+	if err != nil {
+		return answer, err
+	}
+	outgoing.Header.Set("Content-Type", "application/json")
+	response, err := client.HTTP.Do(outgoing)
+	if err != nil {
+		return answer, &UnansweredError{Reason: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer, &UnansweredError{Reason: err}
+	}
+	if response.StatusCode != http.StatusOK {
+		return answer, failureOf(response.StatusCode, content)
+	}
+	return answer, json.Unmarshal(content, &answer)
+}
+
+func failureOf(status int, content []byte) error {
+	failure := &FailureError{Status: status}
+	if json.Unmarshal(content, &failure.Failure) != nil || failure.Failure.Error == "" {
+		failure.Failure.Error = http.StatusText(status)
+	}
+	return failure
+}
+
+// IsInDoubt tells whether a request that failed may have been carried out.
+func IsInDoubt(err error) bool {
+	unanswered := &UnansweredError{}
+	failure := &FailureError{}
+	if errors.As(err, &unanswered) {
+		return true
+	}
+	return errors.As(err, &failure) && failure.Failure.InDoubt
+}
--- a/internal/adapter/web/problem.go
+++ b/internal/adapter/web/problem.go
@@ -18,6 +18,9 @@
 	Outcome    request.Outcome
 	RetryAfter time.Duration
 	Detail     string
+	// Claimed says that Outcome holds for the action under its idempotency key,
+	// and not only for one attempt at it.
+	Claimed bool
 }
 
 // NewRefusal gives the refusal that the table of result codes has for a code.
@@ -55,7 +58,7 @@
 		Detail:    refusal.Detail,
 		Code:      refusal.Code,
 		Outcome:   refusal.Outcome.String(),
-		Retryable: row.Later && refusal.Outcome == request.NotRun,
+		Retryable: row.Later,
 	})
 	if err != nil {
 		http.Error(writer, "internal", http.StatusInternalServerError)
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -49,7 +49,7 @@
 		count(no.counters.retries, decision.Reason)
 		if decision.Reason != retry.Allowed || !pause(ctx, decision.Backoff) {
 			refused = true
-			no.refuse(writer, at.refusal)
+			no.refuse(writer, og.honest(at.refusal))
 			return
 		}
 		tried = append(tried, at.choice.Target.Node)
@@ -72,6 +72,18 @@
 	}, &og.root.account, &og.edge.budget)
 }
 
+// honest is what the caller is told. That one attempt was not started does not
+// tell that an earlier one with the same key did not run.
+func (og *outgoing) honest(refusal *web.Refusal) *web.Refusal {
+	if og.kind.Repeat != request.Once || refusal.Claimed || refusal.Outcome != request.NotRun {
+		return refusal
+	}
+	told := *refusal
+	told.Outcome = request.Unknown
+	told.Detail = "this attempt was not started; whether an earlier one ran is learned by sending it again with the same " + web.HeaderIdempotencyKey
+	return &told
+}
+
 // retries is the bound of the call's kind. A suspect is not retried.
 func (og *outgoing) retries() int {
 	if og.suspect {
@@ -171,6 +183,7 @@
 		Code:       request.Code(answer.GetCode()),
 		Outcome:    request.Outcome(answer.GetOutcome()),
 		RetryAfter: time.Duration(answer.GetRetryAfterMs()) * time.Millisecond,
+		Claimed:    answer.GetClaimed(),
 	}
 }
 
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -9,7 +9,10 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/drain"
 )
 
-const drainInterval = 20 * time.Millisecond
+const (
+	drainInterval = 20 * time.Millisecond
+	recordLimit   = 10 * time.Second
+)
 
 // draining tells whether the node takes no new work any more.
 func (no *Node) draining() bool {
@@ -27,6 +30,7 @@
 		no.Drain.Begin(time.Now())
 		no.announceDrain()
 		no.awaitEmpty(interrupted)
+		no.awaitRecords(interrupted)
 		return nil
 	}, func(error) {
 		close(interrupted)
@@ -46,6 +50,27 @@
 	}
 }
 
+// awaitRecords waits, for a bounded time, until the ends of all actions that
+// may not be repeated are recorded.
+func (no *Node) awaitRecords(interrupted <-chan struct{}) {
+	if no.claims == nil {
+		return
+	}
+	no.runs.Wait()
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	limit := time.After(recordLimit)
+	for no.claims.pending.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-limit:
+			return
+		case <-interrupted:
+			return
+		}
+	}
+}
+
 // announceDrain tells the registry that the target leaves.
 func (no *Node) announceDrain() {
 	if no.OnDrain != nil {
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -30,6 +30,8 @@
 	fingerprint request.Fingerprint
 	unspent     retry.Allowance
 	left        bool
+	// onceBody is the body of a call that may not be repeated.
+	onceBody []byte
 }
 
 // serveCall serves one call of a peer.
@@ -109,6 +111,7 @@
 		Code:         uint32(refusal.Code),
 		Outcome:      uint32(refusal.Outcome),
 		RetryAfterMs: refusal.RetryAfter.Milliseconds(),
+		Claimed:      refusal.Claimed,
 	}
 	_ = ar.inbound.Answer(header, nil, ar.report)
 }
@@ -167,11 +170,10 @@
 // run hands the admitted call to the target and passes its answer on. It tells
 // whether the target answered as a whole.
 func (ar *arrival) run(ctx context.Context) bool {
-	started := time.Now()
-	belowBefore, _ := ar.root.waited()
+	visit := ar.begin(ar.root)
 	response, err := ar.node.Target.Send(ctx, ar.targetCall())
 	if err != nil {
-		ar.finish(started, belowBefore, admission.Failed)
+		visit.end(admission.Failed)
 		ar.refuse(ar.targetFailure(ctx, err))
 		return false
 	}
@@ -181,16 +183,12 @@
 		Headers:    web.EncodeHeaders(response.Header),
 		BodyLength: response.ContentLength,
 	}
-	finished := false
 	report := func() *peerpb.Report {
-		finished = true
-		ar.finish(started, belowBefore, resultOf(response))
+		visit.end(resultOf(response))
 		return ar.report()
 	}
 	err = ar.inbound.Answer(header, response.Body, report)
-	if !finished {
-		ar.finish(started, belowBefore, admission.Failed)
-	}
+	visit.end(admission.Failed)
 	return err == nil
 }
 
@@ -201,16 +199,34 @@
 	return admission.Succeeded
 }
 
-// finish frees the call's place at the target.
-func (ar *arrival) finish(started time.Time, belowBefore time.Duration, result admission.Result) {
+// visit is the time of an admitted call at the target.
+type visit struct {
+	arrival     *arrival
+	root        *root
+	started     time.Time
+	belowBefore time.Duration
+	ended       bool
+}
+
+func (ar *arrival) begin(root *root) *visit {
+	below, _ := root.waited()
+	return &visit{arrival: ar, root: root, started: time.Now(), belowBefore: below}
+}
+
+// end frees the call's place at the target, once.
+func (vi *visit) end(result admission.Result) {
+	if vi.ended {
+		return
+	}
+	vi.ended = true
 	now := time.Now()
-	below, refused := ar.root.waited()
+	below, refused := vi.root.waited()
 	if result == admission.Failed && refused {
 		result = admission.RefusedBelow
 	}
-	ar.node.traffic.finish(now, ar.work.Call, admission.Sample{
-		Latency: now.Sub(started),
-		Below:   below - belowBefore,
+	vi.arrival.node.traffic.finish(now, vi.arrival.work.Call, admission.Sample{
+		Latency: now.Sub(vi.started),
+		Below:   below - vi.belowBefore,
 		Result:  result,
 	})
 }
@@ -226,7 +242,7 @@
 		Path:       header.GetPath(),
 		Host:       string(ar.node.Service),
 		Headers:    headers,
-		Body:       ar.inbound.Body(),
+		Body:       ar.bodyReader(),
 		BodyLength: header.GetBodyLength(),
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,8 @@
 	Chooser       *choice.Chooser
 	Transport     *peer.Transport
 	Target        *web.TargetClient
+	// Claims records actions that may not be repeated; nil refuses them.
+	Claims Proposer
 	// Drain, Guard and Logger may be left nil.
 	Drain  *drain.Drain
 	Guard  *quarantine.Guard
@@ -73,6 +75,9 @@
 	counters    *counters
 	retryPolicy retry.Policy
 	suspects    waiters
+	claims      *claims
+	once        onceTable
+	runs        sync.WaitGroup
 	calls       atomic.Uint64
 }
 
@@ -101,6 +106,9 @@
 		no.Guard = &quarantine.Guard{Crash: quarantine.Crash{Node: no.ID, Domain: no.Place.Domain, Incarnation: 1}}
 	}
 	no.traffic = newTraffic(no.slots())
+	if no.Claims != nil {
+		no.claims = newClaims(no.ID, no.Claims, no.runOnce)
+	}
 	no.calls.Store(uint64(time.Now().UnixNano()))
 	if no.Transport.Handlers == nil {
 		no.Transport.Handlers = make(map[peer.Kind]peer.Handler)
@@ -125,6 +133,7 @@
 	no.addServer(&group, listeners.Admin, no.AdminHandler())
 	no.addPeers(running, &group, listeners.Peers)
 	no.addGate(running, &group)
+	no.addClaims(running, &group)
 	return group.Run()
 }
 
@@ -174,6 +183,18 @@
 	}, func(error) { cancel() })
 }
 
+func (no *Node) addClaims(ctx context.Context, group *run.Group) {
+	if no.claims == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	no.claims.ctx = ctx
+	group.Add(func() error {
+		no.claims.loop(ctx)
+		return nil
+	}, func(error) { cancel() })
+}
+
 func (no *Node) tick(ctx context.Context) {
 	ticker := time.NewTicker(gateInterval)
 	defer ticker.Stop()
--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -45,6 +45,11 @@
 }
 
 func startHost(t testing.TB, id request.NodeID, service request.ServiceName, target http.Handler) *host {
+	t.Helper()
+	return startClaiming(t, id, service, target, nil)
+}
+
+func startClaiming(t testing.TB, id request.NodeID, service request.ServiceName, target http.Handler, claims node.Proposer) *host {
 	t.Helper()
 	text, err := os.ReadFile("../../examples/gota-justa.jsonc")
 	if err != nil {
@@ -63,6 +68,7 @@
 		Configuration: node.NewHolder(active),
 		Chooser:       &choice.Chooser{Self: id, Place: place},
 		Transport:     &peer.Transport{Self: peer.Hello{Node: id, Place: place, Service: service}},
+		Claims:        claims,
 		Target:        &web.TargetClient{Address: server.Listener.Addr().String(), Connections: 100},
 	}
 	no.Prepare()
