Record claims of the measured mesh in a ledger within the process

Cause: actions that may not be repeated were refused in demo and measurements, so their figures said nothing.

--- a/magnolia-load/internal/mesh/magnolia.go
+++ b/magnolia-load/internal/mesh/magnolia.go
@@ -14,6 +14,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/core/choice"
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
 	"github.com/magnoliawall/magnoliawall/internal/node"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/link"
@@ -22,6 +23,7 @@
 // Magnolia runs a mesh on magnoliawall's nodes.
 type Magnolia struct {
 	links  *link.Map
+	ledger *localLedger
 	active *node.Active
 	nodes  []*member
 	views  map[request.ServiceName][]choice.Target
@@ -40,6 +42,7 @@
 		return oops.Wrapf(err, "the configuration of the mesh is not accepted")
 	}
 	m.active, m.links = active, links
+	m.ledger = &localLedger{machine: ledger.New()}
 	m.views = make(map[request.ServiceName][]choice.Target)
 	return nil
 }
@@ -65,6 +68,7 @@
 				return dial(ctx, "tcp", string(address))
 			},
 		},
+		Claims: m.ledger,
 		Target: &web.TargetClient{Address: host.Target, Connections: host.Service.Connections},
 	}
 	m.nodes = append(m.nodes, &member{node: made, listeners: listeners})
--- a/magnolia-load/internal/mesh/mesh.go
+++ b/magnolia-load/internal/mesh/mesh.go
@@ -149,8 +149,8 @@
 	return nil
 }
 
-// waitReady sends one request of each repeatable kind by each entry until all
-// are answered whole.
+// waitReady sends one request of each kind by each entry until all are
+// answered whole.
 func (m *Mesh) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
@@ -163,9 +163,6 @@
 
 func (m *Mesh) probe(ctx context.Context, entry int, caller *load.Caller) error {
 	for index, kind := range m.Design.Kinds {
-		if kind.Repeat == request.Once {
-			continue
-		}
 		name := fmt.Sprintf("ready-%d-%d-%d", m.Seed, entry, index)
 		for count := 0; ; count++ {
 			reply := caller.Send(ctx, kind, request.IdempotencyKey(name), target.AttemptName(fmt.Sprintf("%s-%d", name, count)))
