Read and check the settings of a process

Cause: a process learns its place, addresses and role from one file, and each fault of it must be named with its line and field. A missing field of the root is now named with the line of the root, and not with line 1.

--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,207 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+
+	"github.com/magnoliawall/magnoliawall/internal/strictjson"
+)
+
+const (
+	maxName       = 64
+	addressAdvice = `give an IP number with a port, as in "10.1.0.5:7403"`
+	nameAdvice    = "use lower case letters, digits and hyphens"
+)
+
+var (
+	kebabName = regexp.MustCompile(`^[a-z][a-z0-9]*(-[a-z0-9]+)*$`)
+	logLevels = []LogLevel{"debug", "info", "warn", "error"}
+)
+
+type checker struct {
+	source   *strictjson.Source
+	settings *Settings
+	faults   Faults
+}
+
+// fault adds a fault, unless the field has one already, as when it could not be
+// read.
+func (c *checker) fault(field, advice, problem string, values ...any) {
+	for _, known := range c.faults {
+		if known.Field == field {
+			return
+		}
+	}
+	c.faults = append(c.faults, c.source.Fault(field, fmt.Sprintf(problem, values...), advice))
+}
+
+func (c *checker) all() {
+	loaded := c.settings
+	c.name("node", string(loaded.Node))
+	c.name("region", string(loaded.Region))
+	c.name("failure-domain", string(loaded.FailureDomain))
+	c.target()
+	c.address("listen.peers", loaded.Listen.Peers, true)
+	c.address("listen.admin", loaded.Listen.Admin, true)
+	c.listenTwice()
+	c.seeds()
+	c.replica()
+	c.security()
+	if !slices.Contains(logLevels, loaded.LogLevel) {
+		c.fault("log-level", "use one of: debug, info, warn, error", "the level %q is unknown", loaded.LogLevel)
+	}
+}
+
+func (c *checker) name(field, name string) {
+	switch {
+	case name == "":
+		c.fault(field, nameAdvice, "is missing")
+	case len(name) > maxName || !kebabName.MatchString(name):
+		c.fault(field, nameAdvice, "%q is not a valid name", name)
+	}
+}
+
+func (c *checker) target() {
+	loaded := c.settings
+	serves := loaded.Service != ""
+	if serves {
+		c.name("service", string(loaded.Service))
+	}
+	if !serves && !loaded.HoldsReplica() {
+		c.fault("service", "name the service of the local target", "is missing, and the host holds no replica")
+	}
+	c.address("target", loaded.Target, serves)
+	c.address("listen.callers", loaded.Listen.Callers, serves)
+	c.address("listen.outbound", loaded.Listen.Outbound, serves)
+	if !serves && loaded.Target != "" {
+		c.fault("target", "name the service that it serves", "is given without a service")
+	}
+}
+
+func (c *checker) address(field string, address Address, required bool) {
+	if address == "" {
+		if required {
+			c.fault(field, addressAdvice, "is missing")
+		}
+		return
+	}
+	parsed, err := netip.ParseAddrPort(string(address))
+	switch {
+	case err != nil || parsed.Port() == 0:
+		c.fault(field, addressAdvice, "%q is not an address", address)
+	case parsed.Addr().IsUnspecified():
+		c.fault(field, "give the IP number of the host, which others learn from here", "%q is no address that others can reach", address)
+	}
+}
+
+func (c *checker) listenTwice() {
+	listen := c.settings.Listen
+	taken := make(map[Address]string)
+	for _, one := range []struct {
+		field   string
+		address Address
+	}{
+		{"target", c.settings.Target},
+		{"listen.callers", listen.Callers},
+		{"listen.outbound", listen.Outbound},
+		{"listen.peers", listen.Peers},
+		{"listen.admin", listen.Admin},
+	} {
+		if other, used := taken[one.address]; used && one.address != "" {
+			c.fault(one.field, "give each its own port", "%s is also the address of %s", one.address, other)
+		}
+		taken[one.address] = one.field
+	}
+}
+
+func (c *checker) seeds() {
+	if len(c.settings.Seeds) == 0 && !c.settings.HoldsReplica() {
+		c.fault("seeds", "list the peer addresses of the replicas", "no replica is named")
+	}
+	for i, seed := range c.settings.Seeds {
+		field := fmt.Sprintf("seeds[%d]", i)
+		c.address(field, seed, true)
+		if slices.Index(c.settings.Seeds, seed) < i {
+			c.fault(field, "keep one of them", "%s is listed twice", seed)
+		}
+	}
+}
+
+func (c *checker) replica() {
+	held := c.settings.Replica
+	if !c.settings.HoldsReplica() {
+		if c.source.Has("replica") {
+			c.fault("replica.id", "give a number that no replica had before", "is missing")
+		}
+		return
+	}
+	if c.settings.DataFolder == "" {
+		c.fault("data-folder", "name the folder on the disk of this host", "is missing, and the host holds a replica")
+	}
+	for i, member := range held.Members {
+		c.member(fmt.Sprintf("replica.members[%d]", i), held.Members[:i], member)
+	}
+	if len(held.Members) == 0 && len(c.settings.Seeds) == 0 {
+		c.fault("replica.members", "list all replicas of the first start, or seeds if this one joins later", "neither members nor seeds are given")
+	}
+	if len(held.Members) > 0 && held.InitialConfiguration == "" {
+		c.fault("replica.initial-configuration", "name the file of the first version", "is missing")
+	}
+}
+
+func (c *checker) member(field string, before []Member, member Member) {
+	if member.ID == 0 {
+		c.fault(field+".id", "give a number that no replica had before", "is missing")
+	}
+	c.address(field+".address", member.Address, true)
+	c.name(field+".failure-domain", string(member.FailureDomain))
+	for _, other := range before {
+		if other.ID == member.ID {
+			c.fault(field+".id", "give each replica its own number", "%d is listed twice", member.ID)
+		}
+		if other.Address == member.Address {
+			c.fault(field+".address", "give each replica its own address", "%s is listed twice", member.Address)
+		}
+	}
+	if member.ID == c.settings.Replica.ID && member.Address != c.settings.Listen.Peers {
+		c.fault(field+".address", "give the address of listen.peers", "%s is not where this replica listens", member.Address)
+	}
+}
+
+func (c *checker) security() {
+	security := c.settings.Security
+	files := []struct{ field, path string }{
+		{"security.authority", security.Authority},
+		{"security.certificate", security.Certificate},
+		{"security.key", security.Key},
+	}
+	for _, file := range files {
+		switch {
+		case security.PlaintextOnLoopback && file.path != "":
+			c.fault(file.field, "take it out, or take out plaintext-on-loopback", "is given together with plaintext-on-loopback")
+		case !security.PlaintextOnLoopback && file.path == "":
+			c.fault(file.field, "name the file; `magnolia certificate create` makes it", "is missing")
+		}
+	}
+	if security.PlaintextOnLoopback {
+		c.loopbackOnly("listen.peers", c.settings.Listen.Peers)
+		c.loopbackOnly("listen.admin", c.settings.Listen.Admin)
+		for i, seed := range c.settings.Seeds {
+			c.loopbackOnly(fmt.Sprintf("seeds[%d]", i), seed)
+		}
+		for i, member := range c.settings.Replica.Members {
+			c.loopbackOnly(fmt.Sprintf("replica.members[%d].address", i), member.Address)
+		}
+	}
+}
+
+func (c *checker) loopbackOnly(field string, address Address) {
+	parsed, err := netip.ParseAddrPort(string(address))
+	if err != nil || parsed.Addr().IsLoopback() {
+		return
+	}
+	c.fault(field, "name certificate files under security, or use an address of the loopback range",
+		"%s is not on loopback, and plaintext is only allowed there", address)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,135 @@
+// Package settings reads the settings file of one magnoliad process: where the
+// host is, which target it serves, where it listens, and on a host with a disk,
+// the replica that it holds. The file is JSON with comments.
+//
+// # Usage
+//
+//	loaded, err := settings.Read(text)
+//	if err != nil {
+//		return err // settings.Faults, each with its line and field
+//	}
+//	listen(loaded.Listen.Callers)
+//
+// Read needs no file but the text. Paths in it are relative to the folder of
+// the settings file; [Settings.Resolve] makes them so.
+package settings
+
+import (
+	"path/filepath"
+
+	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/internal/strictjson"
+)
+
+// Faults lists everything that is wrong with a settings file.
+type Faults = strictjson.Faults
+
+// Address is an IP number with a port, as in "10.1.0.5:7403".
+type Address string
+
+// ReplicaID names a replica for the life of its disk.
+type ReplicaID uint64
+
+// LogLevel is the least level of the lines that are logged.
+type LogLevel string
+
+// Settings is the settings file of one process.
+type Settings struct {
+	// Node names the node for the whole life of its host.
+	Node          request.NodeID     `json:"node"`
+	Region        request.RegionName `json:"region"`
+	FailureDomain request.DomainName `json:"failure-domain"`
+	// Service is the service of the local target; absent on a host that only
+	// holds a replica.
+	Service request.ServiceName `json:"service"`
+	// Target is where the local target listens.
+	Target Address `json:"target"`
+	Listen Listen  `json:"listen"`
+	// Seeds are the peer addresses of replicas; one that answers is enough.
+	Seeds []Address `json:"seeds"`
+	// DataFolder is the one folder of a host with a disk.
+	DataFolder string `json:"data-folder"`
+	// Replica is given only on a host with a disk.
+	Replica  Replica  `json:"replica"`
+	Security Security `json:"security"`
+	LogLevel LogLevel `json:"log-level"`
+}
+
+// Listen holds the addresses that the process listens at.
+type Listen struct {
+	// Callers takes the requests of callers.
+	Callers Address `json:"callers"`
+	// Outbound takes the calls of the local target to other services.
+	Outbound Address `json:"outbound"`
+	// Peers takes the other processes of the system, who learn it from here.
+	Peers Address `json:"peers"`
+	// Admin takes operators, metrics and health checks.
+	Admin Address `json:"admin"`
+}
+
+// Replica is the replica of the control state that a host holds.
+type Replica struct {
+	// ID is never used again after its disk was lost.
+	ID ReplicaID `json:"id"`
+	// Members are the replicas at the first start of the site. A replica that
+	// joins later, by operators' commands, is not among them.
+	Members []Member `json:"members"`
+	// InitialConfiguration is the file of the first version. It is read only
+	// while there is no version.
+	InitialConfiguration string `json:"initial-configuration"`
+}
+
+// Member is one replica of the first start.
+type Member struct {
+	ID            ReplicaID          `json:"id"`
+	Address       Address            `json:"address"`
+	FailureDomain request.DomainName `json:"failure-domain"`
+}
+
+// Security names the files of mutual TLS for the peer and admin addresses.
+type Security struct {
+	Authority   string `json:"authority"`
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	// PlaintextOnLoopback leaves TLS out; it is allowed only if each address is
+	// one of the loopback range.
+	PlaintextOnLoopback bool `json:"plaintext-on-loopback"`
+}
+
+// SetDefaults sets what a file need not give.
+func (s *Settings) SetDefaults() {
+	s.LogLevel = "info"
+}
+
+// HoldsReplica tells whether the host holds a replica.
+func (s *Settings) HoldsReplica() bool {
+	return s.Replica.ID != 0
+}
+
+// Read reads and checks a settings file. The error is of type [Faults] and
+// names every fault with its line and field.
+func Read(text []byte) (*Settings, error) {
+	loaded := new(Settings)
+	source, faults := strictjson.Decode(text, loaded)
+	if len(faults) == 1 && faults[0].Field == "" {
+		return nil, faults.Err()
+	}
+	check := checker{source: source, settings: loaded, faults: faults}
+	check.all()
+	if err := check.faults.Err(); err != nil {
+		return nil, err
+	}
+	return loaded, nil
+}
+
+// Resolve makes the paths relative to the folder of the settings file.
+func (s *Settings) Resolve(folder string) {
+	for _, path := range []*string{
+		&s.DataFolder, &s.Replica.InitialConfiguration,
+		&s.Security.Authority, &s.Security.Certificate, &s.Security.Key,
+	} {
+		if *path != "" && !filepath.IsAbs(*path) {
+			*path = filepath.Join(folder, *path)
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,65 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/settings"
+)
+
+const examples = "../../examples"
+
+// Each file lists the faults that must be named, and no others may be.
+func TestFaultsAreAllNamed(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.jsonc")
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.NewWithT(t).Expect(files).NotTo(gomega.BeEmpty())
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			expect := gomega.NewWithT(t).Expect
+			text, err := os.ReadFile(file)
+			expect(err).NotTo(gomega.HaveOccurred())
+			_, err = settings.Read(text)
+			var faults settings.Faults
+			expect(errors.As(err, &faults)).To(gomega.BeTrue())
+			wanted := 0
+			for line := range strings.Lines(string(text)) {
+				want, ok := strings.CutPrefix(line, "// want: ")
+				if !ok {
+					continue
+				}
+				wanted++
+				expect(err.Error()).To(gomega.ContainSubstring(strings.TrimSpace(want)))
+			}
+			expect(faults).To(gomega.HaveLen(wanted), err.Error())
+		})
+	}
+}
+
+func TestExamplesAreWhole(t *testing.T) {
+	for _, user := range []string{"gota-justa", "ktsra"} {
+		expect := gomega.NewWithT(t).Expect
+		text, err := os.ReadFile(filepath.Join(examples, user+".jsonc"))
+		expect(err).NotTo(gomega.HaveOccurred())
+		document, err := configuration.Parse(text)
+		expect(err).NotTo(gomega.HaveOccurred())
+		for _, role := range []string{"node", "replica"} {
+			text, err := os.ReadFile(filepath.Join(examples, user+"-"+role+".jsonc"))
+			expect(err).NotTo(gomega.HaveOccurred())
+			loaded, err := settings.Read(text)
+			expect(err).NotTo(gomega.HaveOccurred(), user+" "+role)
+			expect(document.Services).To(gomega.HaveKey(loaded.Service))
+			expect(loaded.HoldsReplica()).To(gomega.Equal(role == "replica"))
+			loaded.Resolve(examples)
+			if loaded.HoldsReplica() {
+				expect(loaded.Replica.InitialConfiguration).To(gomega.BeAnExistingFile())
+			}
+		}
+	}
+}
--- a/internal/strictjson/source.go
+++ b/internal/strictjson/source.go
@@ -24,11 +24,10 @@
 		if offset, ok := s.offsets[field]; ok {
 			return s.lineAt(offset)
 		}
-		cut := strings.LastIndexAny(field, ".[")
-		if cut < 0 {
+		if field == "" {
 			return 1
 		}
-		field = field[:cut]
+		field = field[:max(0, strings.LastIndexAny(field, ".["))]
 	}
 }
 
