Spread versions of the configuration in order and never back

Cause: nodes restart, move to a replica that is behind, or are cut off for an hour; a version in force must not revert.

Two tests that a changed line survived are joined by stricter ones: the load report (choice) and the doubled delta (membership).

--- a/internal/core/choice/chooser_test.go
+++ b/internal/core/choice/chooser_test.go
@@ -269,3 +269,16 @@
 	run.drive(chooser, 900, time.Millisecond)
 	expect.Expect(run.counts[targets[0].Node]).To(gomega.BeNumerically(">", 200))
 }
+
+func TestOwnLatencyOutweighsReports(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	targets := mesh(2)[:2]
+	run := &world{now: start, answer: func(target choice.Target) choice.Answer {
+		if target.Node == targets[0].Node {
+			return choice.Answer{Result: choice.Succeeded, Latency: 5 * time.Millisecond, Load: 1}
+		}
+		return choice.Answer{Result: choice.Succeeded, Latency: 50 * time.Millisecond, Load: 0}
+	}}
+	run.drive(newChooser(targets), 1000, time.Millisecond)
+	expect.Expect(run.counts[targets[0].Node]).To(gomega.BeNumerically(">", 600))
+}
--- a/internal/core/membership/registry_test.go
+++ b/internal/core/membership/registry_test.go
@@ -213,3 +213,19 @@
 	older.Incarnation, older.Sequence = lease.Incarnation, lease.Above+1
 	expect.Expect(registry.Register(now, older).Granted).To(gomega.BeNumerically(">", 0))
 }
+
+func TestDoubledDeltaDoesNotBringAHiddenRecordBack(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	first := newRegistry("first")
+	view := &membership.View{Services: []request.ServiceName{service}}
+	view.Apply(start, first.Subscribe(start, "caller", view.Subscription()))
+	first.Register(start, announce("a", 1))
+	delta := first.Pull(start, "caller")[0]
+	view.Apply(start, delta)
+	list := membership.List{Service: service, Whole: true}
+	view.Apply(start, membership.Update{Epoch: 1, To: delta.To + 5, Answer: true, Lists: []membership.List{list}})
+	expect.Expect(view.Records(service)).To(gomega.BeEmpty())
+	_, resync := view.Apply(start, delta)
+	expect.Expect(view.Records(service)).To(gomega.BeEmpty())
+	expect.Expect(resync).To(gomega.BeFalse())
+}
--- /dev/null
+++ b/internal/core/spread/tracker.go
@@ -0,0 +1,173 @@
+package spread
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// DefaultSilence is how long a zero Silence lets a node or replica be silent
+// before it counts as out of reach.
+const DefaultSilence = 5 * time.Second
+
+// forgetTime is how long a silent node is listed.
+const forgetTime = time.Hour
+
+// Tracker holds which version each node has in force, from the renewals of the
+// leases at one replica and the summaries of the other replicas.
+type Tracker struct {
+	// Silence is how long a node or replica may be silent.
+	Silence time.Duration
+
+	nodes    map[request.NodeID]report
+	replicas map[request.NodeID]summary
+}
+
+type report struct {
+	domain  request.DomainName
+	number  configuration.Version
+	heardAt time.Time
+}
+
+type summary struct {
+	domains []DomainStatus
+	heardAt time.Time
+}
+
+// DomainStatus tells of the nodes of one failure domain.
+type DomainStatus struct {
+	Domain request.DomainName
+	// Nodes counts the nodes that were heard of lately.
+	Nodes int
+	// Versions counts them by the version in force, oldest first.
+	Versions []VersionCount
+	// Silent lists the nodes that were not heard of lately.
+	Silent []request.NodeID
+	// OutOfReach says that this status is an old one: the replica that gave it
+	// is silent.
+	OutOfReach bool
+}
+
+// VersionCount is the number of nodes that have a version in force.
+type VersionCount struct {
+	Number configuration.Version
+	Nodes  int
+}
+
+// Report notes what a node has in force.
+func (t *Tracker) Report(now time.Time, node request.NodeID, domain request.DomainName, number configuration.Version) {
+	if t.nodes == nil {
+		t.nodes = map[request.NodeID]report{}
+	}
+	t.nodes[node] = report{domain: domain, number: number, heardAt: now}
+}
+
+// Left forgets a node that stopped as planned or holds its lease elsewhere.
+func (t *Tracker) Left(node request.NodeID) {
+	delete(t.nodes, node)
+}
+
+// Merge notes the summary of another replica.
+func (t *Tracker) Merge(now time.Time, replica request.NodeID, domains []DomainStatus) {
+	if t.replicas == nil {
+		t.replicas = map[request.NodeID]summary{}
+	}
+	t.replicas[replica] = summary{domains: domains, heardAt: now}
+}
+
+// Summary tells of the nodes that hold their lease here.
+func (t *Tracker) Summary(now time.Time) []DomainStatus {
+	domains := map[request.DomainName]*DomainStatus{}
+	for node, told := range t.nodes {
+		age := now.Sub(told.heardAt)
+		if age >= forgetTime {
+			delete(t.nodes, node)
+			continue
+		}
+		status := statusOf(domains, told.domain)
+		if age >= t.silence() {
+			status.Silent = append(status.Silent, node)
+			continue
+		}
+		status.count(VersionCount{Number: told.number, Nodes: 1})
+	}
+	return sorted(domains)
+}
+
+// Status joins the nodes of this replica with the summaries of the others.
+func (t *Tracker) Status(now time.Time) []DomainStatus {
+	domains := map[request.DomainName]*DomainStatus{}
+	join(domains, t.Summary(now), false)
+	for _, told := range t.replicas {
+		join(domains, told.domains, now.Sub(told.heardAt) >= t.silence())
+	}
+	return sorted(domains)
+}
+
+// InForce counts the nodes that have at least a version and those that don't,
+// silent ones included.
+func InForce(domains []DomainStatus, number configuration.Version) (current, behind int) {
+	for _, status := range domains {
+		behind += len(status.Silent)
+		for _, counted := range status.Versions {
+			if counted.Number >= number && !status.OutOfReach {
+				current += counted.Nodes
+				continue
+			}
+			behind += counted.Nodes
+		}
+	}
+	return current, behind
+}
+
+func (t *Tracker) silence() time.Duration {
+	if t.Silence == 0 {
+		return DefaultSilence
+	}
+	return t.Silence
+}
+
+func join(domains map[request.DomainName]*DomainStatus, told []DomainStatus, silent bool) {
+	for _, other := range told {
+		status := statusOf(domains, other.Domain)
+		for _, counted := range other.Versions {
+			status.count(counted)
+		}
+		status.Silent = append(status.Silent, other.Silent...)
+		status.OutOfReach = status.OutOfReach || silent
+	}
+}
+
+func statusOf(domains map[request.DomainName]*DomainStatus, domain request.DomainName) *DomainStatus {
+	found := domains[domain]
+	if found == nil {
+		found = &DomainStatus{Domain: domain}
+		domains[domain] = found
+	}
+	return found
+}
+
+func (d *DomainStatus) count(counted VersionCount) {
+	d.Nodes += counted.Nodes
+	for index := range d.Versions {
+		if d.Versions[index].Number == counted.Number {
+			d.Versions[index].Nodes += counted.Nodes
+			return
+		}
+	}
+	d.Versions = append(d.Versions, counted)
+}
+
+func sorted(domains map[request.DomainName]*DomainStatus) []DomainStatus {
+	list := make([]DomainStatus, 0, len(domains))
+	for _, status := range domains {
+		slices.SortFunc(status.Versions, func(left, right VersionCount) int { return cmp.Compare(left.Number, right.Number) })
+		slices.Sort(status.Silent)
+		list = append(list, *status)
+	}
+	slices.SortFunc(list, func(left, right DomainStatus) int { return cmp.Compare(left.Domain, right.Domain) })
+	return list
+}
