Count the death of a target once

Cause: several calls fail at one death. Each told the guard of a death, so calls admitted between two of them were at two crashes though no target had run them, and one alone would have been refused as the culprit. Found by reading internal/node; ruled out that the probe of the target prevents it, since the target is still down then.

Change: TargetDied takes the ticket of a call that the target had and does nothing when an earlier death ended that call. The fingerprint zero is never suspected. A large body without a key counts by its length, so that uploads to one path are not one request.

Conclusion: one death makes one crash.

--- a/internal/core/quarantine/guard.go
+++ b/internal/core/quarantine/guard.go
@@ -11,7 +11,8 @@
 //
 // The limit of two targets in a failure domain holds because a request that is
 // not yet suspected goes to no other targets of a domain than the two that its
-// fingerprint selects; see package choice.
+// fingerprint selects; see package choice. The fingerprint zero names no request
+// and is never suspected.
 //
 // # Usage
 //
@@ -19,7 +20,7 @@
 //	ruling := guard.Judge(now, fingerprint) // at the sending node
 //	verdict := guard.Admit(now, fingerprint, ticket) // at the target's node
 //	released := guard.Finish(now, ticket, true)
-//	report := guard.TargetDied(now)
+//	report, ok := guard.TargetDied(now, ticket)
 //	guard.Apply(now, report) // at every other node
 //
 // All methods may be called from several goroutines.
@@ -82,24 +83,31 @@
 }
 
 // TargetDied makes suspects of all requests in flight at this node's target
-// and forgets that they were in flight. Waiting suspects are to be judged
+// and forgets that they were in flight. The ticket is that of a request which
+// the target had when it died; when an earlier call has ended that request,
+// this is the same death and nothing is done. Waiting suspects are to be judged
 // again: Waiting gives their tickets.
-func (g *Guard) TargetDied(now time.Time) Report {
+func (g *Guard) TargetDied(now time.Time, ticket Ticket) (Report, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.prepare()
+	if _, running := g.inFlight[ticket]; !running {
+		return Report{}, false
+	}
 	report := Report{Event: Crashed, Crash: g.Crash}
 	for _, fingerprint := range g.inFlight {
 		report.Fingerprints = append(report.Fingerprints, fingerprint)
 	}
 	slices.Sort(report.Fingerprints)
 	report.Fingerprints = slices.Compact(report.Fingerprints)
-	report.Fingerprints = slices.DeleteFunc(report.Fingerprints, g.finished.take)
+	report.Fingerprints = slices.DeleteFunc(report.Fingerprints, func(fingerprint request.Fingerprint) bool {
+		return fingerprint == 0 || g.finished.take(fingerprint)
+	})
 	clear(g.inFlight)
 	g.line.running = false
 	g.Crash.Incarnation++
 	g.apply(now, report)
-	return report
+	return report, true
 }
 
 // Apply takes in the report of another node.
--- a/internal/core/quarantine/guard_test.go
+++ b/internal/core/quarantine/guard_test.go
@@ -79,7 +79,7 @@
 	expect.Expect(guard.Reports()).To(gomega.HaveLen(1))
 	expect.Expect(guard.Admit(start, poison, 2)).To(gomega.Equal(quarantine.Run))
 	expect.Expect(guard.Admit(start, poison, 4)).To(gomega.Equal(quarantine.Wait))
-	report := guard.TargetDied(start)
+	report, _ := guard.TargetDied(start, 2)
 	expect.Expect(report.Fingerprints).To(gomega.ConsistOf(poison))
 	expect.Expect(guard.Waiting()).To(gomega.ConsistOf(quarantine.Ticket(4)))
 	expect.Expect(guard.Admit(start, poison, 4)).To(gomega.Equal(quarantine.Refuse))
@@ -93,9 +93,33 @@
 	guard.Finish(start, 1, true)
 	guard.Admit(start, innocent, 2)
 	guard.Admit(start, poison, 3)
-	expect.Expect(guard.TargetDied(start).Fingerprints).To(gomega.ConsistOf(poison))
+	report, _ := guard.TargetDied(start, 3)
+	expect.Expect(report.Fingerprints).To(gomega.ConsistOf(poison))
 	guard.Admit(start, innocent, 4)
-	expect.Expect(guard.TargetDied(start).Fingerprints).To(gomega.ConsistOf(innocent))
+	report, _ = guard.TargetDied(start, 4)
+	expect.Expect(report.Fingerprints).To(gomega.ConsistOf(innocent))
+}
+
+func TestOneDeathIsCountedOnce(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	guard := newGuard("a", "norte-1")
+	guard.Admit(start, poison, 1)
+	guard.Admit(start, innocent, 2)
+	_, first := guard.TargetDied(start, 1)
+	guard.Admit(start, innocent, 3)
+	_, second := guard.TargetDied(start, 2)
+	expect.Expect(first).To(gomega.BeTrue())
+	expect.Expect(second).To(gomega.BeFalse())
+	expect.Expect(guard.Judge(start, innocent).Verdict).To(gomega.Equal(quarantine.Alone))
+}
+
+func TestRequestWithoutFingerprintIsNoSuspect(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	guard := newGuard("a", "norte-1")
+	guard.Admit(start, 0, 1)
+	report, ok := guard.TargetDied(start, 1)
+	expect.Expect(ok).To(gomega.BeTrue())
+	expect.Expect(report.Fingerprints).To(gomega.BeEmpty())
 }
 
 func TestResendKeepsTheHoldUp(t *testing.T) {
--- a/internal/core/quarantine/property_test.go
+++ b/internal/core/quarantine/property_test.go
@@ -178,7 +178,7 @@
 func (f *fleet) finish(index int) {
 	ended := f.running[index]
 	if ended.fingerprint == poison {
-		f.kill(ended.target)
+		f.kill(ended)
 		return
 	}
 	f.running = append(f.running[:index:index], f.running[index+1:]...)
@@ -213,11 +213,14 @@
 	return false
 }
 
-func (f *fleet) kill(target int) {
+func (f *fleet) kill(culprit run) {
+	target := culprit.target
 	f.alive[target] = false
 	f.crashed[f.targets[target].Place.Domain][f.targets[target].Node] = true
-	report := f.owners[target].guard.TargetDied(f.now)
-	f.broadcast(message{report: &report})
+	report, known := f.owners[target].guard.TargetDied(f.now, culprit.ticket)
+	if known {
+		f.broadcast(message{report: &report})
+	}
 	f.broadcast(message{list: f.list()})
 	kept := f.running[:0:0]
 	for _, lost := range f.running {
--- a/internal/core/quarantine/target.go
+++ b/internal/core/quarantine/target.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	delete(g.inFlight, ticket)
-	if completed {
+	if completed && fingerprint != 0 {
 		g.finished.add(fingerprint)
 	}
 	if completed && g.find(now, fingerprint) != nil {
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -263,6 +263,6 @@
 		refusal.Outcome = request.Unknown
 		return refusal
 	}
-	ar.node.checkTarget()
+	ar.node.checkTarget(ar.work.Call)
 	return web.NewRefusal(request.TargetDied, "")
 }
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -156,7 +156,7 @@
 		return web.NewRefusal(request.BodyTooLarge, "a call that may not be repeated takes a small body only")
 	}
 	og.body = body
-	og.fingerprint = fingerprint(og.kind.Name, og.path, incoming.Header.Get(web.HeaderIdempotencyKey), body.held)
+	og.fingerprint = fingerprint(og.kind.Name, og.path, incoming.Header.Get(web.HeaderIdempotencyKey), body)
 	return nil
 }
 
--- a/internal/node/suspect.go
+++ b/internal/node/suspect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,14 +16,17 @@
 
 const probeTimeout = 200 * time.Millisecond
 
-// fingerprint is a hash over kind, path, idempotency key and a small body.
-func fingerprint(kind request.KindName, path, key string, body []byte) request.Fingerprint {
+// fingerprint is a hash over kind, path, idempotency key and body; of a large
+// body, which is not read yet, only the length and what is held count.
+func fingerprint(kind request.KindName, path, key string, body *callBody) request.Fingerprint {
 	hash := xxhash.New()
 	for _, part := range []string{string(kind), path, key} {
 		_, _ = hash.WriteString(part)
 		_, _ = hash.Write([]byte{0})
 	}
-	_, _ = hash.Write(body)
+	_, _ = hash.WriteString(strconv.FormatInt(body.length, 10))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write(body.held)
 	return request.Fingerprint(hash.Sum64())
 }
 
@@ -75,15 +79,19 @@
 }
 
 // checkTarget makes suspects of all calls in flight when the target's process
-// is gone. A target that only broke one connection is still there.
-func (no *Node) checkTarget() {
+// is gone. A target that only broke one connection is still there. The call is
+// one that the target had.
+func (no *Node) checkTarget(call request.CallID) {
 	conn, err := net.DialTimeout("tcp", no.Target.Address, probeTimeout)
 	if err == nil {
 		_ = conn.Close()
 		return
 	}
+	report, first := no.Guard.TargetDied(time.Now(), quarantine.Ticket(call))
+	if !first {
+		return
+	}
 	no.counters.deaths.Inc()
-	report := no.Guard.TargetDied(time.Now())
 	no.suspects.wake(no.Guard.Waiting())
 	if no.OnReport != nil && len(report.Fingerprints) > 0 {
 		no.OnReport(report)
