--- a/internal/core/quorum/events_test.go
+++ b/internal/core/quorum/events_test.go
@@ -13,7 +13,7 @@
 	kind := run.draw.IntN(100)
 	switch {
 	case kind < 6:
-		run.calm()
+		run.calm(run.draw.IntN(3) == 0)
 	case kind < 62:
 		run.deliver()
 	case kind < 78:
@@ -30,23 +30,28 @@
 			run.start(host)
 		}
 	case kind < 87:
-		run.propose(host)
+		run.propose(run.preferLeader(host))
 	case kind < 91:
-		run.read(host)
+		run.read(run.preferLeader(host))
 	case kind < 93:
 		run.snapshot(host)
 	case kind < 97:
 		run.change()
+	case kind == 97 && run.draw.IntN(2) == 0:
+		run.queue = append(run.queue, run.late...)
+		run.late = nil
 	case kind == 97:
-		run.cutLinks(host)
+		run.cutLinks(run.preferLeader(host))
 	case kind == 98:
 		clear(run.cut)
-	case run.draw.IntN(3) == 0:
+	case run.draw.IntN(2) == 0:
 		run.loseDisk(host)
 	case host.up:
 		run.crash(host)
 	}
-	run.pump(host, true)
+	for _, host := range run.hosts {
+		run.pump(host, true)
+	}
 }
 
 // deliver takes one message out of the queue, in any order. Most arrive; some
@@ -56,7 +61,7 @@
 		run.tick()
 		return
 	}
-	at := run.draw.IntN(min(len(run.queue), 12))
+	at := run.draw.IntN(len(run.queue))
 	message := run.queue[at]
 	fate := run.draw.IntN(20)
 	if fate != 0 {
@@ -77,6 +82,19 @@
 	run.pump(target, faults)
 }
 
+// preferLeader gives half of the time a host that takes itself for the leader.
+func (run *history) preferLeader(host *host) *host {
+	if run.draw.IntN(2) == 0 {
+		return host
+	}
+	for _, other := range run.hosts {
+		if other.up && other.replica.Status().Role == quorum.Leader {
+			return other
+		}
+	}
+	return host
+}
+
 func (run *history) find(id quorum.ReplicaID) *host { return run.hosts[id-1] }
 
 func (run *history) tick() {
@@ -202,7 +220,7 @@
 	}
 	target := quorum.Index(0)
 	for round := range 300 {
-		run.calm()
+		run.calm(false)
 		if round%30 == 29 {
 			target = 0 // its leader may have been deposed
 		}
@@ -219,7 +237,8 @@
 	run.check(false, "the replicas do not come to rest")
 }
 
-func (run *history) calm() {
+// calm delivers in order; with late, some messages stay for a later time.
+func (run *history) calm(late bool) {
 	for _, host := range run.hosts {
 		if host.up {
 			host.replica.Tick()
@@ -230,6 +249,10 @@
 		arriving := run.queue
 		run.queue = nil
 		for _, message := range arriving {
+			if late && run.draw.IntN(4) == 0 {
+				run.late = append(run.late, message)
+				continue
+			}
 			run.arrive(message, false)
 		}
 	}
--- a/internal/core/quorum/history_test.go
+++ b/internal/core/quorum/history_test.go
@@ -87,17 +87,20 @@
 
 // history drives hosts over a queue that loses, doubles, delays and reorders.
 type history struct {
-	draw   chooser
-	hosts  []*host
-	queue  []*quorumpb.Message
-	cut    map[link]bool
-	model  model
-	reads  map[quorum.RequestID]askedRead
-	nextID quorum.ReplicaID
-	number uint64
-	floor  quorum.Index
-	fault  error
-	seen   seen
+	draw  chooser
+	hosts []*host
+	queue []*quorumpb.Message
+	late  []*quorumpb.Message
+	// crashOdds is one crash in so many outputs.
+	crashOdds int
+	cut       map[link]bool
+	model     model
+	reads     map[quorum.RequestID]askedRead
+	nextID    quorum.ReplicaID
+	number    uint64
+	floor     quorum.Index
+	fault     error
+	seen      seen
 	// skipSync is a broken disk that forgets the last entries at a crash.
 	skipSync bool
 	seed     uint64
@@ -108,6 +111,7 @@
 		draw: draw, cut: map[link]bool{}, reads: map[quorum.RequestID]askedRead{}, nextID: 1, seed: seed,
 		model: model{accepted: make([]quorum.Entry, 1), after: make([]machine, 1)},
 	}
+	run.crashOdds = [...]int{30, 200, 1000}[draw.IntN(3)]
 	var members []quorum.Member
 	for range size {
 		members = append(members, quorum.Member{ID: run.nextID})
@@ -174,13 +178,13 @@
 		if faults && run.draw.IntN(8) == 0 {
 			return // stored later, other events come between
 		}
-		if faults && run.draw.IntN(800) == 0 {
+		if faults && run.draw.IntN(run.crashOdds) == 0 {
 			run.crash(host) // nothing of the output was stored
 			return
 		}
 		output := *host.pending
 		run.store(host, output)
-		if faults && run.draw.IntN(800) == 0 {
+		if faults && run.draw.IntN(run.crashOdds) == 0 {
 			run.crash(host) // stored, but nobody heard of it
 			return
 		}
--- /dev/null
+++ b/internal/port/doc.go
@@ -0,0 +1,2 @@
+// Package port holds the interfaces between the cores and the world outside.
+package port
