--- /dev/null
+++ b/internal/node/inbound.go
@@ -0,0 +1,268 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/admission"
+	"github.com/magnoliawall/magnoliawall/internal/core/drain"
+	"github.com/magnoliawall/magnoliawall/internal/core/retry"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// loadUnit is the load of a target that is just full, as peers report it.
+const loadUnit = 1000
+
+// arrival is a call from a peer for the local target.
+type arrival struct {
+	node    *Node
+	inbound *peer.Inbound
+	kind    *configuration.CompiledKind
+	work    request.Work
+	root    *root
+	// fingerprint names the request where it crashes targets.
+	fingerprint request.Fingerprint
+	unspent     retry.Allowance
+	left        bool
+	// onceBody is the body of a call that may not be repeated.
+	onceBody []byte
+}
+
+// serveCall serves one call of a peer.
+func (no *Node) serveCall(ctx context.Context, inbound *peer.Inbound) {
+	now := time.Now()
+	no.counters.inbound.Inc()
+	ar, refusal := no.arrive(inbound, now)
+	if refusal != nil {
+		ar.refuse(refusal)
+		return
+	}
+	if code := no.Drain.Enter(drain.Ticket(ar.work.Call)); code != request.OK {
+		ar.refuse(web.NewRefusal(code, ""))
+		return
+	}
+	defer no.Drain.Leave(drain.Ticket(ar.work.Call))
+	ctx, cancel := context.WithDeadline(ctx, ar.work.Deadline)
+	defer cancel()
+	ar.root = no.roots.enter(ar.work, inbound.Header.GetDepth(), retry.Allowance(inbound.Header.GetAllowance()), now)
+	defer ar.leave()
+	if ar.kind.Repeat == request.Once {
+		ar.serveOnce(ctx)
+		return
+	}
+	ar.serveRepeatable(ctx)
+}
+
+func (no *Node) arrive(inbound *peer.Inbound, now time.Time) (*arrival, *web.Refusal) {
+	header := inbound.Header
+	ar := &arrival{node: no, inbound: inbound, unspent: retry.Allowance(header.GetAllowance())}
+	if request.ServiceName(header.GetService()) != no.Service {
+		return ar, web.NewRefusal(request.TargetUnreachable, "this node has no target of "+header.GetService())
+	}
+	kind, ok := no.Configuration.Current().Matcher.Kind(request.KindName(header.GetKind()))
+	if !ok {
+		return ar, web.NewRefusal(request.UnknownKind, header.GetKind())
+	}
+	ar.kind = kind
+	ar.work = request.Work{
+		Call:     no.nextCall(),
+		RootKind: request.KindName(header.GetRootKind()),
+		Kind:     kind.Name,
+		Priority: request.Priority(min(header.GetPriority(), uint32(request.MaxPriority))),
+		Spent:    time.Duration(header.GetSpentUs()) * time.Microsecond,
+		Deadline: now.Add(time.Duration(header.GetRemainingUs()) * time.Microsecond),
+	}
+	copy(ar.work.Root[:], header.GetRoot())
+	ar.fingerprint = request.Fingerprint(header.GetFingerprint())
+	return ar, nil
+}
+
+// leave ends the root's call here, once.
+func (ar *arrival) leave() {
+	if ar.left || ar.root == nil {
+		return
+	}
+	ar.left = true
+	ar.unspent = ar.node.roots.leave(ar.root)
+}
+
+// report is what goes back with each answer.
+func (ar *arrival) report() *peerpb.Report {
+	ar.leave()
+	current := ar.node.traffic.gauge(time.Now(), ar.work.RootKind)
+	return &peerpb.Report{
+		Level:    uint32(current.level),
+		Load:     uint32((current.running + current.waiting) * loadUnit / max(current.limit, 1)),
+		Unspent:  uint32(ar.unspent),
+		Draining: ar.node.draining(),
+	}
+}
+
+func (ar *arrival) refuse(refusal *web.Refusal) {
+	count(ar.node.counters.below, refusal.Code)
+	header := &peerpb.AnswerHeader{
+		Status:       uint32(request.Describe(refusal.Code).Status),
+		Code:         uint32(refusal.Code),
+		Outcome:      uint32(refusal.Outcome),
+		RetryAfterMs: refusal.RetryAfter.Milliseconds(),
+		Claimed:      refusal.Claimed,
+	}
+	_ = ar.inbound.Answer(header, nil, ar.report)
+}
+
+func (ar *arrival) serveRepeatable(ctx context.Context) {
+	if refusal := ar.admitAll(ctx); refusal != nil {
+		ar.refuse(refusal)
+		return
+	}
+	ar.finishSuspect(ar.run(ctx))
+}
+
+// admitAll asks the gate and, for a place at the target, the guard. The call is
+// in flight at the target only after both.
+func (ar *arrival) admitAll(ctx context.Context) *web.Refusal {
+	if refusal := ar.admit(ctx); refusal != nil {
+		return refusal
+	}
+	refusal := ar.admitSuspect(ctx)
+	if refusal != nil {
+		ar.node.traffic.cancel(time.Now(), ar.work.Call)
+	}
+	return refusal
+}
+
+// admit waits for the gate's consent.
+func (ar *arrival) admit(ctx context.Context) *web.Refusal {
+	traffic := ar.node.traffic
+	decision, wake := traffic.arrive(time.Now(), ar.work)
+	if decision.Verdict == admission.Wait {
+		select {
+		case decision = <-wake:
+		case <-ctx.Done():
+			traffic.cancel(time.Now(), ar.work.Call)
+			return leftRefusal(ctx)
+		}
+	}
+	if decision.Verdict == admission.Admit {
+		return nil
+	}
+	refusal := web.NewRefusal(decision.Code, "")
+	if decision.RetryAfter > 0 {
+		refusal.RetryAfter = decision.RetryAfter
+	}
+	return refusal
+}
+
+// leftRefusal names why a call ended before it was handed to the target.
+func leftRefusal(ctx context.Context) *web.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return web.NewRefusal(request.DeadlineTooClose, "")
+	}
+	return web.NewRefusal(request.CallerLeft, "")
+}
+
+// run hands the admitted call to the target and passes its answer on. It tells
+// whether the target answered as a whole.
+func (ar *arrival) run(ctx context.Context) bool {
+	visit := ar.begin(ar.root)
+	response, err := ar.node.Target.Send(ctx, ar.targetCall())
+	if err != nil {
+		visit.end(admission.Failed)
+		ar.refuse(ar.targetFailure(ctx, err))
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	header := &peerpb.AnswerHeader{
+		Status:     uint32(response.StatusCode),
+		Headers:    web.EncodeHeaders(response.Header),
+		BodyLength: response.ContentLength,
+	}
+	report := func() *peerpb.Report {
+		visit.end(resultOf(response))
+		return ar.report()
+	}
+	err = ar.inbound.Answer(header, response.Body, report)
+	visit.end(admission.Failed)
+	return err == nil
+}
+
+func resultOf(response *http.Response) admission.Result {
+	if response.StatusCode >= http.StatusInternalServerError {
+		return admission.Failed
+	}
+	return admission.Succeeded
+}
+
+// visit is the time of an admitted call at the target.
+type visit struct {
+	arrival     *arrival
+	root        *root
+	started     time.Time
+	belowBefore time.Duration
+	ended       bool
+}
+
+func (ar *arrival) begin(root *root) *visit {
+	below, _ := root.waited()
+	return &visit{arrival: ar, root: root, started: time.Now(), belowBefore: below}
+}
+
+// end frees the call's place at the target, once.
+func (vi *visit) end(result admission.Result) {
+	if vi.ended {
+		return
+	}
+	vi.ended = true
+	now := time.Now()
+	below, refused := vi.root.waited()
+	if result == admission.Failed && refused {
+		result = admission.RefusedBelow
+	}
+	vi.arrival.node.traffic.finish(now, vi.arrival.work.Call, admission.Sample{
+		Latency: now.Sub(vi.started),
+		Below:   below - vi.belowBefore,
+		Result:  result,
+	})
+}
+
+func (ar *arrival) targetCall() web.TargetCall {
+	header := ar.inbound.Header
+	headers := make(http.Header, len(header.GetHeaders())+2)
+	web.DecodeHeaders(headers, header.GetHeaders())
+	headers.Set(web.HeaderTraceparent, web.FormatTraceparent(ar.work.Root, ar.work.Call))
+	headers.Set(web.HeaderDeadline, time.Until(ar.work.Deadline).Round(time.Microsecond).String())
+	return web.TargetCall{
+		Method:     header.GetMethod(),
+		Path:       header.GetPath(),
+		Host:       string(ar.node.Service),
+		Headers:    headers,
+		Body:       ar.bodyReader(),
+		BodyLength: header.GetBodyLength(),
+	}
+}
+
+func (ar *arrival) targetFailure(ctx context.Context, err error) *web.Refusal {
+	sent := &web.SentError{}
+	if !errors.As(err, &sent) {
+		if ctx.Err() != nil {
+			return leftRefusal(ctx)
+		}
+		return web.NewRefusal(request.TargetUnreachable, "")
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return web.NewRefusal(request.DeadlinePassed, "")
+	case ctx.Err() != nil:
+		refusal := web.NewRefusal(request.CallerLeft, "")
+		refusal.Outcome = request.Unknown
+		return refusal
+	}
+	ar.node.checkTarget()
+	return web.NewRefusal(request.TargetDied, "")
+}
