--- /dev/null
+++ b/internal/adapter/certificate/files.go
@@ -0,0 +1,230 @@
+// Package certificate secures the peer and operators' ports by mutual TLS from
+// files, and makes a site's own authority and certificates.
+//
+// A certificate names its process in the common name and its [Role] in the
+// organizational unit. A port takes only the roles it is for: no operator's
+// certificate opens a peer port. The files are read again when they change,
+// without a restart; connections that stand go on.
+//
+// # Usage
+//
+//	files := &certificate.Files{Authority: "authority.pem", Certificate: "node.pem", Key: "node.key"}
+//	if err := files.Load(); err != nil {
+//		return err
+//	}
+//	listener = tls.NewListener(listener, files.Server(certificate.RoleNode))
+//	conn = tls.Client(conn, files.Client(certificate.RoleNode))
+package certificate
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Role says what a certificate is for.
+type Role string
+
+// The roles.
+const (
+	RoleNode     Role = "node"
+	RoleOperator Role = "operator"
+)
+
+const reloadInterval = time.Second
+
+// ErrRole tells that a certificate is for another role.
+var ErrRole = errors.New("certificate is for another role")
+
+// Files names the files of one process. The exported fields are set before
+// Load.
+type Files struct {
+	// Authority holds the certificates of the site's authorities.
+	Authority   string
+	Certificate string
+	Key         string
+	// Now gives the time; nil means the clock.
+	Now func() time.Time
+
+	lock    sync.Mutex
+	loaded  *identity
+	checked time.Time
+	changed [3]time.Time
+	// Failed is the error of the last reload that failed; the files of before
+	// stay in use.
+	failed error
+}
+
+type identity struct {
+	pair  tls.Certificate
+	roots *x509.CertPool
+}
+
+// Load reads the files for the first time.
+func (fi *Files) Load() error {
+	fi.lock.Lock()
+	defer fi.lock.Unlock()
+	changed, err := fi.times()
+	if err != nil {
+		return err
+	}
+	loaded, err := fi.read()
+	if err != nil {
+		return err
+	}
+	fi.loaded = loaded
+	fi.changed = changed
+	fi.checked = fi.now()
+	return nil
+}
+
+// Failed gives the error of the last reload, or nil.
+func (fi *Files) Failed() error {
+	fi.lock.Lock()
+	defer fi.lock.Unlock()
+	return fi.failed
+}
+
+// Server gives the settings of a port that takes the roles.
+func (fi *Files) Server(roles ...Role) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		ClientAuth: tls.RequireAnyClientCert,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &fi.current().pair, nil
+		},
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return fi.verify(state, x509.ExtKeyUsageClientAuth, roles)
+		},
+	}
+}
+
+// Client gives the settings of a connection to a process of the role. The
+// process is known by its certificate, not by its address.
+func (fi *Files) Client(role Role) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		// The chain and the role are verified below; host names are not used.
+		InsecureSkipVerify: true,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &fi.current().pair, nil
+		},
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return fi.verify(state, x509.ExtKeyUsageServerAuth, []Role{role})
+		},
+	}
+}
+
+func (fi *Files) verify(state tls.ConnectionState, usage x509.ExtKeyUsage, roles []Role) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("the other side sent no certificate; name its files in its settings")
+	}
+	intermediates := x509.NewCertPool()
+	for _, one := range state.PeerCertificates[1:] {
+		intermediates.AddCert(one)
+	}
+	leaf := state.PeerCertificates[0]
+	_, err := leaf.Verify(x509.VerifyOptions{
+		Roots:         fi.current().roots,
+		Intermediates: intermediates,
+		CurrentTime:   fi.now(),
+		KeyUsages:     []x509.ExtKeyUsage{usage},
+	})
+	if err != nil {
+		return fmt.Errorf("certificate of %q is refused: %w", leaf.Subject.CommonName, explain(err))
+	}
+	return checkRole(leaf, roles)
+}
+
+func checkRole(leaf *x509.Certificate, roles []Role) error {
+	for _, unit := range leaf.Subject.OrganizationalUnit {
+		if slices.Contains(roles, Role(unit)) {
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: %q is for %v, not for %v", ErrRole, leaf.Subject.CommonName, leaf.Subject.OrganizationalUnit, roles)
+}
+
+// explain adds what to do to the usual errors.
+func explain(err error) error {
+	invalid := x509.CertificateInvalidError{}
+	if errors.As(err, &invalid) && invalid.Reason == x509.Expired {
+		return fmt.Errorf("it is expired or not valid yet, issue a new one: %w", err)
+	}
+	foreign := x509.UnknownAuthorityError{}
+	if errors.As(err, &foreign) {
+		return fmt.Errorf("it is from another authority, issue one from this site's: %w", err)
+	}
+	return err
+}
+
+// current gives the identity, after a look at the files at most once a second.
+func (fi *Files) current() *identity {
+	fi.lock.Lock()
+	defer fi.lock.Unlock()
+	now := fi.now()
+	if now.Sub(fi.checked) < reloadInterval {
+		return fi.loaded
+	}
+	fi.checked = now
+	changed, err := fi.times()
+	if err != nil {
+		fi.failed = err
+		return fi.loaded
+	}
+	if changed == fi.changed {
+		return fi.loaded
+	}
+	fi.reload(changed)
+	return fi.loaded
+}
+
+func (fi *Files) reload(changed [3]time.Time) {
+	loaded, err := fi.read()
+	fi.failed = err
+	if err != nil {
+		return
+	}
+	fi.loaded = loaded
+	fi.changed = changed
+}
+
+func (fi *Files) read() (*identity, error) {
+	pair, err := tls.LoadX509KeyPair(fi.Certificate, fi.Key)
+	if err != nil {
+		return nil, fmt.Errorf("read certificate %s with key %s: %w", fi.Certificate, fi.Key, err)
+	}
+	text, err := os.ReadFile(fi.Authority)
+	if err != nil {
+		return nil, fmt.Errorf("read authority: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(text) {
+		return nil, fmt.Errorf("authority %s holds no certificate in PEM form", fi.Authority)
+	}
+	return &identity{pair: pair, roots: roots}, nil
+}
+
+func (fi *Files) times() ([3]time.Time, error) {
+	times := [3]time.Time{}
+	for index, name := range []string{fi.Authority, fi.Certificate, fi.Key} {
+		info, err := os.Stat(name)
+		if err != nil {
+			return times, fmt.Errorf("look at certificate file: %w", err)
+		}
+		times[index] = info.ModTime()
+	}
+	return times, nil
+}
+
+func (fi *Files) now() time.Time {
+	if fi.Now == nil {
+		return time.Now()
+	}
+	return fi.Now()
+}
--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -55,7 +55,10 @@
 	ClientTLS *tls.Config
 	// Dial opens a connection; nil means TCP.
 	Dial   func(ctx context.Context, address Address) (net.Conn, error)
-	Logger *log.Logger
+	// Identify checks that a secured connection belongs to the node that its
+	// hello names; nil checks nothing.
+	Identify func(state tls.ConnectionState, hello Hello) error
+	Logger   *log.Logger
 
 	lock     sync.Mutex
 	sessions map[Address]*session
@@ -93,7 +96,7 @@
 	if tr.ServerTLS != nil {
 		conn = tls.Server(conn, tr.ServerTLS)
 	}
-	remote, err := exchangeHello(conn, tr.Self)
+	remote, err := tr.greet(conn)
 	if err != nil {
 		tr.warn(err, conn)
 		_ = conn.Close()
@@ -271,7 +274,7 @@
 	if err != nil {
 		return nil, Hello{}, err
 	}
-	remote, err := exchangeHello(conn, tr.Self)
+	remote, err := tr.greet(conn)
 	if err != nil {
 		_ = conn.Close()
 		return nil, Hello{}, err
@@ -305,6 +308,18 @@
 	return dialer.DialContext(ctx, "tcp", string(address))
 }
 
+func (tr *Transport) greet(conn net.Conn) (Hello, error) {
+	remote, err := exchangeHello(conn, tr.Self)
+	if err != nil {
+		return Hello{}, err
+	}
+	secured, ok := conn.(*tls.Conn)
+	if !ok || tr.Identify == nil {
+		return remote, nil
+	}
+	return remote, tr.Identify(secured.ConnectionState(), remote)
+}
+
 func (tr *Transport) forgetWhenClosed(address Address, current *session) {
 	<-current.mux.CloseChan()
 	tr.forget(address, current)
