Give a process's node and replica subscriptions of their own

Cause: a process may hold both a node and a replica under one id; the second subscription would have replaced the first.

Change: node and replica subscribers are told apart; the messages and the logic of both ends of the registry protocol stand, without their goroutines.

--- /dev/null
+++ b/internal/adapter/registry/agent.go
@@ -0,0 +1,213 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/choice"
+	"github.com/magnoliawall/magnoliawall/internal/core/membership"
+	pb "github.com/magnoliawall/magnoliawall/internal/core/membership/membershippb"
+	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
+	"github.com/magnoliawall/magnoliawall/internal/core/spread"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// Events are what a node is told; a nil function is not called. They are
+// called by the one goroutine of Run, in order.
+type Events struct {
+	// Targets gets the whole list of a service that changed.
+	Targets func(now time.Time, view choice.View)
+	// Configuration gets each version that is in force from now on.
+	Configuration func(number configuration.Version, text []byte)
+	// Reports gets what other nodes report of crashing requests.
+	Reports func(now time.Time, report quarantine.Report)
+	// Problem gets what an operator should know of.
+	Problem func(problem string, err error)
+}
+
+// agent answers the messages of a replica for one node.
+type agent struct {
+	self     membership.Announcement
+	view     *membership.View
+	follower *spread.Follower
+	events   Events
+
+	// granted is the end of the lease by this node's clock.
+	granted  time.Time
+	renewAt  time.Time
+	retryAt  time.Time
+	attached bool
+}
+
+// connected gives what the node sends first on a new stream.
+func (a *agent) connected(now time.Time) *pb.Request {
+	a.attached = true
+	a.retryAt = time.Time{}
+	a.granted = now.Add(membership.DefaultLeaseTime)
+	a.renewAt = now.Add(membership.DefaultRenewal)
+	a.view.Connected()
+	return &pb.Request{
+		Announce:  encodeAnnouncement(a.self),
+		Renew:     a.renewal(),
+		Subscribe: encodeSubscription(a.view.Subscription()),
+	}
+}
+
+// change announces another state or number of slots.
+func (a *agent) change(state membership.State, slots membership.Slots) *pb.Request {
+	a.self.State = state
+	a.self.Slots = slots
+	a.self.Sequence++
+	return &pb.Request{Announce: encodeAnnouncement(a.self)}
+}
+
+// tick renews the lease. It is called several times a second.
+func (a *agent) tick(now time.Time) *pb.Request {
+	a.enforced(a.follower.Tick(now))
+	if !a.attached || now.Before(a.renewAt) {
+		return nil
+	}
+	a.renewAt = now.Add(membership.DefaultRenewal)
+	if !a.retryAt.IsZero() {
+		if now.Before(a.retryAt) {
+			return nil
+		}
+		a.retryAt = time.Time{}
+		return &pb.Request{Announce: encodeAnnouncement(a.self)}
+	}
+	return &pb.Request{Renew: a.renewal()}
+}
+
+// silent says whether the replica has let the lease run out.
+func (a *agent) silent(now time.Time) bool {
+	return a.attached && now.After(a.granted)
+}
+
+// receive takes in a message of the replica and gives the answer, if any.
+func (a *agent) receive(now time.Time, reply *pb.Reply) *pb.Request {
+	answer := &pb.Request{}
+	for _, report := range decodeReports(reply.GetReports()) {
+		if a.events.Reports != nil {
+			a.events.Reports(now, report)
+		}
+	}
+	resync := a.updates(now, reply.GetUpdates())
+	if reply.GetLease() != nil {
+		resync = a.lease(now, decodeLease(reply.GetLease()), answer) || resync
+	}
+	if reply.GetVersion() != nil {
+		a.version(now, decodeVersion(reply.GetVersion()), answer)
+	}
+	if resync {
+		answer.Subscribe = encodeSubscription(a.view.Subscription())
+	}
+	if answer.Announce == nil && answer.Renew == nil && answer.Subscribe == nil {
+		return nil
+	}
+	return answer
+}
+
+func (a *agent) updates(now time.Time, messages []*pb.Update) bool {
+	resync := false
+	for _, message := range messages {
+		changed, again := a.view.Apply(now, decodeUpdate(message))
+		resync = resync || again
+		for _, service := range changed {
+			a.tell(now, service)
+		}
+	}
+	return resync
+}
+
+func (a *agent) tell(now time.Time, service request.ServiceName) {
+	if a.events.Targets != nil {
+		a.events.Targets(now, choice.View{Service: service, Targets: targetsOf(a.view.Records(service))})
+	}
+}
+
+func (a *agent) lease(now time.Time, lease membership.Lease, answer *pb.Request) bool {
+	switch {
+	case lease.Granted > 0:
+		a.granted = now.Add(lease.Granted)
+		return a.view.Check(lease)
+	case lease.Again && !a.retryAt.IsZero():
+		return false
+	case lease.Again:
+		a.rise(lease)
+		answer.Announce = encodeAnnouncement(a.self)
+	default:
+		a.granted = now.Add(membership.DefaultLeaseTime + lease.RetryAfter)
+		a.retryAt = now.Add(lease.RetryAfter)
+	}
+	return false
+}
+
+// rise puts the announcement above what the replica knows.
+func (a *agent) rise(lease membership.Lease) {
+	a.self.Incarnation = max(a.self.Incarnation, lease.Incarnation)
+	a.self.Sequence = max(a.self.Sequence, lease.Above) + 1
+}
+
+func (a *agent) version(now time.Time, update spread.Update, answer *pb.Request) {
+	result := a.follower.Apply(now, update)
+	a.enforced(result)
+	if result.Whole {
+		answer.Renew = &pb.Renewal{Incarnation: uint64(a.self.Incarnation), Sequence: uint64(a.self.Sequence)}
+		return
+	}
+	answer.Renew = a.renewal()
+}
+
+func (a *agent) enforced(result spread.Result) {
+	held := a.follower.Held()
+	if result.Changed && a.events.Configuration != nil {
+		a.events.Configuration(held.Number, a.follower.Text())
+	}
+	if a.events.Problem == nil {
+		return
+	}
+	if result.Conflict {
+		a.events.Problem("a replica has another text under the version in force", nil)
+	}
+	if result.Unusable != nil {
+		a.events.Problem("a newer version cannot be used", result.Unusable)
+	}
+}
+
+func (a *agent) renewal() *pb.Renewal {
+	held := a.follower.Held()
+	return &pb.Renewal{
+		Incarnation:   uint64(a.self.Incarnation),
+		Sequence:      uint64(a.self.Sequence),
+		Version:       uint64(held.Number),
+		VersionDigest: uint64(held.Digest),
+	}
+}
+
+func targetsOf(records []membership.Record) []choice.Target {
+	targets := make([]choice.Target, 0, len(records))
+	for _, record := range records {
+		if record.State == membership.Down {
+			continue
+		}
+		targets = append(targets, choice.Target{
+			Node:        record.Node,
+			Incarnation: choice.Incarnation(record.Incarnation),
+			Address:     record.Address,
+			Place:       record.Place,
+			Slots:       choice.Slots(record.Slots),
+			State:       stateOf(record.State),
+		})
+	}
+	return targets
+}
+
+func stateOf(state membership.State) choice.State {
+	switch state {
+	case membership.Cold:
+		return choice.Cold
+	case membership.Draining:
+		return choice.Draining
+	}
+	return choice.Ready
+}
--- /dev/null
+++ b/internal/adapter/registry/desk.go
@@ -0,0 +1,253 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/membership"
+	pb "github.com/magnoliawall/magnoliawall/internal/core/membership/membershippb"
+	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
+	"github.com/magnoliawall/magnoliawall/internal/core/spread"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+const (
+	reportsKept  = 1024
+	reportsTime  = quarantine.DefaultHold
+	beatInterval = time.Second
+	// offerAgain is when a version is offered again to a node that does not
+	// have it yet.
+	offerAgain = 2 * time.Second
+)
+
+// session is one stream that a node or another replica has opened.
+type session struct {
+	node    request.NodeID
+	domain  request.DomainName
+	replica bool
+	// lease is the incarnation whose lease this session holds.
+	lease   membership.Incarnation
+	held    spread.Held
+	offered spread.Held
+	offerAt time.Time
+	beatAt  time.Time
+	out     []*pb.Reply
+}
+
+func (s *session) send(reply *pb.Reply) {
+	s.out = append(s.out, reply)
+}
+
+// take gives what is to be written.
+func (s *session) take() []*pb.Reply {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+type keptReport struct {
+	report quarantine.Report
+	at     time.Time
+}
+
+// desk answers the messages of nodes and other replicas for one replica.
+type desk struct {
+	registry  *membership.Registry
+	publisher *spread.Publisher
+	tracker   *spread.Tracker
+	// confirmed says whether a quorum read has shown the newest version; nil
+	// says that none has.
+	confirmed func() bool
+
+	sessions map[*session]bool
+	reports  []keptReport
+}
+
+// open begins the session of a node or a replica.
+func (d *desk) open(node request.NodeID, domain request.DomainName) *session {
+	if d.sessions == nil {
+		d.sessions = map[*session]bool{}
+	}
+	opened := &session{node: node, domain: domain}
+	d.sessions[opened] = true
+	return opened
+}
+
+// close ends a session. The lease is shortened unless the node has already
+// come back on another stream.
+func (d *desk) close(now time.Time, ended *session) {
+	delete(d.sessions, ended)
+	for other := range d.sessions {
+		if other.node == ended.node && other.replica == ended.replica {
+			return
+		}
+	}
+	if ended.replica {
+		d.registry.UnsubscribeReplica(ended.node)
+		return
+	}
+	d.registry.Disconnected(now, ended.node)
+}
+
+// receive takes in a message. The reports go on before anything else, so that
+// no node gets a list without a dead target before it knows the suspects.
+func (d *desk) receive(now time.Time, from *session, message *pb.Request) {
+	d.passOn(now, from, decodeReports(message.GetReports()))
+	if message.GetJoin() {
+		d.join(now, from)
+	}
+	if message.GetAnnounce() != nil {
+		d.announce(now, from, decodeAnnouncement(message.GetAnnounce()))
+	}
+	if message.GetSubscribe() != nil {
+		update := d.registry.Subscribe(now, from.node, decodeSubscription(message.GetSubscribe()))
+		from.send(&pb.Reply{Updates: []*pb.Update{encodeUpdate(update)}})
+	}
+	if message.GetRenew() != nil {
+		d.note(now, from, message.GetRenew())
+	}
+	if message.GetRenew() != nil && message.GetAnnounce() == nil {
+		d.renew(now, from, message.GetRenew())
+	}
+	if message.GetLeave() {
+		d.registry.Release(now, from.node, from.lease)
+		d.tracker.Left(from.node)
+	}
+}
+
+func (d *desk) join(now time.Time, from *session) {
+	from.replica = true
+	update := d.registry.SubscribeReplica(now, from.node)
+	from.send(&pb.Reply{Reports: d.recent(now), Updates: []*pb.Update{encodeUpdate(update)}})
+}
+
+func (d *desk) announce(now time.Time, from *session, announcement membership.Announcement) {
+	announcement.Node = from.node
+	if from.lease == 0 {
+		from.send(&pb.Reply{Reports: d.recent(now)})
+	}
+	from.lease = announcement.Incarnation
+	from.send(&pb.Reply{Lease: encodeLease(d.registry.Register(now, announcement))})
+}
+
+func (d *desk) renew(now time.Time, from *session, renewal *pb.Renewal) {
+	incarnation, sequence := membership.Incarnation(renewal.GetIncarnation()), membership.Sequence(renewal.GetSequence())
+	from.send(&pb.Reply{Lease: encodeLease(d.registry.Renew(now, from.node, incarnation, sequence))})
+}
+
+// note takes in what a node has in force.
+func (d *desk) note(now time.Time, from *session, renewal *pb.Renewal) {
+	from.held = spread.Held{
+		Number: configuration.Version(renewal.GetVersion()),
+		Digest: spread.Digest(renewal.GetVersionDigest()),
+	}
+	d.tracker.Report(now, from.node, from.domain, from.held.Number)
+	if from.held != from.offered {
+		from.offerAt = time.Time{}
+	}
+	d.offer(now, from)
+}
+
+// offer brings a node to the newest version, and again when it doesn't follow.
+func (d *desk) offer(now time.Time, to *session) {
+	newest := d.publisher.Newest()
+	if to.replica || to.lease == 0 || to.held == newest {
+		return
+	}
+	if to.offered == newest && now.Sub(to.offerAt) < offerAgain {
+		return
+	}
+	update, ok := d.publisher.Offer(to.held, d.confirmed != nil && d.confirmed())
+	if !ok {
+		return
+	}
+	to.offered, to.offerAt = newest, now
+	to.send(&pb.Reply{Version: encodeVersion(update)})
+}
+
+// passOn brings reports of a node to all nodes and replicas, and those of a
+// replica to the nodes.
+func (d *desk) passOn(now time.Time, from *session, reports []quarantine.Report) {
+	if len(reports) == 0 {
+		return
+	}
+	d.keep(now, reports)
+	for to := range d.sessions {
+		if to == from {
+			continue
+		}
+		to.send(&pb.Reply{Reports: encodeReports(reports)})
+	}
+}
+
+// fromReplica takes in what another replica, to which this one has joined,
+// sends, and says whether to join again.
+func (d *desk) fromReplica(now time.Time, replica request.NodeID, reply *pb.Reply) bool {
+	reports := decodeReports(reply.GetReports())
+	d.keep(now, reports)
+	for to := range d.sessions {
+		if len(reports) > 0 && !to.replica {
+			to.send(&pb.Reply{Reports: encodeReports(reports)})
+		}
+	}
+	again := false
+	for _, message := range reply.GetUpdates() {
+		again = d.registry.ApplyReplica(now, replica, decodeUpdate(message)) || again
+	}
+	if beat := reply.GetBeat(); beat != nil {
+		d.tracker.Merge(now, replica, decodeDomains(beat.GetDomains()))
+		again = d.registry.Heard(now, replica, membership.Epoch(beat.GetEpoch()), membership.Sequence(beat.GetSent())) || again
+	}
+	return again
+}
+
+// tick ends leases and sends what has changed since the last tick.
+func (d *desk) tick(now time.Time) {
+	d.registry.Tick(now)
+	for to := range d.sessions {
+		for _, update := range d.due(now, to) {
+			to.send(&pb.Reply{Updates: []*pb.Update{encodeUpdate(update)}})
+		}
+		d.offer(now, to)
+		if to.replica && now.Sub(to.beatAt) >= beatInterval {
+			to.beatAt = now
+			d.beat(now, to)
+		}
+	}
+}
+
+func (d *desk) due(now time.Time, to *session) []membership.Update {
+	if to.replica {
+		return d.registry.PullReplica(now, to.node)
+	}
+	return d.registry.Pull(now, to.node)
+}
+
+func (d *desk) beat(now time.Time, to *session) {
+	epoch, sent := d.registry.PositionReplica(to.node)
+	to.send(&pb.Reply{Beat: &pb.Beat{
+		Epoch:   uint64(epoch),
+		Sent:    uint64(sent),
+		Domains: encodeDomains(d.tracker.Summary(now)),
+	}})
+}
+
+// keep remembers reports for nodes and replicas that connect later.
+func (d *desk) keep(now time.Time, reports []quarantine.Report) {
+	for _, report := range reports {
+		d.reports = append(d.reports, keptReport{report: report, at: now})
+	}
+	if excess := len(d.reports) - reportsKept; excess > 0 {
+		d.reports = append([]keptReport(nil), d.reports[excess:]...)
+	}
+}
+
+func (d *desk) recent(now time.Time) []*pb.Report {
+	var reports []quarantine.Report
+	for _, kept := range d.reports {
+		if now.Sub(kept.at) < reportsTime {
+			reports = append(reports, kept.report)
+		}
+	}
+	return encodeReports(reports)
+}
--- /dev/null
+++ b/internal/adapter/registry/versions.go
@@ -0,0 +1,112 @@
+package registry
+
+import (
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	pb "github.com/magnoliawall/magnoliawall/internal/core/membership/membershippb"
+	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
+	"github.com/magnoliawall/magnoliawall/internal/core/spread"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+func encodeReports(reports []quarantine.Report) []*pb.Report {
+	var encoded []*pb.Report
+	for _, report := range reports {
+		message := &pb.Report{
+			Event:       uint32(report.Event),
+			Node:        string(report.Crash.Node),
+			Domain:      string(report.Crash.Domain),
+			Incarnation: uint64(report.Crash.Incarnation),
+		}
+		for _, fingerprint := range report.Fingerprints {
+			message.Fingerprints = append(message.Fingerprints, uint64(fingerprint))
+		}
+		encoded = append(encoded, message)
+	}
+	return encoded
+}
+
+func decodeReports(messages []*pb.Report) []quarantine.Report {
+	var reports []quarantine.Report
+	for _, message := range messages {
+		report := quarantine.Report{
+			Event: quarantine.Event(message.GetEvent()),
+			Crash: quarantine.Crash{
+				Node:        request.NodeID(message.GetNode()),
+				Domain:      request.DomainName(message.GetDomain()),
+				Incarnation: quarantine.Incarnation(message.GetIncarnation()),
+			},
+		}
+		for _, fingerprint := range message.GetFingerprints() {
+			report.Fingerprints = append(report.Fingerprints, request.Fingerprint(fingerprint))
+		}
+		reports = append(reports, report)
+	}
+	return reports
+}
+
+func encodeVersion(update spread.Update) *pb.Version {
+	encoded := &pb.Version{
+		Base:       uint64(update.Base.Number),
+		BaseDigest: uint64(update.Base.Digest),
+		Number:     uint64(update.Number),
+		Text:       update.Text,
+		Digest:     uint64(update.Digest),
+		Confirmed:  update.Confirmed,
+	}
+	for _, step := range update.Steps {
+		encoded.Steps = append(encoded.Steps, &pb.Step{Number: uint64(step.Number), Patch: step.Patch, Digest: uint64(step.Digest)})
+	}
+	return encoded
+}
+
+func decodeVersion(message *pb.Version) spread.Update {
+	update := spread.Update{
+		Base:      spread.Held{Number: configuration.Version(message.GetBase()), Digest: spread.Digest(message.GetBaseDigest())},
+		Number:    configuration.Version(message.GetNumber()),
+		Text:      message.GetText(),
+		Digest:    spread.Digest(message.GetDigest()),
+		Confirmed: message.GetConfirmed(),
+	}
+	for _, step := range message.GetSteps() {
+		update.Steps = append(update.Steps, spread.Step{
+			Number: configuration.Version(step.GetNumber()),
+			Patch:  step.GetPatch(),
+			Digest: spread.Digest(step.GetDigest()),
+		})
+	}
+	return update
+}
+
+func encodeDomains(domains []spread.DomainStatus) []*pb.Domain {
+	var encoded []*pb.Domain
+	for _, domain := range domains {
+		message := &pb.Domain{Name: string(domain.Domain), OutOfReach: domain.OutOfReach}
+		for _, counted := range domain.Versions {
+			message.Versions = append(message.Versions, &pb.VersionCount{Number: uint64(counted.Number), Nodes: uint32(counted.Nodes)})
+		}
+		for _, node := range domain.Silent {
+			message.Silent = append(message.Silent, string(node))
+		}
+		encoded = append(encoded, message)
+	}
+	return encoded
+}
+
+func decodeDomains(messages []*pb.Domain) []spread.DomainStatus {
+	var domains []spread.DomainStatus
+	for _, message := range messages {
+		domain := spread.DomainStatus{Domain: request.DomainName(message.GetName()), OutOfReach: message.GetOutOfReach()}
+		for _, counted := range message.GetVersions() {
+			domain.Nodes += int(counted.GetNodes())
+			domain.Versions = append(domain.Versions, spread.VersionCount{
+				Number: configuration.Version(counted.GetNumber()),
+				Nodes:  int(counted.GetNodes()),
+			})
+		}
+		for _, node := range message.GetSilent() {
+			domain.Silent = append(domain.Silent, request.NodeID(node))
+		}
+		domains = append(domains, domain)
+	}
+	return domains
+}
--- a/internal/core/membership/feed.go
+++ b/internal/core/membership/feed.go
@@ -41,6 +41,12 @@
 	return f.changes[len(f.changes)-missing:], true
 }
 
+// subscriber names a listener: the node and the replica of one process are two.
+type subscriber struct {
+	node    request.NodeID
+	replica bool
+}
+
 // listener is a subscriber: a node that wants some services, or a replica that
 // wants all records that this one holds.
 type listener struct {
@@ -61,7 +67,7 @@
 // list whose digest differs.
 func (r *Registry) Subscribe(now time.Time, node request.NodeID, subscription Subscription) Update {
 	subscribed := &listener{services: map[request.ServiceName]bool{}, sent: r.feed.sequence, scanned: r.feed.sequence, partial: r.Warming(now)}
-	r.listeners[node] = subscribed
+	r.listeners[subscriber{node: node}] = subscribed
 	answer := Update{Epoch: r.epoch, To: r.feed.sequence, Answer: true}
 	for index, service := range subscription.Services {
 		subscribed.services[service] = true
@@ -76,28 +82,44 @@
 	return answer
 }
 
-// Unsubscribe ends a subscription.
+// Unsubscribe ends the subscription of a node.
 func (r *Registry) Unsubscribe(node request.NodeID) {
-	delete(r.listeners, node)
+	delete(r.listeners, subscriber{node: node})
 }
 
-// Pull gives what is due to a subscriber since the last call, as at most one
+// Position gives the epoch and where a node should stand.
+func (r *Registry) Position(node request.NodeID) (Epoch, Sequence) {
+	return r.position(subscriber{node: node})
+}
+
+func (r *Registry) position(of subscriber) (Epoch, Sequence) {
+	if subscribed := r.listeners[of]; subscribed != nil {
+		return r.epoch, subscribed.sent
+	}
+	return r.epoch, 0
+}
+
+// Pull gives what is due to a node since the last call, as at most one
 // update. Once the replica is warm it sends the digests again, so that what
 // was held over its start is dropped.
 func (r *Registry) Pull(now time.Time, node request.NodeID) []Update {
-	subscribed := r.listeners[node]
+	return r.pull(now, subscriber{node: node})
+}
+
+func (r *Registry) pull(now time.Time, to subscriber) []Update {
+	subscribed := r.listeners[to]
 	if subscribed == nil {
 		return nil
 	}
 	if subscribed.partial && !r.Warming(now) {
-		return []Update{r.restate(node, subscribed)}
+		return []Update{r.restate(to.node, subscribed)}
 	}
 	changes, ok := r.feed.since(subscribed.scanned)
 	if !ok {
-		return []Update{r.restate(node, subscribed)}
+		return []Update{r.restate(to.node, subscribed)}
 	}
 	subscribed.scanned = r.feed.sequence
-	records := r.collect(node, subscribed, changes)
+	records := r.collect(to.node, subscribed, changes)
 	if len(records) == 0 {
 		return nil
 	}
--- a/internal/core/membership/property_test.go
+++ b/internal/core/membership/property_test.go
@@ -130,7 +130,7 @@
 				m.toView = append(m.toView, mail{from: index, update: update})
 			}
 		}
-		for _, update := range registry.Pull(m.now, replicaID(1-index)) {
+		for _, update := range registry.PullReplica(m.now, replicaID(1-index)) {
 			m.between[1-index] = append(m.between[1-index], mail{from: index, update: update})
 		}
 	}
@@ -185,7 +185,7 @@
 		m.subscribe()
 	}
 	for receiver := range m.replicas {
-		epoch, sent := m.replicas[1-receiver].Position(replicaID(receiver))
+		epoch, sent := m.replicas[1-receiver].PositionReplica(replicaID(receiver))
 		if m.replicas[receiver].Heard(m.now, replicaID(1-receiver), epoch, sent) {
 			m.join(receiver)
 		}
--- a/internal/core/membership/registry.go
+++ b/internal/core/membership/registry.go
@@ -69,7 +69,7 @@
 	table     table
 	leases    map[request.NodeID]time.Time
 	feed      feed
-	listeners map[request.NodeID]*listener
+	listeners map[subscriber]*listener
 	peers     map[request.NodeID]*peer
 	tokens    float64
 	filledAt  time.Time
@@ -89,7 +89,7 @@
 	r.tokens = r.RegisterRate / 4
 	r.table = newTable()
 	r.leases = map[request.NodeID]time.Time{}
-	r.listeners = map[request.NodeID]*listener{}
+	r.listeners = map[subscriber]*listener{}
 	r.peers = map[request.NodeID]*peer{}
 }
 
@@ -133,7 +133,7 @@
 
 // Disconnected shortens the lease of a node whose session broke.
 func (r *Registry) Disconnected(now time.Time, node request.NodeID) {
-	delete(r.listeners, node)
+	r.Unsubscribe(node)
 	expires, held := r.leases[node]
 	short := now.Add(r.ReconnectTime)
 	if held && short.Before(expires) {
@@ -216,11 +216,8 @@
 }
 
 func (r *Registry) granted(node request.NodeID) Lease {
-	lease := Lease{Granted: r.LeaseTime, Epoch: r.epoch}
-	if subscribed := r.listeners[node]; subscribed != nil {
-		lease.Sent = subscribed.sent
-	}
-	return lease
+	epoch, sent := r.Position(node)
+	return Lease{Granted: r.LeaseTime, Epoch: epoch, Sent: sent}
 }
 
 // again asks a node to register with a record above the known one.
--- a/internal/core/membership/registry_test.go
+++ b/internal/core/membership/registry_test.go
@@ -107,7 +107,7 @@
 	expect.Expect(second.Register(start, announce("a", 1)).Again).To(gomega.BeTrue())
 	expect.Expect(second.Register(start, announce("a", 2)).Granted).To(gomega.BeNumerically(">", 0))
 	now := tick(first, start, membership.DefaultLeaseTime)
-	for _, update := range first.Pull(now, "second") {
+	for _, update := range first.PullReplica(now, "second") {
 		second.ApplyReplica(now, "first", update)
 	}
 	expect.Expect(names(second.Records(service))).To(gomega.ConsistOf("a"))
--- a/internal/core/membership/replica.go
+++ b/internal/core/membership/replica.go
@@ -19,10 +19,20 @@
 // held before.
 func (r *Registry) SubscribeReplica(now time.Time, replica request.NodeID) Update {
 	subscribed := &listener{replica: true, sent: r.feed.sequence, scanned: r.feed.sequence, partial: r.Warming(now)}
-	r.listeners[replica] = subscribed
+	r.listeners[subscriber{node: replica, replica: true}] = subscribed
 	return r.replicaAnswer(replica, subscribed)
 }
 
+// UnsubscribeReplica ends the subscription of another replica.
+func (r *Registry) UnsubscribeReplica(replica request.NodeID) {
+	delete(r.listeners, subscriber{node: replica, replica: true})
+}
+
+// PullReplica gives what is due to another replica since the last call.
+func (r *Registry) PullReplica(now time.Time, replica request.NodeID) []Update {
+	return r.pull(now, subscriber{node: replica, replica: true})
+}
+
 // ApplyReplica takes in the update of another replica and says whether the
 // subscription with it must begin again.
 func (r *Registry) ApplyReplica(now time.Time, replica request.NodeID, update Update) bool {
@@ -70,12 +80,9 @@
 	return !source.synced || source.epoch != epoch || sent > source.at
 }
 
-// Position gives the epoch and where the subscriber should stand.
-func (r *Registry) Position(subscriber request.NodeID) (Epoch, Sequence) {
-	if subscribed := r.listeners[subscriber]; subscribed != nil {
-		return r.epoch, subscribed.sent
-	}
-	return r.epoch, 0
+// PositionReplica gives the epoch and where another replica should stand.
+func (r *Registry) PositionReplica(replica request.NodeID) (Epoch, Sequence) {
+	return r.position(subscriber{node: replica, replica: true})
 }
 
 // takeRecord merges a record of another replica. One that this replica held
