--- a/internal/core/claim/carry_test.go
+++ b/internal/core/claim/carry_test.go
@@ -26,7 +26,12 @@
 	host, lives := w.nodes[node], w.nodes[node].lives
 	wake, due := host.core.NextWake()
 	if due {
-		w.after(max(0, wake.Sub(w.now)), func() {
+		// A process that is held up ticks late.
+		late := time.Duration(0)
+		if w.chance(10) {
+			late = w.upTo(8 * time.Second)
+		}
+		w.after(max(0, wake.Sub(w.now))+late, func() {
 			if again, due := host.core.NextWake(); due && host.lives == lives && !again.After(w.now) {
 				w.do(node, host.core.Tick(w.now))
 			}
--- a/internal/core/ledger/prepare.go
+++ b/internal/core/ledger/prepare.go
@@ -48,16 +48,33 @@
 	return fmt.Sprintf("version %d is not known here, the latest known is %d; look at the versions and send the patch again", b.Base, b.Current)
 }
 
-// Prepare reads and checks a submission against the state and gives the command
-// to propose. Faults of the patch are no error here: the command carries them,
-// so that the log keeps the outcome. An error means that nothing was decided.
+// Base is the current version, apart from the machine: its text never changes,
+// so that a patch can be prepared outside the goroutine that owns the machine.
+type Base struct {
+	Version configuration.Version
+	Text    []byte
+}
+
+// Base gives the current version to prepare patches against.
+func (m *Machine) Base() Base {
+	return Base{Version: configuration.Version(m.history.current()), Text: m.history.text}
+}
+
+// Prepare prepares a submission against the current version; see
+// [Base.Prepare].
 func (m *Machine) Prepare(submission Submission) ([]byte, error) {
+	return m.Base().Prepare(submission)
+}
+
+// Prepare reads and checks a submission and gives the command to propose.
+// Faults of the patch are no error here: the command carries them, so that the
+// log keeps the outcome. An error means that nothing was decided.
+func (b Base) Prepare(submission Submission) ([]byte, error) {
 	if err := submission.check(); err != nil {
 		return nil, err
 	}
-	current := m.history.current()
-	if uint64(submission.Base) > current {
-		return nil, &BehindError{Base: submission.Base, Current: configuration.Version(current)}
+	if submission.Base > b.Version {
+		return nil, &BehindError{Base: submission.Base, Current: b.Version}
 	}
 	patch := &ledgerpb.Patch{
 		Id:               string(submission.ID),
@@ -67,8 +84,8 @@
 		Note:             submission.Note,
 		UnixMilliseconds: submission.At.UnixMilli(),
 	}
-	if uint64(submission.Base) == current {
-		m.evaluate(submission, patch)
+	if submission.Base == b.Version {
+		b.evaluate(submission, patch)
 	}
 	return encode(&ledgerpb.Command{Body: &ledgerpb.Command_Patch{Patch: patch}}), nil
 }
@@ -107,8 +124,8 @@
 	return sum.Sum(nil)
 }
 
-func (m *Machine) evaluate(submission Submission, patch *ledgerpb.Patch) {
-	text, err := submission.apply(m.history.text)
+func (b Base) evaluate(submission Submission, patch *ledgerpb.Patch) {
+	text, err := submission.apply(b.Text)
 	if err == nil {
 		_, err = configuration.Parse(text)
 	}
@@ -121,7 +138,7 @@
 	}
 	digest := sha256.Sum256(text)
 	patch.TextDigest = digest[:]
-	patch.Splice = newSplice(m.history.text, text)
+	patch.Splice = newSplice(b.Text, text)
 }
 
 func (s Submission) apply(base []byte) ([]byte, error) {
--- a/internal/core/ledger/settle.go
+++ b/internal/core/ledger/settle.go
@@ -40,7 +40,7 @@
 	holder, taken := b.claims[name]
 	attempt, valid := attemptID(settle.GetAttempt())
 	switch {
-	case !taken:
+	case !taken || settle.GetOperator() == "":
 		return &ledgerpb.SettleResult{State: SettleNotFound}
 	case !valid || holder.attempt != attempt:
 		return &ledgerpb.SettleResult{State: SettleOtherAttempt}
