--- a/magnolia-load/internal/command/demo/demo.go
+++ b/magnolia-load/internal/command/demo/demo.go
@@ -2,9 +2,8 @@
 //
 // # Usage
 //
-//	command := demo.New(tools)
-//	command.For = 10 * time.Second
-//	err := command.Run(ctx)
+//	command := &demo.Options{For: 10 * time.Second, Seed: 1}
+//	err := command.Run(ctx, tools)
 package demo
 
 import (
@@ -30,8 +29,6 @@
 	JSON  bool          `name:"json" help:"Write the tables as one JSON document."`
 	Serve bool          `help:"Leave the mesh up and print lines to copy."`
 	Seed  uint64        `default:"1" help:"Seed of the load."`
-
-	tools *factory.Factory
 }
 
 // Document is the outcome as JSON. Its times are in seconds; those at the top
@@ -44,11 +41,6 @@
 	Naive        experiment.Summary `json:"naive"`
 }
 
-// New gives the command.
-func New(tools *factory.Factory) *Options {
-	return &Options{tools: tools}
-}
-
 // Help tells of the command at length.
 func (o *Options) Help() string {
 	return `Brings up the Gota Justa mesh in small within this process and on loopback:
@@ -64,15 +56,14 @@
 
 // Run runs the command.
 func (o *Options) Run(ctx context.Context, tools *factory.Factory) error {
-	o.tools = tools
 	if o.Serve {
-		return o.serve(ctx)
+		return o.serve(ctx, tools)
 	}
-	ours, err := o.try(ctx, "magnoliawall", tools.Systems.Magnolia())
+	ours, err := o.try(ctx, tools, "magnoliawall", tools.Systems.Magnolia())
 	if err != nil {
 		return err
 	}
-	naive, err := o.try(ctx, "naive", tools.Systems.Naive())
+	naive, err := o.try(ctx, tools, "naive", tools.Systems.Naive())
 	if err != nil {
 		return err
 	}
@@ -89,11 +80,11 @@
 	return render(tools.Streams, document)
 }
 
-func (o *Options) try(ctx context.Context, name string, system mesh.System) (experiment.Summary, error) {
-	streams := o.tools.Streams
+func (o *Options) try(ctx context.Context, tools *factory.Factory, name string, system mesh.System) (experiment.Summary, error) {
+	streams := tools.Streams
 	streams.Progressf("%s: starting the mesh", name)
 	trial := experiment.Trial{
-		Design: o.tools.Design(),
+		Design: tools.Design(),
 		System: system,
 		Load:   o.load(),
 		Patch:  true,
--- a/magnolia-load/internal/command/demo/serve.go
+++ b/magnolia-load/internal/command/demo/serve.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/factory"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/mesh"
 )
 
 // serve leaves the mesh up until the context ends.
-func (o *Options) serve(ctx context.Context) error {
-	streams := o.tools.Streams
-	running := &mesh.Mesh{Design: o.tools.Design(), System: o.tools.Systems.Magnolia(), Seed: o.Seed}
+func (o *Options) serve(ctx context.Context, tools *factory.Factory) error {
+	streams := tools.Streams
+	running := &mesh.Mesh{Design: tools.Design(), System: tools.Systems.Magnolia(), Seed: o.Seed}
 	streams.Progressf("magnoliawall: starting the mesh")
 	if err := running.Start(ctx); err != nil {
 		return err
--- a/magnolia-load/internal/command/measure/measure.go
+++ b/magnolia-load/internal/command/measure/measure.go
@@ -2,9 +2,8 @@
 //
 // # Usage
 //
-//	command := measure.New(tools)
-//	command.Name = "overload"
-//	err := command.Run(ctx)
+//	command := &measure.Options{Name: "overload", Seed: 1, Runs: 5}
+//	err := command.Run(ctx, tools)
 package measure
 
 import (
@@ -13,6 +12,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/magnoliawall/magnoliawall/internal/program"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/factory"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/measure"
 )
@@ -26,9 +26,6 @@
 	Folder string `default:"docs/measurements" help:"Folder of the pages."`
 }
 
-// New gives the command.
-func New() *Options { return &Options{} }
-
 // Help tells of the command at length.
 func (o *Options) Help() string {
 	return `Runs a measurement several times and ends with a line for each figure, the
@@ -46,10 +43,10 @@
 func (o *Options) Run(ctx context.Context, tools *factory.Factory) error {
 	found, ok := measure.Find(o.Name)
 	if !ok {
-		return oops.Errorf("no measurement is named %q; choose from: %s", o.Name, strings.Join(measure.Names(), ", "))
+		return program.WithCode(program.ExitUsage, oops.Errorf("no measurement is named %q; choose from: %s", o.Name, strings.Join(measure.Names(), ", ")))
 	}
 	if o.Runs < 1 {
-		return oops.Errorf("--runs must be at least 1")
+		return program.WithCode(program.ExitUsage, oops.Errorf("--runs must be at least 1"))
 	}
 	report, err := measure.Repeat(ctx, found, measure.Setting{
 		Seed:     o.Seed,
--- a/magnolia-load/internal/mesh/mesh.go
+++ b/magnolia-load/internal/mesh/mesh.go
@@ -94,15 +94,26 @@
 
 // Stop ends the nodes and then the targets.
 func (m *Mesh) Stop() error {
-	for _, caller := range m.callers {
-		caller.Close()
-	}
+	m.closeIdle()
 	m.outer()
 	err := m.nodes.Wait()
 	m.inner()
 	return errors.Join(err, m.stands.Wait())
 }
 
+// closeIdle spares the nodes a wait for connections that never carried a call,
+// which net/http ends only after five seconds.
+func (m *Mesh) closeIdle() {
+	for _, caller := range m.callers {
+		caller.Close()
+	}
+	for _, stands := range m.targets {
+		for _, stand := range stands {
+			stand.CloseIdle()
+		}
+	}
+}
+
 // Callers gives a caller for each entry node.
 func (m *Mesh) Callers() []*load.Caller { return m.callers }
 
--- a/magnolia-load/internal/target/target.go
+++ b/magnolia-load/internal/target/target.go
@@ -128,6 +128,9 @@
 // Drain makes the target refuse new work and say so in its health.
 func (t *Target) Drain() { t.draining.Store(true) }
 
+// CloseIdle ends the connections to the node that carry no call.
+func (t *Target) CloseIdle() { t.client.CloseIdleConnections() }
+
 // Crashes counts the crashes.
 func (t *Target) Crashes() int { return int(t.crashes.Load()) }
 
--- a/magnolia-load/main.go
+++ b/magnolia-load/main.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/magnoliawall/magnoliawall/internal/program"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/factory"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/root"
 )
@@ -15,7 +16,7 @@
 	os.Exit(int(run()))
 }
 
-func run() root.ExitCode {
+func run() program.ExitCode {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return root.Main(ctx, factory.New(), os.Args[1:])
