Run a replica: core, store and state machine under one goroutine

Cause: the log's core and its store need an owner that syncs once per batch, forwards commands to the leader, and says honestly what is in doubt.

Change: internal/replica with Propose, Read, Peek, Change, Replace and a lead handed over at a planned stop. A command without a result is either not recorded for certain or in doubt; one that a leader may have lost is sent again, since commands are idempotent. A replica with an empty disk takes a new id; it forms a log only when every first replica answers that it holds no entry. The first tests found two faults: a command that was lost on the way to a leader that stayed was never sent again, and a vote given before the first entry counted as a formed log, so that two of three replicas waited for good when the third lost its disk before its first entry arrived.

Conclusion: ready to be carried by the peer protocol.

--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -54,7 +54,7 @@
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
 	// Dial opens a connection; nil means TCP.
-	Dial   func(ctx context.Context, address Address) (net.Conn, error)
+	Dial func(ctx context.Context, address Address) (net.Conn, error)
 	// Identify checks that a secured connection belongs to the node that its
 	// hello names; nil checks nothing.
 	Identify func(state tls.ConnectionState, hello Hello) error
--- a/internal/core/quorum/leader.go
+++ b/internal/core/quorum/leader.go
@@ -206,6 +206,25 @@
 	return nil
 }
 
+// Successor gives the voter that has most of the log besides the leader, or
+// [None].
+func (replica *Replica) Successor() ReplicaID {
+	membership := replica.membership()
+	var best *peer
+	for _, peer := range replica.leading.peers {
+		if peer.id == replica.ID || !membership.IsVoter(peer.id) {
+			continue
+		}
+		if best == nil || peer.match > best.match {
+			best = peer
+		}
+	}
+	if best == nil {
+		return None
+	}
+	return best.id
+}
+
 // handOver tells the chosen successor to start once it has every entry.
 func (replica *Replica) handOver() {
 	successor := replica.peer(replica.leading.successor)
--- a/internal/core/quorum/replica.go
+++ b/internal/core/quorum/replica.go
@@ -11,7 +11,7 @@
 	defaultElectionTicks    = 10
 	defaultHeartbeatTicks   = 2
 	defaultMessageBytes     = 256 << 10
-	defaultEntryBytes       = 1 << 20
+	defaultEntryBytes       = 768 << 10
 	defaultWindow           = 16
 	defaultUncommittedBytes = 16 << 20
 	defaultSnapshotBytes    = 1 << 30
@@ -130,6 +130,11 @@
 	}
 }
 
+// HardState gives what the replica has promised, stored or not.
+func (replica *Replica) HardState() HardState {
+	return replica.hardState
+}
+
 func (replica *Replica) membership() Membership {
 	return replica.history.latest().membership
 }
--- /dev/null
+++ b/internal/replica/doc.go
@@ -0,0 +1,26 @@
+// Package replica runs one replica of the control state: a core of the quorum
+// log, its store on a disk, and the state machine that the log drives.
+//
+// One goroutine owns all of it. It takes what has come in, stores it with one
+// sync, and then sends and applies. A command is proposed at any replica and is
+// forwarded to the leader. Commands must be idempotent: one whose fate is
+// unknown is sent again to the next leader.
+//
+// A replica with an empty data folder takes a new random id. It forms a log
+// together with the replicas that its settings list only when every one of
+// them answers that it has none; otherwise it waits until it is added as a
+// learner. So a host that lost its disk never votes under its old id.
+//
+// # Usage
+//
+//	control := &replica.Replica[*ledger.Machine]{
+//		Machine:   ledger.New(),
+//		Disk:      folder,
+//		Messenger: messenger,
+//		Address:   "10.0.1.4:7001",
+//		Peers:     []string{"10.0.1.4:7001", "10.0.2.4:7001", "10.0.3.4:7001"},
+//	}
+//	go control.Run(ctx)
+//	result, err := control.Propose(ctx, command)
+//	err = control.Read(ctx, func(machine *ledger.Machine) { ... })
+package replica
--- /dev/null
+++ b/internal/replica/run.go
@@ -0,0 +1,230 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
+	"github.com/magnoliawall/magnoliawall/internal/core/quorum/quorumpb"
+)
+
+// Run opens the disk and serves until the context ends or the replica must
+// stop, as after a failed sync. A leader first hands over the lead.
+func (replica *Replica[M]) Run(ctx context.Context) error {
+	replica.init()
+	defer close(replica.stopped)
+	if err := replica.open(); err != nil {
+		return err
+	}
+	ticks := replica.Ticks
+	if ticks == nil {
+		ticker := time.NewTicker(replica.Tick)
+		defer ticker.Stop()
+		ticks = ticker.C
+	}
+	for ctx.Err() == nil {
+		if err := replica.turn(ctx.Done(), ticks); err != nil {
+			return err
+		}
+	}
+	return replica.leave(ticks)
+}
+
+// leave hands over the lead of a replica that stops, for as long as an
+// election would take at most.
+func (replica *Replica[M]) leave(ticks <-chan time.Time) error {
+	if replica.core.Status().Role != quorum.Leader || replica.core.Transfer(replica.core.Successor()) != nil {
+		return nil
+	}
+	enough := make(chan struct{})
+	stop := time.AfterFunc(replica.Tick*time.Duration(2*replica.ElectionTicks), func() { close(enough) })
+	defer stop.Stop()
+	for replica.core.Status().Role == quorum.Leader {
+		if err := replica.turn(enough, ticks); err != nil {
+			return err
+		}
+		select {
+		case <-enough:
+			return nil
+		default:
+		}
+	}
+	return nil
+}
+
+// turn waits for one input, takes in all that are there, and carries out what
+// follows from them together.
+func (replica *Replica[M]) turn(done <-chan struct{}, ticks <-chan time.Time) error {
+	select {
+	case <-done:
+	case <-ticks:
+		replica.tick()
+	case message := <-replica.Messenger.Received():
+		replica.step(message)
+	case request := <-replica.requests:
+		request()
+	}
+	replica.takeIn()
+	return replica.carryOut()
+}
+
+func (replica *Replica[M]) takeIn() {
+	for range batchInputs {
+		select {
+		case message := <-replica.Messenger.Received():
+			replica.step(message)
+		case request := <-replica.requests:
+			request()
+		default:
+			return
+		}
+	}
+}
+
+func (replica *Replica[M]) tick() {
+	replica.core.Tick()
+	replica.greet()
+	replica.resend()
+	replica.reads.tick(replica.ElectionTicks)
+}
+
+func (replica *Replica[M]) step(message *quorumpb.Message) {
+	if address := message.GetSenderAddress(); address != "" {
+		replica.learned[quorum.ReplicaID(message.GetFrom())] = address
+	}
+	if greeting := message.GetGreeting(); greeting != nil {
+		replica.stepGreeting(message, greeting)
+		return
+	}
+	replica.core.Step(message)
+}
+
+// carryOut does what the core asks for until nothing is left. After a failure
+// it does nothing more.
+func (replica *Replica[M]) carryOut() error {
+	if replica.failure == nil {
+		replica.fail(replica.carryOutAll())
+	}
+	return replica.failure
+}
+
+func (replica *Replica[M]) carryOutAll() error {
+	replica.startReads()
+	for {
+		output := replica.core.Take()
+		if output.Empty() {
+			replica.noteRole()
+			replica.runReads()
+			return replica.compact()
+		}
+		if output.Fault != nil {
+			return output.Fault
+		}
+		if err := replica.carryOutOne(output); err != nil {
+			return err
+		}
+		replica.core.Stored(output)
+	}
+}
+
+func (replica *Replica[M]) carryOutOne(output quorum.Output) error {
+	replica.send(output.Messages)
+	if output.Snapshot != nil {
+		if err := replica.install(*output.Snapshot); err != nil {
+			return err
+		}
+	}
+	if err := replica.store.Save(output.HardState, output.Entries); err != nil {
+		return err
+	}
+	replica.send(output.Acknowledgements)
+	for _, entry := range output.Committed {
+		if err := replica.apply(entry); err != nil {
+			return err
+		}
+	}
+	replica.noteProposals(output.Proposals)
+	replica.noteReads(output.Reads)
+	return nil
+}
+
+func (replica *Replica[M]) send(messages []*quorumpb.Message) {
+	membership := replica.core.Status().Membership
+	for _, message := range messages {
+		to := quorum.ReplicaID(message.GetTo())
+		member, known := membership.Find(to)
+		if !known || member.Address == "" {
+			member.Address = replica.learned[to]
+		}
+		if member.Address == "" {
+			continue
+		}
+		message.SenderAddress = replica.Address
+		replica.Messenger.Send(member.Address, message)
+	}
+}
+
+func (replica *Replica[M]) install(snapshot quorum.Snapshot) error {
+	if err := replica.store.SaveSnapshot(snapshot, true); err != nil {
+		return err
+	}
+	if err := replica.Machine.Restore(snapshot.Data); err != nil {
+		return err
+	}
+	replica.info("installed the snapshot at %d", snapshot.Index)
+	replica.applied = snapshot.Index
+	replica.snapshot = snapshot.Index
+	replica.skipTo(snapshot.Index)
+	return nil
+}
+
+func (replica *Replica[M]) apply(entry quorum.Entry) error {
+	replica.applied = entry.Index
+	if waiting, ok := replica.changes[entry.Index]; ok {
+		delete(replica.changes, entry.Index)
+		waiting.finish(entry)
+	}
+	if entry.Kind != quorum.CommandEntry {
+		return nil
+	}
+	command := &quorumpb.Command{}
+	if err := proto.Unmarshal(entry.Data, command); err != nil {
+		return err
+	}
+	result, err := replica.Machine.Apply(uint64(entry.Index), command.GetData())
+	if err != nil {
+		return err
+	}
+	if quorum.ReplicaID(command.GetOrigin()) == replica.core.ID {
+		replica.resolve(command.GetNumber(), result)
+	}
+	return nil
+}
+
+// compact takes a snapshot when enough entries were applied since the last.
+func (replica *Replica[M]) compact() error {
+	if replica.applied < replica.snapshot+quorum.Index(replica.SnapshotEntries) {
+		return nil
+	}
+	snapshot, err := replica.core.MakeSnapshot(replica.applied, replica.Machine.Snapshot())
+	if err != nil {
+		return err
+	}
+	if err := replica.store.SaveSnapshot(snapshot, false); err != nil {
+		return err
+	}
+	replica.core.Compact(snapshot)
+	replica.snapshot = snapshot.Index
+	replica.info("took a snapshot at %d of %d bytes", snapshot.Index, len(snapshot.Data))
+	return nil
+}
+
+func (replica *Replica[M]) noteRole() {
+	status := replica.core.Status()
+	if status.Role != replica.lastRole {
+		replica.lastRole = status.Role
+		replica.info("%s in term %d", status.Role, status.Term)
+	}
+}
