Let a resend with an idempotency key join its call in flight

Cause: a caller that resends a repeatable call doubled the work at the target. Change: calls with a key join the one in flight at the same node and get its end, unless its first caller left. Conclusion: calls without a key are never joined, since their callers cannot be told apart.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -28,29 +28,69 @@
 	exchange *peer.Exchange
 	header   *peerpb.AnswerHeader
 	held     []byte
-	refusal  *web.Refusal
+	// whole says that held is the whole answer.
+	whole   bool
+	refusal *web.Refusal
 }
 
-// send tries targets until one answers or no retry is left, and writes the
-// answer.
+// send sends a call, or joins the one in flight that it is a resend of, and
+// writes the answer.
 func (no *Node) send(ctx context.Context, writer http.ResponseWriter, og *outgoing) {
+	if !og.keyed || og.kind.Repeat != request.Repeatable || og.body.large() {
+		no.conclude(ctx, writer, og, no.attempts(ctx, og))
+		return
+	}
+	current, first := no.flights.enter(og.fingerprint)
+	if !first {
+		no.counters.joins.Inc()
+	}
+	if !first && current.await(ctx) {
+		no.conclude(ctx, writer, og, current.end)
+		return
+	}
+	end := no.attempts(ctx, og)
+	if first {
+		no.flights.leave(og.fingerprint, current, end)
+	}
+	no.conclude(ctx, writer, og, end)
+}
+
+// await tells whether the call that was joined ended in a way that holds for
+// all of its callers.
+func (fi *flight) await(ctx context.Context) bool {
+	select {
+	case <-fi.done:
+		return fi.end != nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// conclude tells the caller how the call ended.
+func (no *Node) conclude(ctx context.Context, writer http.ResponseWriter, og *outgoing, at *attempt) {
+	if at.refusal != nil {
+		no.refuse(writer, og.honest(at.refusal))
+		return
+	}
+	no.deliver(ctx, writer, og, at)
+}
+
+// attempts tries targets until one answers or no retry is left.
+func (no *Node) attempts(ctx context.Context, og *outgoing) *attempt {
 	og.edge = no.edges.of(og.kind.Service)
-	refused := false
 	og.root.wait(time.Now())
-	defer func() { og.root.resume(time.Now(), refused) }()
 	tried := make([]request.NodeID, 0, 4)
 	for used := 0; ; used++ {
 		at := no.try(ctx, og, tried)
 		if at.refusal == nil {
-			no.deliver(ctx, writer, og, at)
-			return
+			og.root.resume(time.Now(), false)
+			return at
 		}
 		decision := no.mayRetry(og, at.refusal, used)
 		count(no.counters.retries, decision.Reason)
 		if decision.Reason != retry.Allowed || !pause(ctx, decision.Backoff) {
-			refused = true
-			no.refuse(writer, og.honest(at.refusal))
-			return
+			og.root.resume(time.Now(), true)
+			return at
 		}
 		tried = append(tried, at.choice.Target.Node)
 	}
@@ -166,6 +206,7 @@
 	if len(at.held) > heldAnswer {
 		return
 	}
+	at.whole = true
 	no.settle(og, at)
 	if answer.GetCode() != 0 {
 		at.refusal = refusalOf(answer)
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -17,6 +17,7 @@
 	answers  *metrics.Counter
 	inbound  *metrics.Counter
 	deaths   *metrics.Counter
+	joins    *metrics.Counter
 	duration *metrics.Histogram
 	refusals map[request.Code]*metrics.Counter
 	below    map[request.Code]*metrics.Counter
@@ -29,6 +30,7 @@
 		set:      set,
 		calls:    set.NewCounter("magnoliawall_calls_total"),
 		answers:  set.NewCounter("magnoliawall_answers_total"),
+		joins:    set.NewCounter("magnoliawall_joined_calls_total"),
 		deaths:   set.NewCounter("magnoliawall_target_deaths_total"),
 		inbound:  set.NewCounter("magnoliawall_inbound_calls_total"),
 		duration: set.NewHistogram("magnoliawall_call_duration_seconds"),
--- a/internal/node/deliver.go
+++ b/internal/node/deliver.go
@@ -17,7 +17,7 @@
 // first bytes went out breaks the caller's connection.
 func (no *Node) deliver(ctx context.Context, writer http.ResponseWriter, og *outgoing, at *attempt) {
 	answer := &answerWriter{writer: writer, header: at.header, length: at.header.GetBodyLength()}
-	if at.exchange.Report() != nil {
+	if at.whole {
 		answer.length = int64(len(at.held))
 		answer.start()
 		_, _ = writer.Write(at.held)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,6 +75,7 @@
 	counters    *counters
 	retryPolicy retry.Policy
 	suspects    waiters
+	flights     flights
 	claims      *claims
 	once        onceTable
 	runs        sync.WaitGroup
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -45,6 +45,8 @@
 	// it was at a crash.
 	fingerprint request.Fingerprint
 	suspect     bool
+	// keyed says that the caller names the call by an idempotency key.
+	keyed bool
 }
 
 // sparing tells whether the call is refused sooner than sent over a full link.
@@ -159,7 +161,9 @@
 		return web.NewRefusal(request.BodyTooLarge, "a call that may not be repeated takes a small body only")
 	}
 	og.body = body
-	og.fingerprint = fingerprint(og.kind.Name, og.path, incoming.Header.Get(web.HeaderIdempotencyKey), body)
+	key := incoming.Header.Get(web.HeaderIdempotencyKey)
+	og.keyed = key != ""
+	og.fingerprint = fingerprint(og.kind.Name, og.path, key, body)
 	return nil
 }
 
