--- a/internal/adapter/control/doc.go
+++ b/internal/adapter/control/doc.go
@@ -16,17 +16,17 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
+	"github.com/magnoliawall/magnoliawall/internal/replica"
 )
 
 // Errors of a proposal.
 var (
 	// ErrUnavailable tells that a command was not recorded and will not be.
-	ErrUnavailable = errors.New("no quorum of replicas could be reached, nothing was recorded; try again")
+	ErrUnavailable = replica.ErrUnavailable
 	// ErrInDoubt tells that a command may be recorded, now or later.
-	ErrInDoubt = errors.New("it is not known whether the command was recorded; send the same one again")
+	ErrInDoubt = replica.ErrInDoubt
 )
 
 // Ledger is a replica of the control state.
@@ -40,6 +40,8 @@
 	Peek(ctx context.Context, look func(*ledger.Machine)) error
 }
 
+var _ Ledger = (*replica.Replica[*ledger.Machine])(nil)
+
 // Operations answers operators' requests.
 type Operations interface {
 	// Operate gives an HTTP status and a JSON document.
