Join nodes to replicas by a client and a server

Cause: the cores of membership, spread and quarantine need their way between the processes.

Change: internal/adapter/registry: a server at each replica, a client at each node, one stream between them, control state of each on one goroutine, slow streams closed.

--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -37,6 +37,8 @@
 	renewAt  time.Time
 	retryAt  time.Time
 	attached bool
+	// pending holds reports that were made while no replica was in reach.
+	pending []quarantine.Report
 }
 
 // connected gives what the node sends first on a new stream.
@@ -46,7 +48,10 @@
 	a.granted = now.Add(membership.DefaultLeaseTime)
 	a.renewAt = now.Add(membership.DefaultRenewal)
 	a.view.Connected()
+	reports := a.pending
+	a.pending = nil
 	return &pb.Request{
+		Reports:   encodeReports(reports),
 		Announce:  encodeAnnouncement(a.self),
 		Renew:     a.renewal(),
 		Subscribe: encodeSubscription(a.view.Subscription()),
@@ -61,6 +66,16 @@
 	return &pb.Request{Announce: encodeAnnouncement(a.self)}
 }
 
+// report gives reports to the replica, or holds them until one is in reach.
+func (a *agent) report(reports []quarantine.Report) *pb.Request {
+	if a.attached {
+		return &pb.Request{Reports: encodeReports(reports)}
+	}
+	a.pending = append(a.pending, reports...)
+	a.pending = a.pending[max(0, len(a.pending)-reportsKept):]
+	return nil
+}
+
 // tick renews the lease. It is called several times a second.
 func (a *agent) tick(now time.Time) *pb.Request {
 	a.enforced(a.follower.Tick(now))
--- a/internal/adapter/registry/desk.go
+++ b/internal/adapter/registry/desk.go
@@ -31,18 +31,12 @@
 	offered spread.Held
 	offerAt time.Time
 	beatAt  time.Time
-	out     []*pb.Reply
+	// write queues a reply.
+	write func(*pb.Reply)
 }
 
 func (s *session) send(reply *pb.Reply) {
-	s.out = append(s.out, reply)
-}
-
-// take gives what is to be written.
-func (s *session) take() []*pb.Reply {
-	out := s.out
-	s.out = nil
-	return out
+	s.write(reply)
 }
 
 type keptReport struct {
@@ -64,11 +58,11 @@
 }
 
 // open begins the session of a node or a replica.
-func (d *desk) open(node request.NodeID, domain request.DomainName) *session {
+func (d *desk) open(node request.NodeID, domain request.DomainName, write func(*pb.Reply)) *session {
 	if d.sessions == nil {
 		d.sessions = map[*session]bool{}
 	}
-	opened := &session{node: node, domain: domain}
+	opened := &session{node: node, domain: domain, write: write}
 	d.sessions[opened] = true
 	return opened
 }
--- /dev/null
+++ b/internal/adapter/registry/server.go
@@ -0,0 +1,212 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/core/membership"
+	pb "github.com/magnoliawall/magnoliawall/internal/core/membership/membershippb"
+	"github.com/magnoliawall/magnoliawall/internal/core/spread"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// TickInterval is how often a server sends changes and a client looks at its
+// lease.
+const TickInterval = 100 * time.Millisecond
+
+// ErrStopped tells that the server or client does not run.
+var ErrStopped = errors.New("the registry does not run")
+
+// Replica is another replica that this one joins.
+type Replica struct {
+	ID      request.NodeID
+	Address peer.Address
+}
+
+// Server is the registry of one replica. The exported fields are set before
+// Run; the server is the only user of its three cores afterwards.
+type Server struct {
+	Registry  *membership.Registry
+	Publisher *spread.Publisher
+	Tracker   *spread.Tracker
+	// Others lists the other replicas.
+	Others []Replica
+	Open   Open
+	// Confirmed says whether a quorum read has lately shown that the newest
+	// version here is the newest accepted one. It must not wait. Nil says no.
+	Confirmed func() bool
+	// Clock and Ticks default to the clock of the host and a ticker.
+	Clock  func() time.Time
+	Ticks  <-chan time.Time
+	Random *rand.Rand
+	Logger *log.Logger
+
+	desk  desk
+	loop  loop
+	joins []*join
+}
+
+// join is this replica's stream to another one.
+type join struct {
+	replica   Replica
+	writer    *writer
+	opening   bool
+	connectAt time.Time
+	pause     backoff
+}
+
+// Prepare readies the server for its first stream; Run does so by itself.
+func (s *Server) Prepare() {
+	s.loop.prepare()
+}
+
+// Run serves until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	s.Prepare()
+	setClock(&s.Clock, &s.Random)
+	ticks, stop := tickerOf(s.Ticks)
+	defer stop()
+	now := s.Clock()
+	s.Registry.Start(now, membership.Epoch(now.UnixNano()))
+	s.desk = desk{registry: s.Registry, publisher: s.Publisher, tracker: s.Tracker, confirmed: s.Confirmed}
+	for _, other := range s.Others {
+		s.joins = append(s.joins, &join{replica: other})
+	}
+	defer s.closeAll()
+	return s.loop.run(ctx, s.Clock, ticks, func(now time.Time) {
+		s.desk.tick(now)
+		for _, joined := range s.joins {
+			s.connect(ctx, now, joined)
+		}
+	})
+}
+
+// Handle serves the stream of a node or another replica; it is the handler of
+// [peer.KindRegistry].
+func (s *Server) Handle(ctx context.Context, stream *peer.Stream) {
+	remote := stream.Remote()
+	s.Serve(ctx, &peerLink{stream: stream}, remote.Node, remote.Place.Domain)
+}
+
+// Serve serves one link until it ends.
+func (s *Server) Serve(ctx context.Context, link Link, node request.NodeID, domain request.DomainName) {
+	s.Prepare()
+	output := newWriter(link)
+	defer output.finish()
+	var opened *session
+	err := s.loop.do(ctx, func(time.Time) {
+		opened = s.desk.open(node, domain, func(reply *pb.Reply) { _ = output.send(reply) })
+	})
+	if err != nil {
+		return
+	}
+	for {
+		message := &pb.Request{}
+		if link.Receive(message) != nil {
+			break
+		}
+		err := s.loop.do(ctx, func(now time.Time) { s.desk.receive(now, opened, message) })
+		if err != nil {
+			break
+		}
+	}
+	_ = s.loop.do(context.WithoutCancel(ctx), func(now time.Time) { s.desk.close(now, opened) })
+}
+
+// Publish gives the next version of the configuration to the nodes.
+func (s *Server) Publish(ctx context.Context, version spread.Version) error {
+	s.Prepare()
+	var err error
+	lost := s.loop.do(ctx, func(time.Time) { err = s.Publisher.Publish(version) })
+	return errors.Join(lost, err)
+}
+
+// Status tells which versions are in force in each failure domain.
+func (s *Server) Status(ctx context.Context) ([]spread.DomainStatus, error) {
+	s.Prepare()
+	var domains []spread.DomainStatus
+	err := s.loop.do(ctx, func(now time.Time) { domains = s.Tracker.Status(now) })
+	return domains, err
+}
+
+// Targets lists the live targets of the services.
+func (s *Server) Targets(ctx context.Context, services []request.ServiceName) ([]membership.Record, error) {
+	s.Prepare()
+	var records []membership.Record
+	err := s.loop.do(ctx, func(time.Time) {
+		for _, service := range services {
+			records = append(records, s.Registry.Records(service)...)
+		}
+	})
+	return records, err
+}
+
+// connect keeps the stream to another replica.
+func (s *Server) connect(ctx context.Context, now time.Time, joined *join) {
+	if joined.writer != nil || joined.opening || now.Before(joined.connectAt) {
+		return
+	}
+	joined.opening = true
+	go func() {
+		link, err := s.Open(ctx, joined.replica.Address)
+		lost := s.loop.do(ctx, func(now time.Time) {
+			joined.opening = false
+			if err != nil {
+				joined.connectAt = now.Add(joined.pause.next(s.Random))
+				return
+			}
+			s.joined(ctx, joined, link)
+		})
+		if lost != nil && err == nil {
+			_ = link.Close()
+		}
+	}()
+}
+
+func (s *Server) joined(ctx context.Context, joined *join, link Link) {
+	joined.pause.reset()
+	output := newWriter(link)
+	joined.writer = output
+	_ = output.send(&pb.Request{Join: true})
+	go func() {
+		for {
+			reply := &pb.Reply{}
+			if link.Receive(reply) != nil {
+				break
+			}
+			err := s.loop.do(ctx, func(now time.Time) {
+				if s.desk.fromReplica(now, joined.replica.ID, reply) {
+					_ = output.send(&pb.Request{Join: true})
+				}
+			})
+			if err != nil {
+				break
+			}
+		}
+		output.finish()
+		_ = s.loop.do(context.WithoutCancel(ctx), func(now time.Time) {
+			joined.writer = nil
+			joined.connectAt = now.Add(joined.pause.next(s.Random))
+			s.log("registry: lost the stream to another replica", joined.replica.ID)
+		})
+	}()
+}
+
+func (s *Server) closeAll() {
+	for _, joined := range s.joins {
+		if joined.writer != nil {
+			joined.writer.finish()
+		}
+	}
+}
+
+func (s *Server) log(text string, replica request.NodeID) {
+	if s.Logger != nil {
+		s.Logger.Warn().Str("replica", string(replica)).Msg(text)
+	}
+}
