Join node, replica, registry and operators' port in one process

Cause: the parts had landed apart from each other. Change: internal/host builds a process from its settings; a keeper publishes each version, moves the ledger's age on by the leader's monotonic clock and records the first configuration; replicas are named by random ids in place of numbers in the settings, so a lost disk never comes back under its old id.

--- a/internal/adapter/control/client.go
+++ b/internal/adapter/control/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/control/controlpb"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/port"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
@@ -31,7 +32,7 @@
 }
 
 // Propose records a command and gives its result. It errors with
-// [ErrUnavailable] or [ErrInDoubt].
+// [port.ErrUnavailable] or [port.ErrInDoubt].
 func (cl *Client) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	doubt := false
 	for round := 0; ; round++ {
@@ -69,9 +70,9 @@
 
 func failure(doubt bool) error {
 	if doubt {
-		return ErrInDoubt
+		return port.ErrInDoubt
 	}
-	return ErrUnavailable
+	return port.ErrUnavailable
 }
 
 // pause waits after each round over all replicas.
--- a/internal/adapter/control/doc.go
+++ b/internal/adapter/control/doc.go
@@ -3,8 +3,8 @@
 //
 // [Client] tries the replicas in order, those of its own failure domain first.
 // A command whose fate is unknown is sent again to another replica: commands
-// are idempotent. What stays unknown at the deadline is [ErrInDoubt]; a command
-// that was certainly not recorded is [ErrUnavailable].
+// are idempotent. What stays unknown at the deadline is [port.ErrInDoubt]; a command
+// that was certainly not recorded is [port.ErrUnavailable].
 //
 // # Usage
 //
@@ -21,18 +21,10 @@
 	"github.com/magnoliawall/magnoliawall/internal/replica"
 )
 
-// Errors of a proposal.
-var (
-	// ErrUnavailable tells that a command was not recorded and will not be.
-	ErrUnavailable = replica.ErrUnavailable
-	// ErrInDoubt tells that a command may be recorded, now or later.
-	ErrInDoubt = replica.ErrInDoubt
-)
-
 // Ledger is a replica of the control state.
 type Ledger interface {
 	// Propose records a command and gives its result. Its errors wrap
-	// [ErrUnavailable] or [ErrInDoubt].
+	// [port.ErrUnavailable] or [port.ErrInDoubt].
 	Propose(ctx context.Context, command []byte) ([]byte, error)
 	// Read calls look on a state that holds all that was recorded before.
 	Read(ctx context.Context, look func(*ledger.Machine)) error
--- a/internal/adapter/control/server.go
+++ b/internal/adapter/control/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/control/controlpb"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/port"
 )
 
 const longestRequest = 30 * time.Second
@@ -47,7 +48,7 @@
 	switch {
 	case err == nil:
 		return &controlpb.Answer{Result: result}
-	case errors.Is(err, ErrUnavailable):
+	case errors.Is(err, port.ErrUnavailable):
 		return &controlpb.Answer{Failure: controlpb.Failure_FAILURE_UNAVAILABLE, Detail: err.Error()}
 	}
 	return &controlpb.Answer{Failure: controlpb.Failure_FAILURE_IN_DOUBT, Detail: err.Error()}
--- a/internal/adapter/operator/document.go
+++ b/internal/adapter/operator/document.go
@@ -22,14 +22,11 @@
 	DiffVersions       Verb = "diff-versions"
 	ListTargets        Verb = "list-targets"
 	DrainTarget        Verb = "drain-target"
-	ListHosts          Verb = "list-hosts"
 	ViewStatus         Verb = "view-status"
 	ListActions        Verb = "list-actions"
 	SettleAction       Verb = "settle-action"
 	ListReplicas       Verb = "list-replicas"
-	AddReplica         Verb = "add-replica"
-	PromoteReplica     Verb = "promote-replica"
-	RemoveReplica      Verb = "remove-replica"
+	ReplaceReplica     Verb = "replace-replica"
 )
 
 // Failure is the answer to a request that was not carried out.
@@ -148,13 +145,13 @@
 
 // TargetRow is one instance of a service.
 type TargetRow struct {
-	Service request.ServiceName   `json:"service"`
-	Node    request.NodeID        `json:"node"`
-	Region  request.RegionName    `json:"region"`
-	Domain  request.DomainName    `json:"domain"`
-	Address string                `json:"address"`
-	State   string                `json:"state"`
-	Version configuration.Version `json:"version"`
+	Service request.ServiceName `json:"service"`
+	Node    request.NodeID      `json:"node"`
+	Region  request.RegionName  `json:"region"`
+	Domain  request.DomainName  `json:"domain"`
+	Address string              `json:"address"`
+	State   string              `json:"state"`
+	Slots   int                 `json:"slots"`
 }
 
 // Targets lists targets.
@@ -180,8 +177,8 @@
 	InForce int `json:"in-force"`
 	// Oldest is the oldest version in force at a node.
 	Oldest configuration.Version `json:"oldest"`
-	// Silent counts the nodes whose lease has run out.
-	Silent int `json:"silent"`
+	// Silent lists the nodes that were not heard of lately.
+	Silent []request.NodeID `json:"silent"`
 	// Reached says whether the domain's replica answers.
 	Reached bool `json:"reached"`
 }
@@ -189,7 +186,7 @@
 // Status sums up the whole system.
 type Status struct {
 	Version configuration.Version `json:"version"`
-	Leader  uint64                `json:"leader"`
+	Leader  ReplicaID             `json:"leader"`
 	Quorum  bool                  `json:"quorum"`
 	Domains []DomainRow           `json:"domains"`
 	// Actions counts the actions whose outcome is in doubt.
@@ -220,21 +217,27 @@
 	Note     string                 `json:"note"`
 }
 
+// ReplicaID names a replica, in hexadecimal digits. It is never used again.
+type ReplicaID string
+
 // ReplicaRow is one replica of the control state.
 type ReplicaRow struct {
-	ID      uint64             `json:"id"`
+	ID      ReplicaID          `json:"id"`
 	Address string             `json:"address"`
 	Domain  request.DomainName `json:"domain"`
 	Role    string             `json:"role"`
 }
 
-// Replicas lists replicas.
+// Replicas lists replicas, and names the one that answered.
 type Replicas struct {
-	Leader   uint64       `json:"leader"`
-	Replicas []ReplicaRow `json:"replicas"`
+	Here       ReplicaID    `json:"here"`
+	HereDomain string       `json:"here-domain"`
+	Leader     ReplicaID    `json:"leader"`
+	Replicas   []ReplicaRow `json:"replicas"`
 }
 
-// ReplicaQuery names a replica.
-type ReplicaQuery struct {
-	ID uint64 `json:"id"`
+// Replacement puts the replica at an address in the place of a lost one.
+type Replacement struct {
+	Lost    ReplicaID `json:"lost"`
+	Address string    `json:"address"`
 }
--- a/internal/adapter/operator/hosts.go
+++ b/internal/adapter/operator/hosts.go
@@ -6,12 +6,13 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
 )
 
-func (se *Service) listTargets(context.Context, Done) (Targets, error) {
-	return Targets{Targets: se.Directory.Targets()}, nil
+func (se *Service) listTargets(ctx context.Context, _ Done) (Targets, error) {
+	rows, err := se.Directory.Targets(ctx)
+	return Targets{Targets: rows}, err
 }
 
-func (se *Service) drainTarget(_ context.Context, query NodeQuery) (Done, error) {
-	if err := se.Directory.Drain(query); err != nil {
+func (se *Service) drainTarget(ctx context.Context, query NodeQuery) (Done, error) {
+	if err := se.Directory.Drain(ctx, query); err != nil {
 		return Done{}, notFound{err.Error()}
 	}
 	return Done{Done: true}, nil
@@ -19,38 +20,45 @@
 
 // viewStatus answers also without a quorum, from what this replica has.
 func (se *Service) viewStatus(ctx context.Context, _ Done) (Status, error) {
-	status := Status{Domains: se.Directory.Domains(), Leader: se.Replicas.Replicas().Leader}
-	look := func(machine *ledger.Machine) {
-		status.Version, _ = machine.Current()
-		status.Actions = 0
-		for _, open := range machine.Open() {
-			if open.InDoubt {
-				status.Actions++
-			}
+	status := Status{}
+	look := func(machine *ledger.Machine) { status.look(machine) }
+	reading, cancel := context.WithTimeout(ctx, statusReadTimeout)
+	defer cancel()
+	status.Quorum = se.Ledger.Read(reading, look) == nil
+	if !status.Quorum {
+		if err := se.Ledger.Peek(ctx, look); err != nil {
+			return status, err
 		}
 	}
-	if se.Ledger.Read(ctx, look) == nil {
-		status.Quorum = true
-		return status, nil
+	replicas, err := se.Replicas.Replicas(ctx)
+	if err != nil {
+		return status, err
 	}
-	return status, se.Ledger.Peek(context.WithoutCancel(ctx), look)
+	status.Leader = replicas.Leader
+	status.Domains, err = se.Directory.Domains(ctx, status.Version)
+	return status, err
 }
 
-func (se *Service) listReplicas(context.Context, Done) (Replicas, error) {
-	return se.Replicas.Replicas(), nil
-}
-
-func (se *Service) addReplica(ctx context.Context, row ReplicaRow) (Done, error) {
-	if row.ID == 0 || row.Address == "" {
-		return Done{}, badRequest{"a new replica needs an id that was never used and an address"}
+func (st *Status) look(machine *ledger.Machine) {
+	st.Version, _ = machine.Current()
+	st.Actions = 0
+	for _, open := range machine.Open() {
+		if open.InDoubt {
+			st.Actions++
+		}
 	}
-	return Done{Done: true}, se.Replicas.AddReplica(ctx, row)
 }
 
-func (se *Service) promoteReplica(ctx context.Context, query ReplicaQuery) (Done, error) {
-	return Done{Done: true}, se.Replicas.PromoteReplica(ctx, query.ID)
+func (se *Service) listReplicas(ctx context.Context, _ Done) (Replicas, error) {
+	return se.Replicas.Replicas(ctx)
 }
 
-func (se *Service) removeReplica(ctx context.Context, query ReplicaQuery) (Done, error) {
-	return Done{Done: true}, se.Replicas.RemoveReplica(ctx, query.ID)
+func (se *Service) replaceReplica(ctx context.Context, asked Replacement) (Done, error) {
+	if asked.Lost == "" || asked.Address == "" {
+		return Done{}, badRequest{"name the lost replica's id and the new one's address"}
+	}
+	if err := se.Replicas.ReplaceReplica(ctx, asked); err != nil {
+		return Done{}, badRequest{err.Error()}
+	}
+	return Done{Done: true}, nil
 }
--- a/internal/adapter/operator/service.go
+++ b/internal/adapter/operator/service.go
@@ -21,21 +21,21 @@
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/control"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/port"
 )
 
 // Directory tells of nodes and targets.
 type Directory interface {
-	Targets() []TargetRow
-	Domains() []DomainRow
-	Drain(node NodeQuery) error
+	Targets(ctx context.Context) ([]TargetRow, error)
+	Domains(ctx context.Context, latest configuration.Version) ([]DomainRow, error)
+	Drain(ctx context.Context, node NodeQuery) error
 }
 
 // ReplicaSet changes the members of the quorum.
 type ReplicaSet interface {
-	Replicas() Replicas
-	AddReplica(ctx context.Context, row ReplicaRow) error
-	PromoteReplica(ctx context.Context, id uint64) error
-	RemoveReplica(ctx context.Context, id uint64) error
+	Replicas(ctx context.Context) (Replicas, error)
+	ReplaceReplica(ctx context.Context, asked Replacement) error
 }
 
 // Service answers operators at a replica. The exported fields are set before
@@ -70,7 +70,7 @@
 	}
 	answer, err := run(ctx, body)
 	if err != nil {
-		return encode(statusOf(err), Failure{Error: err.Error(), InDoubt: errors.Is(err, control.ErrInDoubt)})
+		return encode(statusOf(err), Failure{Error: err.Error(), InDoubt: errors.Is(err, port.ErrInDoubt)})
 	}
 	return encode(http.StatusOK, answer)
 }
@@ -90,9 +90,7 @@
 		ListActions:        handle(se.listActions),
 		SettleAction:       handle(se.settleAction),
 		ListReplicas:       handle(se.listReplicas),
-		AddReplica:         handle(se.addReplica),
-		PromoteReplica:     handle(se.promoteReplica),
-		RemoveReplica:      handle(se.removeReplica),
+		ReplaceReplica:     handle(se.replaceReplica),
 	}
 }
 
@@ -119,7 +117,7 @@
 		return http.StatusNotFound
 	case errors.As(err, &bad):
 		return http.StatusBadRequest
-	case errors.Is(err, control.ErrUnavailable), errors.Is(err, control.ErrInDoubt):
+	case errors.Is(err, port.ErrUnavailable), errors.Is(err, port.ErrInDoubt):
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusInternalServerError
--- a/internal/adapter/operator/web.go
+++ b/internal/adapter/operator/web.go
@@ -14,6 +14,8 @@
 const (
 	maxRequest     = 2 << 20
 	operateTimeout = 10 * time.Second
+	// statusReadTimeout leaves time to answer without a quorum.
+	statusReadTimeout = 2 * time.Second
 )
 
 // Operate carries out one request, here or at a replica.
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,201 @@
+// Package host joins everything that runs in one magnoliad process: the node of
+// the local target, on hosts with a disk a replica of the control state, and
+// the ports of peers, callers, the target and operators.
+//
+// # Usage
+//
+//	loaded, err := settings.Read(text)
+//	...
+//	ho := &host.Host{Settings: loaded, Logger: logger}
+//	err = ho.Run(ctx) // until ctx ends and everything in flight is done
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/phuslu/log"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/certificate"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/control"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/node"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/internal/settings"
+)
+
+// Host is one process. The exported fields are set before Run.
+type Host struct {
+	Settings *settings.Settings
+	Logger   *log.Logger
+	// Dial opens connections to peers; nil means TCP.
+	Dial func(ctx context.Context, address peer.Address) (net.Conn, error)
+
+	place       request.Place
+	incarnation uint64
+	files       *certificate.Files
+	transport   *peer.Transport
+	holder      *node.Holder
+	seat        *seat
+	site        *site
+	operations  operator.Operate
+	drain       context.CancelFunc
+}
+
+// Run serves until the context ends, then finishes what is in flight.
+func (ho *Host) Run(ctx context.Context) error {
+	ctx, ho.drain = context.WithCancel(ctx)
+	defer ho.drain()
+	if err := ho.prepare(); err != nil {
+		return err
+	}
+	defer func() { _ = ho.transport.Close() }()
+	group := run.Group{}
+	// What the node needs while it drains ends only after it.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if err := ho.addReplica(background, &group); err != nil {
+		return err
+	}
+	if err := ho.addSite(ctx, background, &group); err != nil {
+		return err
+	}
+	if err := ho.addAdmin(&group); err != nil {
+		return err
+	}
+	if ho.site == nil {
+		ho.addPeers(ctx, &group)
+	}
+	ho.Logger.Info().Str("node", string(ho.Settings.Node)).Str("domain", string(ho.place.Domain)).Msg("host: started")
+	err := group.Run()
+	ho.Logger.Info().Str("node", string(ho.Settings.Node)).Msg("host: stopped")
+	return err
+}
+
+func (ho *Host) prepare() error {
+	ho.place = request.Place{Region: ho.Settings.Region, Domain: ho.Settings.FailureDomain}
+	ho.incarnation = uint64(time.Now().UnixMilli())
+	ho.holder = node.NewHolder(node.Unconfigured())
+	ho.operations = ho.operateRemote
+	ho.transport = &peer.Transport{
+		Self:     peer.Hello{Node: ho.Settings.Node, Place: ho.place, Service: ho.Settings.Service, Incarnation: ho.incarnation},
+		Handlers: make(map[peer.Kind]peer.Handler),
+		Dial:     ho.Dial,
+		Logger:   ho.Logger,
+	}
+	return ho.secure()
+}
+
+// secure sets mutual TLS for the peers, unless plaintext is allowed.
+func (ho *Host) secure() error {
+	security := ho.Settings.Security
+	if security.PlaintextOnLoopback {
+		return nil
+	}
+	ho.files = &certificate.Files{Authority: security.Authority, Certificate: security.Certificate, Key: security.Key}
+	if err := ho.files.Load(); err != nil {
+		return err
+	}
+	ho.transport.ServerTLS = ho.files.Server(certificate.RoleNode)
+	ho.transport.ClientTLS = ho.files.Client(certificate.RoleNode)
+	ho.transport.Identify = identify
+	return nil
+}
+
+var errOtherNode = errors.New("hello names another node than the certificate")
+
+func identify(state tls.ConnectionState, hello peer.Hello) error {
+	name := state.PeerCertificates[0].Subject.CommonName
+	if name != string(hello.Node) {
+		return fmt.Errorf("%w: %s and %s", errOtherNode, hello.Node, name)
+	}
+	return nil
+}
+
+// replicaAddresses lists where replicas listen, the own one first.
+func (ho *Host) replicaAddresses() []peer.Address {
+	addresses := make([]peer.Address, 0, len(ho.Settings.Seeds)+1)
+	if ho.Settings.HoldsReplica() {
+		addresses = append(addresses, peer.Address(ho.Settings.Listen.Peers))
+	}
+	for _, seed := range ho.Settings.Seeds {
+		if seed != ho.Settings.Listen.Peers {
+			addresses = append(addresses, peer.Address(seed))
+		}
+	}
+	return addresses
+}
+
+func listen(address settings.Address) (net.Listener, error) {
+	if address == "" {
+		return nil, nil
+	}
+	listener, err := net.Listen("tcp", string(address))
+	if err != nil {
+		return nil, fmt.Errorf("listen at %s; is another process there? %w", address, err)
+	}
+	return listener, nil
+}
+
+// addPeers serves the peers of a host without a target.
+func (ho *Host) addPeers(ctx context.Context, group *run.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error {
+		listener, err := listen(ho.Settings.Listen.Peers)
+		if err != nil {
+			return err
+		}
+		return ho.transport.Serve(ctx, listener)
+	}, func(error) { cancel() })
+}
+
+const (
+	headerTimeout   = 5 * time.Second
+	shutdownTimeout = 2 * time.Second
+)
+
+// addAdmin serves operators, metrics and health checks.
+func (ho *Host) addAdmin(group *run.Group) error {
+	listener, err := listen(ho.Settings.Listen.Admin)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/{verb}", operator.Handler(ho.operate))
+	if ho.site != nil {
+		mux.Handle("/", ho.site.node.AdminHandler())
+	}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	if ho.files != nil {
+		listener = tls.NewListener(listener, ho.files.Server(certificate.RoleOperator, certificate.RoleNode))
+	}
+	group.Add(func() error {
+		return server.Serve(listener)
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+	})
+	return nil
+}
+
+// operate answers an operator here, or passes the request to a replica.
+func (ho *Host) operate(ctx context.Context, verb string, body []byte) (int, []byte) {
+	return ho.operations(ctx, verb, body)
+}
+
+func (ho *Host) operateRemote(ctx context.Context, verb string, body []byte) (int, []byte) {
+	client := &control.Client{Transport: ho.transport, Replicas: ho.replicaAddresses()}
+	status, answer, err := client.Operate(ctx, verb, body)
+	if err != nil {
+		return http.StatusServiceUnavailable, []byte(`{"error":"no replica could be reached from this node; ask a node of another failure domain","in-doubt":true}`)
+	}
+	return status, answer
+}
--- /dev/null
+++ b/internal/host/keeper.go
@@ -0,0 +1,182 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
+	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
+	"github.com/magnoliawall/magnoliawall/internal/core/spread"
+)
+
+const (
+	keepInterval    = time.Second
+	advanceInterval = 5 * time.Second
+	readTimeout     = 900 * time.Millisecond
+	confirmedFor    = 2 * time.Second
+	firstPatch      = "initial-configuration"
+)
+
+// keeper keeps what a replica gives to nodes up with the log: it publishes each
+// version, moves the ledger's age on, and records the first configuration.
+type keeper struct {
+	seat        *seat
+	published   configuration.Version
+	text        []byte
+	confirmedAt atomic.Int64
+	advancedAt  time.Time
+}
+
+// confirmed tells whether a quorum read has lately shown that the version
+// published here is the newest accepted one.
+func (ke *keeper) confirmed() bool {
+	at := ke.confirmedAt.Load()
+	return at != 0 && time.Since(time.Unix(0, at)) < confirmedFor
+}
+
+func (ke *keeper) run(ctx context.Context) error {
+	ticker := time.NewTicker(keepInterval)
+	defer ticker.Stop()
+	for {
+		ke.keep(ctx)
+		select {
+		case <-ticker.C:
+		case <-ke.seat.machine.changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (ke *keeper) keep(ctx context.Context) {
+	reading, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	began := time.Now()
+	here := &fresh{after: ke.published, text: ke.text}
+	if err := ke.seat.Peek(reading, here.collect); err != nil {
+		return
+	}
+	ke.publish(ctx, here)
+	agreed := &fresh{after: ke.published, text: ke.text}
+	if err := ke.seat.Read(reading, agreed.collect); err != nil {
+		return
+	}
+	ke.publish(ctx, agreed)
+	ke.confirmedAt.Store(began.UnixNano())
+	ke.lead(ctx)
+}
+
+// fresh collects the versions after one, while the replica's goroutine runs.
+type fresh struct {
+	after    configuration.Version
+	text     []byte
+	versions []spread.Version
+}
+
+func (fr *fresh) collect(machine *ledger.Machine) {
+	current, text := machine.Current()
+	before := fr.text
+	for number := fr.after + 1; number <= current; number++ {
+		between := text
+		if number < current {
+			between, _ = machine.Text(number)
+		}
+		if between == nil {
+			fr.versions, before = nil, nil
+			continue
+		}
+		fr.versions = append(fr.versions, newVersion(number, before, between))
+		before = between
+	}
+}
+
+func newVersion(number configuration.Version, before, text []byte) spread.Version {
+	version := spread.Version{Number: number, Text: text}
+	if before != nil {
+		version.Patch = ledger.Delta(before, text)
+	}
+	return version
+}
+
+func (ke *keeper) publish(ctx context.Context, found *fresh) {
+	for _, version := range found.versions {
+		if err := ke.seat.registry.Publish(ctx, version); err != nil {
+			if ctx.Err() == nil {
+				ke.seat.host.Logger.Error().Err(err).Msg("configuration: version was not published")
+			}
+			return
+		}
+		ke.published, ke.text = version.Number, version.Text
+	}
+}
+
+// lead does what one replica does for all: the leader.
+func (ke *keeper) lead(ctx context.Context) {
+	status, err := ke.seat.replica.Status(ctx)
+	if err != nil || status.Role != quorum.Leader {
+		ke.advancedAt = time.Time{}
+		return
+	}
+	if ke.published == 0 {
+		ke.begin(ctx)
+	}
+	ke.advance(ctx)
+}
+
+// advance moves the ledger's age on by this leader's monotonic clock. Time
+// before its first look does not count.
+func (ke *keeper) advance(ctx context.Context) {
+	now := time.Now()
+	if ke.advancedAt.IsZero() {
+		ke.advancedAt = now
+		return
+	}
+	elapsed := now.Sub(ke.advancedAt)
+	if elapsed < advanceInterval {
+		return
+	}
+	ke.advancedAt = now
+	var age ledger.Age
+	if err := ke.seat.Peek(ctx, func(machine *ledger.Machine) { age = machine.Age() }); err != nil {
+		return
+	}
+	proposing, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	_, _ = ke.seat.Propose(proposing, ledger.AdvanceCommand{From: age, Elapsed: elapsed}.Encode())
+}
+
+// begin records the first version from its file.
+func (ke *keeper) begin(ctx context.Context) {
+	text, err := os.ReadFile(ke.seat.host.Settings.Replica.InitialConfiguration)
+	if err == nil {
+		err = ke.propose(ctx, text)
+	}
+	if err != nil {
+		ke.seat.host.Logger.Error().Err(err).Msg("configuration: the first version was not recorded")
+	}
+}
+
+func (ke *keeper) propose(ctx context.Context, text []byte) error {
+	var command []byte
+	var prepareErr error
+	err := ke.seat.Peek(ctx, func(machine *ledger.Machine) {
+		command, prepareErr = machine.Prepare(ledger.Submission{
+			ID:       firstPatch,
+			Operator: string(ke.seat.host.Settings.Node),
+			Note:     "first configuration",
+			Text:     text,
+			At:       time.Now(),
+		})
+	})
+	if err := errors.Join(err, prepareErr); err != nil {
+		return err
+	}
+	proposing, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	_, err = ke.seat.Propose(proposing, command)
+	return err
+}
--- /dev/null
+++ b/internal/host/machine.go
@@ -0,0 +1,55 @@
+package host
+
+import (
+	"context"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
+)
+
+// watchedMachine is the ledger, with a signal when a version may be new.
+type watchedMachine struct {
+	*ledger.Machine
+	changed chan struct{}
+}
+
+func newWatchedMachine() *watchedMachine {
+	return &watchedMachine{Machine: ledger.New(), changed: make(chan struct{}, 1)}
+}
+
+// Apply applies a command.
+func (wm *watchedMachine) Apply(index uint64, command []byte) ([]byte, error) {
+	before, _ := wm.Current()
+	result, err := wm.Machine.Apply(index, command)
+	if after, _ := wm.Current(); after != before {
+		wm.signal()
+	}
+	return result, err
+}
+
+// Restore takes in a snapshot.
+func (wm *watchedMachine) Restore(snapshot []byte) error {
+	defer wm.signal()
+	return wm.Machine.Restore(snapshot)
+}
+
+func (wm *watchedMachine) signal() {
+	select {
+	case wm.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Propose records a command and gives its result.
+func (se *seat) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	return se.replica.Propose(ctx, command)
+}
+
+// Read shows a state that holds all that was recorded before.
+func (se *seat) Read(ctx context.Context, look func(*ledger.Machine)) error {
+	return se.replica.Read(ctx, func(machine *watchedMachine) { look(machine.Machine) })
+}
+
+// Peek shows the state as it is here.
+func (se *seat) Peek(ctx context.Context, look func(*ledger.Machine)) error {
+	return se.replica.Peek(ctx, func(machine *watchedMachine) { look(machine.Machine) })
+}
--- /dev/null
+++ b/internal/host/operations.go
@@ -0,0 +1,58 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
+	"github.com/magnoliawall/magnoliawall/internal/port"
+)
+
+// drainHere is the request of a replica to a node that an operator drains.
+const drainHere = "drain-here"
+
+// operations makes a function serve as [control.Operations].
+type operations operator.Operate
+
+// Operate carries out one request.
+func (op operations) Operate(ctx context.Context, verb string, body []byte) (int, []byte) {
+	return op(ctx, verb, body)
+}
+
+// operateHere answers a request that came over the peer port. It is never
+// passed on to a third process.
+func (ho *Host) operateHere(ctx context.Context, verb string, body []byte) (int, []byte) {
+	if verb == drainHere {
+		ho.Logger.Info().Msg("host: an operator drains this node")
+		ho.drain()
+		return done()
+	}
+	if ho.seat == nil {
+		return http.StatusServiceUnavailable, []byte(`{"error":"this node holds no replica; ask another one"}`)
+	}
+	return ho.operations(ctx, verb, body)
+}
+
+func done() (int, []byte) {
+	answer, err := json.Marshal(operator.Done{Done: true})
+	if err != nil {
+		return http.StatusInternalServerError, nil
+	}
+	return http.StatusOK, answer
+}
+
+// noLedger is what a node without a replica has for one.
+type noLedger struct{}
+
+// Propose records nothing.
+func (noLedger) Propose(context.Context, []byte) ([]byte, error) {
+	return nil, port.ErrUnavailable
+}
+
+// Read shows nothing.
+func (noLedger) Read(context.Context, func(*ledger.Machine)) error { return port.ErrUnavailable }
+
+// Peek shows nothing.
+func (noLedger) Peek(context.Context, func(*ledger.Machine)) error { return port.ErrUnavailable }
--- /dev/null
+++ b/internal/host/seat.go
@@ -0,0 +1,112 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/oklog/run"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/control"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/disk"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/registry"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/replication"
+	"github.com/magnoliawall/magnoliawall/internal/core/membership"
+	"github.com/magnoliawall/magnoliawall/internal/core/spread"
+	"github.com/magnoliawall/magnoliawall/internal/replica"
+)
+
+// seat is the part of a host that holds a replica of the control state.
+type seat struct {
+	host      *Host
+	machine   *watchedMachine
+	folder    *disk.Folder
+	messenger *replication.Messenger
+	replica   *replica.Replica[*watchedMachine]
+	registry  *registry.Server
+	keeper    *keeper
+}
+
+// addReplica joins a replica to the run, where the settings name one.
+func (ho *Host) addReplica(ctx context.Context, group *run.Group) error {
+	if !ho.Settings.HoldsReplica() {
+		return nil
+	}
+	se := &seat{host: ho, machine: newWatchedMachine()}
+	if err := se.build(); err != nil {
+		return err
+	}
+	ho.seat = se
+	ho.operations = se.operations()
+	ho.transport.Handlers[peer.KindQuorum] = se.messenger.Serve
+	ho.transport.Handlers[peer.KindRegistry] = se.registry.Handle
+	ho.transport.Handlers[peer.KindControl] = (&control.Server{Ledger: se, Operations: operations(ho.operateHere)}).Serve
+	for _, part := range []func(context.Context) error{se.runReplica, se.messenger.Run, se.registry.Run, se.keeper.run} {
+		add(ctx, group, part)
+	}
+	return nil
+}
+
+// add joins a part that ends with its context to the run.
+func add(ctx context.Context, group *run.Group, part func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error {
+		return part(ctx)
+	}, func(error) { cancel() })
+}
+
+func (se *seat) build() error {
+	ho := se.host
+	se.folder = &disk.Folder{Directory: ho.Settings.DataFolder}
+	if err := se.folder.Open(); err != nil {
+		return err
+	}
+	se.messenger = &replication.Messenger{Transport: ho.transport}
+	se.replica = &replica.Replica[*watchedMachine]{
+		Machine:       se.machine,
+		Disk:          se.folder,
+		Messenger:     se.messenger,
+		Address:       string(ho.Settings.Listen.Peers),
+		FailureDomain: string(ho.Settings.FailureDomain),
+		Logger:        ho.Logger,
+	}
+	for _, member := range ho.Settings.Replica.Members {
+		se.replica.Peers = append(se.replica.Peers, string(member.Address))
+	}
+	se.keeper = &keeper{seat: se}
+	se.registry = &registry.Server{
+		Registry:  &membership.Registry{Self: ho.Settings.Node},
+		Publisher: &spread.Publisher{},
+		Tracker:   &spread.Tracker{},
+		Others:    se.others(),
+		Open:      registry.OpenPeer(ho.transport),
+		Confirmed: se.keeper.confirmed,
+		Logger:    ho.Logger,
+	}
+	return nil
+}
+
+func (se *seat) others() []registry.Replica {
+	var others []registry.Replica
+	for _, member := range se.host.Settings.Replica.Members {
+		if member.Node != se.host.Settings.Node {
+			others = append(others, registry.Replica{ID: member.Node, Address: peer.Address(member.Address)})
+		}
+	}
+	return others
+}
+
+// runReplica ends the whole process when the replica must stop: a node that
+// served on would hide the lost replica.
+func (se *seat) runReplica(ctx context.Context) error {
+	err := se.replica.Run(ctx)
+	return errors.Join(err, se.folder.Close())
+}
+
+// operations answers operators from this replica.
+func (se *seat) operations() operator.Operate {
+	service := &operator.Service{Ledger: se, Directory: se, Replicas: se, Now: time.Now}
+	return service.Operate
+}
--- /dev/null
+++ b/internal/host/site.go
@@ -0,0 +1,216 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/oklog/run"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/control"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/registry"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/choice"
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
+	"github.com/magnoliawall/magnoliawall/internal/core/membership"
+	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
+	"github.com/magnoliawall/magnoliawall/internal/core/spread"
+	"github.com/magnoliawall/magnoliawall/internal/node"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+const (
+	reportTimeout = time.Second
+	leaveTime     = 300 * time.Millisecond
+)
+
+// site is the part of a host that has a target: its node and its membership.
+type site struct {
+	host     *Host
+	node     *node.Node
+	chooser  *choice.Chooser
+	guard    *quarantine.Guard
+	client   *registry.Client
+	watched  map[request.ServiceName]bool
+	versions chan configuration.Version
+}
+
+// addSite joins a host with a target to the run. The node drains when ctx ends;
+// its membership goes on until background ends.
+func (ho *Host) addSite(ctx, background context.Context, group *run.Group) error {
+	if ho.Settings.Service == "" {
+		return nil
+	}
+	st := &site{host: ho, versions: make(chan configuration.Version, 1)}
+	st.build()
+	ho.site = st
+	listeners, err := ho.listeners()
+	if err != nil {
+		return err
+	}
+	group.Add(func() error {
+		return st.node.Run(ctx, listeners)
+	}, func(error) { ho.drain() })
+	st.addClient(background, group)
+	return nil
+}
+
+func (ho *Host) listeners() (node.Listeners, error) {
+	found := node.Listeners{}
+	var err error
+	if found.Callers, err = listen(ho.Settings.Listen.Callers); err != nil {
+		return found, err
+	}
+	if found.Target, err = listen(ho.Settings.Listen.Outbound); err != nil {
+		return found, err
+	}
+	found.Peers, err = listen(ho.Settings.Listen.Peers)
+	return found, err
+}
+
+func (st *site) build() {
+	ho := st.host
+	st.chooser = &choice.Chooser{Self: ho.Settings.Node, Place: ho.place, Links: &choice.Links{}}
+	st.guard = &quarantine.Guard{Crash: quarantine.Crash{
+		Node:        ho.Settings.Node,
+		Domain:      ho.place.Domain,
+		Incarnation: quarantine.Incarnation(ho.incarnation),
+	}}
+	st.client = st.newClient()
+	st.node = &node.Node{
+		ID:            ho.Settings.Node,
+		Place:         ho.place,
+		Service:       ho.Settings.Service,
+		Configuration: ho.holder,
+		Chooser:       st.chooser,
+		Transport:     ho.transport,
+		Target:        &web.TargetClient{Address: string(ho.Settings.Target), Connections: targetConnections},
+		Claims:        &control.Client{Transport: ho.transport, Replicas: ho.replicaAddresses()},
+		Guard:         st.guard,
+		Logger:        ho.Logger,
+		OnDrain:       st.announceDrain,
+		OnReport:      st.sendReport,
+	}
+	st.node.Prepare()
+	if ho.seat == nil {
+		ho.transport.Handlers[peer.KindControl] = (&control.Server{Ledger: noLedger{}, Operations: operations(ho.operateHere)}).Serve
+	}
+}
+
+const targetConnections = 512
+
+func (st *site) newClient() *registry.Client {
+	ho := st.host
+	return &registry.Client{
+		Self: membership.Announcement{
+			Node:        ho.Settings.Node,
+			Incarnation: membership.Incarnation(ho.incarnation),
+			Address:     string(ho.Settings.Listen.Peers),
+			Place:       ho.place,
+			Service:     ho.Settings.Service,
+		},
+		Replicas: ho.replicaAddresses(),
+		Open:     registry.OpenPeer(ho.transport),
+		Follower: &spread.Follower{Patch: ledger.ApplyDelta, Check: checkText},
+		Events: registry.Events{
+			Targets:       func(now time.Time, view choice.View) { st.chooser.Update(now, view) },
+			Configuration: st.enforce,
+			Reports:       func(now time.Time, report quarantine.Report) { st.guard.Apply(now, report) },
+			Problem:       st.problem,
+		},
+		Logger: ho.Logger,
+	}
+}
+
+func checkText(text []byte) error {
+	_, err := configuration.Parse(text)
+	return err
+}
+
+// enforce puts a version in force at this node.
+func (st *site) enforce(number configuration.Version, text []byte) {
+	active, err := node.NewActive(number, text)
+	if err != nil {
+		st.problem("a version cannot be used", err)
+		return
+	}
+	if !st.host.holder.Replace(active) {
+		return
+	}
+	st.host.Logger.Info().Uint64("version", uint64(number)).Msg("configuration: version in force")
+	select {
+	case st.versions <- number:
+	default:
+	}
+}
+
+func (st *site) problem(problem string, err error) {
+	st.host.Logger.Error().Err(err).Msg("registry: " + problem)
+}
+
+// addClient runs the membership, and tells it what the configuration asks for.
+func (st *site) addClient(ctx context.Context, group *run.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error {
+		return st.client.Run(ctx)
+	}, func(error) {
+		leaving, stop := context.WithTimeout(context.WithoutCancel(ctx), leaveTime)
+		defer stop()
+		_ = st.client.Leave(leaving)
+		cancel()
+	})
+	watching, stop := context.WithCancel(ctx)
+	group.Add(func() error {
+		st.follow(watching)
+		return nil
+	}, func(error) { stop() })
+}
+
+// follow adapts subscriptions, slots and links to each version in force.
+func (st *site) follow(ctx context.Context) {
+	for {
+		select {
+		case <-st.versions:
+			st.adapt(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (st *site) adapt(ctx context.Context) {
+	document := st.host.holder.Current().Document
+	own := document.Services[st.host.Settings.Service]
+	st.chooser.Links.SetCapacity(choice.Rate(document.Links.BytesPerSecond), document.Links.ShareForUnimportant)
+	if err := st.client.Change(ctx, membership.Ready, membership.Slots(own.Slots)); err != nil {
+		return
+	}
+	_ = st.client.Watch(ctx, st.services(document))
+}
+
+// services lists the services that this node sends calls to: all where callers
+// enter, else those that its target calls.
+func (st *site) services(document *configuration.Document) []request.ServiceName {
+	if st.host.Settings.Listen.Callers == "" {
+		return document.Services[st.host.Settings.Service].Calls
+	}
+	names := make([]request.ServiceName, 0, len(document.Services))
+	for name := range document.Services {
+		names = append(names, name)
+	}
+	return names
+}
+
+// announceDrain tells the replica that the target leaves.
+func (st *site) announceDrain() {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	_ = st.client.Change(ctx, membership.Draining, 0)
+}
+
+func (st *site) sendReport(report quarantine.Report) {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	_ = st.client.Report(ctx, report)
+}
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -5,17 +5,11 @@
 	"fmt"
 
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
+	"github.com/magnoliawall/magnoliawall/internal/port"
 )
 
-// Errors of proposals and reads.
-var (
-	// ErrUnavailable tells that a command was not recorded and will not be.
-	ErrUnavailable = errors.New("no quorum of replicas could be reached, nothing was recorded: try again")
-	// ErrInDoubt tells that a command may be recorded, now or later.
-	ErrInDoubt = errors.New("it is not known whether the command was recorded: send the same one again")
-	// ErrStopped tells that this replica does not run any more.
-	ErrStopped = errors.New("this replica has stopped: ask another one")
-)
+// ErrStopped tells that this replica does not run any more.
+var ErrStopped = errors.New("this replica has stopped: ask another one")
 
 // NotLeaderError tells that a change of members has to be asked of the leader.
 type NotLeaderError struct {
@@ -32,5 +26,5 @@
 }
 
 func unavailable(reason error) error {
-	return fmt.Errorf("%w (%w)", ErrUnavailable, reason)
+	return fmt.Errorf("%w (%w)", port.ErrUnavailable, reason)
 }
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
+	"github.com/magnoliawall/magnoliawall/internal/port"
 )
 
 // change is a change of members whose caller waits.
@@ -19,7 +20,7 @@
 		waiting.done <- nil
 		return
 	}
-	waiting.done <- ErrUnavailable
+	waiting.done <- port.ErrUnavailable
 }
 
 // Status tells where the replica stands.
@@ -43,7 +44,7 @@
 	case <-ctx.Done():
 	case <-replica.stopped:
 	}
-	return ErrInDoubt
+	return port.ErrInDoubt
 }
 
 func (replica *Replica[M]) submitChange(wanted quorum.Change, waiting *change) {
@@ -58,7 +59,7 @@
 	default:
 		waiting.term = term
 		if earlier, ok := replica.changes[index]; ok {
-			earlier.done <- ErrUnavailable
+			earlier.done <- port.ErrUnavailable
 		}
 		replica.changes[index] = waiting
 	}
@@ -109,7 +110,7 @@
 	for at, waiting := range replica.changes {
 		if at <= index {
 			delete(replica.changes, at)
-			waiting.done <- ErrInDoubt
+			waiting.done <- port.ErrInDoubt
 		}
 	}
 }
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -10,6 +10,7 @@
 
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum/quorumpb"
+	"github.com/magnoliawall/magnoliawall/internal/port"
 )
 
 // The states of a proposal. The owner sends it and the caller gives it up;
@@ -48,8 +49,8 @@
 }
 
 // Propose records a command and gives its result. While no leader is known it
-// waits. Its errors wrap [ErrUnavailable], when the command certainly was not
-// recorded, or [ErrInDoubt].
+// waits. Its errors wrap [port.ErrUnavailable], when the command certainly was not
+// recorded, or [port.ErrInDoubt].
 func (replica *Replica[M]) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	replica.init()
 	waiting := &proposal{command: command, done: make(chan outcome, 1)}
@@ -72,13 +73,13 @@
 	default:
 	}
 	if waiting.state.CompareAndSwap(proposalWaits, proposalAbandoned) {
-		return nil, ErrUnavailable
+		return nil, port.ErrUnavailable
 	}
 	select {
 	case replica.requests <- func() { delete(replica.commands, waiting.number) }:
 	case <-replica.stopped:
 	}
-	return nil, ErrInDoubt
+	return nil, port.ErrInDoubt
 }
 
 // ask hands a request to the owner.
--- a/internal/replica/read.go
+++ b/internal/replica/read.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
+	"github.com/magnoliawall/magnoliawall/internal/port"
 )
 
 // The states of a look. Once it runs, its caller waits for its end.
@@ -67,7 +68,7 @@
 // Read calls look on a state that holds every command that was recorded before
 // Read was called. The call is made by the replica's goroutine: it must be
 // short and must keep nothing of the machine. Without a quorum Read waits until
-// the context ends and gives [ErrUnavailable].
+// the context ends and gives [port.ErrUnavailable].
 func (replica *Replica[M]) Read(ctx context.Context, call func(M)) error {
 	asked := &look[M]{call: call, done: make(chan struct{})}
 	return replica.await(ctx, asked, func() {
@@ -93,7 +94,7 @@
 	case <-replica.stopped:
 	}
 	if asked.state.CompareAndSwap(lookWaits, lookAbandoned) {
-		return ErrUnavailable
+		return port.ErrUnavailable
 	}
 	<-asked.done
 	return nil
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
+	"github.com/magnoliawall/magnoliawall/internal/port"
 )
 
 // TestLeaderSilentlyCutOff cuts the leader's links in each direction for long.
@@ -107,11 +108,11 @@
 	sent := made.submit(leader, "sent")
 	made.Expect(leader.carryOut()).To(gomega.Succeed())
 	_, err := leader.giveUp(sent)
-	made.Expect(err).To(gomega.MatchError(ErrInDoubt))
+	made.Expect(err).To(gomega.MatchError(port.ErrInDoubt))
 	made.until("it steps down", func() bool { return leader.core.Status().Role != quorum.Leader })
 	unsent := made.submit(leader, "unsent")
 	_, err = leader.giveUp(unsent)
-	made.Expect(err).To(gomega.MatchError(ErrUnavailable))
+	made.Expect(err).To(gomega.MatchError(port.ErrUnavailable))
 	for _, other := range made.others(leader) {
 		made.start(other.Address)
 	}
@@ -174,5 +175,5 @@
 		defer stop()
 	}
 	_, err = made.hosts[leader.Address].Propose(ctx, []byte("stopped"))
-	made.Expect(err).To(gomega.MatchError(ErrUnavailable))
+	made.Expect(err).To(gomega.MatchError(port.ErrUnavailable))
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -133,40 +133,40 @@
 	held := c.settings.Replica
 	if !c.settings.HoldsReplica() {
 		if c.source.Has("replica") {
-			c.fault("replica.id", "give a number that no replica had before", "is missing")
+			c.fault("replica.members", "list all hosts that hold replicas, this one included", "are missing")
 		}
 		return
 	}
 	if c.settings.DataFolder == "" {
 		c.fault("data-folder", "name the folder on the disk of this host", "is missing, and the host holds a replica")
 	}
+	if held.InitialConfiguration == "" {
+		c.fault("replica.initial-configuration", "name the file of the first version", "is missing")
+	}
+	self := false
 	for i, member := range held.Members {
 		c.member(fmt.Sprintf("replica.members[%d]", i), held.Members[:i], member)
+		self = self || member.Node == c.settings.Node
 	}
-	if len(held.Members) == 0 && len(c.settings.Seeds) == 0 {
-		c.fault("replica.members", "list all replicas of the first start, or seeds if this one joins later", "neither members nor seeds are given")
-	}
-	if len(held.Members) > 0 && held.InitialConfiguration == "" {
-		c.fault("replica.initial-configuration", "name the file of the first version", "is missing")
+	if !self {
+		c.fault("replica.members", "list this host too", "have no entry for %q", c.settings.Node)
 	}
 }
 
 func (c *checker) member(field string, before []Member, member Member) {
-	if member.ID == 0 {
-		c.fault(field+".id", "give a number that no replica had before", "is missing")
-	}
+	c.name(field+".node", string(member.Node))
 	c.address(field+".address", member.Address, true)
 	c.name(field+".failure-domain", string(member.FailureDomain))
 	for _, other := range before {
-		if other.ID == member.ID {
-			c.fault(field+".id", "give each replica its own number", "%d is listed twice", member.ID)
+		if other.Node == member.Node {
+			c.fault(field+".node", "list each host once", "%q is listed twice", member.Node)
 		}
 		if other.Address == member.Address {
-			c.fault(field+".address", "give each replica its own address", "%s is listed twice", member.Address)
+			c.fault(field+".address", "give each host its own address", "%s is listed twice", member.Address)
 		}
 	}
-	if member.ID == c.settings.Replica.ID && member.Address != c.settings.Listen.Peers {
-		c.fault(field+".address", "give the address of listen.peers", "%s is not where this replica listens", member.Address)
+	if member.Node == c.settings.Node && member.Address != c.settings.Listen.Peers {
+		c.fault(field+".address", "give the address of listen.peers", "%s is not where this host listens", member.Address)
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,9 +27,6 @@
 // Address is an IP number with a port, as in "10.1.0.5:7403".
 type Address string
 
-// ReplicaID names a replica for the life of its disk.
-type ReplicaID uint64
-
 // LogLevel is the least level of the lines that are logged.
 type LogLevel string
 
@@ -69,19 +66,18 @@
 
 // Replica is the replica of the control state that a host holds.
 type Replica struct {
-	// ID is never used again after its disk was lost.
-	ID ReplicaID `json:"id"`
-	// Members are the replicas at the first start of the site. A replica that
-	// joins later, by operators' commands, is not among them.
+	// Members are the hosts that hold replicas, this one included. The log is
+	// formed only when all of them are there and none has one; a host whose disk
+	// was lost waits until an operator puts its replica in the place of the old.
 	Members []Member `json:"members"`
 	// InitialConfiguration is the file of the first version. It is read only
 	// while there is no version.
 	InitialConfiguration string `json:"initial-configuration"`
 }
 
-// Member is one replica of the first start.
+// Member is a host that holds a replica.
 type Member struct {
-	ID            ReplicaID          `json:"id"`
+	Node          request.NodeID     `json:"node"`
 	Address       Address            `json:"address"`
 	FailureDomain request.DomainName `json:"failure-domain"`
 }
@@ -103,7 +99,7 @@
 
 // HoldsReplica tells whether the host holds a replica.
 func (s *Settings) HoldsReplica() bool {
-	return s.Replica.ID != 0
+	return len(s.Replica.Members) > 0
 }
 
 // Read reads and checks a settings file. The error is of type [Faults] and
