--- a/internal/core/ledger/machine.go
+++ b/internal/core/ledger/machine.go
@@ -49,7 +49,7 @@
 	// operator can settle it.
 	SettleAfter = time.Minute
 	// MaxClaims bounds the claims in memory.
-	MaxClaims = 2_000_000
+	MaxClaims = 1_000_000
 	// MaxVersions bounds the history of versions.
 	MaxVersions = 16_384
 	// MaxOutcomes bounds the outcomes of patches.
