Give each refused registration its own place

Change: the debt of the token bucket is handed out as places; a node comes at its place and not at its next renewal.

Conclusion: the storm is spread over the rate that was set.

--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -79,20 +79,29 @@
 // tick renews the lease. It is called several times a second.
 func (a *agent) tick(now time.Time) *pb.Request {
 	a.enforced(a.follower.Tick(now))
-	if !a.attached || now.Before(a.renewAt) {
+	if !a.attached {
 		return nil
 	}
-	a.renewAt = now.Add(membership.DefaultRenewal)
 	if !a.retryAt.IsZero() {
-		if now.Before(a.retryAt) {
-			return nil
-		}
-		a.retryAt = time.Time{}
-		return &pb.Request{Announce: encodeAnnouncement(a.self)}
+		return a.retry(now)
+	}
+	if now.Before(a.renewAt) {
+		return nil
 	}
+	a.renewAt = now.Add(membership.DefaultRenewal)
 	return &pb.Request{Renew: a.renewal()}
 }
 
+// retry registers again once the replica is ready for it.
+func (a *agent) retry(now time.Time) *pb.Request {
+	if now.Before(a.retryAt) {
+		return nil
+	}
+	a.retryAt = time.Time{}
+	a.renewAt = now.Add(membership.DefaultRenewal)
+	return &pb.Request{Announce: encodeAnnouncement(a.self)}
+}
+
 // silent says whether the replica has let the lease run out.
 func (a *agent) silent(now time.Time) bool {
 	return a.attached && now.After(a.granted)
--- a/internal/core/membership/registry.go
+++ b/internal/core/membership/registry.go
@@ -71,8 +71,7 @@
 	feed      feed
 	listeners map[subscriber]*listener
 	peers     map[request.NodeID]*peer
-	tokens    float64
-	filledAt  time.Time
+	pace      pace
 }
 
 // Start begins an epoch, which must be above that of earlier starts.
@@ -85,8 +84,7 @@
 	r.epoch = epoch
 	r.started = now
 	r.lastTick = now
-	r.filledAt = now
-	r.tokens = r.RegisterRate / 4
+	r.pace = newPace(now, r.RegisterRate)
 	r.table = newTable()
 	r.leases = map[request.NodeID]time.Time{}
 	r.listeners = map[subscriber]*listener{}
@@ -98,8 +96,10 @@
 func (r *Registry) Register(now time.Time, announcement Announcement) Lease {
 	known := r.table.records[announcement.Node]
 	_, held := r.leases[announcement.Node]
-	if !held && !r.takeToken(now) {
-		return Lease{RetryAfter: r.waitForToken()}
+	if !held {
+		if wait := r.pace.wait(now, announcement.Node, r.RegisterRate); wait > 0 {
+			return Lease{RetryAfter: wait}
+		}
 	}
 	record := Record{Announcement: announcement, Holder: r.Self}
 	if known != nil && known.Incarnation > announcement.Incarnation {
@@ -164,6 +164,7 @@
 			r.expire(now, node)
 		}
 	}
+	r.pace.forget(now)
 	r.dropOrphans(now)
 	r.table.forget(now, goneTime)
 }
@@ -238,23 +239,6 @@
 	return r.again(known.Node)
 }
 
-// takeToken bounds the rate of new leases.
-func (r *Registry) takeToken(now time.Time) bool {
-	if passed := now.Sub(r.filledAt); passed > 0 {
-		r.tokens = min(r.tokens+passed.Seconds()*r.RegisterRate, r.RegisterRate/4)
-		r.filledAt = now
-	}
-	if r.tokens < 1 {
-		return false
-	}
-	r.tokens--
-	return true
-}
-
-func (r *Registry) waitForToken() time.Duration {
-	return time.Duration((1 - r.tokens) / r.RegisterRate * float64(time.Second))
-}
-
 func sameKey(left, right *Record) bool {
 	return left.Incarnation == right.Incarnation && left.Sequence == right.Sequence && !left.Gone
 }
