--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -45,6 +45,8 @@
 	// it was at a crash.
 	fingerprint request.Fingerprint
 	suspect     bool
+	// keyed says that the caller names the call by an idempotency key.
+	keyed bool
 }
 
 // sparing tells whether the call is refused sooner than sent over a full link.
@@ -55,6 +57,9 @@
 // prepare matches a call to its kind and ties it to its root request.
 func (no *Node) prepare(incoming *http.Request, from origin, now time.Time) (*outgoing, *web.Refusal) {
 	current := no.Configuration.Current()
+	if current.Version == 0 {
+		return nil, web.NewRefusal(request.NotReady, "")
+	}
 	service := serviceOf(incoming)
 	if !current.Matcher.HasService(service) {
 		return nil, web.NewRefusal(request.UnknownService, "service "+string(service)+" is not in the configuration")
@@ -156,7 +161,9 @@
 		return web.NewRefusal(request.BodyTooLarge, "a call that may not be repeated takes a small body only")
 	}
 	og.body = body
-	og.fingerprint = fingerprint(og.kind.Name, og.path, incoming.Header.Get(web.HeaderIdempotencyKey), body)
+	key := incoming.Header.Get(web.HeaderIdempotencyKey)
+	og.keyed = key != ""
+	og.fingerprint = fingerprint(og.kind.Name, og.path, key, body)
 	return nil
 }
 
