--- a/internal/adapter/control/client.go
+++ b/internal/adapter/control/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -14,9 +15,8 @@
 )
 
 const (
-	// attemptTimeout bounds the wait for one replica while others are left.
-	attemptTimeout = 500 * time.Millisecond
-	retryPause     = 20 * time.Millisecond
+	defaultAttemptTimeout = 500 * time.Millisecond
+	retryPause            = 20 * time.Millisecond
 )
 
 // Client sends commands to the replicas. The exported fields are set before
@@ -25,6 +25,9 @@
 	Transport *peer.Transport
 	// Replicas lists where replicas listen, nearest first.
 	Replicas []peer.Address
+	// AttemptTimeout bounds the wait for one replica while others are left;
+	// zero means half a second.
+	AttemptTimeout time.Duration
 
 	calls atomic.Uint64
 	// preferred is the replica that answered last.
@@ -47,17 +50,26 @@
 	}
 }
 
-// Operate passes an operator's request to a replica.
+// Operate passes an operator's request to a replica, and to the next one while
+// no quorum answers. An error tells that no replica answered.
 func (cl *Client) Operate(ctx context.Context, verb string, body []byte) (int, []byte, error) {
 	operation := &controlpb.Operation{Verb: verb, Body: body}
+	var last *controlpb.Answer
 	for round := 0; ; round++ {
 		answer, err := cl.ask(ctx, round, &controlpb.Request{Body: &controlpb.Request_Operation{Operation: operation}})
-		if err == nil {
+		if err == nil && answer.GetStatus() != http.StatusServiceUnavailable {
 			return int(answer.GetStatus()), answer.GetResult(), nil
 		}
-		if !pause(ctx, round, len(cl.Replicas)) {
-			return 0, nil, fmt.Errorf("no replica answered: %w", err)
+		if err == nil {
+			last = answer
+		}
+		if pause(ctx, round, len(cl.Replicas)) {
+			continue
 		}
+		if last != nil {
+			return int(last.GetStatus()), last.GetResult(), nil
+		}
+		return 0, nil, fmt.Errorf("no replica answered: %w", err)
 	}
 }
 
@@ -93,6 +105,13 @@
 	}
 }
 
+func (cl *Client) attemptTimeout() time.Duration {
+	if cl.AttemptTimeout == 0 {
+		return defaultAttemptTimeout
+	}
+	return cl.AttemptTimeout
+}
+
 // ask sends one request to one replica.
 func (cl *Client) ask(ctx context.Context, round int, message *controlpb.Request) (*controlpb.Answer, error) {
 	if len(cl.Replicas) == 0 {
@@ -100,7 +119,7 @@
 	}
 	index := (int(cl.preferred.Load()) + round) % len(cl.Replicas)
 	if len(cl.Replicas) > 1 {
-		bounded, cancel := context.WithTimeout(ctx, attemptTimeout)
+		bounded, cancel := context.WithTimeout(ctx, cl.attemptTimeout())
 		defer cancel()
 		ctx = bounded
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -159,6 +159,8 @@
 const (
 	headerTimeout   = 5 * time.Second
 	shutdownTimeout = 2 * time.Second
+	// operateTimeout outlasts an election.
+	operateTimeout = 3 * time.Second
 )
 
 // addAdmin serves operators, metrics and health checks.
@@ -192,7 +194,7 @@
 }
 
 func (ho *Host) operateRemote(ctx context.Context, verb string, body []byte) (int, []byte) {
-	client := &control.Client{Transport: ho.transport, Replicas: ho.replicaAddresses()}
+	client := &control.Client{Transport: ho.transport, Replicas: ho.replicaAddresses(), AttemptTimeout: operateTimeout}
 	status, answer, err := client.Operate(ctx, verb, body)
 	if err != nil {
 		return http.StatusServiceUnavailable, []byte(`{"error":"no replica could be reached from this node; ask a node of another failure domain","in-doubt":true}`)
