--- a/internal/adapter/control/doc.go
+++ b/internal/adapter/control/doc.go
@@ -3,8 +3,8 @@
 //
 // [Client] tries the replicas in order, those of its own failure domain first.
 // A command whose fate is unknown is sent again to another replica: commands
-// are idempotent. What stays unknown at the deadline is [ErrInDoubt]; a command
-// that was certainly not recorded is [ErrUnavailable].
+// are idempotent. What stays unknown at the deadline is [port.ErrInDoubt]; a command
+// that was certainly not recorded is [port.ErrUnavailable].
 //
 // # Usage
 //
@@ -16,23 +16,15 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
-)
-
-// Errors of a proposal.
-var (
-	// ErrUnavailable tells that a command was not recorded and will not be.
-	ErrUnavailable = errors.New("no quorum of replicas could be reached, nothing was recorded; try again")
-	// ErrInDoubt tells that a command may be recorded, now or later.
-	ErrInDoubt = errors.New("it is not known whether the command was recorded; send the same one again")
+	"github.com/magnoliawall/magnoliawall/internal/replica"
 )
 
 // Ledger is a replica of the control state.
 type Ledger interface {
 	// Propose records a command and gives its result. Its errors wrap
-	// [ErrUnavailable] or [ErrInDoubt].
+	// [port.ErrUnavailable] or [port.ErrInDoubt].
 	Propose(ctx context.Context, command []byte) ([]byte, error)
 	// Read calls look on a state that holds all that was recorded before.
 	Read(ctx context.Context, look func(*ledger.Machine)) error
@@ -40,6 +32,8 @@
 	Peek(ctx context.Context, look func(*ledger.Machine)) error
 }
 
+var _ Ledger = (*replica.Replica[*ledger.Machine])(nil)
+
 // Operations answers operators' requests.
 type Operations interface {
 	// Operate gives an HTTP status and a JSON document.
