Keep the levels that callers meet apart from those of the target's calls

Cause: a node that is an entry for callers learned the level of the service that they call and reported it as its own on answers of its target, since both used one table. With every node an entry, a level went round: consumo's node reported agenda's level to evidencia, which told subsidios, which told agenda, which told the entry again. Ruled out: a hang (the goroutine dump has two callers only, in their pause) and the hold of a level (half a second). Change: internal/node/traffic.go holds two tables; levelsFor takes that of the callers for calls that are tied to no root in flight. Conclusion: only what the local target calls counts as below it.

--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -11,10 +11,13 @@
 const gateInterval = 10 * time.Millisecond
 
 // traffic guards the gate of the local target and the levels of the services
-// below by one lock, and wakes the calls that wait.
+// below by one lock, and wakes the calls that wait. The levels that calls of
+// callers meet are kept apart: they say nothing of the local target, and to
+// report them as its own would carry them back to where they came from.
 type traffic struct {
 	lock    sync.Mutex
 	levels  admission.Levels
+	entry   admission.Levels
 	gate    admission.Gate
 	waiting map[request.CallID]chan admission.Decision
 	notices []admission.Notice
@@ -79,16 +82,25 @@
 	tr.gate.Slots = slots
 }
 
-func (tr *traffic) learn(now time.Time, service request.ServiceName, rootKind request.KindName, level request.Level) {
+// learn takes the level on the answer to a call of the local target, where it
+// is tied to the root that the target works on, or else of a caller.
+func (tr *traffic) learn(now time.Time, og *outgoing, level request.Level) {
 	tr.lock.Lock()
 	defer tr.lock.Unlock()
-	tr.levels.Learn(service, rootKind, level, now)
+	tr.levelsFor(og).Learn(og.kind.Service, og.work.RootKind, level, now)
 }
 
-func (tr *traffic) refuses(now time.Time, service request.ServiceName, work request.Work) bool {
+func (tr *traffic) refuses(now time.Time, og *outgoing) bool {
 	tr.lock.Lock()
 	defer tr.lock.Unlock()
-	return tr.levels.Refuses(service, work, now)
+	return tr.levelsFor(og).Refuses(og.kind.Service, og.work, now)
+}
+
+func (tr *traffic) levelsFor(og *outgoing) *admission.Levels {
+	if og.tied {
+		return &tr.levels
+	}
+	return &tr.entry
 }
 
 // gauge is what the gate tells of itself.
