Count only the work of the load in the share done in vain

Cause: the requests that wait for the mesh to be up have no sample, so their work counted as done in vain.

--- a/magnolia-load/internal/load/figures.go
+++ b/magnolia-load/internal/load/figures.go
@@ -129,6 +129,7 @@
 // Wasted gives the share of the targets' work that was done for attempts
 // whose caller got no whole answer. The attempts of an action that may not be
 // repeated count as one, since the work of the first may answer a later one.
+// Work for others than the samples, as before the load, is left out.
 func Wasted(samples []Sample, kinds []Kind, work map[target.AttemptName]time.Duration) float64 {
 	useful := make(map[target.AttemptName]bool)
 	for _, sample := range samples {
@@ -139,8 +140,12 @@
 	}
 	total, lost := time.Duration(0), time.Duration(0)
 	for attempt, spent := range work {
+		found, known := useful[attempt]
+		if !known {
+			continue
+		}
 		total += spent
-		if !useful[attempt] {
+		if !found {
 			lost += spent
 		}
 	}
--- a/magnolia-load/internal/mesh/mesh.go
+++ b/magnolia-load/internal/mesh/mesh.go
@@ -18,7 +18,7 @@
 
 const (
 	loopback      = "127.0.0.1:0"
-	readyLimit    = 20 * time.Second
+	readyLimit    = 60 * time.Second
 	readyInterval = 20 * time.Millisecond
 )
 
