Keep connections to the targets that calls may go to

Cause: the first call to a target paid for its connection. Conclusion: at 110 services the subset of all would be some 2,000 connections for a node, so services that were never called are left out.

--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -180,6 +180,13 @@
 	return &Stream{conn: conn, remote: current.remote, kind: kind}, nil
 }
 
+// Connect makes sure that a connection to the address stands, so that no call
+// waits for one.
+func (tr *Transport) Connect(ctx context.Context, address Address) error {
+	_, err := tr.session(ctx, address)
+	return err
+}
+
 // Keep hands a stream back after a whole exchange, for the next one of its kind.
 func (tr *Transport) Keep(address Address, stream *Stream) {
 	tr.lock.Lock()
--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/oklog/run"
@@ -32,7 +33,6 @@
 	chooser  *choice.Chooser
 	guard    *quarantine.Guard
 	client   *registry.Client
-	watched  map[request.ServiceName]bool
 	versions chan configuration.Version
 }
 
@@ -167,12 +167,18 @@
 	}, func(error) { stop() })
 }
 
-// follow adapts subscriptions, slots and links to each version in force.
+// follow adapts subscriptions, slots and links to each version in force, and
+// keeps connections to the targets that calls may go to.
 func (st *site) follow(ctx context.Context) {
+	connector := &connector{transport: st.host.transport, chooser: st.chooser}
+	ticker := time.NewTicker(connectInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-st.versions:
 			st.adapt(ctx)
+		case <-ticker.C:
+			connector.connectAll(ctx, st.connected())
 		case <-ctx.Done():
 			return
 		}
@@ -202,6 +208,19 @@
 	return names
 }
 
+// connected lists the services to whose targets connections are kept: those
+// that the target calls and those that callers asked for.
+func (st *site) connected() []request.ServiceName {
+	own := st.host.holder.Current().Document.Services[st.host.Settings.Service]
+	names := st.node.Called()
+	for _, name := range own.Calls {
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // announceDrain tells the replica that the target leaves.
 func (st *site) announceDrain() {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
--- a/internal/node/edge.go
+++ b/internal/node/edge.go
@@ -24,6 +24,17 @@
 	edges map[request.ServiceName]*edge
 }
 
+// services lists the services that were called so far.
+func (et *edgeTable) services() []request.ServiceName {
+	et.lock.Lock()
+	defer et.lock.Unlock()
+	names := make([]request.ServiceName, 0, len(et.edges))
+	for name := range et.edges {
+		names = append(names, name)
+	}
+	return names
+}
+
 func (et *edgeTable) of(service request.ServiceName) *edge {
 	et.lock.Lock()
 	defer et.lock.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,6 +138,11 @@
 	return group.Run()
 }
 
+// Called lists the services that this node has sent calls to.
+func (no *Node) Called() []request.ServiceName {
+	return no.edges.services()
+}
+
 // CallerHandler serves the calls of callers.
 func (no *Node) CallerHandler() http.Handler {
 	return no.serveSource(fromCaller)
