Wire cold, down and leaving states, the guard's reports and connections

Cause: read of the wiring. A node that was draining announced itself ready again with the next patch; a crashed target stayed on the lists; reports that clear suspects were never sent, so innocents stayed limited; a started target was never cold; the first call to each target waited for its connection.

Change: the client keeps a leaving target leaving and turns a cold one ready after its warm time; the host sends the guard's reports, announces a dead target as down and as cold when it answers again, and keeps the connections that the chooser wants. Only other replicas may join a replica.

--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -180,6 +180,21 @@
 	return &Stream{conn: conn, remote: current.remote, kind: kind}, nil
 }
 
+// Connect makes sure that there is a connection to the address, so that the
+// next stream need not wait for one.
+func (tr *Transport) Connect(ctx context.Context, address Address) error {
+	_, err := tr.session(ctx, address)
+	return err
+}
+
+// Connected tells whether a connection to the address stands.
+func (tr *Transport) Connected(address Address) bool {
+	tr.lock.Lock()
+	current := tr.sessions[address]
+	tr.lock.Unlock()
+	return current != nil && current.stands()
+}
+
 // Keep hands a stream back after a whole exchange, for the next one of its kind.
 func (tr *Transport) Keep(address Address, stream *Stream) {
 	tr.lock.Lock()
@@ -349,6 +364,15 @@
 	}
 }
 
+func (se *session) stands() bool {
+	select {
+	case <-se.ready:
+		return se.err == nil && !se.mux.IsClosed()
+	default:
+		return false
+	}
+}
+
 func (se *session) takeIdle(kind Kind) (*Stream, bool) {
 	se.lock.Lock()
 	defer se.lock.Unlock()
--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -37,6 +37,8 @@
 	renewAt  time.Time
 	retryAt  time.Time
 	attached bool
+	// coldSince is when the target became what it is.
+	coldSince time.Time
 	// pending holds reports that were made while no replica was in reach.
 	pending []quarantine.Report
 }
@@ -58,14 +60,45 @@
 	}
 }
 
-// change announces another state or number of slots.
-func (a *agent) change(state membership.State, slots membership.Slots) *pb.Request {
+// change announces another state. A target that leaves is never announced as
+// anything else again.
+func (a *agent) change(now time.Time, state membership.State) *pb.Request {
+	if a.self.State == membership.Draining || a.self.State == state {
+		return nil
+	}
 	a.self.State = state
+	a.coldSince = now
+	return a.announce()
+}
+
+// resize announces another number of slots.
+func (a *agent) resize(slots membership.Slots) *pb.Request {
+	if a.self.Slots == slots {
+		return nil
+	}
 	a.self.Slots = slots
+	return a.announce()
+}
+
+func (a *agent) announce() *pb.Request {
 	a.self.Sequence++
 	return &pb.Request{Announce: encodeAnnouncement(a.self)}
 }
 
+// warm announces a cold target as ready once it had time to warm up.
+func (a *agent) warm(now time.Time) *pb.Request {
+	if a.self.State != membership.Cold {
+		return nil
+	}
+	if a.coldSince.IsZero() {
+		a.coldSince = now
+	}
+	if now.Sub(a.coldSince) < choice.DefaultWarmTime {
+		return nil
+	}
+	return a.change(now, membership.Ready)
+}
+
 // report gives reports to the replica, or holds them until one is in reach.
 func (a *agent) report(reports []quarantine.Report) *pb.Request {
 	if a.attached {
@@ -79,9 +112,13 @@
 // tick renews the lease. It is called several times a second.
 func (a *agent) tick(now time.Time) *pb.Request {
 	a.enforced(a.follower.Tick(now))
+	warmed := a.warm(now)
 	if !a.attached {
 		return nil
 	}
+	if warmed != nil {
+		return warmed
+	}
 	if !a.retryAt.IsZero() {
 		return a.retry(now)
 	}
--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -23,7 +23,7 @@
 //		Events:   registry.Events{Targets: chooser.Update},
 //	}
 //	go client.Run(ctx)
-//	client.Change(ctx, membership.Draining, slots)
+//	client.Change(ctx, membership.Draining)
 //	client.Leave(ctx)
 package registry
 
@@ -105,10 +105,17 @@
 	return err
 }
 
-// Change announces another state of the target.
-func (c *Client) Change(ctx context.Context, state membership.State, slots membership.Slots) error {
+// Change announces another state of the target. A cold one is announced as
+// ready by itself after a while; one that leaves stays so.
+func (c *Client) Change(ctx context.Context, state membership.State) error {
 	c.loop.prepare()
-	return c.loop.do(ctx, func(time.Time) { c.send(c.agent.change(state, slots)) })
+	return c.loop.do(ctx, func(now time.Time) { c.send(c.agent.change(now, state)) })
+}
+
+// Resize announces another number of slots.
+func (c *Client) Resize(ctx context.Context, slots membership.Slots) error {
+	c.loop.prepare()
+	return c.loop.do(ctx, func(time.Time) { c.send(c.agent.resize(slots)) })
 }
 
 // Watch replaces the services whose targets the node wants to know.
--- a/internal/adapter/registry/desk.go
+++ b/internal/adapter/registry/desk.go
@@ -53,6 +53,9 @@
 	// says that none has.
 	confirmed func() bool
 
+	// members are the other replicas.
+	members map[request.NodeID]bool
+
 	sessions map[*session]bool
 	reports  []keptReport
 }
@@ -109,7 +112,11 @@
 	}
 }
 
+// join lets another replica read what this one holds. Others have no use for it.
 func (d *desk) join(now time.Time, from *session) {
+	if !d.members[from.node] {
+		return
+	}
 	from.replica = true
 	update := d.registry.SubscribeReplica(now, from.node)
 	from.send(&pb.Reply{Reports: d.recent(now), Updates: []*pb.Update{encodeUpdate(update)}})
--- a/internal/adapter/registry/harness_test.go
+++ b/internal/adapter/registry/harness_test.go
@@ -70,6 +70,7 @@
 		publisher: &spread.Publisher{},
 		tracker:   &spread.Tracker{},
 		confirmed: func() bool { return true },
+		members:   map[request.NodeID]bool{},
 	}
 	replica.dead = false
 	for other := range f.replicas {
@@ -83,6 +84,7 @@
 // join lets one replica read the records of another.
 func (f *fleet) join(reader, source int) {
 	to, from := f.replicas[reader], f.replicas[source]
+	from.desk.members[to.id] = true
 	var opened *session
 	opened = from.desk.open(to.id, "", func(reply *pb.Reply) {
 		if !to.dead && !from.dead && to.desk.fromReplica(f.now, from.id, f.carry(reply)) {
--- a/internal/adapter/registry/server.go
+++ b/internal/adapter/registry/server.go
@@ -73,8 +73,9 @@
 	defer stop()
 	now := s.Clock()
 	s.Registry.Start(now, membership.Epoch(now.UnixNano()))
-	s.desk = desk{registry: s.Registry, publisher: s.Publisher, tracker: s.Tracker, confirmed: s.Confirmed}
+	s.desk = desk{registry: s.Registry, publisher: s.Publisher, tracker: s.Tracker, confirmed: s.Confirmed, members: map[request.NodeID]bool{}}
 	for _, other := range s.Others {
+		s.desk.members[other.ID] = true
 		s.joins = append(s.joins, &join{replica: other})
 	}
 	defer s.closeAll()
--- a/internal/core/choice/chooser.go
+++ b/internal/core/choice/chooser.go
@@ -55,6 +55,7 @@
 	latencyGain          = 0.2
 	failureCost          = 4
 	homesPerDomain       = 2
+	spilloverConnections = 2
 	unreachableTime      = 5 * time.Second
 )
 
@@ -164,9 +165,13 @@
 	choice.pool.judge(now, choice.entry, call.Priority, answer)
 }
 
-// Connected tells that a connection to the node stands.
+// Connected tells that a connection to the node stands. It may be called again
+// while it stands.
 func (c *Chooser) Connected(now time.Time, service request.ServiceName, node request.NodeID) {
 	c.change(service, node, func(services *pool, found *entry) {
+		if found.connected {
+			return
+		}
 		found.connected = true
 		if found.unreachable {
 			services.readmit(now, found)
@@ -183,8 +188,9 @@
 	})
 }
 
-// Wanted lists the targets of a service to which connections should be kept,
-// nearest tier first, so that no call waits for one.
+// Wanted lists the targets of a service to which connections should be kept, so
+// that no call waits for one: PerTier of the nearest tier that has any, and two
+// of each farther one to spill over to.
 func (c *Chooser) Wanted(service request.ServiceName) []Target {
 	services := c.find(service)
 	if services == nil {
@@ -193,10 +199,14 @@
 	services.mutex.Lock()
 	defer services.mutex.Unlock()
 	var wanted []Target
+	bound := c.PerTier
 	for _, entries := range services.tiers {
-		for _, candidate := range entries[:min(len(entries), c.PerTier)] {
+		for _, candidate := range entries[:min(len(entries), bound)] {
 			wanted = append(wanted, candidate.target)
 		}
+		if len(entries) > 0 {
+			bound = min(bound, spilloverConnections)
+		}
 	}
 	return wanted
 }
--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -34,6 +35,9 @@
 	client   *registry.Client
 	watched  map[request.ServiceName]bool
 	versions chan configuration.Version
+	// down says that the target died and has not been seen again.
+	down        atomic.Bool
+	connections connections
 }
 
 // addSite joins a host with a target to the run. The node drains when ctx ends;
@@ -77,6 +81,7 @@
 		Domain:      ho.place.Domain,
 		Incarnation: quarantine.Incarnation(ho.incarnation),
 	}}
+	st.connections = connections{chooser: st.chooser, transport: ho.transport}
 	st.client = st.newClient()
 	st.node = &node.Node{
 		ID:            ho.Settings.Node,
@@ -109,6 +114,7 @@
 			Address:     string(ho.Settings.Listen.Peers),
 			Place:       ho.place,
 			Service:     ho.Settings.Service,
+			State:       membership.Cold,
 		},
 		Replicas: ho.replicaAddresses(),
 		Open:     registry.OpenPeer(ho.transport),
@@ -167,12 +173,17 @@
 	}, func(error) { stop() })
 }
 
-// follow adapts subscriptions, slots and links to each version in force.
+// follow adapts subscriptions, slots and links to each version in force, and
+// does what comes up at intervals.
 func (st *site) follow(ctx context.Context) {
+	ticker := time.NewTicker(tendInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-st.versions:
 			st.adapt(ctx)
+		case now := <-ticker.C:
+			st.tend(ctx, now)
 		case <-ctx.Done():
 			return
 		}
@@ -183,10 +194,11 @@
 	document := st.host.holder.Current().Document
 	own := document.Services[st.host.Settings.Service]
 	st.chooser.Links.SetCapacity(choice.Rate(document.Links.BytesPerSecond), document.Links.ShareForUnimportant)
-	if err := st.client.Change(ctx, membership.Ready, membership.Slots(own.Slots)); err != nil {
+	if err := st.client.Resize(ctx, membership.Slots(own.Slots)); err != nil {
 		return
 	}
-	_ = st.client.Watch(ctx, st.services(document))
+	st.connections.services = st.services(document)
+	_ = st.client.Watch(ctx, st.connections.services)
 }
 
 // services lists the services that this node sends calls to: all where callers
@@ -206,11 +218,13 @@
 func (st *site) announceDrain() {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	_ = st.client.Change(ctx, membership.Draining, 0)
+	_ = st.client.Change(ctx, membership.Draining)
 }
 
 func (st *site) sendReport(report quarantine.Report) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	_ = st.client.Report(ctx, report)
+	_ = st.client.Change(ctx, membership.Down)
+	st.down.Store(true)
 }
