Run the measured mesh on whole hosts with replicas

Cause: demo and measurements used nodes with static lists and a ledger without a log. Change: mesh.Magnolia runs internal/host for each instance, with a replica in up to five failure domains and its files in a temporary folder; a patch goes by the operators' port. internal/host tells InForce of each version. A mesh that does not come up tells what was answered. Before: static.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -26,6 +26,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/control"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/node"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 	"github.com/magnoliawall/magnoliawall/internal/settings"
@@ -37,6 +38,9 @@
 	Logger   *log.Logger
 	// Dial opens connections to peers; nil means TCP.
 	Dial func(ctx context.Context, address peer.Address) (net.Conn, error)
+	// InForce is told each version that comes into force at the node of a host
+	// with a target; it may be nil.
+	InForce func(version configuration.Version)
 
 	place       request.Place
 	incarnation uint64
--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -144,6 +144,9 @@
 		return
 	}
 	st.host.Logger.Info().Uint64("version", uint64(number)).Msg("configuration: version in force")
+	if st.host.InForce != nil {
+		st.host.InForce(number)
+	}
 	select {
 	case st.versions <- number:
 	default:
--- a/magnolia-load/internal/experiment/experiment.go
+++ b/magnolia-load/internal/experiment/experiment.go
@@ -80,9 +80,9 @@
 	Work    map[target.AttemptName]time.Duration
 	Calls   map[target.AttemptName]int
 	Records *target.Records
-	// PatchTime is the time from acceptance to in force on all nodes.
-	PatchTime time.Duration
-	PatchErr  error
+	// Patched tells how long the patch took.
+	Patched  mesh.PatchTimes
+	PatchErr error
 }
 
 // Run brings the mesh up, sends the load and takes the mesh down.
@@ -108,7 +108,7 @@
 			if phase.Name == Overload && t.Patch {
 				go func() {
 					defer close(patched)
-					outcome.PatchTime, outcome.PatchErr = t.System.Patch(ctx, patchedKind, patchedDeadline)
+					outcome.Patched, outcome.PatchErr = t.System.Patch(ctx, patchedKind, patchedDeadline)
 				}()
 			}
 		},
--- a/magnolia-load/internal/experiment/summary.go
+++ b/magnolia-load/internal/experiment/summary.go
@@ -101,10 +101,10 @@
 }
 
 func (o Outcome) patchTime() *float64 {
-	if o.PatchErr != nil || o.PatchTime == 0 {
+	if o.PatchErr != nil || o.Patched.InForce == 0 {
 		return nil
 	}
-	return seconds(o.PatchTime)
+	return seconds(o.Patched.InForce)
 }
 
 func seconds(length time.Duration) *float64 {
--- a/magnolia-load/internal/load/caller.go
+++ b/magnolia-load/internal/load/caller.go
@@ -19,6 +19,7 @@
 
 const (
 	idleCallerConns = 256
+	detailLength    = 200
 	deadlineMargin  = 10 * time.Millisecond
 )
 
@@ -49,6 +50,8 @@
 	Result  Result
 	Code    request.Code
 	Outcome string
+	// Detail is the start of an answer that is neither whole nor a refusal.
+	Detail string
 }
 
 // Send makes one attempt and checks the whole answer. All attempts of an
@@ -108,7 +111,7 @@
 		Outcome string       `json:"outcome"`
 	}
 	if err := json.Unmarshal(body, &problem); err != nil || problem.Code == request.OK {
-		return Reply{Result: Broken}
+		return Reply{Result: Broken, Detail: string(body[:min(len(body), detailLength)])}
 	}
 	return Reply{Result: Refused, Code: problem.Code, Outcome: problem.Outcome}
 }
--- a/magnolia-load/internal/mesh/magnolia.go
+++ b/magnolia-load/internal/mesh/magnolia.go
@@ -2,135 +2,168 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
-	"strings"
-	"time"
+	"os"
+	"path/filepath"
+	"sync"
 
+	"github.com/phuslu/log"
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
-	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
-	"github.com/magnoliawall/magnoliawall/internal/core/choice"
-	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
-	"github.com/magnoliawall/magnoliawall/internal/node"
+	"github.com/magnoliawall/magnoliawall/internal/host"
 	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/internal/settings"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/link"
 )
 
-// Magnolia runs a mesh on magnoliawall's nodes.
+const (
+	mostReplicas = 5
+	folderMode   = 0o700
+	fileMode     = 0o600
+)
+
+// Magnolia runs a mesh on magnoliawall's own hosts: a node for each instance,
+// and a replica of the control state on a host of each of up to five failure
+// domains, with its files in a temporary folder.
 type Magnolia struct {
-	links  *link.Map
-	ledger *localLedger
-	active *node.Active
-	nodes  []*member
-	views  map[request.ServiceName][]choice.Target
-}
+	// LogLevel is the least level that is logged to the error stream; empty
+	// means errors.
+	LogLevel settings.LogLevel
+
+	links   *link.Map
+	folder  string
+	ports   reservation
+	hosts   []*host.Host
+	members []settings.Member
 
-// member is one node with its sockets.
-type member struct {
-	node      *node.Node
-	listeners node.Listeners
+	mu      sync.Mutex
+	inForce map[request.NodeID]configuration.Version
+	changed chan struct{}
 }
 
 // Begin takes what all nodes share.
 func (m *Magnolia) Begin(design Design, links *link.Map, _ uint64) error {
-	active, err := node.NewActive(1, design.Text)
+	folder, err := os.MkdirTemp("", "magnolia-load-")
 	if err != nil {
-		return oops.Wrapf(err, "the configuration of the mesh is not accepted")
+		return oops.Wrapf(err, "no temporary folder for the replicas")
 	}
-	m.active, m.links = active, links
-	m.ledger = &localLedger{machine: ledger.New()}
-	m.views = make(map[request.ServiceName][]choice.Target)
-	return nil
+	m.links, m.folder = links, folder
+	m.inForce = make(map[request.NodeID]configuration.Version)
+	m.changed = make(chan struct{})
+	return oops.Wrapf(os.WriteFile(m.initialFile(), design.Text, fileMode), "the first configuration cannot be kept")
 }
 
-// Add prepares the node of a host.
-func (m *Magnolia) Add(host Host) (Endpoints, error) {
-	listeners, err := listenAll()
-	if err != nil {
-		return Endpoints{}, oops.Wrapf(err, "the node %s cannot listen", host.Node)
+// Add prepares the process of a host.
+func (m *Magnolia) Add(added Host) (Endpoints, error) {
+	made := &settings.Settings{
+		Node:          added.Node,
+		Region:        added.Place.Region,
+		FailureDomain: added.Place.Domain,
+		Service:       added.Service.Name,
+		Target:        settings.Address(added.Target),
+		Security:      settings.Security{PlaintextOnLoopback: true},
 	}
-	address := listeners.Peers.Addr().String()
-	m.links.Put(address, host.Place)
-	dial := m.links.Dialer(host.Place)
-	made := &node.Node{
-		ID:            host.Node,
-		Place:         host.Place,
-		Service:       host.Service.Name,
-		Configuration: node.NewHolder(m.active),
-		Chooser:       &choice.Chooser{Self: host.Node, Place: host.Place},
-		Transport: &peer.Transport{
-			Self: peer.Hello{Node: host.Node, Place: host.Place, Service: host.Service.Name, Incarnation: 1},
-			Dial: func(ctx context.Context, address peer.Address) (net.Conn, error) {
-				return dial(ctx, "tcp", string(address))
-			},
-		},
-		Claims: m.ledger,
-		Target: &web.TargetClient{Address: host.Target, Connections: host.Service.Connections},
+	for _, address := range []*settings.Address{&made.Listen.Callers, &made.Listen.Outbound, &made.Listen.Peers, &made.Listen.Admin} {
+		taken, err := m.ports.take()
+		if err != nil {
+			return Endpoints{}, err
+		}
+		*address = taken
 	}
-	m.nodes = append(m.nodes, &member{node: made, listeners: listeners})
-	m.views[host.Service.Name] = append(m.views[host.Service.Name], choice.Target{
-		Node:        host.Node,
-		Incarnation: 1,
-		Address:     address,
-		Place:       host.Place,
-		Slots:       choice.Slots(host.Service.Slots),
-	})
+	m.links.Put(string(made.Listen.Peers), added.Place)
+	if err := m.seat(made); err != nil {
+		return Endpoints{}, err
+	}
+	m.hosts = append(m.hosts, m.newHost(made, added.Place))
 	return Endpoints{
-		Callers:  listeners.Callers.Addr().String(),
-		Outbound: listeners.Target.Addr().String(),
+		Callers:  string(made.Listen.Callers),
+		Outbound: string(made.Listen.Outbound),
+		Admin:    string(made.Listen.Admin),
 	}, nil
 }
 
-// Run runs all nodes until the context ends.
-func (m *Magnolia) Run(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	for _, member := range m.nodes {
-		member.node.Prepare()
-		for service, targets := range m.views {
-			member.node.Chooser.Update(time.Now(), choice.View{Service: service, Targets: targets})
+// seat gives a host a replica if its failure domain has none yet.
+func (m *Magnolia) seat(made *settings.Settings) error {
+	for _, member := range m.members {
+		if member.FailureDomain == made.FailureDomain {
+			return nil
 		}
-		group.Go(func() error { return member.node.Run(ctx, member.listeners) })
 	}
-	return group.Wait()
+	if len(m.members) == mostReplicas {
+		return nil
+	}
+	made.DataFolder = filepath.Join(m.folder, string(made.Node))
+	made.Replica.InitialConfiguration = m.initialFile()
+	m.members = append(m.members, settings.Member{Node: made.Node, Address: made.Listen.Peers, FailureDomain: made.FailureDomain})
+	return oops.Wrapf(os.MkdirAll(made.DataFolder, folderMode), "no folder for the replica of %s", made.Node)
 }
 
-// Patch puts the next version in force on one node after the other.
-func (m *Magnolia) Patch(_ context.Context, kind request.KindName, deadline time.Duration) (time.Duration, error) {
-	operations := fmt.Sprintf(`[{"op": "replace", "path": "%s", "value": %q}]`, deadlinePath(kind), deadline)
-	text, err := configuration.Patch(m.active.Text, []byte(operations))
-	if err != nil {
-		return 0, oops.Wrapf(err, "the patch cannot be applied")
-	}
-	next, err := node.NewActive(m.active.Version+1, text)
-	if err != nil {
-		return 0, oops.Wrapf(err, "the patched configuration is not accepted")
+func (m *Magnolia) initialFile() string { return filepath.Join(m.folder, "first.jsonc") }
+
+func (m *Magnolia) newHost(made *settings.Settings, place request.Place) *host.Host {
+	dial := m.links.Dialer(place)
+	return &host.Host{
+		Settings: made,
+		Logger:   m.logger(),
+		Dial: func(ctx context.Context, address peer.Address) (net.Conn, error) {
+			return dial(ctx, "tcp", string(address))
+		},
+		InForce: func(version configuration.Version) { m.enforced(made.Node, version) },
 	}
-	begin := time.Now()
-	for _, member := range m.nodes {
-		member.node.Configuration.Replace(next)
+}
+
+func (m *Magnolia) logger() *log.Logger {
+	level := m.LogLevel
+	if level == "" {
+		level = "error"
 	}
-	m.active = next
-	return time.Since(begin), nil
+	return &log.Logger{Level: log.ParseLevel(string(level)), Writer: &log.IOWriter{Writer: os.Stderr}}
 }
 
-func listenAll() (node.Listeners, error) {
-	var made [3]net.Listener
-	for index := range made {
-		listener, err := net.Listen("tcp", loopback)
-		if err != nil {
-			return node.Listeners{}, err
+// Run runs all hosts until the context ends, and removes their files.
+func (m *Magnolia) Run(ctx context.Context) error {
+	defer func() { _ = os.RemoveAll(m.folder) }()
+	var seeds []settings.Address
+	for _, member := range m.members {
+		seeds = append(seeds, member.Address)
+	}
+	m.ports.release()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, running := range m.hosts {
+		running.Settings.Seeds = seeds
+		if running.Settings.DataFolder != "" {
+			running.Settings.Replica.Members = m.members
 		}
-		made[index] = listener
+		group.Go(func() error { return running.Run(ctx) })
 	}
-	return node.Listeners{Callers: made[0], Target: made[1], Peers: made[2]}, nil
+	return group.Wait()
+}
+
+// enforced notes a version in force at a node.
+func (m *Magnolia) enforced(node request.NodeID, version configuration.Version) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.inForce[node] = version
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
-// deadlinePath gives the JSON pointer to the deadline of a kind.
-func deadlinePath(kind request.KindName) string {
-	service, short, _ := strings.Cut(string(kind), "/")
-	return fmt.Sprintf("/services/%s/kinds/%s/deadline", service, short)
+// oldest gives the oldest version in force at any node, and a channel that
+// closes when that may have changed.
+func (m *Magnolia) oldest() (configuration.Version, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.inForce) < len(m.hosts) {
+		return 0, m.changed
+	}
+	oldest := configuration.Version(0)
+	for _, version := range m.inForce {
+		if oldest == 0 || version < oldest {
+			oldest = version
+		}
+	}
+	return oldest, m.changed
 }
--- a/magnolia-load/internal/mesh/mesh.go
+++ b/magnolia-load/internal/mesh/mesh.go
@@ -31,10 +31,12 @@
 	Target string
 }
 
-// Endpoints are where a node takes the calls of callers and of its target.
+// Endpoints are where a node takes the calls of callers, of its target and of
+// operators.
 type Endpoints struct {
 	Callers  string
 	Outbound string
+	Admin    string
 }
 
 // System is a version of the nodes of a mesh.
@@ -45,9 +47,17 @@
 	Add(host Host) (Endpoints, error)
 	// Run runs all nodes until the context ends.
 	Run(ctx context.Context) error
-	// Patch sets the deadline of a kind in the configuration and gives the time
-	// from its acceptance until it is in force on all nodes.
-	Patch(ctx context.Context, kind request.KindName, deadline time.Duration) (time.Duration, error)
+	// Patch sets the deadline of a kind in the configuration and waits until it
+	// is in force on all nodes.
+	Patch(ctx context.Context, kind request.KindName, deadline time.Duration) (PatchTimes, error)
+}
+
+// PatchTimes tells how long a patch took, from its sending.
+type PatchTimes struct {
+	// Commit is the time until its acceptance was answered.
+	Commit time.Duration
+	// InForce is the time until it was in force on all nodes.
+	InForce time.Duration
 }
 
 // Mesh is a running mesh. Its exported fields are set before Start.
@@ -60,6 +70,7 @@
 
 	targets map[request.ServiceName][]*target.Target
 	callers []*load.Caller
+	admins  []string
 	outer   context.CancelFunc
 	inner   context.CancelFunc
 	nodes   errgroup.Group
@@ -117,6 +128,9 @@
 // Callers gives a caller for each entry node.
 func (m *Mesh) Callers() []*load.Caller { return m.callers }
 
+// Admins gives the operators' address of each node.
+func (m *Mesh) Admins() []string { return m.admins }
+
 // Targets gives the targets of a service.
 func (m *Mesh) Targets(service request.ServiceName) []*target.Target { return m.targets[service] }
 
@@ -157,6 +171,7 @@
 	caller := &load.Caller{Entry: endpoints.Callers, Dial: links.CallerDialer()}
 	caller.Start()
 	m.callers = append(m.callers, caller)
+	m.admins = append(m.admins, endpoints.Admin)
 	return nil
 }
 
@@ -174,6 +189,7 @@
 
 func (m *Mesh) probe(ctx context.Context, entry int, caller *load.Caller) error {
 	for index, kind := range m.Design.Kinds {
+		replies := make(map[string]int)
 		name := fmt.Sprintf("ready-%d-%d-%d", m.Seed, entry, index)
 		for count := 0; ; count++ {
 			reply := caller.Send(ctx, kind, request.IdempotencyKey(name), target.AttemptName(fmt.Sprintf("%s-%d", name, count)))
@@ -181,8 +197,9 @@
 				break
 			}
 			if ctx.Err() != nil {
-				return oops.Errorf("the mesh does not serve %s: the last answer was %s %s", kind.Name, reply.Result, reply.Code)
+				return oops.Errorf("the mesh does not serve %s by entry %d, %s: its answers were %v", kind.Name, entry, caller.Entry, replies)
 			}
+			replies[fmt.Sprintf("%s %s %s", reply.Result, reply.Code, reply.Detail)]++
 			time.Sleep(readyInterval)
 		}
 	}
--- a/magnolia-load/internal/mesh/naive.go
+++ b/magnolia-load/internal/mesh/naive.go
@@ -65,11 +65,12 @@
 
 // Patch writes the next version to one node after the other. The naive nodes
 // hold a number and no rules.
-func (n *Naive) Patch(context.Context, request.KindName, time.Duration) (time.Duration, error) {
+func (n *Naive) Patch(context.Context, request.KindName, time.Duration) (PatchTimes, error) {
 	begin := time.Now()
 	n.version++
 	for _, node := range n.nodes {
 		node.Configure(n.version)
 	}
-	return time.Since(begin), nil
+	took := time.Since(begin)
+	return PatchTimes{Commit: took, InForce: took}, nil
 }
--- a/magnolia-load/internal/target/handler.go
+++ b/magnolia-load/internal/target/handler.go
@@ -177,7 +177,7 @@
 		return fmt.Errorf("answer of %s: %w", next.Service, err)
 	}
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s answered %d", next.Service, response.StatusCode)
+		return fmt.Errorf("%s answered %d %s: %s", next.Service, response.StatusCode, response.Header.Get(web.HeaderCode), body)
 	}
 	return answer.Check(body, nonce)
 }
