--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -61,6 +61,8 @@
 	Streams     *terminal.Streams
 	// Bindings are the parameters of the commands' Run besides the context.
 	Bindings []any
+	// Parsed is called between parsing and running; it may be nil.
+	Parsed func()
 }
 
 // Main runs the command that the arguments name. Commands is the grammar.
@@ -87,6 +89,9 @@
 	if err != nil {
 		return pr.usage(err)
 	}
+	if pr.Parsed != nil {
+		pr.Parsed()
+	}
 	return pr.exitOf(parsed.Run())
 }
 
--- /dev/null
+++ b/magnolia/internal/command/action/list/list.go
@@ -0,0 +1,59 @@
+// Package list is the command `magnolia action list`.
+//
+// # Usage
+//
+//	command := list.New()
+//	err := command.Run(ctx, tools)
+package list
+
+import (
+	"context"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/listing"
+)
+
+// Options are the flags of the command.
+type Options struct {
+	listing.Flags
+}
+
+var columns = []listing.Column[operator.ActionRow]{
+	{Header: "KIND", Cell: func(row operator.ActionRow) string { return string(row.Kind) }},
+	{Header: "KEY", Cell: func(row operator.ActionRow) string { return string(row.Key) }},
+	{Header: "STATE", Cell: func(row operator.ActionRow) string { return state(row) }},
+	{Header: "NODE", Cell: func(row operator.ActionRow) string { return string(row.Node) }},
+	{Header: "ATTEMPT", Cell: func(row operator.ActionRow) string { return row.Attempt }},
+}
+
+// New gives the command.
+func New() *Options {
+	return &Options{}
+}
+
+// Help tells of the command at length.
+func (op *Options) Help() string {
+	return `Lists the actions that may not be repeated and whose end is not recorded: those
+that run now, and those in doubt, whose target or node was lost.
+
+Examples:
+  magnolia action list
+  magnolia action list --json kind,key,attempt,in-doubt`
+}
+
+// Run runs the command.
+func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	answer, err := listing.Ask[operator.Actions](ctx, tools, operator.ListActions, operator.Done{})
+	if err != nil {
+		return err
+	}
+	return listing.Show(tools.Streams, op.Flags, answer.Actions, columns)
+}
+
+func state(row operator.ActionRow) string {
+	if row.InDoubt {
+		return "in-doubt"
+	}
+	return "running"
+}
--- /dev/null
+++ b/magnolia/internal/command/action/settle/settle.go
@@ -0,0 +1,63 @@
+// Package settle is the command `magnolia action settle`.
+//
+// # Usage
+//
+//	command := settle.New()
+//	err := command.Run(ctx, tools)
+package settle
+
+import (
+	"context"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/listing"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	Kind    request.KindName       `arg:"" help:"Kind of the action."`
+	Key     request.IdempotencyKey `arg:"" help:"Idempotency key of the action."`
+	Attempt string                 `required:"" help:"Attempt that holds the action, from the list."`
+	As      string                 `required:"" enum:"ran,not-run" help:"What you found out: ran or not-run."`
+	Note    string                 `required:"" help:"How you found out, for those who ask later."`
+}
+
+// New gives the command.
+func New() *Options {
+	return &Options{}
+}
+
+// Help tells of the command at length.
+func (op *Options) Help() string {
+	return `Records what became of an action in doubt, after you looked at the target's own
+records. "ran" closes it for good; "not-run" lets a resend run it. It is recorded
+with your name and cannot be taken back.
+
+Examples:
+  magnolia action list
+  magnolia action settle subsidios/file k-7 --attempt 5f0c... --as ran \
+    --note "found in the books of subsidios"`
+}
+
+// Run runs the command.
+func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	name, err := tools.Operator()
+	if err != nil {
+		return err
+	}
+	settlement := operator.Settlement{
+		Kind:     op.Kind,
+		Key:      op.Key,
+		Attempt:  op.Attempt,
+		Ran:      op.As == "ran",
+		Operator: name,
+		Note:     op.Note,
+	}
+	if _, err := listing.Ask[operator.Done](ctx, tools, operator.SettleAction, settlement); err != nil {
+		return err
+	}
+	tools.Streams.Printf("%s %s is settled as %s\n", op.Kind, op.Key, op.As)
+	return nil
+}
--- /dev/null
+++ b/magnolia/internal/command/config/view/view.go
@@ -0,0 +1,66 @@
+// Package view is the command `magnolia config view`.
+//
+// # Usage
+//
+//	command := view.New()
+//	err := command.Run(ctx, tools)
+package view
+
+import (
+	"context"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/listing"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	Version configuration.Version `help:"Show this version in place of the latest."`
+	listing.Flags
+}
+
+// New gives the command.
+func New() *Options {
+	return &Options{}
+}
+
+// Help tells of the command at length.
+func (op *Options) Help() string {
+	return `Shows the configuration in force, comments included. Its number and who made it go
+to the error stream, so that the output is the text alone.
+
+Examples:
+  magnolia config view
+  magnolia config view --version 12 > before.jsonc
+  magnolia config view --json version,operator,note`
+}
+
+// Run runs the command.
+func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	answer, err := listing.Ask[operator.Configuration](ctx, tools, operator.ViewConfiguration, operator.VersionQuery{Version: op.Version})
+	if err != nil {
+		return err
+	}
+	if len(op.JSON) > 0 {
+		return listing.ShowOne(tools.Streams, op.Flags, flat(answer), nil)
+	}
+	tools.Streams.Errorf("version %d by %s: %s", answer.Version, answer.Operator, answer.Note)
+	tools.Streams.Printf("%s", answer.Text)
+	return nil
+}
+
+// document is a version with its text, in one level.
+type document struct {
+	Version  configuration.Version `json:"version"`
+	Operator string                `json:"operator"`
+	Note     string                `json:"note"`
+	PatchID  string                `json:"patch-id"`
+	Digest   string                `json:"digest"`
+	Text     string                `json:"text"`
+}
+
+func flat(answer operator.Configuration) document {
+	return document{answer.Version, answer.Operator, answer.Note, answer.PatchID, answer.Digest, answer.Text}
+}
--- /dev/null
+++ b/magnolia/internal/command/factory/factory.go
@@ -0,0 +1,173 @@
+// Package factory holds what every command of magnolia is given: streams, the
+// operator's settings and the client, built when they are first asked for.
+//
+// # Usage
+//
+//	tools := factory.New()
+//	client, err := tools.Client()
+//	status, err := operator.Ask[operator.Status](ctx, client, operator.ViewStatus, operator.Done{})
+package factory
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/certificate"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/internal/program"
+	"github.com/magnoliawall/magnoliawall/internal/strictjson"
+	"github.com/magnoliawall/magnoliawall/internal/terminal"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/pending"
+)
+
+const (
+	folderName     = "magnolia"
+	settingsName   = "settings.jsonc"
+	requestTimeout = 15 * time.Second
+)
+
+// Settings are what an operator need not type each time. They come from flags,
+// the environment and a file of JSON with comments, in this order.
+type Settings struct {
+	// Address is the admin address of any node, as host:port.
+	Address string `json:"address"`
+	// Operator is the name that patches are recorded under.
+	Operator    string `json:"operator"`
+	Authority   string `json:"authority"`
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
+// Factory is what a command needs from outside. A test sets its own fields.
+type Factory struct {
+	Streams *terminal.Streams
+	// Flags are the settings of the command line.
+	Flags Settings
+	// Environment gives a variable or nothing.
+	Environment func(name string) string
+	// ConfigFolder and StateFolder give the folders of this user.
+	ConfigFolder func() (string, error)
+	StateFolder  func() (string, error)
+	Now          func() time.Time
+
+	settings *Settings
+	client   *operator.Client
+}
+
+// New gives the factory of the program.
+func New() *Factory {
+	return &Factory{
+		Streams:      terminal.System(),
+		Environment:  os.Getenv,
+		ConfigFolder: os.UserConfigDir,
+		StateFolder:  os.UserCacheDir,
+		Now:          time.Now,
+	}
+}
+
+// Settings gives the settings in force.
+func (fa *Factory) Settings() (*Settings, error) {
+	if fa.settings != nil {
+		return fa.settings, nil
+	}
+	file, err := fa.fileSettings()
+	if err != nil {
+		return nil, program.WithCode(program.ExitUsage, err)
+	}
+	fa.settings = &Settings{
+		Address:     first(fa.Flags.Address, fa.Environment("MAGNOLIA_ADDRESS"), file.Address),
+		Operator:    first(fa.Flags.Operator, fa.Environment("MAGNOLIA_OPERATOR"), file.Operator, fa.Environment("USER")),
+		Authority:   first(fa.Flags.Authority, fa.Environment("MAGNOLIA_AUTHORITY"), file.Authority),
+		Certificate: first(fa.Flags.Certificate, fa.Environment("MAGNOLIA_CERTIFICATE"), file.Certificate),
+		Key:         first(fa.Flags.Key, fa.Environment("MAGNOLIA_KEY"), file.Key),
+	}
+	return fa.settings, nil
+}
+
+func first(values ...string) string {
+	for _, value := range values {
+		if value != "" {
+			return value
+		}
+	}
+	return ""
+}
+
+// fileSettings reads the settings file of this user; without one all are empty.
+func (fa *Factory) fileSettings() (*Settings, error) {
+	folder, err := fa.ConfigFolder()
+	if err != nil {
+		return &Settings{}, nil
+	}
+	path := filepath.Join(folder, folderName, settingsName)
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return &Settings{}, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	loaded := &Settings{}
+	_, faults := strictjson.Decode(text, loaded)
+	if err := faults.Err(); err != nil {
+		return nil, fmt.Errorf("settings %s:\n%w", path, err)
+	}
+	return loaded, nil
+}
+
+// SetDefaults sets nothing: every field may be left out.
+func (*Settings) SetDefaults() {}
+
+// Operator gives the name that changes are recorded under.
+func (fa *Factory) Operator() (string, error) {
+	loaded, err := fa.Settings()
+	if err != nil {
+		return "", err
+	}
+	if loaded.Operator == "" {
+		return "", program.WithCode(program.ExitUsage, errors.New("no operator's name: give --operator or set MAGNOLIA_OPERATOR"))
+	}
+	return loaded.Operator, nil
+}
+
+// Client gives the client of the node that the settings name.
+func (fa *Factory) Client() (*operator.Client, error) {
+	if fa.client != nil {
+		return fa.client, nil
+	}
+	loaded, err := fa.Settings()
+	if err != nil {
+		return nil, err
+	}
+	if loaded.Address == "" {
+		return nil, program.WithCode(program.ExitUsage, errors.New("no address: give --address HOST:PORT of any node's admin port, or set MAGNOLIA_ADDRESS"))
+	}
+	fa.client, err = newClient(loaded)
+	return fa.client, err
+}
+
+func newClient(loaded *Settings) (*operator.Client, error) {
+	if loaded.Certificate == "" {
+		return &operator.Client{Base: "http://" + loaded.Address, HTTP: &http.Client{Timeout: requestTimeout}}, nil
+	}
+	files := &certificate.Files{Authority: loaded.Authority, Certificate: loaded.Certificate, Key: loaded.Key}
+	if err := files.Load(); err != nil {
+		return nil, program.WithCode(program.ExitUsage, err)
+	}
+	transport := &http.Transport{TLSClientConfig: files.Client(certificate.RoleNode)}
+	return &operator.Client{Base: "https://" + loaded.Address, HTTP: &http.Client{Timeout: requestTimeout, Transport: transport}}, nil
+}
+
+// Pending gives the patches whose outcome is not known yet.
+func (fa *Factory) Pending() (*pending.Folder, error) {
+	folder, err := fa.StateFolder()
+	if err != nil {
+		return nil, fmt.Errorf("find a folder for pending patches: %w", err)
+	}
+	return &pending.Folder{Path: filepath.Join(folder, folderName, "pending")}, nil
+}
--- /dev/null
+++ b/magnolia/internal/command/patch/create/create.go
@@ -0,0 +1,174 @@
+// Package create is the command `magnolia patch create`.
+//
+// # Usage
+//
+//	command := create.New()
+//	err := command.Run(ctx, tools)
+package create
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/program"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/listing"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/patch/outcome"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	Base   configuration.Version `required:"" help:"Number of the version that the patch is against."`
+	Note   string                `required:"" help:"Why, for those who read the versions later."`
+	Set    []string              `sep:"none" placeholder:"POINTER=JSON" help:"Set the value at a JSON pointer."`
+	Remove []string              `sep:"none" placeholder:"POINTER" help:"Remove the value at a JSON pointer."`
+	File   string                `placeholder:"FILE" help:"Take the operations from an RFC 6902 patch; - reads the input."`
+	ID     string                `placeholder:"ID" help:"Send under this id, as for a resend from another host."`
+	listing.Flags
+}
+
+// New gives the command.
+func New() *Options {
+	return &Options{}
+}
+
+// Help tells of the command at length.
+func (op *Options) Help() string {
+	return `Sends a patch against a numbered version of the whole configuration. It is refused
+if another version is in force by then, and what changed since is shown.
+
+An id is made and stored before the first send. If the answer is lost, the same
+command sends the same id again and tells the first outcome. The exit code is 0
+where it was accepted, 2 for faults, 3 for a stale number, 4 in doubt.
+
+Examples:
+  magnolia patch create --base 12 --note "longer day view" \
+    --set /services/agenda/kinds/day/deadline='"2500ms"'
+  magnolia patch create --base 12 --note "drop the old kind" --remove /services/agenda/kinds/old
+  magnolia patch create --base 12 --note "from review" --file patch.json`
+}
+
+// Run runs the command.
+func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	patch, err := op.patch(tools)
+	if err != nil {
+		return err
+	}
+	forget, err := op.identify(tools, patch)
+	if err != nil {
+		return err
+	}
+	answer, err := listing.Ask[operator.PatchOutcome](ctx, tools, operator.CreatePatch, patch)
+	if operator.IsInDoubt(err) {
+		return program.WithCode(program.ExitInDoubt, fmt.Errorf("patch %s: %w; run the same command again to learn its outcome", patch.ID, err))
+	}
+	if err := errors.Join(err, forget()); err != nil {
+		return err
+	}
+	if len(op.JSON) > 0 {
+		return errors.Join(listing.ShowOne(tools.Streams, op.Flags, answer, nil), outcome.Error(answer))
+	}
+	outcome.Print(tools.Streams, answer)
+	return outcome.Error(answer)
+}
+
+func (op *Options) patch(tools *factory.Factory) (*operator.Patch, error) {
+	name, err := tools.Operator()
+	if err != nil {
+		return nil, err
+	}
+	operations, err := op.operations(tools.Streams.In)
+	if err != nil {
+		return nil, program.WithCode(program.ExitUsage, err)
+	}
+	return &operator.Patch{ID: op.ID, Base: op.Base, Operator: name, Note: op.Note, Operations: operations}, nil
+}
+
+// identify gives the patch the id that it was sent under before, or a new one
+// that is stored now. The function forgets it.
+func (op *Options) identify(tools *factory.Factory, patch *operator.Patch) (func() error, error) {
+	if op.ID != "" {
+		return func() error { return nil }, nil
+	}
+	content, err := json.Marshal(patch)
+	if err != nil {
+		return nil, err
+	}
+	folder, err := tools.Pending()
+	if err != nil {
+		return nil, err
+	}
+	patch.ID, err = folder.Begin(content, ulid.Make().String())
+	return func() error { return folder.End(content) }, err
+}
+
+// operation is one operation of RFC 6902.
+type operation struct {
+	Op    string          `json:"op"`
+	Path  string          `json:"path"`
+	Value json.RawMessage `json:"value,omitempty"`
+}
+
+func (op *Options) operations(input io.Reader) (json.RawMessage, error) {
+	if op.File != "" {
+		return op.fileOperations(input)
+	}
+	var list []operation
+	for _, text := range op.Set {
+		set, err := parseSet(text)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, set)
+	}
+	for _, pointer := range op.Remove {
+		list = append(list, operation{Op: "remove", Path: pointer})
+	}
+	if len(list) == 0 {
+		return nil, errors.New("the patch is empty: give --set, --remove or --file")
+	}
+	return json.Marshal(list)
+}
+
+func (op *Options) fileOperations(input io.Reader) (json.RawMessage, error) {
+	if len(op.Set)+len(op.Remove) > 0 {
+		return nil, errors.New("give either --file or --set and --remove")
+	}
+	content, err := readFile(op.File, input)
+	if err != nil {
+		return nil, err
+	}
+	if !json.Valid(content) {
+		return nil, fmt.Errorf("%s is not JSON: an RFC 6902 patch is a list of operations", op.File)
+	}
+	return content, nil
+}
+
+func readFile(name string, input io.Reader) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(input)
+	}
+	return os.ReadFile(name)
+}
+
+// parseSet reads POINTER=JSON. Setting adds a member that is not there yet and
+// replaces one that is.
+func parseSet(text string) (operation, error) {
+	pointer, value, found := strings.Cut(text, "=")
+	if !found || !strings.HasPrefix(pointer, "/") {
+		return operation{}, fmt.Errorf("--set %s: give POINTER=JSON, as in /retry/allowance-per-root=3", text)
+	}
+	if !json.Valid([]byte(value)) {
+		return operation{}, fmt.Errorf("--set %s: %s is not JSON; a text needs its quotes, as in '\"2500ms\"'", pointer, value)
+	}
+	return operation{Op: "add", Path: pointer, Value: json.RawMessage(value)}, nil
+}
--- /dev/null
+++ b/magnolia/internal/command/patch/outcome/outcome.go
@@ -0,0 +1,48 @@
+// Package outcome tells operators how a patch ended.
+//
+// # Usage
+//
+//	outcome.Print(streams, answer)
+//	return outcome.Error(answer) // nil where it was accepted
+package outcome
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/internal/program"
+	"github.com/magnoliawall/magnoliawall/internal/terminal"
+)
+
+// Print writes the outcome, the faults, and what was accepted since a stale
+// base.
+func Print(streams *terminal.Streams, answer operator.PatchOutcome) {
+	streams.Printf("patch %s on version %d: %s, version %d\n", answer.ID, answer.Base, answer.State, answer.Version)
+	for _, fault := range answer.Faults {
+		streams.Printf("  %s\n", fault)
+	}
+	for _, version := range answer.Since {
+		streams.Printf("  version %d by %s: %s\n", version.Version, version.Operator, version.Note)
+		for _, change := range version.Changes {
+			streams.Printf("    %s\n", change.Text)
+		}
+	}
+}
+
+// Error gives the error of a patch that made no version.
+func Error(answer operator.PatchOutcome) error {
+	switch answer.State {
+	case operator.StateAccepted:
+		return nil
+	case operator.StateStale:
+		return program.WithCode(program.ExitRefused, fmt.Errorf(
+			"the patch is based on version %d, but version %d is in force: look at what changed and send it with --base %d",
+			answer.Base, answer.Version, answer.Version))
+	case operator.StateFaulty:
+		return program.WithCode(program.ExitUsage, errors.New("the patch has faults: nothing was changed"))
+	case operator.StateOtherContent:
+		return errors.New("the patch id belongs to another patch: send this one without --id")
+	}
+	return fmt.Errorf("the patch is %s: look at the versions and send it on the latest one", answer.State)
+}
--- /dev/null
+++ b/magnolia/internal/command/patch/view/view.go
@@ -0,0 +1,50 @@
+// Package view is the command `magnolia patch view`.
+//
+// # Usage
+//
+//	command := view.New()
+//	err := command.Run(ctx, tools)
+package view
+
+import (
+	"context"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/listing"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/patch/outcome"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	ID string `arg:"" help:"Id of the patch."`
+	listing.Flags
+}
+
+// New gives the command.
+func New() *Options {
+	return &Options{}
+}
+
+// Help tells of the command at length.
+func (op *Options) Help() string {
+	return `Shows how a patch ended. A patch that was never decided is not known; sending it
+again with the same id is safe.
+
+Examples:
+  magnolia patch view 01JE8W3Z8X4J9M5T8Q2V7C6B1N
+  magnolia patch view 01JE8W3Z8X4J9M5T8Q2V7C6B1N --json state,version`
+}
+
+// Run runs the command.
+func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	answer, err := listing.Ask[operator.PatchOutcome](ctx, tools, operator.ViewPatch, operator.PatchQuery{ID: op.ID})
+	if err != nil {
+		return err
+	}
+	if len(op.JSON) > 0 {
+		return listing.ShowOne(tools.Streams, op.Flags, answer, nil)
+	}
+	outcome.Print(tools.Streams, answer)
+	return nil
+}
--- /dev/null
+++ b/magnolia/internal/command/replica/list/list.go
@@ -0,0 +1,51 @@
+// Package list is the command `magnolia replica list`.
+//
+// # Usage
+//
+//	command := list.New()
+//	err := command.Run(ctx, tools)
+package list
+
+import (
+	"context"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/listing"
+)
+
+// Options are the flags of the command.
+type Options struct {
+	listing.Flags
+}
+
+var columns = []listing.Column[operator.ReplicaRow]{
+	{Header: "ID", Cell: func(row operator.ReplicaRow) string { return string(row.ID) }},
+	{Header: "ROLE", Cell: func(row operator.ReplicaRow) string { return row.Role }},
+	{Header: "DOMAIN", Cell: func(row operator.ReplicaRow) string { return string(row.Domain) }},
+	{Header: "ADDRESS", Cell: func(row operator.ReplicaRow) string { return row.Address }},
+}
+
+// New gives the command.
+func New() *Options {
+	return &Options{}
+}
+
+// Help tells of the command at length.
+func (op *Options) Help() string {
+	return `Lists the replicas of the control state. An id belongs to one disk and is never
+used again; a host that lost its disk comes back with a new one.
+
+Examples:
+  magnolia replica list
+  magnolia replica list --json id,address,role`
+}
+
+// Run runs the command.
+func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	answer, err := listing.Ask[operator.Replicas](ctx, tools, operator.ListReplicas, operator.Done{})
+	if err != nil {
+		return err
+	}
+	return listing.Show(tools.Streams, op.Flags, answer.Replicas, columns)
+}
--- /dev/null
+++ b/magnolia/internal/command/replica/replace/replace.go
@@ -0,0 +1,47 @@
+// Package replace is the command `magnolia replica replace`.
+//
+// # Usage
+//
+//	command := replace.New()
+//	err := command.Run(ctx, tools)
+package replace
+
+import (
+	"context"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/listing"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	Lost    operator.ReplicaID `arg:"" help:"Id of the lost replica."`
+	Address string             `arg:"" help:"Peer address of the new replica's host."`
+}
+
+// New gives the command.
+func New() *Options {
+	return &Options{}
+}
+
+// Help tells of the command at length.
+func (op *Options) Help() string {
+	return `Puts the replica of a new host, or of one that lost its disk, in the place of a lost
+one: it is added as a learner, promoted once it has caught up, and then the lost
+id is removed for good. It may be run again after it was interrupted.
+
+Examples:
+  magnolia replica list
+  magnolia replica replace 3b6f2aff334bab1b 10.11.1.11:7402`
+}
+
+// Run runs the command.
+func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	asked := operator.Replacement{Lost: op.Lost, Address: op.Address}
+	if _, err := listing.Ask[operator.Done](ctx, tools, operator.ReplaceReplica, asked); err != nil {
+		return err
+	}
+	tools.Streams.Printf("replica %s was replaced by the one at %s\n", op.Lost, op.Address)
+	return nil
+}
--- /dev/null
+++ b/magnolia/internal/command/status/status.go
@@ -0,0 +1,78 @@
+// Package status is the command `magnolia status`.
+//
+// # Usage
+//
+//	command := status.New()
+//	err := command.Run(ctx, tools)
+package status
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/listing"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	listing.Flags
+}
+
+// New gives the command.
+func New() *Options {
+	return &Options{}
+}
+
+// Help tells of the command at length.
+func (op *Options) Help() string {
+	return `Sums up the system as the asked replica sees it: the latest version, whether a
+quorum answers, in which failure domains it is in force, who is out of reach, and
+how many actions are in doubt.
+
+Examples:
+  magnolia status
+  magnolia status --json version,quorum,domains`
+}
+
+var columns = []listing.Column[operator.Status]{
+	{Header: "version", Cell: func(row operator.Status) string { return fmt.Sprint(row.Version) }},
+	{Header: "quorum", Cell: func(row operator.Status) string {
+		return word(row.Quorum, "yes", "no: nothing can be changed from here")
+	}},
+	{Header: "leader", Cell: func(row operator.Status) string { return string(row.Leader) }},
+	{Header: "actions in doubt", Cell: func(row operator.Status) string { return fmt.Sprint(row.Actions) }},
+}
+
+// Run runs the command.
+func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	answer, err := listing.Ask[operator.Status](ctx, tools, operator.ViewStatus, operator.Done{})
+	if err != nil {
+		return err
+	}
+	shown := columns
+	for _, domain := range answer.Domains {
+		text := describe(domain)
+		shown = append(shown, listing.Column[operator.Status]{
+			Header: string(domain.Domain),
+			Cell:   func(operator.Status) string { return text },
+		})
+	}
+	return listing.ShowOne(tools.Streams, op.Flags, answer, shown)
+}
+
+func describe(domain operator.DomainRow) string {
+	text := fmt.Sprintf("in force on %d of %d nodes", domain.InForce, domain.Nodes)
+	if len(domain.Silent) > 0 {
+		text += fmt.Sprintf(", silent: %v", domain.Silent)
+	}
+	return text + word(domain.Reached, "", ", out of reach: this is old")
+}
+
+func word(flag bool, yes, no string) string {
+	if flag {
+		return yes
+	}
+	return no
+}
--- /dev/null
+++ b/magnolia/internal/command/target/drain/drain.go
@@ -0,0 +1,44 @@
+// Package drain is the command `magnolia target drain`.
+//
+// # Usage
+//
+//	command := drain.New()
+//	err := command.Run(ctx, tools)
+package drain
+
+import (
+	"context"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/listing"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	Node request.NodeID `arg:"" help:"Node of the target."`
+}
+
+// New gives the command.
+func New() *Options {
+	return &Options{}
+}
+
+// Help tells of the command at length.
+func (op *Options) Help() string {
+	return `Asks the node of a target to stop as planned: it tells its peers, takes no new work,
+finishes every request in flight, and its process exits.
+
+Examples:
+  magnolia target drain norte-a-agenda-1`
+}
+
+// Run runs the command.
+func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	if _, err := listing.Ask[operator.Done](ctx, tools, operator.DrainTarget, operator.NodeQuery{Node: op.Node}); err != nil {
+		return err
+	}
+	tools.Streams.Printf("%s drains\n", op.Node)
+	return nil
+}
--- /dev/null
+++ b/magnolia/internal/command/version/diff/diff.go
@@ -0,0 +1,51 @@
+// Package diff is the command `magnolia version diff`.
+//
+// # Usage
+//
+//	command := diff.New()
+//	err := command.Run(ctx, tools)
+package diff
+
+import (
+	"context"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/listing"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	From configuration.Version `arg:"" help:"The earlier version."`
+	To   configuration.Version `arg:"" optional:"" help:"The later version; the latest if left out."`
+	listing.Flags
+}
+
+// New gives the command.
+func New() *Options {
+	return &Options{}
+}
+
+// Help tells of the command at length.
+func (op *Options) Help() string {
+	return `Shows what differs between two versions, field by field.
+
+Examples:
+  magnolia version diff 12
+  magnolia version diff 12 15
+  magnolia version diff 12 15 --json field,text`
+}
+
+var columns = []listing.Column[operator.Change]{
+	{Header: "CHANGE", Cell: func(row operator.Change) string { return row.Text }},
+}
+
+// Run runs the command.
+func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	answer, err := listing.Ask[operator.Difference](ctx, tools, operator.DiffVersions, operator.DifferenceQuery{From: op.From, To: op.To})
+	if err != nil {
+		return err
+	}
+	return listing.Show(tools.Streams, op.Flags, answer.Changes, columns)
+}
--- /dev/null
+++ b/magnolia/internal/pending/folder.go
@@ -0,0 +1,74 @@
+// Package pending keeps the ids of patches that were sent and whose outcome is
+// not known yet. The id is on disk before the first send, so the same command
+// after a lost answer or a crash sends the same id again.
+//
+// # Usage
+//
+//	id, err := folder.Begin(content, newID) // the stored id, or newID stored now
+//	...
+//	err = folder.End(content)               // once the outcome is known
+package pending
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+)
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+// Folder is a folder of pending patches. Path is set before the first use.
+type Folder struct {
+	Path string
+}
+
+// Begin gives the id under which the content was sent before, or stores and
+// gives the new one.
+func (fo *Folder) Begin(content []byte, newID string) (string, error) {
+	stored, err := os.ReadFile(fo.file(content))
+	if err == nil {
+		return string(stored), nil
+	}
+	if !errors.Is(err, fs.ErrNotExist) {
+		return "", fmt.Errorf("read pending patch: %w", err)
+	}
+	return newID, fo.store(content, newID)
+}
+
+// store writes a synced file beside its place and then moves it there.
+func (fo *Folder) store(content []byte, id string) error {
+	if err := os.MkdirAll(fo.Path, folderMode); err != nil {
+		return fmt.Errorf("make folder for pending patches: %w", err)
+	}
+	file, err := os.OpenFile(fo.file(content)+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return fmt.Errorf("store pending patch: %w", err)
+	}
+	_, err = file.WriteString(id)
+	err = errors.Join(err, file.Sync(), file.Close())
+	if err != nil {
+		return fmt.Errorf("store pending patch: %w", err)
+	}
+	return os.Rename(file.Name(), fo.file(content))
+}
+
+// End forgets a patch whose outcome is known.
+func (fo *Folder) End(content []byte) error {
+	err := os.Remove(fo.file(content))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	return err
+}
+
+func (fo *Folder) file(content []byte) string {
+	sum := sha256.Sum256(content)
+	return filepath.Join(fo.Path, hex.EncodeToString(sum[:]))
+}
--- a/magnolia/main.go
+++ b/magnolia/main.go
@@ -1,4 +1,19 @@
-// Command magnolia is a part of magnoliawall.
+// Command magnolia is the operators' command line of magnoliawall.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/root"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := root.Main(ctx, factory.New(), os.Args[1:])
+	stop()
+	os.Exit(int(code))
+}
