--- a/internal/core/ledger/book.go
+++ b/internal/core/ledger/book.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"crypto/sha256"
-	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger/ledgerpb"
 	"github.com/magnoliawall/magnoliawall/internal/request"
@@ -106,7 +105,7 @@
 			attempt: attempt,
 			digest:  BodyDigest(claim.GetDigest()),
 			state:   heldGranted,
-			expires: age + Age(max(0, claim.GetFinishWithin())) + Age(FinishGrace),
+			expires: age + bounded(claim.GetFinishWithin()) + Age(FinishGrace),
 			open:    &openText{kind: claim.GetKind(), key: claim.GetKey(), node: claim.GetNode()},
 		}
 	}
@@ -141,6 +140,11 @@
 	return Granted
 }
 
+// bounded reads a time of a command, whose sum with an age must not overflow.
+func bounded(nanoseconds int64) Age {
+	return Age(min(max(0, nanoseconds), int64(MaxKeep)))
+}
+
 func attemptID(text []byte) (request.AttemptID, bool) {
 	if len(text) != len(request.AttemptID{}) {
 		return request.AttemptID{}, false
@@ -163,19 +167,19 @@
 	}
 	var kept *keptAnswer
 	if finish.GetAnswer() != nil && finish.GetKeepAnswer() > 0 {
-		kept = &keptAnswer{answer: finish.GetAnswer(), expires: age + Age(finish.GetKeepAnswer())}
+		kept = &keptAnswer{answer: finish.GetAnswer(), expires: age + bounded(finish.GetKeepAnswer())}
 	}
-	b.close(age, name, holder, time.Duration(finish.GetKeepRecord()), kept)
+	b.close(age, name, holder, finish.GetKeepRecord(), kept)
 	return Stored
 }
 
 // close turns a claim into the record that its action ran. The record outlives
 // each copy of the claim that could still be under way.
-func (b *book) close(age Age, name id, holder *held, keep time.Duration, kept *keptAnswer) {
+func (b *book) close(age Age, name id, holder *held, keep int64, kept *keptAnswer) {
 	holder.state = heldFinished
 	holder.open = nil
 	holder.kept = kept
-	holder.expires = age + Age(max(keep, ClaimLifetime))
+	holder.expires = age + max(bounded(keep), Age(ClaimLifetime))
 	if kept != nil {
 		holder.expires = max(holder.expires, kept.expires)
 	}
--- /dev/null
+++ b/internal/core/ledger/fuzz_test.go
@@ -0,0 +1,38 @@
+package ledger_test
+
+import (
+	"testing"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
+)
+
+// FuzzApply looks for commands and snapshots that crash the state machine.
+func FuzzApply(f *testing.F) {
+	script := newBench()
+	script.submit(ledger.Submission{ID: "first", Operator: "ana", Text: []byte(document)})
+	claim := ledger.ClaimCommand{Kind: "a/b", Key: "k", Attempt: attemptNamed("a")}.Encode()
+	script.apply(claim)
+	f.Add(claim, script.machine.Snapshot())
+	f.Add(ledger.SettleCommand{Operator: "ana"}.Encode(), []byte{})
+	f.Add(ledger.AdvanceCommand{Elapsed: 1}.Encode(), ledger.New().Snapshot())
+	f.Fuzz(func(t *testing.T, command, snapshot []byte) {
+		machine := ledger.New()
+		if err := machine.Restore(snapshot); err != nil {
+			return
+		}
+		index := machine.Applied() + 1
+		if index == 0 {
+			return
+		}
+		if _, err := machine.Apply(index, command); err != nil {
+			t.Fatal(err)
+		}
+		machine.Open()
+		machine.Text(1)
+		machine.Since(0, 3, 5)
+		again := ledger.New()
+		if err := again.Restore(machine.Snapshot()); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/internal/core/ledger/machine.go
+++ b/internal/core/ledger/machine.go
@@ -45,6 +45,8 @@
 	// ClaimLifetime is the age after which a proposed claim is refused, and for
 	// which a released attempt is remembered.
 	ClaimLifetime = 10 * time.Minute
+	// MaxKeep bounds each time that a command asks for.
+	MaxKeep = 366 * 24 * time.Hour
 	// SettleAfter is how long an outcome must have been in doubt before an
 	// operator can settle it.
 	SettleAfter = time.Minute
--- a/internal/core/ledger/settle.go
+++ b/internal/core/ledger/settle.go
@@ -48,7 +48,7 @@
 		return &ledgerpb.SettleResult{State: SettleNotInDoubt}
 	}
 	if settle.GetRan() {
-		b.close(age, name, holder, time.Duration(settle.GetKeepRecord()), nil)
+		b.close(age, name, holder, settle.GetKeepRecord(), nil)
 	} else {
 		delete(b.claims, name)
 		b.bury(age, attempt)
