--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -34,6 +34,9 @@
 	guard    *quarantine.Guard
 	client   *registry.Client
 	versions chan configuration.Version
+	// down says that the target died and has not been seen again.
+	down        atomic.Bool
+	connections connections
 }
 
 // addSite joins a host with a target to the run. The node drains when ctx ends;
@@ -77,6 +80,7 @@
 		Domain:      ho.place.Domain,
 		Incarnation: quarantine.Incarnation(ho.incarnation),
 	}}
+	st.connections = connections{chooser: st.chooser, transport: ho.transport}
 	st.client = st.newClient()
 	st.node = &node.Node{
 		ID:            ho.Settings.Node,
@@ -109,6 +113,7 @@
 			Address:     string(ho.Settings.Listen.Peers),
 			Place:       ho.place,
 			Service:     ho.Settings.Service,
+			State:       membership.Cold,
 		},
 		Replicas: ho.replicaAddresses(),
 		Open:     registry.OpenPeer(ho.transport),
@@ -168,17 +173,16 @@
 }
 
 // follow adapts subscriptions, slots and links to each version in force, and
-// keeps connections to the targets that calls may go to.
+// does what comes up at intervals.
 func (st *site) follow(ctx context.Context) {
-	connector := &connector{transport: st.host.transport, chooser: st.chooser}
-	ticker := time.NewTicker(connectInterval)
+	ticker := time.NewTicker(tendInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-st.versions:
 			st.adapt(ctx)
-		case <-ticker.C:
-			connector.connectAll(ctx, st.connected())
+		case now := <-ticker.C:
+			st.tend(ctx, now)
 		case <-ctx.Done():
 			return
 		}
@@ -189,7 +193,7 @@
 	document := st.host.holder.Current().Document
 	own := document.Services[st.host.Settings.Service]
 	st.chooser.Links.SetCapacity(choice.Rate(document.Links.BytesPerSecond), document.Links.ShareForUnimportant)
-	if err := st.client.Change(ctx, membership.Ready, membership.Slots(own.Slots)); err != nil {
+	if err := st.client.Resize(ctx, membership.Slots(own.Slots)); err != nil {
 		return
 	}
 	_ = st.client.Watch(ctx, st.services(document))
@@ -208,28 +212,17 @@
 	return names
 }
 
-// connected lists the services to whose targets connections are kept: those
-// that the target calls and those that callers asked for.
-func (st *site) connected() []request.ServiceName {
-	own := st.host.holder.Current().Document.Services[st.host.Settings.Service]
-	names := st.node.Called()
-	for _, name := range own.Calls {
-		if !slices.Contains(names, name) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // announceDrain tells the replica that the target leaves.
 func (st *site) announceDrain() {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	_ = st.client.Change(ctx, membership.Draining, 0)
+	_ = st.client.Change(ctx, membership.Draining)
 }
 
 func (st *site) sendReport(report quarantine.Report) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	_ = st.client.Report(ctx, report)
+	_ = st.client.Change(ctx, membership.Down)
+	st.down.Store(true)
 }
