Slow down the records of a node that is cut off

Cause: a node cut off from the quorum proposed each record that it owes every half second, 8,000 a second at the node's bound of 4,096, and would flood the quorum when it is back.

--- a/internal/core/claim/attempt.go
+++ b/internal/core/claim/attempt.go
@@ -8,6 +8,9 @@
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
+// maxRecordDoublings bounds the time between two proposals of one record.
+const maxRecordDoublings = 5
+
 type attemptState uint8
 
 const (
@@ -38,8 +41,10 @@
 	// proposeAt is when the command is proposed again.
 	proposeAt time.Time
 	command   []byte
-	answer    *Answer
-	lost      bool
+	// proposed is how often the record was proposed.
+	proposed int
+	answer   *Answer
+	lost     bool
 	// replyBy is when the callers get the answer though it is not stored.
 	replyBy time.Time
 	replied bool
@@ -118,7 +123,8 @@
 }
 
 func (c *Core) propose(now time.Time, current *attempt) {
-	current.proposeAt = now.Add(c.RecordEvery)
+	current.proposeAt = now.Add(c.RecordEvery << min(current.proposed, maxRecordDoublings))
+	current.proposed++
 	c.actions = append(c.actions, Action{Type: Record, Attempt: current.request.Attempt, Command: current.command})
 }
 
--- a/internal/core/claim/core.go
+++ b/internal/core/claim/core.go
@@ -99,7 +99,9 @@
 	AskWithin time.Duration
 	// StoreWithin is how long an answer waits for its record to be stored.
 	StoreWithin time.Duration
-	// RecordEvery is the time after which a record is proposed again.
+	// RecordEvery is the time after which a record is proposed again; it doubles
+	// each time, up to [maxRecordDoublings] times, so that a node that is cut off
+	// from the quorum does not flood it afterwards.
 	RecordEvery time.Duration
 	// MaxPending bounds the attempts whose end is not recorded yet; above it
 	// new requests are refused at once.
--- /dev/null
+++ b/internal/core/claim/core_test.go
@@ -0,0 +1,83 @@
+package claim_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/claim"
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// A node that is cut off refuses at once above its bound, and proposes the
+// records that it owes ever more rarely.
+func TestCutOffNodeStaysBounded(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	core := &claim.Core{
+		AskEvery: 100 * time.Millisecond, AskWithin: time.Second, StoreWithin: time.Second,
+		RecordEvery: 500 * time.Millisecond, MaxPending: 50,
+	}
+	now := time.Unix(1_000_000, 0)
+	end := now.Add(time.Hour)
+	refused, records, lastMinute := 0, 0, 0
+	count := func(actions []claim.Action) {
+		for _, one := range actions {
+			switch {
+			case one.Type == claim.Refuse:
+				refused++
+				expect(one.Outcome).To(gomega.Equal(request.Unknown))
+			case one.Type == claim.Record:
+				records++
+				if end.Sub(now) < time.Minute {
+					lastMinute++
+				}
+			}
+		}
+	}
+	asked := 0
+	for ; now.Before(end); now = now.Add(100 * time.Millisecond) {
+		asked++
+		count(core.Arrive(now, claim.Request{
+			Call: request.CallID(asked), Attempt: request.AttemptID{byte(asked), byte(asked >> 8)},
+			Key: request.IdempotencyKey(now.String()), Deadline: now.Add(5 * time.Second),
+		}))
+		count(core.Tick(now))
+	}
+	expect(core.Pending()).To(gomega.Equal(50))
+	expect(refused).To(gomega.Equal(asked), "nobody waits any more")
+	expect(lastMinute).To(gomega.BeNumerically("<=", 50*4), "one proposal in 16 s for each record")
+	expect(records).To(gomega.BeNumerically(">", 50))
+}
+
+// Calls with one key and body share an attempt, and each gets its answer once.
+func TestCallsInFlightJoin(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	core := &claim.Core{AskEvery: time.Second, AskWithin: time.Second, StoreWithin: time.Second, RecordEvery: time.Second, MaxPending: 9}
+	now := time.Unix(1_000_000, 0)
+	arrive := func(call request.CallID, body byte) []claim.Action {
+		return core.Arrive(now, claim.Request{
+			Call: call, Attempt: request.AttemptID{byte(call)}, Key: "key", Digest: [16]byte{body},
+			Deadline: now.Add(time.Minute), KeptAnswer: 100,
+		})
+	}
+	expect(arrive(1, 1)).To(gomega.HaveLen(1))
+	expect(arrive(2, 1)).To(gomega.BeEmpty())
+	expect(arrive(3, 2)[0].Code).To(gomega.Equal(request.ClaimInDoubt), "it is not known yet who holds the key")
+	granted := core.Claimed(now, request.AttemptID{1}, grantedResult)
+	expect(granted).To(gomega.HaveLen(1))
+	expect(granted[0].Type).To(gomega.Equal(claim.Run))
+	expect(core.Claimed(now, request.AttemptID{1}, grantedResult)).To(gomega.BeEmpty(), "a doubled grant runs nothing")
+	expect(arrive(4, 2)[0].Code).To(gomega.Equal(request.KeyReusedOtherBody))
+	answer := &claim.Answer{Status: 201}
+	expect(core.Answered(now, request.AttemptID{1}, answer)).To(gomega.HaveLen(1))
+	expect(core.Tick(now.Add(999 * time.Millisecond))).To(gomega.BeEmpty())
+	replies := core.Tick(now.Add(time.Second))
+	expect(replies).To(gomega.HaveLen(3), "two replies after the bounded wait, and the record again")
+	late := arrive(5, 1)
+	expect(late).To(gomega.HaveLen(1))
+	expect(late[0].Answer).To(gomega.BeIdenticalTo(answer))
+}
+
+var grantedResult = ledger.ClaimResult{State: ledger.Granted}
