Refuse a patch that renames a once kind

Cause: claims are recorded under the name of their kind, so that a kind under another name would run the resend of an action that ran. Change: configuration.CheckChange compares a patched document with the version before; the ledger refuses the patch as faulty. Faults without a place are written without a line. Ruled out: keying claims by method and path: a path pattern changes more often than a name, and operators name actions by kind.

--- a/internal/configuration/parse_test.go
+++ b/internal/configuration/parse_test.go
@@ -101,3 +101,28 @@
 		expect(ok).To(gomega.BeTrue())
 	}
 }
+
+// Claims are recorded under the name of the kind, so a once kind keeps it.
+func TestChangeKeepsTheNamesOfOnceKinds(t *testing.T) {
+	text := example(t, "gota-justa.jsonc")
+	before, err := configuration.Parse(text)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	for patch, want := range map[string]string{
+		`[{"op": "move", "from": "/services/subsidios/kinds/file", "path": "/services/subsidios/kinds/file-request"}]`: `services.subsidios.kinds.file-request: takes the requests of the once kind "file" under another name`,
+		`[{"op": "move", "from": "/services/subsidios/kinds/status", "path": "/services/subsidios/kinds/state"}]`:      "",
+		`[{"op": "remove", "path": "/services/subsidios/kinds/withdraw"}]`:                                             "",
+		`[{"op": "replace", "path": "/services/subsidios/kinds/file/deadline", "value": "7s"}]`:                        "",
+	} {
+		expect := gomega.NewWithT(t).Expect
+		patched, err := configuration.Patch(text, []byte(patch))
+		expect(err).NotTo(gomega.HaveOccurred())
+		after, err := configuration.Parse(patched)
+		expect(err).NotTo(gomega.HaveOccurred())
+		err = configuration.CheckChange(before, after)
+		if want == "" {
+			expect(err).NotTo(gomega.HaveOccurred(), patch)
+			continue
+		}
+		expect(err).To(gomega.MatchError(gomega.HavePrefix(want)), patch)
+	}
+}
--- a/internal/core/ledger/prepare.go
+++ b/internal/core/ledger/prepare.go
@@ -127,7 +127,7 @@
 func (b Base) evaluate(submission Submission, patch *ledgerpb.Patch) {
 	text, err := submission.apply(b.Text)
 	if err == nil {
-		_, err = configuration.Parse(text)
+		err = b.check(text)
 	}
 	if err == nil && len(text) > maxText {
 		err = fmt.Errorf("the document would have %d bytes; at most %d are allowed", len(text), maxText)
@@ -141,6 +141,20 @@
 	patch.Splice = newSplice(b.Text, text)
 }
 
+// check reads the new text and compares it with the current one, which a replica
+// of an older build may have accepted under other checks.
+func (b Base) check(text []byte) error {
+	document, err := configuration.Parse(text)
+	if err != nil || b.Version == 0 {
+		return err
+	}
+	current, err := configuration.Parse(b.Text)
+	if err != nil {
+		return nil
+	}
+	return configuration.CheckChange(current, document)
+}
+
 func (s Submission) apply(base []byte) ([]byte, error) {
 	if s.Base == 0 {
 		return s.Text, nil
--- a/internal/strictjson/fault.go
+++ b/internal/strictjson/fault.go
@@ -20,7 +20,10 @@
 
 // String writes the fault on one line.
 func (f Fault) String() string {
-	text := fmt.Sprintf("line %d: ", f.Line)
+	text := ""
+	if f.Line > 0 {
+		text = fmt.Sprintf("line %d: ", f.Line)
+	}
 	if f.Field != "" {
 		text += f.Field + ": "
 	}
