--- a/internal/adapter/replication/messenger.go
+++ b/internal/adapter/replication/messenger.go
@@ -101,7 +101,8 @@
 			discard(ctx, queue)
 			continue
 		}
-		for writeBatch(ctx, stream, queue) == nil {
+		for err == nil {
+			err = writeBatch(ctx, stream, queue)
 		}
 		_ = stream.Close()
 	}
--- a/internal/adapter/replication/messenger_test.go
+++ b/internal/adapter/replication/messenger_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"runtime"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -16,11 +17,9 @@
 	"github.com/magnoliawall/magnoliawall/internal/replica"
 )
 
-// TestReplicasOverPeerProtocol forms a log of three replicas over loopback and
-// real files, and reads at one what was proposed at another.
-func TestReplicasOverPeerProtocol(t *testing.T) {
-	expect := gomega.NewWithT(t)
-	ctx, stop := context.WithCancel(context.Background())
+// startReplicas runs three replicas over loopback and real files until the
+// context ends.
+func startReplicas(ctx context.Context, test testing.TB, expect *gomega.WithT) ([]*replica.Replica[*ledger.Machine], <-chan error) {
 	var listeners []net.Listener
 	var addresses []string
 	for range 3 {
@@ -32,13 +31,15 @@
 	var controls []*replica.Replica[*ledger.Machine]
 	ended := make(chan error, len(listeners))
 	for number, listener := range listeners {
-		folder := &disk.Folder{Directory: filepath.Join(t.TempDir(), fmt.Sprint(number))}
+		folder := &disk.Folder{Directory: filepath.Join(test.TempDir(), fmt.Sprint(number))}
 		expect.Expect(folder.Open()).To(gomega.Succeed())
-		defer folder.Close()
 		messenger := &replication.Messenger{}
 		transport := &peer.Transport{Handlers: map[peer.Kind]peer.Handler{peer.KindQuorum: messenger.Serve}}
-		defer transport.Close()
 		messenger.Transport = transport
+		test.Cleanup(func() {
+			_ = transport.Close()
+			_ = folder.Close()
+		})
 		control := &replica.Replica[*ledger.Machine]{
 			Machine: ledger.New(), Disk: folder, Messenger: messenger,
 			Address: addresses[number], Peers: addresses,
@@ -48,6 +49,15 @@
 		go func() { _ = messenger.Run(ctx) }()
 		go func() { ended <- control.Run(ctx) }()
 	}
+	return controls, ended
+}
+
+// TestReplicasOverPeerProtocol forms a log of three replicas, and reads at each
+// what was proposed at one.
+func TestReplicasOverPeerProtocol(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	ctx, stop := context.WithCancel(context.Background())
+	controls, ended := startReplicas(ctx, t, expect)
 	command := ledger.AdvanceCommand{Elapsed: 5}.Encode()
 	_, err := controls[0].Propose(ctx, command)
 	expect.Expect(err).NotTo(gomega.HaveOccurred())
@@ -61,3 +71,27 @@
 		expect.Expect(<-ended).To(gomega.Succeed())
 	}
 }
+
+// BenchmarkPropose records commands of many callers at a replica that leads or
+// forwards; the time is wall time.
+func BenchmarkPropose(b *testing.B) {
+	expect := gomega.NewWithT(b)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	controls, _ := startReplicas(ctx, b, expect)
+	command := ledger.AdvanceCommand{Elapsed: 5}.Encode()
+	_, err := controls[0].Propose(ctx, command)
+	expect.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, callers := range []int{1, 64, 1024} {
+		b.Run(fmt.Sprint("callers=", callers), func(b *testing.B) {
+			b.SetParallelism(max(1, callers/runtime.GOMAXPROCS(0)))
+			b.RunParallel(func(loop *testing.PB) {
+				for loop.Next() {
+					if _, err := controls[1].Propose(ctx, command); err != nil {
+						b.Error(err)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/core/quorum/output.go
+++ b/internal/core/quorum/output.go
@@ -45,6 +45,9 @@
 		replica.startReads()
 		replica.flushPeers()
 	}
+	if len(replica.forwards) > 0 {
+		replica.flushForwards()
+	}
 	output := replica.output
 	replica.output = Output{}
 	output.Fault = replica.fault
--- a/internal/core/quorum/replica.go
+++ b/internal/core/quorum/replica.go
@@ -64,6 +64,7 @@
 
 	leading  leading
 	incoming incoming
+	forwards []forward
 	output   Output
 	taken    bool
 	removed  bool
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -93,6 +94,8 @@
 }
 
 func (end *wire) Send(address string, message *quorumpb.Message) {
+	end.cluster.lock.Lock()
+	defer end.cluster.lock.Unlock()
 	target := end.cluster.hosts[address]
 	if target == nil || !target.up || end.cluster.cut[[2]string{end.address, address}] {
 		return
@@ -116,6 +119,7 @@
 
 type cluster struct {
 	*gomega.WithT
+	lock  sync.Mutex
 	hosts map[string]*host
 	order []string
 	cut   map[[2]string]bool
@@ -143,10 +147,14 @@
 }
 
 func (made *cluster) loseDisk(address string) {
+	made.lock.Lock()
+	defer made.lock.Unlock()
 	made.hosts[address] = &host{disk: &memory{files: map[string][]byte{}}}
 }
 
 func (made *cluster) start(address string) {
+	made.lock.Lock()
+	defer made.lock.Unlock()
 	started := made.hosts[address]
 	made.seed += 1 << 32
 	started.wire = &wire{made, address, make(chan *quorumpb.Message, 10_000)}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -142,18 +142,23 @@
 	made.Expect(<-waiting.done).To(gomega.MatchError(gomega.ContainSubstring(made.leader().Address)))
 }
 
-// TestRunServes runs replicas with their own goroutines, and a planned stop of
-// the leader.
+// run starts a host with its own goroutine.
+func (made *cluster) run(address string, ended chan<- error) context.CancelFunc {
+	made.start(address)
+	ctx, stop := context.WithCancel(context.Background())
+	running := made.hosts[address].Replica
+	go func() { ended <- running.Run(ctx) }()
+	return stop
+}
+
+// TestRunServes runs replicas with their own goroutines, replaces one that lost
+// its disk, and stops the leader.
 func TestRunServes(t *testing.T) {
 	made := newCluster(t, 3)
 	stops := map[string]context.CancelFunc{}
 	ended := make(chan error, len(made.order))
 	for _, address := range made.order {
-		made.start(address)
-		ctx, stop := context.WithCancel(context.Background())
-		stops[address] = stop
-		running := made.hosts[address].Replica
-		go func() { ended <- running.Run(ctx) }()
+		stops[address] = made.run(address, ended)
 	}
 	ctx := context.Background()
 	for number := range 20 {
@@ -164,6 +169,20 @@
 	status, err := made.hosts["host-0"].Status(ctx)
 	made.Expect(err).NotTo(gomega.HaveOccurred())
 	leader, _ := status.Membership.Find(status.Leader)
+
+	lost := made.others(made.hosts[leader.Address])[0].Address
+	lostID := made.hosts[lost].core.ID
+	stops[lost]()
+	made.Expect(<-ended).To(gomega.Succeed())
+	made.loseDisk(lost)
+	stops[lost] = made.run(lost, ended)
+	added := quorum.Member{ID: made.ids, Address: lost}
+	made.Expect(made.hosts[leader.Address].Replace(ctx, lostID, added)).To(gomega.Succeed())
+	status, err = made.hosts[leader.Address].Status(ctx)
+	made.Expect(err).NotTo(gomega.HaveOccurred())
+	made.Expect(status.Membership.IsVoter(added.ID)).To(gomega.BeTrue())
+	made.Expect(status.Membership.IsRemoved(lostID)).To(gomega.BeTrue())
+
 	stops[leader.Address]()
 	made.Expect(<-ended).To(gomega.Succeed())
 	delete(stops, leader.Address)
