--- a/internal/adapter/registry/desk.go
+++ b/internal/adapter/registry/desk.go
@@ -31,18 +31,12 @@
 	offered spread.Held
 	offerAt time.Time
 	beatAt  time.Time
-	out     []*pb.Reply
+	// write queues a reply.
+	write func(*pb.Reply)
 }
 
 func (s *session) send(reply *pb.Reply) {
-	s.out = append(s.out, reply)
-}
-
-// take gives what is to be written.
-func (s *session) take() []*pb.Reply {
-	out := s.out
-	s.out = nil
-	return out
+	s.write(reply)
 }
 
 type keptReport struct {
@@ -59,16 +53,19 @@
 	// says that none has.
 	confirmed func() bool
 
+	// members are the other replicas.
+	members map[request.NodeID]bool
+
 	sessions map[*session]bool
 	reports  []keptReport
 }
 
 // open begins the session of a node or a replica.
-func (d *desk) open(node request.NodeID, domain request.DomainName) *session {
+func (d *desk) open(node request.NodeID, domain request.DomainName, write func(*pb.Reply)) *session {
 	if d.sessions == nil {
 		d.sessions = map[*session]bool{}
 	}
-	opened := &session{node: node, domain: domain}
+	opened := &session{node: node, domain: domain, write: write}
 	d.sessions[opened] = true
 	return opened
 }
@@ -115,7 +112,11 @@
 	}
 }
 
+// join lets another replica read what this one holds. Others have no use for it.
 func (d *desk) join(now time.Time, from *session) {
+	if !d.members[from.node] {
+		return
+	}
 	from.replica = true
 	update := d.registry.SubscribeReplica(now, from.node)
 	from.send(&pb.Reply{Reports: d.recent(now), Updates: []*pb.Update{encodeUpdate(update)}})
