Take the hold of a quarantine from the configuration

Cause: the guard kept its default hold whatever the configuration said, a report that came again lengthened the hold, and a node that connected later than a minute after a crash never heard of it.

Change: SetHold, wired to each version; a known crash lengthens nothing; replicas keep reports for 10 minutes.

--- a/internal/adapter/registry/desk.go
+++ b/internal/adapter/registry/desk.go
@@ -13,7 +13,7 @@
 
 const (
 	reportsKept  = 1024
-	reportsTime  = quarantine.DefaultHold
+	reportsTime  = 10 * time.Minute
 	beatInterval = time.Second
 	// offerAgain is when a version is offered again to a node that does not
 	// have it yet.
--- a/internal/core/quarantine/apply.go
+++ b/internal/core/quarantine/apply.go
@@ -46,8 +46,11 @@
 		g.records[fingerprint] = found
 		g.known.Store(int64(len(g.records)))
 	}
+	if found.has(crash) {
+		return true
+	}
 	found.until = now.Add(g.Hold)
-	if !found.has(crash) && len(found.crashes) < maxCrashes {
+	if len(found.crashes) < maxCrashes {
 		found.crashes = append(found.crashes, crash)
 	}
 	return true
--- a/internal/core/quarantine/guard.go
+++ b/internal/core/quarantine/guard.go
@@ -64,6 +64,15 @@
 	outbox   []Report
 }
 
+// SetHold sets Hold for what is suspected from now on.
+func (g *Guard) SetHold(hold time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if hold > 0 {
+		g.Hold = hold
+	}
+}
+
 // Judge says where the node may send the request.
 func (g *Guard) Judge(now time.Time, fingerprint request.Fingerprint) Ruling {
 	if g.known.Load() == 0 {
--- a/internal/core/quarantine/guard_test.go
+++ b/internal/core/quarantine/guard_test.go
@@ -122,6 +122,16 @@
 	expect.Expect(report.Fingerprints).To(gomega.BeEmpty())
 }
 
+func TestReportThatComesAgainLengthensNothing(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	guard := newGuard("sender", "norte-1")
+	guard.SetHold(10 * time.Second)
+	guard.Apply(start, crash("a", "norte-1", innocent))
+	guard.Apply(start.Add(5*time.Second), crash("a", "norte-1", innocent))
+	expect.Expect(guard.Judge(start.Add(10*time.Second-1), innocent).Verdict).To(gomega.Equal(quarantine.Alone))
+	expect.Expect(guard.Judge(start.Add(10*time.Second), innocent).Verdict).To(gomega.Equal(quarantine.Free))
+}
+
 func TestResendKeepsTheHoldUp(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	guard, other := newGuard("sender", "norte-1"), newGuard("other", "norte-1")
--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -194,6 +194,7 @@
 	document := st.host.holder.Current().Document
 	own := document.Services[st.host.Settings.Service]
 	st.chooser.Links.SetCapacity(choice.Rate(document.Links.BytesPerSecond), document.Links.ShareForUnimportant)
+	st.guard.SetHold(time.Duration(document.Quarantine.Hold))
 	if err := st.client.Resize(ctx, membership.Slots(own.Slots)); err != nil {
 		return
 	}
