--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -33,7 +33,6 @@
 	chooser  *choice.Chooser
 	guard    *quarantine.Guard
 	client   *registry.Client
-	watched  map[request.ServiceName]bool
 	versions chan configuration.Version
 	// down says that the target died and has not been seen again.
 	down        atomic.Bool
@@ -198,8 +197,7 @@
 	if err := st.client.Resize(ctx, membership.Slots(own.Slots)); err != nil {
 		return
 	}
-	st.connections.services = st.services(document)
-	_ = st.client.Watch(ctx, st.connections.services)
+	_ = st.client.Watch(ctx, st.services(document))
 }
 
 // services lists the services that this node sends calls to: all where callers
--- a/internal/host/tend.go
+++ b/internal/host/tend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,9 +31,23 @@
 		st.down.Store(false)
 		_ = st.client.Change(ctx, membership.Cold)
 	}
+	st.connections.services = st.connected()
 	st.connections.tend(ctx, now)
 }
 
+// connected lists the services to whose targets connections are kept: those
+// that the target calls and those that callers asked for.
+func (st *site) connected() []request.ServiceName {
+	own := st.host.holder.Current().Document.Services[st.host.Settings.Service]
+	names := st.node.Called()
+	for _, name := range own.Calls {
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func answers(address string) bool {
 	conn, err := net.DialTimeout("tcp", address, probeTimeout)
 	if err != nil {
