Tell each node what the others of its region put on a link

Cause: a node counted only its own bytes, so a link shared by all was full long before any node saw it.

Figures: TestNodesKnowWhatOthersPutOnALink: two nodes that each use a third of a link make it full for a third one that uses none; before, none knew.

Conclusion: repeatable unimportant work is refused before the link is full.

--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -31,6 +31,8 @@
 	view     *membership.View
 	follower *spread.Follower
 	events   Events
+	// links is nil where nothing is metered.
+	links *choice.Links
 
 	// granted is the end of the lease by this node's clock.
 	granted  time.Time
@@ -55,7 +57,7 @@
 	return &pb.Request{
 		Reports:   encodeReports(reports),
 		Announce:  encodeAnnouncement(a.self),
-		Renew:     a.renewal(),
+		Renew:     a.renewal(now),
 		Subscribe: encodeSubscription(a.view.Subscription()),
 	}
 }
@@ -126,7 +128,7 @@
 		return nil
 	}
 	a.renewAt = now.Add(membership.DefaultRenewal)
-	return &pb.Request{Renew: a.renewal()}
+	return &pb.Request{Renew: a.renewal(now)}
 }
 
 // retry registers again once the replica is ready for it.
@@ -152,6 +154,9 @@
 			a.events.Reports(now, report)
 		}
 	}
+	for _, flow := range decodeFlows(reply.GetOthers()) {
+		a.links.Others(now, flow.To, flow.Rate)
+	}
 	resync := a.updates(now, reply.GetUpdates())
 	if reply.GetLease() != nil {
 		resync = a.lease(now, decodeLease(reply.GetLease()), answer) || resync
@@ -216,7 +221,7 @@
 		answer.Renew = &pb.Renewal{Incarnation: uint64(a.self.Incarnation), Sequence: uint64(a.self.Sequence)}
 		return
 	}
-	answer.Renew = a.renewal()
+	answer.Renew = a.renewal(now)
 }
 
 func (a *agent) enforced(result spread.Result) {
@@ -235,13 +240,14 @@
 	}
 }
 
-func (a *agent) renewal() *pb.Renewal {
+func (a *agent) renewal(now time.Time) *pb.Renewal {
 	held := a.follower.Held()
 	return &pb.Renewal{
 		Incarnation:   uint64(a.self.Incarnation),
 		Sequence:      uint64(a.self.Sequence),
 		Version:       uint64(held.Number),
 		VersionDigest: uint64(held.Digest),
+		Flows:         encodeFlows(a.links.Flows(now, a.self.Place.Region)),
 	}
 }
 
--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -36,6 +36,7 @@
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	"github.com/magnoliawall/magnoliawall/internal/core/membership"
 	pb "github.com/magnoliawall/magnoliawall/internal/core/membership/membershippb"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
@@ -59,6 +60,8 @@
 	Open     Open
 	Follower *spread.Follower
 	Events   Events
+	// Links meters what the node sends to other regions; nil meters nothing.
+	Links *choice.Links
 	// HomeInterval is how often a node that holds its lease with another replica
 	// tries the nearest one again; it is spread at random by half.
 	HomeInterval time.Duration
@@ -96,7 +99,7 @@
 	if c.HomeInterval == 0 {
 		c.HomeInterval = DefaultHomeInterval
 	}
-	c.agent = agent{self: c.Self, view: &membership.View{Services: c.Services}, follower: c.Follower, events: c.Events}
+	c.agent = agent{self: c.Self, view: &membership.View{Services: c.Services}, follower: c.Follower, events: c.Events, links: c.Links}
 	c.connect(ctx, c.Clock())
 	err := c.loop.run(ctx, c.Clock, ticks, func(now time.Time) { c.tick(ctx, now) })
 	if c.line.writer != nil {
@@ -138,9 +141,9 @@
 // its replica.
 func (c *Client) Heard(ctx context.Context, number configuration.Version) error {
 	c.loop.prepare()
-	return c.loop.do(ctx, func(time.Time) {
+	return c.loop.do(ctx, func(now time.Time) {
 		if c.Follower.Heard(number) {
-			c.send(&pb.Request{Renew: c.agent.renewal()})
+			c.send(&pb.Request{Renew: c.agent.renewal(now)})
 		}
 	})
 }
--- a/internal/adapter/registry/client_test.go
+++ b/internal/adapter/registry/client_test.go
@@ -128,7 +128,7 @@
 		}
 		near, far := newMemoryLinks()
 		s.links = append(s.links, near)
-		go s.servers[address].Serve(s.ctx, far, node, "norte-1")
+		go s.servers[address].Serve(s.ctx, far, node, domain(0))
 		return near, nil
 	}
 }
--- a/internal/adapter/registry/desk.go
+++ b/internal/adapter/registry/desk.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	"github.com/magnoliawall/magnoliawall/internal/core/membership"
 	pb "github.com/magnoliawall/magnoliawall/internal/core/membership/membershippb"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
@@ -23,8 +24,10 @@
 // session is one stream that a node or another replica has opened.
 type session struct {
 	node    request.NodeID
-	domain  request.DomainName
+	place   request.Place
 	replica bool
+	// flowing says that the node was told of others on its links.
+	flowing bool
 	// lease is the incarnation whose lease this session holds.
 	lease   membership.Incarnation
 	held    spread.Held
@@ -49,6 +52,7 @@
 	registry  *membership.Registry
 	publisher *spread.Publisher
 	tracker   *spread.Tracker
+	usage     choice.Usage
 	// confirmed says whether a quorum read has shown the newest version; nil
 	// says that none has.
 	confirmed func() bool
@@ -61,11 +65,11 @@
 }
 
 // open begins the session of a node or a replica.
-func (d *desk) open(node request.NodeID, domain request.DomainName, write func(*pb.Reply)) *session {
+func (d *desk) open(node request.NodeID, place request.Place, write func(*pb.Reply)) *session {
 	if d.sessions == nil {
 		d.sessions = map[*session]bool{}
 	}
-	opened := &session{node: node, domain: domain, write: write}
+	opened := &session{node: node, place: place, write: write}
 	d.sessions[opened] = true
 	return opened
 }
@@ -142,13 +146,26 @@
 		Number: configuration.Version(renewal.GetVersion()),
 		Digest: spread.Digest(renewal.GetVersionDigest()),
 	}
-	d.tracker.Report(now, from.node, from.domain, from.held.Number)
+	d.tracker.Report(now, from.node, from.place.Domain, from.held.Number)
+	d.usage.Report(now, from.node, decodeFlows(renewal.GetFlows()))
+	d.tellFlows(now, from)
 	if from.held != from.offered {
 		from.offerAt = time.Time{}
 	}
 	d.offer(now, from)
 }
 
+// tellFlows tells a node what the others put on the links of its region, and
+// once that they stopped.
+func (d *desk) tellFlows(now time.Time, to *session) {
+	others := d.usage.Others(now, to.node, to.place.Region)
+	if len(others) == 0 && !to.flowing {
+		return
+	}
+	to.flowing = len(others) > 0
+	to.send(&pb.Reply{Others: encodeFlows(others)})
+}
+
 // offer brings a node to the newest version, and again when it doesn't follow.
 func (d *desk) offer(now time.Time, to *session) {
 	newest := d.publisher.Newest()
@@ -197,6 +214,7 @@
 	}
 	if beat := reply.GetBeat(); beat != nil {
 		d.tracker.Merge(now, replica, decodeDomains(beat.GetDomains()))
+		d.usage.Merge(now, replica, decodeFlows(beat.GetFlows()))
 		again = d.registry.Heard(now, replica, membership.Epoch(beat.GetEpoch()), membership.Sequence(beat.GetSent())) || again
 	}
 	return again
@@ -230,6 +248,7 @@
 		Epoch:   uint64(epoch),
 		Sent:    uint64(sent),
 		Domains: encodeDomains(d.tracker.Summary(now)),
+		Flows:   encodeFlows(d.usage.Sums(now)),
 	}})
 }
 
--- a/internal/adapter/registry/fleet_test.go
+++ b/internal/adapter/registry/fleet_test.go
@@ -248,6 +248,28 @@
 	expect.Expect(status[1].OutOfReach).To(gomega.BeTrue())
 }
 
+func TestNodesKnowWhatOthersPutOnALink(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	made := newFleet(2)
+	var links []*choice.Links
+	for index := range 3 {
+		node := made.addNode(fmt.Sprintf("node-%d", index), service, domain(index%2), nil, index%2)
+		node.agent.links = &choice.Links{Capacity: 1000, SparingShare: 0.5}
+		links = append(links, node.agent.links)
+	}
+	for range 30 {
+		links[0].Count(made.now, "region-9", 30)
+		links[1].Count(made.now, "region-9", 30)
+		made.pass(TickInterval, nil)
+	}
+	expect.Expect(links[2].Full(made.now, "region-9")).To(gomega.BeTrue())
+	expect.Expect(links[0].Full(made.now, "region-9")).To(gomega.BeTrue())
+	_, own := links[0].Used(made.now, "region-9")
+	expect.Expect(float64(own)).To(gomega.BeNumerically("<", 500))
+	made.pass(10*time.Second, nil)
+	expect.Expect(links[2].Full(made.now, "region-9")).To(gomega.BeFalse())
+}
+
 func TestStormIsSpreadOverTime(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	made := newFleet(1)
--- a/internal/adapter/registry/harness_test.go
+++ b/internal/adapter/registry/harness_test.go
@@ -86,7 +86,7 @@
 	to, from := f.replicas[reader], f.replicas[source]
 	from.desk.members[to.id] = true
 	var opened *session
-	opened = from.desk.open(to.id, "", func(reply *pb.Reply) {
+	opened = from.desk.open(to.id, request.Place{}, func(reply *pb.Reply) {
 		if !to.dead && !from.dead && to.desk.fromReplica(f.now, from.id, f.carry(reply)) {
 			from.desk.receive(f.now, opened, &pb.Request{Join: true})
 		}
@@ -149,7 +149,7 @@
 	}
 	node.replica = replica
 	self := node.agent.self
-	node.session = f.replicas[replica].desk.open(self.Node, self.Place.Domain, func(reply *pb.Reply) {
+	node.session = f.replicas[replica].desk.open(self.Node, self.Place, func(reply *pb.Reply) {
 		node.inbox = append(node.inbox, f.carry(reply))
 	})
 	f.submit(node, node.agent.connected(f.now))
--- a/internal/adapter/registry/server.go
+++ b/internal/adapter/registry/server.go
@@ -91,17 +91,17 @@
 // [peer.KindRegistry].
 func (s *Server) Handle(ctx context.Context, stream *peer.Stream) {
 	remote := stream.Remote()
-	s.Serve(ctx, &peerLink{stream: stream}, remote.Node, remote.Place.Domain)
+	s.Serve(ctx, &peerLink{stream: stream}, remote.Node, remote.Place)
 }
 
 // Serve serves one link until it ends.
-func (s *Server) Serve(ctx context.Context, link Link, node request.NodeID, domain request.DomainName) {
+func (s *Server) Serve(ctx context.Context, link Link, node request.NodeID, place request.Place) {
 	s.Prepare()
 	output := newWriter(link)
 	defer output.finish()
 	var opened *session
 	err := s.loop.do(ctx, func(time.Time) {
-		opened = s.desk.open(node, domain, func(reply *pb.Reply) { _ = output.send(reply) })
+		opened = s.desk.open(node, place, func(reply *pb.Reply) { _ = output.send(reply) })
 	})
 	if err != nil {
 		return
--- a/internal/adapter/registry/versions.go
+++ b/internal/adapter/registry/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	pb "github.com/magnoliawall/magnoliawall/internal/core/membership/membershippb"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
 	"github.com/magnoliawall/magnoliawall/internal/core/spread"
@@ -110,3 +111,23 @@
 	}
 	return domains
 }
+
+func encodeFlows(list []choice.Flow) []*pb.Flow {
+	var encoded []*pb.Flow
+	for _, flow := range list {
+		encoded = append(encoded, &pb.Flow{From: string(flow.From), To: string(flow.To), Rate: uint64(flow.Rate)})
+	}
+	return encoded
+}
+
+func decodeFlows(messages []*pb.Flow) []choice.Flow {
+	var list []choice.Flow
+	for _, message := range messages {
+		list = append(list, choice.Flow{
+			From: request.RegionName(message.GetFrom()),
+			To:   request.RegionName(message.GetTo()),
+			Rate: choice.Rate(message.GetRate()),
+		})
+	}
+	return list
+}
--- a/internal/core/choice/link.go
+++ b/internal/core/choice/link.go
@@ -72,6 +72,22 @@
 	link.othersAt = now
 }
 
+// Flows gives what this node puts on the links of its region at present.
+func (l *Links) Flows(now time.Time, from request.RegionName) []Flow {
+	if l == nil {
+		return nil
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var list []Flow
+	for region, link := range l.meters {
+		if rate := link.current(now, l.window()); rate >= 1 {
+			list = append(list, Flow{From: from, To: region, Rate: rate})
+		}
+	}
+	return list
+}
+
 // Full says whether the link has no room left for sparing calls.
 func (l *Links) Full(now time.Time, region request.RegionName) bool {
 	if l == nil {
@@ -83,7 +99,10 @@
 		return false
 	}
 	link := l.link(region)
-	used := link.current(now, l.window()) + link.others
+	used := link.current(now, l.window())
+	if now.Sub(link.othersAt) < usageTime {
+		used += link.others
+	}
 	return float64(used) > float64(l.Capacity)*l.SparingShare
 }
 
--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -117,6 +117,7 @@
 		},
 		Replicas: ho.replicaAddresses(),
 		Open:     registry.OpenPeer(ho.transport),
+		Links:    st.chooser.Links,
 		Follower: &spread.Follower{Patch: ledger.ApplyDelta, Check: checkText},
 		Events: registry.Events{
 			Targets:       func(now time.Time, view choice.View) { st.chooser.Update(now, view) },
