--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -48,6 +48,8 @@
 	pace       pace
 	level      request.Level
 	adjustedAt time.Time
+	// stillSince is when the last place was taken or a call last ended.
+	stillSince time.Time
 }
 
 // Arrive decides on an inbound call. Decisions on other calls that follow from
@@ -62,7 +64,7 @@
 	}
 	g.demand.note(work.Priority)
 	if g.line.size() == 0 && len(g.running) < g.limiter.places() {
-		g.running[work.Call] = struct{}{}
+		g.begin(now, work.Call)
 		return Decision{Verdict: Admit}, notices
 	}
 	return g.queue(now, work, notices)
@@ -74,7 +76,8 @@
 		return notices
 	}
 	g.limiter.finish(now, sample, len(g.running))
-	g.pace.finish(now, sample)
+	g.pace.finish(sample)
+	g.stillSince = now
 	delete(g.running, call)
 	return g.startWaiting(now, notices)
 }
@@ -173,6 +176,13 @@
 	return append(notices, Notice{Call: dropped.call, Decision: g.refuse(request.Overloaded, bucket)})
 }
 
+func (g *Gate) begin(now time.Time, call request.CallID) {
+	g.running[call] = struct{}{}
+	if len(g.running) == g.limiter.places() {
+		g.stillSince = now
+	}
+}
+
 // startWaiting fills free places from the line.
 func (g *Gate) startWaiting(now time.Time, notices []Notice) []Notice {
 	for g.line.size() > 0 && len(g.running) < g.limiter.places() {
@@ -181,7 +191,7 @@
 			notices = append(notices, Notice{Call: next.call, Decision: refusal(request.DeadlineTooClose, 0)})
 			continue
 		}
-		g.running[next.call] = struct{}{}
+		g.begin(now, next.call)
 		notices = append(notices, Notice{Call: next.call, Decision: Decision{Verdict: Admit}})
 	}
 	return notices
@@ -206,15 +216,16 @@
 	g.level = g.demand.levelFor(rate * (1 + correction))
 }
 
-// rate is what the target clears per second at its limit.
+// rate is what the target clears per second at its limit, zero when that is not
+// known yet. While all places are taken and no call ends, it falls.
 func (g *Gate) rate(now time.Time) float64 {
 	latency := g.pace.latency
-	if len(g.running) >= g.limiter.places() {
-		latency = max(latency, now.Sub(g.pace.finishedAt))
-	}
 	if latency <= 0 {
 		return 0
 	}
+	if len(g.running) >= g.limiter.places() {
+		latency = max(latency, now.Sub(g.stillSince))
+	}
 	return g.limiter.limit / latency.Seconds()
 }
 
--- /dev/null
+++ b/internal/core/admission/limit_test.go
@@ -0,0 +1,109 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/admission"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// pressed keeps a gate's places all taken for a time and gives the gate. The
+// calls end before it returns, and the lowest limit is given back. The sample of each call depends on the number of calls that run beside it.
+func pressed(gate *admission.Gate, from, to time.Duration, sample func(running int) admission.Sample) int {
+	lowest := gate.Slots
+	model := &chain{now: epoch.Add(from)}
+	next := request.CallID(from)
+	var begin func(call request.CallID)
+	var fill func()
+	begin = func(call request.CallID) {
+		measured := sample(gate.Running())
+		model.after(measured.Latency, func() {
+			for _, notice := range gate.Finish(model.now, call, measured, nil) {
+				begin(notice.Call)
+			}
+			lowest = min(lowest, gate.Limit())
+			fill()
+		})
+	}
+	fill = func() {
+		for gate.Waiting() < 2 && model.now.Before(epoch.Add(to)) {
+			next++
+			work := request.Work{Call: next, Deadline: model.now.Add(time.Hour)}
+			decision, _ := gate.Arrive(model.now, work, nil)
+			switch decision.Verdict {
+			case admission.Refuse:
+				return
+			case admission.Admit:
+				begin(next)
+			}
+		}
+	}
+	fill()
+	model.runUntil(epoch.Add(to + time.Second))
+	return lowest
+}
+
+func steadySample(latency, below time.Duration) func(int) admission.Sample {
+	return func(int) admission.Sample {
+		return admission.Sample{Latency: latency, Below: below, Result: admission.Succeeded}
+	}
+}
+
+// queueing is a target that really works on five calls at a time.
+func queueing(running int) admission.Sample {
+	return admission.Sample{Latency: time.Duration(max(running, 5)) * 4 * time.Millisecond, Result: admission.Succeeded}
+}
+
+func newGate() *admission.Gate {
+	gate := &admission.Gate{Slots: 20}
+	pressed(gate, 0, time.Second, steadySample(20*time.Millisecond, 0))
+	return gate
+}
+
+func TestLimitOpensFast(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	gate := &admission.Gate{Slots: 20}
+	pressed(gate, 0, 200*time.Millisecond, steadySample(20*time.Millisecond, 0))
+	expect.Expect(gate.Limit()).To(gomega.Equal(20))
+}
+
+func TestLimitKeepsWhenBelowIsSlow(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	gate := newGate()
+	lowest := pressed(gate, time.Second, 6*time.Second, steadySample(100*time.Millisecond, 80*time.Millisecond))
+	expect.Expect(lowest).To(gomega.Equal(20))
+}
+
+// A target that is slower at any concurrency needs all of its slots.
+func TestLimitKeepsWhenFewerCallsDoNotHelp(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	gate := newGate()
+	lowest := pressed(gate, time.Second, 6*time.Second, steadySample(80*time.Millisecond, 0))
+	expect.Expect(lowest).To(gomega.Equal(17))
+	expect.Expect(gate.Limit()).To(gomega.Equal(20))
+}
+
+func TestLimitFallsWhenFewerCallsHelp(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	gate := newGate()
+	pressed(gate, time.Second, 20*time.Second, queueing)
+	expect.Expect(gate.Limit()).To(gomega.BeNumerically("<=", 9))
+	pressed(gate, 20*time.Second, 21*time.Second, steadySample(20*time.Millisecond, 0))
+	expect.Expect(gate.Limit()).To(gomega.Equal(20))
+}
+
+func TestLimitFallsWhenTargetSheds(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	gate := newGate()
+	pressed(gate, time.Second, 2*time.Second, func(running int) admission.Sample {
+		sample := admission.Sample{Latency: 20 * time.Millisecond, Result: admission.Succeeded}
+		if running > 10 {
+			sample.Result = admission.Shed
+		}
+		return sample
+	})
+	expect.Expect(gate.Limit()).To(gomega.BeNumerically("<=", 13))
+}
--- a/internal/core/admission/pace.go
+++ b/internal/core/admission/pace.go
@@ -11,13 +11,11 @@
 
 // pace estimates how long an admitted call holds its slot.
 type pace struct {
-	latency    time.Duration
-	shortest   time.Duration
-	finishedAt time.Time
+	latency  time.Duration
+	shortest time.Duration
 }
 
-func (p *pace) finish(now time.Time, sample Sample) {
-	p.finishedAt = now
+func (p *pace) finish(sample Sample) {
 	if p.latency == 0 {
 		p.latency = sample.Latency
 	}
