Keep the levels of entering calls out of the gate

Cause: a node learned levels for calls that enter there in the same table that its gate passes on. Nodes of one service are entries for each other, so each gate passed on what it had learned from the others, and no level fell.

Change: internal/node keeps two tables, for calls of the local target and for calls that enter. In the core a level from below loses one on each hop, so it also dies out where services call each other in a circle; without that the new test stays at its level. A call that is refused by a learned level tells its caller when to come back, spread by bucket.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -104,12 +104,17 @@
 }
 
 // Level is the lowest priority that is still taken here and below for a root
-// kind. It travels back on answers.
+// kind. It travels back on answers. A level from below loses one on the way, so
+// that it dies out where services call each other in a circle.
 func (g *Gate) Level(rootKind request.KindName, now time.Time) request.Level {
 	if g.Below == nil {
 		return g.level
 	}
-	return max(g.level, g.Below.Below(rootKind, now))
+	below := g.Below.Below(rootKind, now)
+	if below > 0 {
+		below--
+	}
+	return max(g.level, below)
 }
 
 // Limit is the number of calls that the target is given at once.
@@ -255,11 +260,15 @@
 	return request.Overloaded
 }
 
-// refuse spreads the time to come back over the buckets, so that the refused
-// do not return at one moment.
 func (g *Gate) refuse(code request.Code, priority request.Priority) Decision {
+	return refusal(code, RetryAfter(priority))
+}
+
+// RetryAfter is when a refused call may be sent again. It spreads the refused
+// over some seconds by their buckets, so that they do not return at one moment.
+func RetryAfter(priority request.Priority) time.Duration {
 	spread := maxRetryAfter - minRetryAfter
-	return refusal(code, minRetryAfter+spread*time.Duration(priority.Bucket())/request.BucketCount)
+	return minRetryAfter + spread*time.Duration(priority.Bucket())/request.BucketCount
 }
 
 func refusal(code request.Code, retryAfter time.Duration) Decision {
--- /dev/null
+++ b/internal/core/admission/levels_test.go
@@ -0,0 +1,42 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/admission"
+)
+
+// Two services that call each other confirm a level to each other without end.
+func TestLevelDiesOutInCircle(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	one := &admission.Gate{Slots: 10, Below: &admission.Levels{}}
+	two := &admission.Gate{Slots: 10, Below: &admission.Levels{}}
+	one.Below.Learn("two", "agenda/checklist", 300, epoch)
+	for step := range 20 * 100 {
+		now := epoch.Add(time.Duration(step) * 10 * time.Millisecond)
+		two.Below.Learn("one", "agenda/checklist", one.Level("agenda/checklist", now), now)
+		one.Below.Learn("two", "agenda/checklist", two.Level("agenda/checklist", now), now)
+	}
+	expect.Expect(one.Level("agenda/checklist", epoch.Add(20*time.Second))).To(gomega.BeZero())
+}
+
+// The levels of a service's targets are averaged; among services the highest
+// counts.
+func TestLevelsOfTargetsAndServices(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	levels := &admission.Levels{}
+	for step := range 1000 {
+		now := epoch.Add(time.Duration(step) * time.Millisecond)
+		levels.Learn("consumo", "agenda/checklist", 100, now)
+		levels.Learn("consumo", "agenda/checklist", 200, now.Add(500*time.Microsecond))
+		levels.Learn("evidencia", "agenda/checklist", 40, now)
+	}
+	now := epoch.Add(time.Second)
+	expect.Expect(levels.Of("consumo", "agenda/checklist", now)).To(gomega.BeNumerically("~", 150, 10))
+	expect.Expect(levels.Of("evidencia", "agenda/checklist", now)).To(gomega.BeNumerically("~", 40, 1))
+	expect.Expect(levels.Below("agenda/checklist", now)).To(gomega.BeNumerically("~", 150, 10))
+	expect.Expect(levels.Below("agenda/visit", now)).To(gomega.BeZero())
+}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/core/admission"
 	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/request"
@@ -149,8 +150,9 @@
 // try sends the call to one target and holds a small answer.
 func (no *Node) try(ctx context.Context, og *outgoing, tried []request.NodeID) *attempt {
 	at := &attempt{started: time.Now()}
-	if no.traffic.refuses(at.started, og.kind.Service, og.work) {
+	if no.traffic.refuses(at.started, og) {
 		at.refusal = web.NewRefusal(request.OverloadedBelow, "")
+		at.refusal.RetryAfter = admission.RetryAfter(og.work.Priority)
 		return at
 	}
 	call := choice.Call{
@@ -296,7 +298,7 @@
 	og.root.lock.Lock()
 	og.root.account.Return(at.share, retry.Allowance(report.GetUnspent()))
 	og.root.lock.Unlock()
-	no.traffic.learn(time.Now(), og.kind.Service, og.work.RootKind, request.Level(report.GetLevel()))
+	no.traffic.learn(time.Now(), og, request.Level(report.GetLevel()))
 }
 
 // judge tells the chooser what the answer says of its target.
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -13,8 +13,13 @@
 // traffic guards the gate of the local target and the levels of the services
 // below by one lock, and wakes the calls that wait.
 type traffic struct {
-	lock    sync.Mutex
+	lock sync.Mutex
+	// levels come from services that the local target calls; the gate passes
+	// them on. Those of calls that only enter here are kept apart: passed on,
+	// they would come back from the nodes that they were learned from, and no
+	// level would ever fall.
 	levels  admission.Levels
+	entered admission.Levels
 	gate    admission.Gate
 	waiting map[request.CallID]chan admission.Decision
 	notices []admission.Notice
@@ -79,16 +84,25 @@
 	tr.gate.Slots = slots
 }
 
-func (tr *traffic) learn(now time.Time, service request.ServiceName, rootKind request.KindName, level request.Level) {
+// levelsOf gives the levels for calls of the local target, which are tied to a
+// root in flight, or for calls that enter here.
+func (tr *traffic) levelsOf(tied bool) *admission.Levels {
+	if tied {
+		return &tr.levels
+	}
+	return &tr.entered
+}
+
+func (tr *traffic) learn(now time.Time, og *outgoing, level request.Level) {
 	tr.lock.Lock()
 	defer tr.lock.Unlock()
-	tr.levels.Learn(service, rootKind, level, now)
+	tr.levelsOf(og.tied).Learn(og.kind.Service, og.work.RootKind, level, now)
 }
 
-func (tr *traffic) refuses(now time.Time, service request.ServiceName, work request.Work) bool {
+func (tr *traffic) refuses(now time.Time, og *outgoing) bool {
 	tr.lock.Lock()
 	defer tr.lock.Unlock()
-	return tr.levels.Refuses(service, work, now)
+	return tr.levelsOf(og.tied).Refuses(og.kind.Service, og.work, now)
 }
 
 // gauge is what the gate tells of itself.
