--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/core/admission"
 	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/request"
@@ -151,6 +152,7 @@
 	at := &attempt{started: time.Now()}
 	if no.traffic.refuses(at.started, og) {
 		at.refusal = web.NewRefusal(request.OverloadedBelow, "")
+		at.refusal.RetryAfter = admission.RetryAfter(og.work.Priority)
 		return at
 	}
 	call := choice.Call{
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -11,13 +11,15 @@
 const gateInterval = 10 * time.Millisecond
 
 // traffic guards the gate of the local target and the levels of the services
-// below by one lock, and wakes the calls that wait. The levels that calls of
-// callers meet are kept apart: they say nothing of the local target, and to
-// report them as its own would carry them back to where they came from.
+// below by one lock, and wakes the calls that wait.
 type traffic struct {
-	lock    sync.Mutex
+	lock sync.Mutex
+	// levels come from services that the local target calls; the gate passes
+	// them on. Those of calls that only enter here are kept apart: passed on,
+	// they would come back from the nodes that they were learned from, and no
+	// level would ever fall.
 	levels  admission.Levels
-	entry   admission.Levels
+	entered admission.Levels
 	gate    admission.Gate
 	waiting map[request.CallID]chan admission.Decision
 	notices []admission.Notice
@@ -82,25 +84,25 @@
 	tr.gate.Slots = slots
 }
 
-// learn takes the level on the answer to a call of the local target, where it
-// is tied to the root that the target works on, or else of a caller.
+// levelsOf gives the levels for calls of the local target, which are tied to a
+// root in flight, or for calls that enter here.
+func (tr *traffic) levelsOf(tied bool) *admission.Levels {
+	if tied {
+		return &tr.levels
+	}
+	return &tr.entered
+}
+
 func (tr *traffic) learn(now time.Time, og *outgoing, level request.Level) {
 	tr.lock.Lock()
 	defer tr.lock.Unlock()
-	tr.levelsFor(og).Learn(og.kind.Service, og.work.RootKind, level, now)
+	tr.levelsOf(og.tied).Learn(og.kind.Service, og.work.RootKind, level, now)
 }
 
 func (tr *traffic) refuses(now time.Time, og *outgoing) bool {
 	tr.lock.Lock()
 	defer tr.lock.Unlock()
-	return tr.levelsFor(og).Refuses(og.kind.Service, og.work, now)
-}
-
-func (tr *traffic) levelsFor(og *outgoing) *admission.Levels {
-	if og.tied {
-		return &tr.levels
-	}
-	return &tr.entry
+	return tr.levelsOf(og.tied).Refuses(og.kind.Service, og.work, now)
 }
 
 // gauge is what the gate tells of itself.
