Check patches outside the replica's goroutine

Cause: the check of a whole document ran where the log is driven. Change: the base is taken by a quorum read and the patch prepared outside; a node holds at most 256 claims whose end is not recorded. Conclusion: a large document no longer holds up the log.

--- a/internal/adapter/operator/patches.go
+++ b/internal/adapter/operator/patches.go
@@ -26,24 +26,22 @@
 // createPatch decides a patch. A resend with the same id is told the first
 // outcome again.
 func (se *Service) createPatch(ctx context.Context, patch Patch) (PatchOutcome, error) {
-	var command []byte
-	var prepareErr error
-	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) {
-		command, prepareErr = machine.Prepare(ledger.Submission{
-			ID:         ledger.PatchID(patch.ID),
-			Base:       patch.Base,
-			Operator:   patch.Operator,
-			Note:       patch.Note,
-			Operations: patch.Operations,
-			Text:       []byte(patch.Text),
-			At:         se.Now(),
-		})
-	})
+	var base ledger.Base
+	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) { base = machine.Base() })
 	if err != nil {
 		return PatchOutcome{}, err
 	}
-	if prepareErr != nil {
-		return PatchOutcome{}, badRequest{prepareErr.Error()}
+	command, err := base.Prepare(ledger.Submission{
+		ID:         ledger.PatchID(patch.ID),
+		Base:       patch.Base,
+		Operator:   patch.Operator,
+		Note:       patch.Note,
+		Operations: patch.Operations,
+		Text:       []byte(patch.Text),
+		At:         se.Now(),
+	})
+	if err != nil {
+		return PatchOutcome{}, badRequest{err.Error()}
 	}
 	result, err := se.Ledger.Propose(ctx, command)
 	if err != nil {
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -17,7 +17,7 @@
 	claimStoreWithin = 500 * time.Millisecond
 	claimRecordEvery = 500 * time.Millisecond
 	claimProposeTime = time.Second
-	maxPendingClaims = 4096
+	maxPendingClaims = 256
 	claimEvents      = 256
 )
 
