Count no node as up to date before the first version

Change: nothing is in force before the first version. Conclusion: status no longer claims more than there is.

--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -76,7 +76,7 @@
 		if row.Oldest == 0 {
 			row.Oldest = count.Number
 		}
-		if count.Number == latest {
+		if count.Number == latest && latest > 0 {
 			row.InForce += count.Nodes
 		}
 	}
