--- a/magnolia-load/internal/measure/all.go
+++ b/magnolia-load/internal/measure/all.go
@@ -7,4 +7,5 @@
 	{Name: "overload", About: overloadAbout, Run: runOverload},
 	{Name: "recovery", About: recoveryAbout, Run: runRecovery},
 	{Name: "retries", About: retriesAbout, Run: runRetries},
+	{Name: "lease", About: leaseAbout, Run: runLease},
 }
