--- a/internal/adapter/control/client.go
+++ b/internal/adapter/control/client.go
@@ -12,6 +12,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/port"
 	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/internal/wait"
 )
 
 const (
@@ -95,14 +96,7 @@
 	if (round+1)%replicas != 0 {
 		return true
 	}
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, retryPause)
 }
 
 func (cl *Client) attemptTimeout() time.Duration {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/internal/wait"
 )
 
 // heldAnswer is the largest answer that is held until all of it is there, so
@@ -89,7 +90,7 @@
 		}
 		decision := no.mayRetry(og, at.refusal, used)
 		count(no.counters.retries, decision.Reason)
-		if decision.Reason != retry.Allowed || !pause(ctx, decision.Backoff) {
+		if decision.Reason != retry.Allowed || !wait.For(ctx, decision.Backoff) {
 			og.root.resume(time.Now(), true)
 			return at
 		}
@@ -133,20 +134,6 @@
 	return og.kind.Retries
 }
 
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // try sends the call to one target and holds a small answer.
 func (no *Node) try(ctx context.Context, og *outgoing, tried []request.NodeID) *attempt {
 	at := &attempt{started: time.Now()}
