Check the settings of the examples by the real program

Cause: nothing ran check-settings as an operator does. Change: scripts run the built program on the examples and on a file with faults.

--- /dev/null
+++ b/magnoliad/script_test.go
@@ -0,0 +1,20 @@
+package main_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestScripts runs the real program by scripts, with the examples at hand.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", filepath.Dir(program)+string(os.PathListSeparator)+env.Getenv("PATH"))
+			return os.CopyFS(filepath.Join(env.WorkDir, "examples"), os.DirFS("../examples"))
+		},
+	})
+}
