--- a/internal/core/quorum/forward.go
+++ b/internal/core/quorum/forward.go
@@ -50,7 +50,7 @@
 }
 
 // refusals are the errors that travel with a result; zero is none.
-var refusals = [...]error{nil, ErrNotLeader, ErrTooLarge, ErrBusy}
+var refusals = [...]error{nil, ErrNotLeader, ErrTooLarge, ErrBusy, ErrTransferring}
 
 func (replica *Replica) stepProposal(from ReplicaID, proposal *quorumpb.Proposal) {
 	if len(proposal.GetRequests()) != len(proposal.GetCommands()) {
--- a/internal/core/quorum/leader.go
+++ b/internal/core/quorum/leader.go
@@ -75,7 +75,10 @@
 	if len(command) > replica.EntryBytes {
 		return 0, 0, ErrTooLarge
 	}
-	if replica.leading.successor != None || replica.leading.uncommitted+len(command) > replica.UncommittedBytes {
+	if replica.leading.successor != None {
+		return 0, 0, ErrTransferring
+	}
+	if replica.leading.uncommitted+len(command) > replica.UncommittedBytes {
 		return 0, 0, ErrBusy
 	}
 	replica.leading.uncommitted += len(command) + entryOverhead
--- a/internal/core/quorum/terms.go
+++ b/internal/core/quorum/terms.go
@@ -112,6 +112,7 @@
 	ErrNotLeader     = errors.New("this replica is not the leader: send the command to the leader")
 	ErrNoLeader      = errors.New("no leader is known: try again after an election")
 	ErrBusy          = errors.New("too many commands wait for a quorum: try again later")
+	ErrTransferring  = errors.New("the lead is being handed over: try again soon")
 	ErrTooLarge      = errors.New("the command is larger than an entry may be")
 	ErrChangePending = errors.New("another change of members is not committed yet: try again later")
 	ErrNotCaughtUp   = errors.New("the learner has not caught up yet: try again later")
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -128,7 +128,7 @@
 }
 
 func newCluster(t *testing.T, size int) *cluster {
-	made := &cluster{WithT: gomega.NewWithT(t), hosts: map[string]*host{}, cut: map[[2]string]bool{}}
+	made := &cluster{WithT: gomega.NewWithT(t), ids: 100, hosts: map[string]*host{}, cut: map[[2]string]bool{}}
 	for number := range size {
 		made.order = append(made.order, fmt.Sprintf("host-%d", number))
 	}
@@ -161,9 +161,9 @@
 	started.up = true
 	started.Replica = &Replica[*journal]{
 		Machine: &journal{}, Disk: started.disk, Messenger: started.wire,
-		Address: address, Peers: made.order, Seed: made.seed, SnapshotEntries: 120, KeptEntries: 20,
+		Address: address, Peers: made.order, Seed: made.seed, SnapshotEntries: 120, KeptEntries: 20, HandOverBytes: 500,
 		NewID: func() quorum.ReplicaID {
-			made.ids++
+			made.ids-- // a new id may be less than all before
 			return made.ids
 		},
 	}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync/atomic"
 
@@ -143,6 +142,9 @@
 	return err
 }
 
+// passing are refusals that end with the next leader.
+var passing = []error{quorum.ErrNotLeader, quorum.ErrNoLeader, quorum.ErrTransferring}
+
 // refused ends a proposal that no leader took. One that was sent before may be
 // in the log all the same, and goes on waiting for the next leader.
 func (replica *Replica[M]) refused(waiting *proposal, err error) {
@@ -150,7 +152,7 @@
 		return
 	}
 	delete(replica.commands, waiting.number)
-	if errors.Is(err, quorum.ErrNotLeader) || errors.Is(err, quorum.ErrNoLeader) {
+	if slices.Contains(passing, err) {
 		waiting.state.CompareAndSwap(proposalSent, proposalWaits)
 		replica.unsent = append(replica.unsent, waiting)
 		return
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -19,6 +19,7 @@
 	defaultTick            = 50 * time.Millisecond
 	defaultElectionTicks   = 10
 	defaultSnapshotEntries = 10_000
+	defaultHandOverBytes   = 4 << 20
 	requestQueue           = 1024
 	// batchInputs bounds what is taken in before one sync.
 	batchInputs = 4096
@@ -47,8 +48,12 @@
 	// as many.
 	Tick          time.Duration
 	ElectionTicks int
-	// SnapshotEntries is how many entries are applied between snapshots.
+	// SnapshotEntries is how many entries are applied between snapshots at
+	// least; for a large state it is as many bytes as the state has.
 	SnapshotEntries int
+	// HandOverBytes is the size of a snapshot before which a leader hands over
+	// the lead.
+	HandOverBytes int
 	// KeptEntries is how many entries stay behind a snapshot for followers.
 	KeptEntries int
 	// NewID gives the id for an empty disk; nil means a random one.
@@ -68,16 +73,21 @@
 	store    *store.Store
 	applied  quorum.Index
 	snapshot quorum.Index
-	lastRole quorum.Role
-	removed  bool
-	number   uint64
-	commands map[uint64]*proposal
-	unsent   []*proposal
-	changes  map[quorum.Index]*change
-	reads    readers[M]
-	forming  forming
-	learned  map[quorum.ReplicaID]string
-	failure  error
+	// snapshotSize is the size of that snapshot; appliedBytes were applied
+	// since.
+	snapshotSize  int
+	appliedBytes  int
+	handOverPause int
+	lastRole      quorum.Role
+	removed       bool
+	number        uint64
+	commands      map[uint64]*proposal
+	unsent        []*proposal
+	changes       map[quorum.Index]*change
+	reads         readers[M]
+	forming       forming
+	learned       map[quorum.ReplicaID]string
+	failure       error
 }
 
 func (replica *Replica[M]) init() {
@@ -101,6 +111,9 @@
 		if replica.SnapshotEntries == 0 {
 			replica.SnapshotEntries = defaultSnapshotEntries
 		}
+		if replica.HandOverBytes == 0 {
+			replica.HandOverBytes = defaultHandOverBytes
+		}
 	})
 }
 
@@ -134,7 +147,7 @@
 		}
 	}
 	replica.applied = found.Snapshot.Index
-	replica.snapshot = found.Snapshot.Index
+	replica.noteSnapshot(found.Snapshot)
 	return replica.start(found)
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -62,6 +62,38 @@
 	}
 }
 
+// TestLargeSnapshotsAreTakenByFollowers checks that a leader hands over the lead
+// first, and that not all take their snapshots at one index.
+func TestLargeSnapshotsAreTakenByFollowers(t *testing.T) {
+	made := newCluster(t, 3)
+	taken := map[quorum.Index]int{}
+	for number := range 900 {
+		before := map[string]quorum.Index{}
+		for address, each := range made.hosts {
+			before[address] = each.snapshot
+		}
+		leader, large := made.leader(), false
+		if leader != nil {
+			large = leader.snapshotSize >= leader.HandOverBytes
+		}
+		made.propose(made.hosts["host-0"], fmt.Sprint("command-", number))
+		for address, each := range made.hosts {
+			if each.snapshot == before[address] {
+				continue
+			}
+			taken[each.snapshot]++
+			made.Expect(large && each == leader && each == made.leader()).To(gomega.BeFalse())
+		}
+	}
+	made.Expect(len(taken)).To(gomega.BeNumerically(">", 6))
+	for index, count := range taken {
+		made.Expect(count).To(gomega.Equal(1), "snapshots at %d", index)
+	}
+	for _, each := range made.hosts {
+		made.Expect(each.snapshot).To(gomega.BeNumerically(">", 300))
+	}
+}
+
 // TestSecondHostLostRightAfterRepair loses a disk, replaces it, and loses the
 // next one at once.
 func TestSecondHostLostRightAfterRepair(t *testing.T) {
@@ -81,14 +113,18 @@
 	made.Expect(members.Removed).To(gomega.HaveLen(4))
 }
 
-// TestLostDiskFormsNoSecondLog starts a host with an empty disk while one of
+// TestLostDiskFormsNoSecondLog starts a host with an empty disk, and then one of
 // the others is away: it must wait, and cannot help to elect a leader.
 func TestLostDiskFormsNoSecondLog(t *testing.T) {
 	made := newCluster(t, 3)
 	made.proposeMany(made.hosts["host-0"], 0, 3)
-	made.hosts["host-0"].up = false
 	made.loseDisk("host-1")
 	made.start("host-1")
+	for range 100 {
+		made.round()
+	}
+	made.Expect(made.hosts["host-1"].core.Status().Last).To(gomega.BeZero())
+	made.hosts["host-0"].up = false
 	for range 300 {
 		made.round()
 	}
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -85,6 +85,7 @@
 
 func (replica *Replica[M]) tick() {
 	replica.core.Tick()
+	replica.handOverPause--
 	replica.greet()
 	replica.resend()
 	replica.reads.tick(replica.ElectionTicks)
@@ -166,22 +167,9 @@
 	}
 }
 
-func (replica *Replica[M]) install(snapshot quorum.Snapshot) error {
-	if err := replica.store.SaveSnapshot(snapshot, true); err != nil {
-		return err
-	}
-	if err := replica.Machine.Restore(snapshot.Data); err != nil {
-		return err
-	}
-	replica.info("installed the snapshot at %d", snapshot.Index)
-	replica.applied = snapshot.Index
-	replica.snapshot = snapshot.Index
-	replica.skipTo(snapshot.Index)
-	return nil
-}
-
 func (replica *Replica[M]) apply(entry quorum.Entry) error {
 	replica.applied = entry.Index
+	replica.appliedBytes += len(entry.Data)
 	if waiting, ok := replica.changes[entry.Index]; ok {
 		delete(replica.changes, entry.Index)
 		waiting.finish(entry)
@@ -203,24 +191,6 @@
 	return nil
 }
 
-// compact takes a snapshot when enough entries were applied since the last.
-func (replica *Replica[M]) compact() error {
-	if replica.applied < replica.snapshot+quorum.Index(replica.SnapshotEntries) {
-		return nil
-	}
-	snapshot, err := replica.core.MakeSnapshot(replica.applied, replica.Machine.Snapshot())
-	if err != nil {
-		return err
-	}
-	if err := replica.store.SaveSnapshot(snapshot, false); err != nil {
-		return err
-	}
-	replica.core.Compact(snapshot)
-	replica.snapshot = snapshot.Index
-	replica.info("took a snapshot at %d of %d bytes", snapshot.Index, len(snapshot.Data))
-	return nil
-}
-
 func (replica *Replica[M]) noteRole() {
 	status := replica.core.Status()
 	if status.Removed && !replica.removed && replica.Logger != nil {
