Judge a target that lets deadlines pass

Cause: a passed deadline was never held against a target, since the caller's context had ended, so a frozen target kept its share until its slots were full. Counting each as a failure would let callers with short deadlines eject healthy targets.

Change: a late answer is a failure when the target had over four times the typical latency of its service.

Figures: TestFaultyTargetGetsLittle/hangs and TestShortDeadlinesOfCallersTellNothingOfTheTarget pass.

--- a/internal/core/choice/chooser.go
+++ b/internal/core/choice/chooser.go
@@ -54,6 +54,7 @@
 	failureGain          = 0.2
 	latencyGain          = 0.2
 	failureCost          = 4
+	lateFactor           = 4
 	homesPerDomain       = 2
 	spilloverConnections = 2
 	unreachableTime      = 5 * time.Second
--- a/internal/core/choice/chooser_test.go
+++ b/internal/core/choice/chooser_test.go
@@ -117,6 +117,7 @@
 		"leaves":            {Result: choice.Left},
 		"slow, reports low": {Result: choice.Succeeded, Latency: 80 * time.Millisecond, Load: 0},
 		"refuses":           {Result: choice.Refused, Load: 1},
+		"hangs":             {Result: choice.Late, Latency: 2 * time.Second},
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
@@ -272,6 +273,22 @@
 	expect.Expect(run.counts[targets[0].Node]).To(gomega.BeNumerically(">", 200))
 }
 
+func TestShortDeadlinesOfCallersTellNothingOfTheTarget(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	chooser := newChooser(mesh(3))
+	warm := &world{answer: healthy, now: start}
+	warm.drive(chooser, 100, time.Millisecond)
+	liked := mesh(3)[0].Node
+	run := &world{now: warm.now, answer: func(target choice.Target) choice.Answer {
+		if target.Node == liked {
+			return choice.Answer{Result: choice.Late, Latency: time.Millisecond}
+		}
+		return healthy(target)
+	}}
+	run.drive(chooser, 900, time.Millisecond)
+	expect.Expect(run.counts[liked]).To(gomega.BeNumerically(">", 200))
+}
+
 func TestOwnLatencyOutweighsReports(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	targets := mesh(2)[:2]
--- a/internal/core/choice/judge.go
+++ b/internal/core/choice/judge.go
@@ -24,11 +24,12 @@
 		judged.report(now, answer.Load)
 		judged.refuse(now.Add(p.chooser.RefusalHold), now, priority)
 		p.readmit(now, judged)
-	case Failed:
-		judged.failures += (1 - judged.failures) * failureGain
-		if probed || judged.failures > ejectionFailureShare {
-			p.eject(now, judged, probed)
+	case Late:
+		if float64(answer.Latency) > lateFactor*p.typical {
+			p.fail(now, judged, probed)
 		}
+	case Failed:
+		p.fail(now, judged, probed)
 	case Died:
 		p.eject(now, judged, probed)
 	case Unreachable:
@@ -40,6 +41,14 @@
 	}
 }
 
+// fail counts a failure and ejects a target that fails too often.
+func (p *pool) fail(now time.Time, judged *entry, probed bool) {
+	judged.failures += (1 - judged.failures) * failureGain
+	if probed || judged.failures > ejectionFailureShare {
+		p.eject(now, judged, probed)
+	}
+}
+
 // refuse keeps the highest priority that was refused while the hold lasts.
 func (e *entry) refuse(until, now time.Time, priority request.Priority) {
 	if now.Before(e.refusedUntil) {
--- a/internal/core/choice/target.go
+++ b/internal/core/choice/target.go
@@ -59,11 +59,13 @@
 // Result says what an answer tells of the target that gave it.
 type Result uint8
 
-// The results. A neutral one tells nothing of the target.
+// The results. A neutral one tells nothing of the target; a late one, whose
+// deadline passed, does when the target had far longer than is typical.
 const (
 	Neutral Result = iota
 	Succeeded
 	Refused
+	Late
 	Failed
 	Died
 	Unreachable
@@ -79,7 +81,9 @@
 		return Refused
 	case request.Draining:
 		return Left
-	case request.AnswerCut, request.BrokenFrame, request.DeadlinePassed, request.Internal:
+	case request.DeadlinePassed:
+		return Late
+	case request.AnswerCut, request.BrokenFrame, request.Internal:
 		return Failed
 	case request.TargetDied:
 		return Died
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -308,7 +308,7 @@
 	if at.refusal != nil {
 		answer.Result = choice.ResultOf(at.refusal.Code)
 	}
-	if at.refusal != nil && ctx.Err() != nil {
+	if at.refusal != nil && errors.Is(ctx.Err(), context.Canceled) {
 		answer.Result = choice.Neutral
 	}
 	if at.exchange != nil {
