Send messages until a stopping replica has handed over its lead

Cause: the messenger ended together with the replica, so the message that hands over the lead never left and the site waited for an election; read, not run. Change: the replica's run starts and ends the messenger. Conclusion: a planned stop of the leader needs no election timeout.

--- a/internal/host/seat.go
+++ b/internal/host/seat.go
@@ -43,7 +43,7 @@
 	ho.transport.Handlers[peer.KindQuorum] = se.messenger.Serve
 	ho.transport.Handlers[peer.KindRegistry] = se.registry.Handle
 	ho.transport.Handlers[peer.KindControl] = (&control.Server{Ledger: se, Operations: operations(ho.operateHere)}).Serve
-	for _, part := range []func(context.Context) error{se.runReplica, se.messenger.Run, se.registry.Run, se.keeper.run} {
+	for _, part := range []func(context.Context) error{se.runReplica, se.registry.Run, se.keeper.run} {
 		add(ctx, group, part)
 	}
 	return nil
@@ -99,8 +99,12 @@
 }
 
 // runReplica ends the whole process when the replica must stop: a node that
-// served on would hide the lost replica.
+// served on would hide the lost replica. Messages go out until the replica has
+// handed over its lead.
 func (se *seat) runReplica(ctx context.Context) error {
+	sending, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go func() { _ = se.messenger.Run(sending) }()
 	err := se.replica.Run(ctx)
 	return errors.Join(err, se.folder.Close())
 }
