Leave the transport open until the whole process ends

Cause: the node closed the connections that its process's replica still needed to hand over its lead; read, not run. Change: the host closes the transport at its end.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,7 +122,8 @@
 	return no.Configuration.Current().Document.Services[no.Service].Slots
 }
 
-// Run serves until the context ends, then drains: no call in flight is cut.
+// Run serves until the context ends, then drains: no call in flight is cut. The
+// transport stays open; its owner closes it.
 func (no *Node) Run(ctx context.Context, listeners Listeners) error {
 	no.Prepare()
 	group := run.Group{}
@@ -176,7 +177,6 @@
 		return no.Transport.Serve(ctx, listener)
 	}, func(error) {
 		cancel()
-		_ = no.Transport.Close()
 		no.Target.Close()
 	})
 }
--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -89,6 +89,7 @@
 		stop()
 		<-ho.done
 		ho.done <- nil
+		_ = no.Transport.Close()
 	})
 	return ho
 }
