--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -117,6 +117,7 @@
 		},
 		Replicas: ho.replicaAddresses(),
 		Open:     registry.OpenPeer(ho.transport),
+		Links:    st.chooser.Links,
 		Follower: &spread.Follower{Patch: ledger.ApplyDelta, Check: checkText},
 		Events: registry.Events{
 			Targets:       func(now time.Time, view choice.View) { st.chooser.Update(now, view) },
@@ -196,6 +197,7 @@
 	document := st.host.holder.Current().Document
 	own := document.Services[st.host.Settings.Service]
 	st.chooser.Links.SetCapacity(choice.Rate(document.Links.BytesPerSecond), document.Links.ShareForUnimportant)
+	st.guard.SetHold(time.Duration(document.Quarantine.Hold))
 	if err := st.client.Resize(ctx, membership.Slots(own.Slots)); err != nil {
 		return
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -62,6 +62,38 @@
 	}
 }
 
+// TestLargeSnapshotsAreTakenByFollowers checks that a leader hands over the lead
+// first, and that not all take their snapshots at one index.
+func TestLargeSnapshotsAreTakenByFollowers(t *testing.T) {
+	made := newCluster(t, 3)
+	taken := map[quorum.Index]int{}
+	for number := range 900 {
+		before := map[string]quorum.Index{}
+		for address, each := range made.hosts {
+			before[address] = each.snapshot
+		}
+		leader, large := made.leader(), false
+		if leader != nil {
+			large = leader.snapshotSize >= leader.HandOverBytes
+		}
+		made.propose(made.hosts["host-0"], fmt.Sprint("command-", number))
+		for address, each := range made.hosts {
+			if each.snapshot == before[address] {
+				continue
+			}
+			taken[each.snapshot]++
+			made.Expect(large && each == leader && each == made.leader()).To(gomega.BeFalse())
+		}
+	}
+	made.Expect(len(taken)).To(gomega.BeNumerically(">", 6))
+	for index, count := range taken {
+		made.Expect(count).To(gomega.Equal(1), "snapshots at %d", index)
+	}
+	for _, each := range made.hosts {
+		made.Expect(each.snapshot).To(gomega.BeNumerically(">", 300))
+	}
+}
+
 // TestSecondHostLostRightAfterRepair loses a disk, replaces it, and loses the
 // next one at once.
 func TestSecondHostLostRightAfterRepair(t *testing.T) {
@@ -81,14 +113,18 @@
 	made.Expect(members.Removed).To(gomega.HaveLen(4))
 }
 
-// TestLostDiskFormsNoSecondLog starts a host with an empty disk while one of
+// TestLostDiskFormsNoSecondLog starts a host with an empty disk, and then one of
 // the others is away: it must wait, and cannot help to elect a leader.
 func TestLostDiskFormsNoSecondLog(t *testing.T) {
 	made := newCluster(t, 3)
 	made.proposeMany(made.hosts["host-0"], 0, 3)
-	made.hosts["host-0"].up = false
 	made.loseDisk("host-1")
 	made.start("host-1")
+	for range 100 {
+		made.round()
+	}
+	made.Expect(made.hosts["host-1"].core.Status().Last).To(gomega.BeZero())
+	made.hosts["host-0"].up = false
 	for range 300 {
 		made.round()
 	}
@@ -143,18 +179,23 @@
 	made.Expect(<-waiting.done).To(gomega.MatchError(gomega.ContainSubstring(made.leader().Address)))
 }
 
-// TestRunServes runs replicas with their own goroutines, and a planned stop of
-// the leader.
+// run starts a host with its own goroutine.
+func (made *cluster) run(address string, ended chan<- error) context.CancelFunc {
+	made.start(address)
+	ctx, stop := context.WithCancel(context.Background())
+	running := made.hosts[address].Replica
+	go func() { ended <- running.Run(ctx) }()
+	return stop
+}
+
+// TestRunServes runs replicas with their own goroutines, replaces one that lost
+// its disk, and stops the leader.
 func TestRunServes(t *testing.T) {
 	made := newCluster(t, 3)
 	stops := map[string]context.CancelFunc{}
 	ended := make(chan error, len(made.order))
 	for _, address := range made.order {
-		made.start(address)
-		ctx, stop := context.WithCancel(context.Background())
-		stops[address] = stop
-		running := made.hosts[address].Replica
-		go func() { ended <- running.Run(ctx) }()
+		stops[address] = made.run(address, ended)
 	}
 	ctx := context.Background()
 	for number := range 20 {
@@ -165,6 +206,20 @@
 	status, err := made.hosts["host-0"].Status(ctx)
 	made.Expect(err).NotTo(gomega.HaveOccurred())
 	leader, _ := status.Membership.Find(status.Leader)
+
+	lost := made.others(made.hosts[leader.Address])[0].Address
+	lostID := made.hosts[lost].core.ID
+	stops[lost]()
+	made.Expect(<-ended).To(gomega.Succeed())
+	made.loseDisk(lost)
+	stops[lost] = made.run(lost, ended)
+	added := quorum.Member{ID: made.ids, Address: lost}
+	made.Expect(made.hosts[leader.Address].Replace(ctx, lostID, added)).To(gomega.Succeed())
+	status, err = made.hosts[leader.Address].Status(ctx)
+	made.Expect(err).NotTo(gomega.HaveOccurred())
+	made.Expect(status.Membership.IsVoter(added.ID)).To(gomega.BeTrue())
+	made.Expect(status.Membership.IsRemoved(lostID)).To(gomega.BeTrue())
+
 	stops[leader.Address]()
 	made.Expect(<-ended).To(gomega.Succeed())
 	delete(stops, leader.Address)
