Tell peers that a node without a configuration is not ready

Cause: while a mesh comes up, a node that has no version yet answered its peers 404 unknown-kind, which is not tried elsewhere. The target above then failed, and as its action may not be repeated, each resend with the key got that failure again; the probe of a mesh that resent one key waited for good. Ruled out: a node left without its version (24 of 24 hosts logged it). Change: internal/node answers 2012 not-ready; the probe takes a new key for each attempt, as resends with a key rightly get the first answer. Conclusion: starting is told apart from a wrong call.

--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -65,7 +65,11 @@
 	if request.ServiceName(header.GetService()) != no.Service {
 		return ar, web.NewRefusal(request.TargetUnreachable, "this node has no target of "+header.GetService())
 	}
-	kind, ok := no.Configuration.Current().Matcher.Kind(request.KindName(header.GetKind()))
+	current := no.Configuration.Current()
+	if current.Version == 0 {
+		return ar, web.NewRefusal(request.NotReady, "")
+	}
+	kind, ok := current.Matcher.Kind(request.KindName(header.GetKind()))
 	if !ok {
 		return ar, web.NewRefusal(request.UnknownKind, header.GetKind())
 	}
--- /dev/null
+++ b/internal/node/ready_test.go
@@ -0,0 +1,20 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+func TestNodeWithoutConfigurationTellsPeersThatItIsNotReady(t *testing.T) {
+	g := gomega.NewWithT(t)
+	no := &Node{Service: "consumo", Configuration: NewHolder(Unconfigured())}
+	_, refusal := no.arrive(&peer.Inbound{Header: &peerpb.CallHeader{Service: "consumo", Kind: "consumo/readings"}}, time.Unix(1_000, 0))
+	g.Expect(refusal).NotTo(gomega.BeNil())
+	g.Expect(refusal.Code).To(gomega.Equal(request.NotReady))
+}
--- a/magnolia-load/internal/mesh/mesh.go
+++ b/magnolia-load/internal/mesh/mesh.go
@@ -175,8 +175,9 @@
 	return nil
 }
 
-// waitReady sends one request of each kind by each entry until all are
-// answered whole.
+// waitReady sends requests of each kind by each entry until one of each is
+// answered whole. Each has a key of its own, since a resend with a key gets the
+// first answer again.
 func (m *Mesh) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
@@ -190,16 +191,16 @@
 func (m *Mesh) probe(ctx context.Context, entry int, caller *load.Caller) error {
 	for index, kind := range m.Design.Kinds {
 		replies := make(map[string]int)
-		name := fmt.Sprintf("ready-%d-%d-%d", m.Seed, entry, index)
 		for count := 0; ; count++ {
-			reply := caller.Send(ctx, kind, request.IdempotencyKey(name), target.AttemptName(fmt.Sprintf("%s-%d", name, count)))
+			name := fmt.Sprintf("ready-%d-%d-%d-%d", m.Seed, entry, index, count)
+			reply := caller.Send(ctx, kind, request.IdempotencyKey(name), target.AttemptName(name))
 			if reply.Result == load.Whole {
 				break
 			}
 			if ctx.Err() != nil {
 				return oops.Errorf("the mesh does not serve %s by entry %d, %s: its answers were %v", kind.Name, entry, caller.Entry, replies)
 			}
-			replies[fmt.Sprintf("%s %s %s", reply.Result, reply.Code, reply.Detail)]++
+			replies[fmt.Sprintf("%s %s %q", reply.Result, reply.Code, reply.Detail)]++
 			time.Sleep(readyInterval)
 		}
 	}
