--- a/magnolia-load/internal/link/link.go
+++ b/magnolia-load/internal/link/link.go
@@ -12,6 +12,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/request"
@@ -45,6 +46,8 @@
 type Map struct {
 	latencies Latencies
 
+	carried atomic.Int64
+
 	mu     sync.RWMutex
 	places map[string]request.Place
 }
@@ -72,10 +75,18 @@
 		if known {
 			latency = m.latencies.Between(from, to)
 		}
-		return dialDelayed(ctx, network, address, latency)
+		conn, err := dialDelayed(ctx, network, address, latency)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, carried: &m.carried}, nil
 	}
 }
 
+// Carried is the number of bytes that the connections between processes have
+// carried both ways.
+func (m *Map) Carried() int64 { return m.carried.Load() }
+
 // CallerDialer gives the dial of a caller.
 func (m *Map) CallerDialer() Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -91,3 +102,23 @@
 	}
 	return Delay(conn, latency), nil
 }
+
+// countedConn counts what a connection carries both ways.
+type countedConn struct {
+	net.Conn
+	carried *atomic.Int64
+}
+
+// Read counts what arrived.
+func (c *countedConn) Read(data []byte) (int, error) {
+	count, err := c.Conn.Read(data)
+	c.carried.Add(int64(count))
+	return count, err
+}
+
+// Write counts what was sent.
+func (c *countedConn) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	c.carried.Add(int64(count))
+	return count, err
+}
--- a/magnolia-load/internal/measure/all.go
+++ b/magnolia-load/internal/measure/all.go
@@ -1,11 +1,18 @@
 package measure
 
+const (
+	usualRuns = 5
+	longRuns  = 2
+)
+
 // all lists the measurements in the order of the issues.
 var all = []Measurement{
-	{Name: "cores", About: coresAbout, Run: runCores},
-	{Name: "added-time", About: addedAbout, Run: runAdded},
-	{Name: "overload", About: overloadAbout, Run: runOverload},
-	{Name: "recovery", About: recoveryAbout, Run: runRecovery},
-	{Name: "retries", About: retriesAbout, Run: runRetries},
-	{Name: "lease", About: leaseAbout, Run: runLease},
+	{Name: "cores", About: coresAbout, Runs: usualRuns, Run: runCores},
+	{Name: "added-time", About: addedAbout, Runs: usualRuns, Run: runAdded},
+	{Name: "overload", About: overloadAbout, Runs: usualRuns, Run: runOverload},
+	{Name: "recovery", About: recoveryAbout, Runs: usualRuns, Run: runRecovery},
+	{Name: "retries", About: retriesAbout, Runs: usualRuns, Run: runRetries},
+	{Name: "patch", About: patchAbout, Runs: usualRuns, Run: runPatch},
+	{Name: "restart", About: restartAbout, Runs: usualRuns, Run: runRestart},
+	{Name: "lease", About: leaseAbout, Runs: longRuns, Run: runLease},
 }
--- a/magnolia-load/internal/measure/measure.go
+++ b/magnolia-load/internal/measure/measure.go
@@ -55,11 +55,14 @@
 	Name string
 	// About says in a sentence what is measured and on what load.
 	About string
+	// Runs is how often it runs where nothing else is asked.
+	Runs int
 	// Run makes one run. Its figures have the same names each time.
 	Run func(ctx context.Context, run Run) ([]Figure, error)
 }
 
-// Setting says how often and with which seeds a measurement runs.
+// Setting says how often and with which seeds a measurement runs. Zero runs
+// stand for the measurement's own number.
 type Setting struct {
 	Seed     uint64
 	Runs     int
@@ -107,6 +110,9 @@
 // Repeat runs a measurement as often as the setting says.
 func Repeat(ctx context.Context, measurement Measurement, setting Setting) (Report, error) {
 	begin := time.Now()
+	if setting.Runs == 0 {
+		setting.Runs = measurement.Runs
+	}
 	report := Report{
 		Name: measurement.Name, About: measurement.About,
 		Seed: setting.Seed, Runs: setting.Runs, Files: make(map[string][]byte),
--- a/magnolia-load/internal/mesh/magnolia.go
+++ b/magnolia-load/internal/mesh/magnolia.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/samber/oops"
@@ -23,6 +24,7 @@
 	mostReplicas = 5
 	folderMode   = 0o700
 	fileMode     = 0o600
+	restartPoll  = 10 * time.Millisecond
 )
 
 // Magnolia runs a mesh on magnoliawall's own hosts: a node for each instance,
@@ -33,13 +35,16 @@
 	// means errors.
 	LogLevel settings.LogLevel
 
-	links   *link.Map
-	folder  string
-	ports   reservation
-	hosts   []*host.Host
-	members []settings.Member
+	links    *link.Map
+	folder   string
+	ports    reservation
+	settings []*settings.Settings
+	members  []settings.Member
 
 	mu      sync.Mutex
+	hosts   []*host.Host
+	end     context.CancelFunc
+	began   time.Time
 	inForce map[request.NodeID]configuration.Version
 	changed chan struct{}
 }
@@ -77,7 +82,7 @@
 	if err := m.seat(made); err != nil {
 		return Endpoints{}, err
 	}
-	m.hosts = append(m.hosts, m.newHost(made, added.Place))
+	m.settings = append(m.settings, made)
 	return Endpoints{
 		Callers:  string(made.Listen.Callers),
 		Outbound: string(made.Listen.Outbound),
@@ -103,8 +108,8 @@
 
 func (m *Magnolia) initialFile() string { return filepath.Join(m.folder, "first.jsonc") }
 
-func (m *Magnolia) newHost(made *settings.Settings, place request.Place) *host.Host {
-	dial := m.links.Dialer(place)
+func (m *Magnolia) newHost(made *settings.Settings) *host.Host {
+	dial := m.links.Dialer(request.Place{Region: made.Region, Domain: made.FailureDomain})
 	return &host.Host{
 		Settings: made,
 		Logger:   m.logger(),
@@ -126,22 +131,81 @@
 // Run runs all hosts until the context ends, and removes their files.
 func (m *Magnolia) Run(ctx context.Context) error {
 	defer func() { _ = os.RemoveAll(m.folder) }()
-	var seeds []settings.Address
-	for _, member := range m.members {
-		seeds = append(seeds, member.Address)
-	}
 	m.ports.release()
+	for {
+		life, end := context.WithCancel(ctx)
+		m.start(end)
+		if err := m.runLife(life); err != nil || ctx.Err() != nil {
+			end()
+			return err
+		}
+	}
+}
+
+// start makes the hosts of the next life, which end calls an end to.
+func (m *Magnolia) start(end context.CancelFunc) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.end, m.began = end, time.Now()
+	m.inForce = make(map[request.NodeID]configuration.Version)
+	m.hosts = nil
+	for _, made := range m.settings {
+		made.Seeds = nil
+		for _, member := range m.members {
+			made.Seeds = append(made.Seeds, member.Address)
+		}
+		if made.DataFolder != "" {
+			made.Replica.Members = m.members
+		}
+		m.hosts = append(m.hosts, m.newHost(made))
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Magnolia) runLife(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, running := range m.hosts {
-		running.Settings.Seeds = seeds
-		if running.Settings.DataFolder != "" {
-			running.Settings.Replica.Members = m.members
-		}
 		group.Go(func() error { return running.Run(ctx) })
 	}
 	return group.Wait()
 }
 
+// Restart ends all hosts at once, starts them again on their files, and gives
+// the time from their start until the version is in force on all nodes.
+func (m *Magnolia) Restart(ctx context.Context, version configuration.Version) (time.Duration, error) {
+	before := m.startedAt()
+	m.endLife()
+	for !m.startedAt().After(before) {
+		_, changed := m.oldest()
+		select {
+		case <-changed:
+		case <-time.After(restartPoll):
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+	if err := m.WaitInForce(ctx, version); err != nil {
+		return 0, err
+	}
+	return time.Since(m.startedAt()), nil
+}
+
+func (m *Magnolia) endLife() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.end()
+}
+
+func (m *Magnolia) startedAt() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.began
+}
+
+// Links gives the connections between the hosts.
+func (m *Magnolia) Links() *link.Map { return m.links }
+
 // enforced notes a version in force at a node.
 func (m *Magnolia) enforced(node request.NodeID, version configuration.Version) {
 	m.mu.Lock()
@@ -156,7 +220,7 @@
 func (m *Magnolia) oldest() (configuration.Version, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.inForce) < len(m.hosts) {
+	if len(m.inForce) < len(m.settings) {
 		return 0, m.changed
 	}
 	oldest := configuration.Version(0)
--- a/magnolia-load/internal/mesh/patch.go
+++ b/magnolia-load/internal/mesh/patch.go
@@ -19,43 +19,51 @@
 // Patch sets the deadline of a kind, as an operator does, and waits until the
 // new version is in force on all nodes.
 func (m *Magnolia) Patch(ctx context.Context, kind request.KindName, deadline time.Duration) (PatchTimes, error) {
-	client := m.operator()
-	status, err := operator.Ask[operator.Status](ctx, client, operator.ViewStatus, nil)
+	status, err := operator.Ask[operator.Status](ctx, m.operator(), operator.ViewStatus, nil)
 	if err != nil {
 		return PatchTimes{}, oops.Wrapf(err, "the version in force is not known")
 	}
+	begin := time.Now()
+	version, err := m.PatchOn(ctx, status.Version, kind, deadline)
+	if err != nil {
+		return PatchTimes{}, err
+	}
+	times := PatchTimes{Commit: time.Since(begin)}
+	if err := m.WaitInForce(ctx, version); err != nil {
+		return times, err
+	}
+	times.InForce = time.Since(begin)
+	return times, nil
+}
+
+// PatchOn sends the patch of a deadline on a version and gives the new one.
+func (m *Magnolia) PatchOn(ctx context.Context, base configuration.Version, kind request.KindName, deadline time.Duration) (configuration.Version, error) {
 	operations := fmt.Sprintf(`[{"op": "replace", "path": %q, "value": %q}]`, deadlinePath(kind), deadline)
-	patch := operator.Patch{
+	outcome, err := operator.Ask[operator.PatchOutcome](ctx, m.operator(), operator.CreatePatch, operator.Patch{
 		ID:         uuid.NewString(),
-		Base:       status.Version,
+		Base:       base,
 		Operator:   "magnolia-load",
 		Note:       "set a deadline",
 		Operations: json.RawMessage(operations),
-	}
-	begin := time.Now()
-	outcome, err := operator.Ask[operator.PatchOutcome](ctx, client, operator.CreatePatch, patch)
+	})
 	if err != nil {
-		return PatchTimes{}, oops.Wrapf(err, "the patch was not answered")
+		return 0, oops.Wrapf(err, "the patch was not answered")
 	}
 	if outcome.State != operator.StateAccepted {
-		return PatchTimes{}, oops.Errorf("the patch was refused: %s %v", outcome.State, outcome.Faults)
-	}
-	times := PatchTimes{Commit: time.Since(begin)}
-	if err := m.waitInForce(ctx, outcome.Version); err != nil {
-		return times, err
+		return 0, oops.Errorf("the patch was refused: %s %v", outcome.State, outcome.Faults)
 	}
-	times.InForce = time.Since(begin)
-	return times, nil
+	return outcome.Version, nil
 }
 
 // operator gives a client of the last host's port, which holds no replica in a
 // large mesh.
 func (m *Magnolia) operator() *operator.Client {
-	asked := m.hosts[len(m.hosts)-1].Settings
+	asked := m.settings[len(m.settings)-1]
 	return &operator.Client{Base: "http://" + string(asked.Listen.Admin), HTTP: http.DefaultClient}
 }
 
-func (m *Magnolia) waitInForce(ctx context.Context, version configuration.Version) error {
+// WaitInForce waits until all nodes have at least a version in force.
+func (m *Magnolia) WaitInForce(ctx context.Context, version configuration.Version) error {
 	for {
 		oldest, changed := m.oldest()
 		if oldest >= version {
