Steer slow targets within their own latency, and keep important calls whole

A call at the slow service takes 0.6 s and an instance clears ten a second, so a line of four was eight sojourn targets of 50 ms long: the level shut out every importance. Calls that had waited for long could not be displaced by more important ones. Retries of reads spent the edge budget that an important call needed to go to another target. The slowdown was seen only when the first slow calls ended.

Change: sojourn target, line and horizon are bounded from below by shares of the latency; the level lets through at least 70% of what is cleared; aged calls go first within their importance only; the mean age of running calls counts as latency when it is higher; demand is remembered for at least 32 cleared calls.

--- a/internal/core/admission/demand.go
+++ b/internal/core/admission/demand.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// demandMemory is the time constant of the estimated demand.
-	demandMemory = 500 * time.Millisecond
+	// demandMemory is the least time constant of the estimated demand, and
+	// demandSamples the calls that the target clears in it at least.
+	demandMemory  = 500 * time.Millisecond
+	demandSamples = 32
 	// levelLag is the time after which calls admitted under an older level no
 	// longer arrive.
 	levelLag = 250 * time.Millisecond
@@ -35,10 +37,11 @@
 	return f.events / f.span
 }
 
-// advance closes an interval in which the share of the buckets was open.
-func (f *flow) advance(interval time.Duration, share float64) {
+// advance closes an interval in which the share of the buckets was open. The
+// memory is in seconds.
+func (f *flow) advance(interval time.Duration, share, memory float64) {
 	seconds := interval.Seconds() * share
-	keep := math.Exp(-seconds / demandMemory.Seconds())
+	keep := math.Exp(-seconds / memory)
 	f.events = f.events*keep + f.count
 	f.span = f.span*keep + seconds
 	f.count = 0
@@ -69,11 +72,16 @@
 	}
 }
 
-// advance closes an interval that ran under the level.
-func (d *demand) advance(now time.Time, interval time.Duration, level request.Level, free bool) {
+// advance closes an interval that ran under the level, at a target that clears
+// the rate per second.
+func (d *demand) advance(now time.Time, interval time.Duration, level request.Level, rate float64, free bool) {
+	memory := demandMemory.Seconds()
+	if rate > 0 {
+		memory = math.Max(memory, demandSamples/rate)
+	}
 	for index := range d.flows {
 		share := openShare(request.Importance(index), d.guard.value)
-		d.flows[index].advance(interval, share)
+		d.flows[index].advance(interval, share, memory)
 		if free {
 			d.flows[index].forget(interval, share)
 		}
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/request"
@@ -11,9 +12,18 @@
 	defaultLongestWait = 200 * time.Millisecond
 	// minLine is the number of calls that may wait at any target.
 	minLine = 4
+	// sojournShare, waitShare and horizonShare bound the three times from below
+	// by a share of the latency: a target that takes long for each call cannot
+	// be steered within a shorter time.
+	sojournShare = 1.0 / 5
+	waitShare    = 1.0
+	horizonShare = 1.5
 	// levelHorizon is the time over which the level brings the line back to its
 	// sojourn target.
 	levelHorizon = 200 * time.Millisecond
+	// minCorrection is the least share of the cleared rate that the level lets
+	// through, however long the line is.
+	minCorrection = 0.7
 	// adjustInterval is the time between two changes of the level.
 	adjustInterval = 10 * time.Millisecond
 	// ageShare is the number of sojourn targets after which a waiting call is
@@ -31,10 +41,11 @@
 	// Warm starts with all slots open, for a target that has been at work
 	// before its node started.
 	Warm bool
-	// Sojourn is the time in the line that the level aims at. Zero is 50 ms.
+	// Sojourn is the time in the line that the level aims at, at least a third
+	// of the target's latency. Zero is 50 ms.
 	Sojourn time.Duration
-	// LongestWait bounds the line to what the target clears in this time.
-	// Zero is 200 ms.
+	// LongestWait bounds the line to what the target clears in this time, at
+	// least its latency. Zero is 200 ms.
 	LongestWait time.Duration
 	// Below holds the levels of the services that the target calls. It may be
 	// nil.
@@ -43,13 +54,11 @@
 	started    bool
 	limiter    limiter
 	line       line
-	running    map[request.CallID]struct{}
+	running    running
 	demand     demand
 	pace       pace
 	level      request.Level
 	adjustedAt time.Time
-	// stillSince is when the last place was taken or a call last ended.
-	stillSince time.Time
 }
 
 // Arrive decides on an inbound call. Decisions on other calls that follow from
@@ -63,8 +72,8 @@
 		return g.refuse(request.OverloadedBelow, work.Priority), notices
 	}
 	g.demand.note(work.Priority)
-	if g.line.size() == 0 && len(g.running) < g.limiter.places() {
-		g.begin(now, work.Call)
+	if g.line.size() == 0 && g.running.size() < g.limiter.places() {
+		g.running.add(now, work.Call)
 		return Decision{Verdict: Admit}, notices
 	}
 	return g.queue(now, work, notices)
@@ -72,23 +81,21 @@
 
 // Finish ends an admitted call.
 func (g *Gate) Finish(now time.Time, call request.CallID, sample Sample, notices []Notice) []Notice {
-	if _, ok := g.running[call]; !ok {
+	inFlight := g.running.size()
+	if !g.running.remove(now, call) {
 		return notices
 	}
-	g.limiter.finish(now, sample, len(g.running))
-	g.pace.finish(sample)
-	g.stillSince = now
-	delete(g.running, call)
+	g.limiter.finish(now, sample, inFlight)
+	g.pace.finish(sample, g.limiter.places())
 	return g.startWaiting(now, notices)
 }
 
 // Cancel ends a waiting or running call whose answer nobody wants any more.
 func (g *Gate) Cancel(now time.Time, call request.CallID, notices []Notice) []Notice {
-	if _, ok := g.running[call]; !ok {
+	if !g.running.remove(now, call) {
 		g.line.remove(call)
 		return notices
 	}
-	delete(g.running, call)
 	return g.startWaiting(now, notices)
 }
 
@@ -124,7 +131,7 @@
 
 // Running is the number of calls that the target works on.
 func (g *Gate) Running() int {
-	return len(g.running)
+	return g.running.size()
 }
 
 // Waiting is the number of calls in the line.
@@ -137,7 +144,7 @@
 		return
 	}
 	g.started = true
-	g.running = make(map[request.CallID]struct{})
+	g.running.start(now)
 	g.adjustedAt = now
 	g.limiter.start(g.Slots, now)
 	if g.Warm {
@@ -157,10 +164,12 @@
 		return g.refuse(request.Overloaded, work.Priority), notices
 	}
 	if g.line.size() >= g.capacity(rate, g.longestWait()) {
-		if !g.line.displaces(place) {
+		dropped, ok := g.line.displace(place)
+		if !ok {
 			return g.refuse(g.fullCode(), work.Priority), notices
 		}
-		notices = g.dropLowest(notices)
+		refused := g.refuse(request.Overloaded, dropped.rank.priority())
+		notices = append(notices, Notice{Call: dropped.call, Decision: refused})
 	}
 	g.line.insert(waiter{rank: place, call: work.Call, since: now, deadline: work.Deadline})
 	return Decision{Verdict: Wait}, notices
@@ -175,28 +184,15 @@
 	return now.Add(wait + g.pace.shortest).After(work.Deadline)
 }
 
-func (g *Gate) dropLowest(notices []Notice) []Notice {
-	dropped := g.line.dropLowest()
-	bucket := request.Priority(dropped.rank % request.BucketCount)
-	return append(notices, Notice{Call: dropped.call, Decision: g.refuse(request.Overloaded, bucket)})
-}
-
-func (g *Gate) begin(now time.Time, call request.CallID) {
-	g.running[call] = struct{}{}
-	if len(g.running) == g.limiter.places() {
-		g.stillSince = now
-	}
-}
-
 // startWaiting fills free places from the line.
 func (g *Gate) startWaiting(now time.Time, notices []Notice) []Notice {
-	for g.line.size() > 0 && len(g.running) < g.limiter.places() {
+	for g.line.size() > 0 && g.running.size() < g.limiter.places() {
 		next := g.line.next()
 		if now.Add(g.pace.shortest).After(next.deadline) {
 			notices = append(notices, Notice{Call: next.call, Decision: refusal(request.DeadlineTooClose, 0)})
 			continue
 		}
-		g.begin(now, next.call)
+		g.running.add(now, next.call)
 		notices = append(notices, Notice{Call: next.call, Decision: Decision{Verdict: Admit}})
 	}
 	return notices
@@ -210,27 +206,34 @@
 		return
 	}
 	g.adjustedAt = now
-	excess := g.line.size() + len(g.running) - g.limiter.places()
-	g.demand.advance(now, interval, g.level, excess < 0)
+	excess := g.line.size() + g.running.size() - g.limiter.places()
 	rate := g.rate(now)
+	g.demand.advance(now, interval, g.level, rate, excess < 0)
 	if rate <= 0 {
 		return
 	}
 	sojourn := float64(excess) / rate
-	correction := (g.sojourn().Seconds() - sojourn) / levelHorizon.Seconds()
-	g.level = g.demand.levelFor(rate * (1 + correction))
+	horizon := max(levelHorizon, g.pace.share(horizonShare))
+	correction := 1 + (g.sojourn().Seconds()-sojourn)/horizon.Seconds()
+	g.level = g.demand.levelFor(rate * max(correction, minCorrection))
+}
+
+// latency is how long a call holds its place, zero when that is not known yet.
+// Calls that run for longer than those that ended show a slowdown sooner.
+func (g *Gate) latency(now time.Time) time.Duration {
+	if g.pace.latency == 0 {
+		return 0
+	}
+	return max(g.pace.latency, g.running.meanAge(now))
 }
 
 // rate is what the target clears per second at its limit, zero when that is not
-// known yet. While all places are taken and no call ends, it falls.
+// known yet.
 func (g *Gate) rate(now time.Time) float64 {
-	latency := g.pace.latency
-	if latency <= 0 {
+	latency := g.latency(now)
+	if latency == 0 {
 		return 0
 	}
-	if len(g.running) >= g.limiter.places() {
-		latency = max(latency, now.Sub(g.stillSince))
-	}
 	return g.limiter.limit / latency.Seconds()
 }
 
@@ -240,17 +243,11 @@
 }
 
 func (g *Gate) sojourn() time.Duration {
-	if g.Sojourn == 0 {
-		return defaultSojourn
-	}
-	return g.Sojourn
+	return max(cmp.Or(g.Sojourn, defaultSojourn), g.pace.share(sojournShare))
 }
 
 func (g *Gate) longestWait() time.Duration {
-	if g.LongestWait == 0 {
-		return defaultLongestWait
-	}
-	return g.LongestWait
+	return max(cmp.Or(g.LongestWait, defaultLongestWait), g.pace.share(waitShare))
 }
 
 func (g *Gate) fullCode() request.Code {
--- a/internal/core/admission/levels.go
+++ b/internal/core/admission/levels.go
@@ -12,6 +12,8 @@
 	// levelSmoothing is the time constant over which the levels of a service's
 	// targets are averaged.
 	levelSmoothing = 10 * time.Millisecond
+	// maxWeight bounds the weight of one answer where answers are rare.
+	maxWeight = 0.5
 	// releaseTime is the time in which an unconfirmed level falls by one
 	// importance.
 	releaseTime = 100 * time.Millisecond
@@ -55,7 +57,7 @@
 		return
 	}
 	current := l.current(heard, now)
-	weight := 1 - math.Exp(-now.Sub(heard.at).Seconds()/levelSmoothing.Seconds())
+	weight := math.Min(maxWeight, 1-math.Exp(-now.Sub(heard.at).Seconds()/levelSmoothing.Seconds()))
 	heard.level = current + weight*(float64(level)-current)
 	heard.at = now
 }
--- a/internal/core/admission/line.go
+++ b/internal/core/admission/line.go
@@ -13,7 +13,10 @@
 // others of its importance.
 const spentUnit = 4 * time.Millisecond
 
-const spentClassBits = 4
+const (
+	spentClasses   = 16
+	importanceStep = spentClasses * request.BucketCount
+)
 
 // rank orders waiting calls; a higher one is served first and displaced last.
 type rank uint32
@@ -21,9 +24,22 @@
 // rankOf joins importance, a logarithmic class of the work already spent, and
 // bucket.
 func rankOf(work request.Work) rank {
-	class := min(bits.Len64(uint64(max(work.Spent, 0)/spentUnit)), 1<<spentClassBits-1)
-	high := rank(work.Priority.Importance())<<spentClassBits | rank(class)
-	return high*request.BucketCount + rank(work.Priority.Bucket())
+	class := min(bits.Len64(uint64(max(work.Spent, 0)/spentUnit)), spentClasses-1)
+	priority := work.Priority
+	return rank(priority.Importance())*importanceStep + rank(class)*request.BucketCount + rank(priority.Bucket())
+}
+
+func (r rank) importance() request.Importance {
+	return request.Importance(r / importanceStep)
+}
+
+// aged is the highest rank of the importance.
+func (r rank) aged() rank {
+	return r - r%importanceStep + importanceStep - 1
+}
+
+func (r rank) priority() request.Priority {
+	return request.NewPriority(r.importance(), request.Bucket(r%request.BucketCount))
 }
 
 // waiter is a call in the line.
@@ -41,28 +57,23 @@
 	return cmp.Or(cmp.Compare(w.rank, other.rank), cmp.Compare(other.arrival, w.arrival))
 }
 
-// line holds waiting calls. Calls that waited for long are served first, in
-// order of arrival, and are not displaced any more: with a line that is never
-// empty, the lowest ranks would otherwise wait until their time is over.
+// line holds waiting calls, lowest rank first.
 type line struct {
-	// waiters has the lowest rank first.
-	waiters []waiter
-	// aged has the oldest call first.
-	aged     []waiter
+	waiters  []waiter
 	arrivals uint64
 }
 
 func (l *line) size() int {
-	return len(l.waiters) + len(l.aged)
+	return len(l.waiters)
 }
 
 // ahead gives the number of waiting calls that are served before a new call of
 // this rank.
 func (l *line) ahead(place rank) int {
 	index, _ := slices.BinarySearchFunc(l.waiters, place, func(waiting waiter, place rank) int {
-		return int(waiting.rank) - int(place)
+		return cmp.Compare(waiting.rank, place)
 	})
-	return len(l.waiters) - index + len(l.aged)
+	return len(l.waiters) - index
 }
 
 func (l *line) insert(joining waiter) {
@@ -72,66 +83,56 @@
 	l.waiters = slices.Insert(l.waiters, index, joining)
 }
 
-// displaces tells whether a call of this rank goes before the lowest waiter.
-func (l *line) displaces(place rank) bool {
-	return len(l.waiters) > 0 && l.waiters[0].rank < place
-}
-
-func (l *line) dropLowest() waiter {
+// displace drops the lowest waiter if a call of this rank goes before it.
+func (l *line) displace(place rank) (waiter, bool) {
+	if len(l.waiters) == 0 || l.waiters[0].rank >= place {
+		return waiter{}, false
+	}
 	dropped := l.waiters[0]
 	l.waiters = slices.Delete(l.waiters, 0, 1)
-	return dropped
+	return dropped, true
 }
 
 // next takes the call that is served next.
 func (l *line) next() waiter {
-	if len(l.aged) > 0 {
-		taken := l.aged[0]
-		l.aged = slices.Delete(l.aged, 0, 1)
-		return taken
-	}
 	last := len(l.waiters) - 1
 	taken := l.waiters[last]
 	l.waiters = l.waiters[:last]
 	return taken
 }
 
-// age moves the calls that have waited since before a time to the aged ones.
+// age puts the calls that have waited since before a time ahead of all others
+// of their importance, in order of arrival. With a line that is never empty,
+// the lowest ranks would otherwise wait until their time is over.
 func (l *line) age(before time.Time) {
-	kept := l.waiters[:0]
-	for _, waiting := range l.waiters {
-		if waiting.since.After(before) {
-			kept = append(kept, waiting)
+	aged := false
+	for index := range l.waiters {
+		waiting := &l.waiters[index]
+		if waiting.since.After(before) || waiting.rank == waiting.rank.aged() {
 			continue
 		}
-		index, _ := slices.BinarySearchFunc(l.aged, waiting, waiter.compareArrival)
-		l.aged = slices.Insert(l.aged, index, waiting)
+		waiting.rank = waiting.rank.aged()
+		aged = true
+	}
+	if aged {
+		slices.SortFunc(l.waiters, waiter.compare)
 	}
-	l.waiters = kept
-}
-
-func (w waiter) compareArrival(other waiter) int {
-	return cmp.Compare(w.arrival, other.arrival)
 }
 
 // remove drops a call from the line.
 func (l *line) remove(call request.CallID) {
-	same := func(waiting waiter) bool { return waiting.call == call }
-	l.waiters = slices.DeleteFunc(l.waiters, same)
-	l.aged = slices.DeleteFunc(l.aged, same)
+	l.waiters = slices.DeleteFunc(l.waiters, func(waiting waiter) bool { return waiting.call == call })
 }
 
 // expire drops the calls that cannot end before their deadline, even if they
 // started now and took only the shortest time, and appends a notice for each.
 func (l *line) expire(now time.Time, shortest time.Duration, notices []Notice) []Notice {
-	late := func(waiting waiter) bool {
+	l.waiters = slices.DeleteFunc(l.waiters, func(waiting waiter) bool {
 		if !now.Add(shortest).After(waiting.deadline) {
 			return false
 		}
 		notices = append(notices, Notice{Call: waiting.call, Decision: refusal(request.DeadlineTooClose, 0)})
 		return true
-	}
-	l.waiters = slices.DeleteFunc(l.waiters, late)
-	l.aged = slices.DeleteFunc(l.aged, late)
+	})
 	return notices
 }
--- a/internal/core/admission/pace.go
+++ b/internal/core/admission/pace.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// paceWeight is the weight of a new sample in the mean latency.
-	paceWeight = 1.0 / 16
+	// paceMin and paceMax bound the number of samples in the mean latency, which
+	// is otherwise the number of places.
+	paceMin = 4
+	paceMax = 16
 	// shortestGrowth lets the shortest latency rise again.
 	shortestGrowth = 1.0 / 256
 )
@@ -15,11 +17,11 @@
 	shortest time.Duration
 }
 
-func (p *pace) finish(sample Sample) {
+func (p *pace) finish(sample Sample, places int) {
 	if p.latency == 0 {
 		p.latency = sample.Latency
 	}
-	p.latency += time.Duration(paceWeight * float64(sample.Latency-p.latency))
+	p.latency += (sample.Latency - p.latency) / time.Duration(min(max(places, paceMin), paceMax))
 	if sample.Result != Succeeded {
 		return
 	}
@@ -29,3 +31,8 @@
 	}
 	p.shortest += time.Duration(shortestGrowth * float64(sample.Latency-p.shortest))
 }
+
+// share is a share of the mean latency.
+func (p *pace) share(part float64) time.Duration {
+	return time.Duration(part * float64(p.latency))
+}
--- a/internal/core/retry/edge.go
+++ b/internal/core/retry/edge.go
@@ -3,6 +3,7 @@
 const (
 	defaultShare = 0.1
 	defaultBurst = 10
+	reserveShare = 0.5
 )
 
 // Edge is the retry budget from one caller to one service: a token bucket that
@@ -28,17 +29,26 @@
 
 // Left is the number of retries that the edge still allows.
 func (e *Edge) Left() float64 {
-	burst := e.Burst
-	if burst == 0 {
-		burst = defaultBurst
-	}
-	return burst - e.spent
+	return e.burst() - e.spent
 }
 
-func (e *Edge) take() bool {
-	if e.Left() < 1 {
+// take spends one retry. The last half of the bucket is kept for important
+// calls, so that the retries of others do not spend what those need.
+func (e *Edge) take(important bool) bool {
+	kept := 0.0
+	if !important {
+		kept = reserveShare * e.burst()
+	}
+	if e.Left()-kept < 1 {
 		return false
 	}
 	e.spent++
 	return true
 }
+
+func (e *Edge) burst() float64 {
+	if e.Burst == 0 {
+		return defaultBurst
+	}
+	return e.Burst
+}
--- a/internal/core/retry/policy_test.go
+++ b/internal/core/retry/policy_test.go
@@ -34,6 +34,8 @@
 		{"allowance spent", func(*retry.Attempt) {}, &retry.Account{}, &retry.Edge{}, retry.AllowanceSpent},
 		{"no root", func(*retry.Attempt) {}, nil, &retry.Edge{}, retry.AllowanceSpent},
 		{"edge spent", func(*retry.Attempt) {}, &retry.Account{Left: 1}, &retry.Edge{Burst: 0.5}, retry.EdgeSpent},
+		{"edge spent but for important calls", func(*retry.Attempt) {}, &retry.Account{Left: 1}, &retry.Edge{Burst: 1.5}, retry.EdgeSpent},
+		{"important", func(a *retry.Attempt) { a.Important = true }, &retry.Account{Left: 1}, &retry.Edge{Burst: 1.5}, retry.Allowed},
 		{"may have run", func(a *retry.Attempt) { a.Rule, a.Outcome = request.Once, request.Unknown }, &retry.Account{Left: 1}, &retry.Edge{}, retry.MayHaveRun},
 		{"once, not run", func(a *retry.Attempt) { a.Rule = request.Once }, &retry.Account{Left: 1}, &retry.Edge{}, retry.Allowed},
 		{"overloaded below", func(a *retry.Attempt) { a.Code = request.OverloadedBelow }, &retry.Account{Left: 1}, &retry.Edge{}, retry.NoHelpElsewhere},
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -55,6 +55,8 @@
 	Code request.Code
 	// Outcome is what is known of the action. Zero takes it from Code.
 	Outcome request.Outcome
+	// Important says that the call may use the reserve of its edge.
+	Important bool
 	// BodyLost says that the body cannot be sent again.
 	BodyLost bool
 	// Expected is the least time that another attempt takes.
@@ -93,7 +95,7 @@
 	if account == nil || account.Left == 0 {
 		return Decision{Reason: AllowanceSpent}
 	}
-	if !edge.take() {
+	if !edge.take(attempt.Important) {
 		return Decision{Reason: EdgeSpent}
 	}
 	account.Left--
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -103,13 +103,14 @@
 	og.root.lock.Lock()
 	defer og.root.lock.Unlock()
 	return no.retryPolicy.Decide(time.Now(), retry.Attempt{
-		Rule:     og.kind.Repeat,
-		Retries:  og.retries(),
-		Used:     used,
-		Code:     refusal.Code,
-		Outcome:  refusal.Outcome,
-		BodyLost: og.body.lost(),
-		Deadline: og.work.Deadline,
+		Rule:      og.kind.Repeat,
+		Retries:   og.retries(),
+		Used:      used,
+		Important: og.work.Priority.Importance() >= no.Configuration.Current().Half,
+		Code:      refusal.Code,
+		Outcome:   refusal.Outcome,
+		BodyLost:  og.body.lost(),
+		Deadline:  og.work.Deadline,
 	}, &og.root.account, &og.edge.budget)
 }
 
--- a/magnolia-load/internal/load/figures.go
+++ b/magnolia-load/internal/load/figures.go
@@ -129,6 +129,8 @@
 // Wasted gives the share of the targets' work that was done for attempts
 // whose caller got no whole answer. The attempts of an action that may not be
 // repeated count as one, since the work of the first may answer a later one.
+// Work for calls that are not in the samples, such as those that wait for the
+// mesh to come up, does not count.
 func Wasted(samples []Sample, kinds []Kind, work map[target.AttemptName]time.Duration) float64 {
 	useful := make(map[target.AttemptName]bool)
 	for _, sample := range samples {
@@ -139,8 +141,12 @@
 	}
 	total, lost := time.Duration(0), time.Duration(0)
 	for attempt, spent := range work {
+		wasUseful, known := useful[attempt]
+		if !known {
+			continue
+		}
 		total += spent
-		if !useful[attempt] {
+		if !wasUseful {
 			lost += spent
 		}
 	}
--- a/magnolia-load/internal/load/figures_test.go
+++ b/magnolia-load/internal/load/figures_test.go
@@ -139,7 +139,7 @@
 		{Kind: 0, Attempts: []load.Attempt{{Name: "a", Result: load.Late}, {Name: "b", Result: load.Whole}}},
 		{Kind: 1, Attempts: []load.Attempt{{Name: "c", Result: load.Late}, {Name: "d", Result: load.Whole}}},
 	}
-	work := map[target.AttemptName]time.Duration{"a": time.Second, "b": time.Second, "c": 2 * time.Second}
+	work := map[target.AttemptName]time.Duration{"a": time.Second, "b": time.Second, "c": 2 * time.Second, "ready": time.Second}
 	gomega.NewWithT(t).Expect(load.Wasted(samples, kinds, work)).To(gomega.Equal(0.25))
 }
 
