Let an owner see each process and each replica

Cause: trials on a site of eight processes. A host without a target had no /metrics, /healthz or /readyz; no metric told of a replica, the registry or a certificate; a drain of the asked node lost its answer and another failed after 3 s although it was done; a planned stop of a control host left its target on the others' lists for two hours; after a lost control host status counted the nodes that had moved twice; a node that takes TLS only answered "Bad Request"; reads that failed gave the exit code for doubt; examples named key files that certificate create does not make. Conclusion: the site can be watched and drained by the commands as printed.

--- a/internal/adapter/certificate/files.go
+++ b/internal/adapter/certificate/files.go
@@ -90,6 +90,11 @@
 	return fi.failed
 }
 
+// Expiry gives the end of the certificate in use, after a look at the files.
+func (fi *Files) Expiry() time.Time {
+	return fi.current().pair.Leaf.NotAfter
+}
+
 // Server gives the settings of a port that takes the roles.
 func (fi *Files) Server(roles ...Role) *tls.Config {
 	return &tls.Config{
--- a/internal/adapter/operator/document.go
+++ b/internal/adapter/operator/document.go
@@ -189,6 +189,10 @@
 	Leader  ReplicaID             `json:"leader"`
 	Quorum  bool                  `json:"quorum"`
 	Domains []DomainRow           `json:"domains"`
+	// Replicas counts the members of the quorum, and Reached those that the
+	// asked one reaches, itself included.
+	Replicas int `json:"replicas"`
+	Reached  int `json:"replicas-reached"`
 	// Actions counts the actions whose outcome is in doubt.
 	Actions int `json:"actions-in-doubt"`
 }
@@ -226,6 +230,8 @@
 	Address string             `json:"address"`
 	Domain  request.DomainName `json:"domain"`
 	Role    string             `json:"role"`
+	// Reached says that the asked replica has a connection to it.
+	Reached bool `json:"reached"`
 }
 
 // Replicas lists replicas, and names the one that answered.
--- a/internal/adapter/operator/hosts.go
+++ b/internal/adapter/operator/hosts.go
@@ -35,6 +35,12 @@
 		return status, err
 	}
 	status.Leader = replicas.Leader
+	status.Replicas = len(replicas.Replicas)
+	for _, row := range replicas.Replicas {
+		if row.Reached {
+			status.Reached++
+		}
+	}
 	status.Domains, err = se.Directory.Domains(ctx, status.Version)
 	return status, err
 }
--- a/internal/adapter/operator/web.go
+++ b/internal/adapter/operator/web.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 )
@@ -58,8 +59,22 @@
 // carried out.
 type UnansweredError struct{ Reason error }
 
-// Error says why.
-func (un *UnansweredError) Error() string { return "no answer: " + un.Reason.Error() }
+// Error says why, and what to do.
+func (un *UnansweredError) Error() string {
+	return "no answer: " + un.Reason.Error() + "; " + advice(un.Reason)
+}
+
+func advice(reason error) string {
+	refusal := &net.OpError{}
+	refused := errors.As(reason, &refusal)
+	switch {
+	case errors.Is(reason, http.ErrSchemeMismatch):
+		return "the node takes plaintext only: give no certificate"
+	case refused && refusal.Op == "remote error":
+		return "the node refused your certificate, its log says why"
+	}
+	return "ask another node, by --address"
+}
 
 // Unwrap gives the reason.
 func (un *UnansweredError) Unwrap() error { return un.Reason }
@@ -97,9 +112,21 @@
 	if json.Unmarshal(content, &failure.Failure) != nil || failure.Failure.Error == "" {
 		failure.Failure.Error = http.StatusText(status)
 	}
+	if bytes.Contains(content, []byte("HTTP request to an HTTPS server")) {
+		failure.Failure.Error = "the node takes TLS only: give --authority, --certificate and --key"
+	}
 	return failure
 }
 
+// Changes tells whether a request changes something.
+func Changes(verb Verb) bool {
+	switch verb {
+	case CreatePatch, DrainTarget, SettleAction, ReplaceReplica:
+		return true
+	}
+	return false
+}
+
 // IsInDoubt tells whether a request that failed may have been carried out.
 func IsInDoubt(err error) bool {
 	unanswered := &UnansweredError{}
--- a/internal/adapter/registry/server.go
+++ b/internal/adapter/registry/server.go
@@ -135,6 +135,14 @@
 	return domains, err
 }
 
+// Leases counts the leases that this replica holds.
+func (s *Server) Leases(ctx context.Context) (int, error) {
+	s.Prepare()
+	var count int
+	err := s.loop.do(ctx, func(time.Time) { count = s.Registry.Leases() })
+	return count, err
+}
+
 // Targets lists the live targets of the services.
 func (s *Server) Targets(ctx context.Context, services []request.ServiceName) ([]membership.Record, error) {
 	s.Prepare()
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -220,3 +220,16 @@
 	current, behind := spread.InForce(status, 7)
 	expect.Expect([]int{current, behind}).To(gomega.Equal([]int{1, 2}))
 }
+
+// Its nodes hold their leases at other replicas by then.
+func TestSilentReplicaCountsNoNodeTwice(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	here, lost := &spread.Tracker{}, &spread.Tracker{}
+	lost.Report(start, "a", "norte-1", 7)
+	here.Merge(start, "replica-lost", lost.Summary(start))
+	now := start.Add(spread.DefaultSilence)
+	here.Report(now, "a", "norte-1", 7)
+	expect.Expect(here.Status(now)).To(gomega.Equal([]spread.DomainStatus{
+		{Domain: "norte-1", Nodes: 1, Versions: []spread.VersionCount{{Number: 7, Nodes: 1}}},
+	}))
+}
--- a/internal/core/spread/tracker.go
+++ b/internal/core/spread/tracker.go
@@ -97,13 +97,21 @@
 	return sorted(domains)
 }
 
-// Status joins the nodes of this replica with the summaries of the others.
+// Status joins the nodes of this replica with the summaries of the others. A
+// silent replica tells only of domains that no other one hears: elsewhere its
+// nodes hold their leases at other replicas, and would count twice.
 func (t *Tracker) Status(now time.Time) []DomainStatus {
 	domains := map[request.DomainName]*DomainStatus{}
 	join(domains, t.Summary(now), false)
+	var old []DomainStatus
 	for _, told := range t.replicas {
-		join(domains, told.domains, now.Sub(told.heardAt) >= t.silence())
+		if now.Sub(told.heardAt) >= t.silence() {
+			old = append(old, told.domains...)
+			continue
+		}
+		join(domains, told.domains, false)
 	}
+	join(domains, slices.DeleteFunc(old, func(status DomainStatus) bool { return domains[status.Domain] != nil }), true)
 	return sorted(domains)
 }
 
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -118,7 +118,9 @@
 	list := operator.Replicas{
 		HereDomain: string(se.host.place.Domain),
 		Here:       operator.ReplicaID(formatID(status.ID)),
-		Leader:     operator.ReplicaID(formatID(status.Leader)),
+	}
+	if status.Leader != quorum.None {
+		list.Leader = operator.ReplicaID(formatID(status.Leader))
 	}
 	for _, member := range status.Membership.Members {
 		list.Replicas = append(list.Replicas, operator.ReplicaRow{
@@ -126,6 +128,7 @@
 			Address: member.Address,
 			Domain:  request.DomainName(member.FailureDomain),
 			Role:    roleOf(member, status.Leader),
+			Reached: member.ID == status.ID || se.host.transport.Connected(peer.Address(member.Address)),
 		})
 	}
 	return list, nil
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -61,17 +61,24 @@
 	// What the node needs while it drains ends only after it.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	if err := ho.addReplica(background, &group); err != nil {
+	if err := ho.buildReplica(); err != nil {
 		return err
 	}
+	// The parts end in this order: the replica outlives the node's lease.
 	if err := ho.addSite(ctx, background, &group); err != nil {
 		return err
 	}
+	ho.addReplica(background, &group)
 	if err := ho.addAdmin(&group); err != nil {
 		return err
 	}
-	if ho.site == nil {
-		ho.addPeers(ctx, &group)
+	if ho.seat != nil {
+		if err := ho.addPeers(ctx, background, &group); err != nil {
+			return err
+		}
+	}
+	if ho.files != nil {
+		add(background, &group, ho.watchCertificate)
 	}
 	ho.Logger.Info().Str("node", string(ho.Settings.Node)).Str("domain", string(ho.place.Domain)).Msg("host: started")
 	err := group.Run()
@@ -144,16 +151,27 @@
 	return listener, nil
 }
 
-// addPeers serves the peers of a host without a target.
-func (ho *Host) addPeers(ctx context.Context, group *run.Group) {
-	ctx, cancel := context.WithCancel(ctx)
+// addPeers serves the peers of a host with a replica. Without a target it ends
+// with ctx. Streams that are open go on until background ends, so that the
+// replica can still tell what it has to.
+func (ho *Host) addPeers(ctx, background context.Context, group *run.Group) error {
+	listener, err := listen(ho.Settings.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	if ho.site != nil {
+		ctx = background
+	}
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	group.Add(func() error {
-		listener, err := listen(ho.Settings.Listen.Peers)
-		if err != nil {
-			return err
+		defer stop()
+		err := ho.transport.Serve(background, listener)
+		if ctx.Err() != nil {
+			return nil
 		}
-		return ho.transport.Serve(ctx, listener)
-	}, func(error) { cancel() })
+		return err
+	}, func(error) { _ = listener.Close() })
+	return nil
 }
 
 const (
@@ -171,10 +189,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("POST /v1/{verb}", operator.Handler(ho.operate))
-	if ho.site != nil {
-		mux.Handle("/", ho.site.node.AdminHandler())
-	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	ho.addWatching(mux)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: ho.Logger.Std("admin: ", 0)}
 	if ho.files != nil {
 		listener = tls.NewListener(listener, ho.files.Server(certificate.RoleOperator, certificate.RoleNode))
 	}
--- a/internal/host/operations.go
+++ b/internal/host/operations.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
@@ -13,6 +14,9 @@
 // drainHere is the request of a replica to a node that an operator drains.
 const drainHere = "drain-here"
 
+// answerTime is left to the answer of a request that ends this process.
+const answerTime = 200 * time.Millisecond
+
 // operations makes a function serve as [control.Operations].
 type operations operator.Operate
 
@@ -26,7 +30,7 @@
 func (ho *Host) operateHere(ctx context.Context, verb string, body []byte) (int, []byte) {
 	if verb == drainHere {
 		ho.Logger.Info().Msg("host: an operator drains this node")
-		ho.drain()
+		time.AfterFunc(answerTime, ho.drain)
 		return done()
 	}
 	if ho.seat == nil {
--- a/internal/host/seat.go
+++ b/internal/host/seat.go
@@ -29,8 +29,8 @@
 	keeper    *keeper
 }
 
-// addReplica joins a replica to the run, where the settings name one.
-func (ho *Host) addReplica(ctx context.Context, group *run.Group) error {
+// buildReplica makes a replica, where the settings name one.
+func (ho *Host) buildReplica() error {
 	if !ho.Settings.HoldsReplica() {
 		return nil
 	}
@@ -43,10 +43,17 @@
 	ho.transport.Handlers[peer.KindQuorum] = se.messenger.Serve
 	ho.transport.Handlers[peer.KindRegistry] = se.registry.Handle
 	ho.transport.Handlers[peer.KindControl] = (&control.Server{Ledger: se, Operations: operations(ho.operateHere)}).Serve
-	for _, part := range []func(context.Context) error{se.runReplica, se.registry.Run, se.keeper.run} {
+	return nil
+}
+
+// addReplica joins the replica to the run.
+func (ho *Host) addReplica(ctx context.Context, group *run.Group) {
+	if ho.seat == nil {
+		return
+	}
+	for _, part := range []func(context.Context) error{ho.seat.runReplica, ho.seat.registry.Run, ho.seat.keeper.run} {
 		add(ctx, group, part)
 	}
-	return nil
 }
 
 // add joins a part that ends with its context to the run.
--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -68,7 +68,9 @@
 	if found.Target, err = listen(ho.Settings.Listen.Outbound); err != nil {
 		return found, err
 	}
-	found.Peers, err = listen(ho.Settings.Listen.Peers)
+	if ho.seat == nil {
+		found.Peers, err = listen(ho.Settings.Listen.Peers)
+	}
 	return found, err
 }
 
@@ -164,6 +166,10 @@
 		leaving, stop := context.WithTimeout(context.WithoutCancel(ctx), leaveTime)
 		defer stop()
 		_ = st.client.Leave(leaving)
+		if st.host.seat != nil {
+			// The replica beside it still has to tell the others.
+			time.Sleep(leaveTime)
+		}
 		cancel()
 	})
 	watching, stop := context.WithCancel(ctx)
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"io"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -10,17 +11,23 @@
 func (no *Node) AdminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", no.serveMetrics)
-	mux.HandleFunc("GET /healthz", serveHealth)
+	mux.HandleFunc("GET /healthz", ServeHealth)
 	mux.HandleFunc("GET /readyz", no.serveReady)
 	return mux
 }
 
 func (no *Node) serveMetrics(writer http.ResponseWriter, _ *http.Request) {
-	no.counters.set.WritePrometheus(writer)
+	no.WriteMetrics(writer)
 	metrics.WriteProcessMetrics(writer)
 }
 
-func serveHealth(writer http.ResponseWriter, _ *http.Request) {
+// WriteMetrics writes the node's own metrics.
+func (no *Node) WriteMetrics(page io.Writer) {
+	no.counters.set.WritePrometheus(page)
+}
+
+// ServeHealth says that the process runs.
+func ServeHealth(writer http.ResponseWriter, _ *http.Request) {
 	_, _ = writer.Write([]byte("ok\n"))
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,6 +174,10 @@
 func (no *Node) addPeers(ctx context.Context, group *run.Group, listener net.Listener) {
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error {
+		if listener == nil {
+			<-ctx.Done()
+			return nil
+		}
 		return no.Transport.Serve(ctx, listener)
 	}, func(error) {
 		cancel()
--- a/magnolia/internal/command/certificate/create/create.go
+++ b/magnolia/internal/command/certificate/create/create.go
@@ -8,12 +8,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"io/fs"
 	"os"
 	"path/filepath"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/certificate"
+	"github.com/magnoliawall/magnoliawall/internal/program"
 	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
 )
 
@@ -49,6 +51,9 @@
 
 // Run runs the command.
 func (op *Options) Run(tools *factory.Factory) error {
+	if op.Days < 1 {
+		return program.WithCode(program.ExitUsage, fmt.Errorf("--days %d: give one day or more", op.Days))
+	}
 	now := tools.Now()
 	_, err := os.Stat(filepath.Join(op.Folder, certificate.AuthorityCertificate))
 	if errors.Is(err, fs.ErrNotExist) {
--- a/magnolia/internal/command/factory/factory.go
+++ b/magnolia/internal/command/factory/factory.go
@@ -152,7 +152,11 @@
 }
 
 func newClient(loaded *Settings) (*operator.Client, error) {
-	if loaded.Certificate == "" {
+	given := loaded.Authority + loaded.Certificate + loaded.Key
+	if given != "" && (loaded.Authority == "" || loaded.Certificate == "" || loaded.Key == "") {
+		return nil, program.WithCode(program.ExitUsage, errors.New("give all of --authority, --certificate and --key, or none for plaintext"))
+	}
+	if given == "" {
 		return &operator.Client{Base: "http://" + loaded.Address, HTTP: &http.Client{Timeout: requestTimeout}}, nil
 	}
 	files := &certificate.Files{Authority: loaded.Authority, Certificate: loaded.Certificate, Key: loaded.Key}
--- a/magnolia/internal/command/listing/listing.go
+++ b/magnolia/internal/command/listing/listing.go
@@ -81,7 +81,7 @@
 		return nothing, err
 	}
 	answer, err := operator.Ask[Answer](ctx, client, verb, message)
-	if operator.IsInDoubt(err) {
+	if operator.Changes(verb) && operator.IsInDoubt(err) {
 		err = program.WithCode(program.ExitInDoubt, err)
 	}
 	return answer, err
--- a/magnolia/internal/command/patch/create/create.go
+++ b/magnolia/internal/command/patch/create/create.go
@@ -147,8 +147,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if !json.Valid(content) {
-		return nil, fmt.Errorf("%s is not JSON: an RFC 6902 patch is a list of operations", op.File)
+	var list []json.RawMessage
+	if err := json.Unmarshal(content, &list); err != nil {
+		return nil, fmt.Errorf(`%s is not an RFC 6902 patch: give a list of operations, as in [{"op":"replace","path":"/retry/allowance-per-root","value":3}]; a whole document is no patch`, op.File)
 	}
 	return content, nil
 }
--- a/magnolia/internal/command/replica/list/list.go
+++ b/magnolia/internal/command/replica/list/list.go
@@ -23,6 +23,7 @@
 	{Header: "ID", Cell: func(row operator.ReplicaRow) string { return string(row.ID) }},
 	{Header: "ROLE", Cell: func(row operator.ReplicaRow) string { return row.Role }},
 	{Header: "DOMAIN", Cell: func(row operator.ReplicaRow) string { return string(row.Domain) }},
+	{Header: "REACHED", Cell: func(row operator.ReplicaRow) string { return reached(row) }},
 	{Header: "ADDRESS", Cell: func(row operator.ReplicaRow) string { return row.Address }},
 }
 
@@ -33,8 +34,9 @@
 
 // Help tells of the command at length.
 func (op *Options) Help() string {
-	return `Lists the replicas of the control state. An id belongs to one disk and is never
-used again; a host that lost its disk comes back with a new one.
+	return `Lists the replicas of the control state, and which of them the asked replica
+reaches. An id belongs to one disk and is never used again; a host that lost its
+disk comes back with a new one.
 
 Examples:
   magnolia replica list
@@ -49,3 +51,10 @@
 	}
 	return listing.Show(tools.Streams, op.Flags, answer.Replicas, columns)
 }
+
+func reached(row operator.ReplicaRow) string {
+	if row.Reached {
+		return "yes"
+	}
+	return "no"
+}
--- a/magnolia/internal/command/status/status.go
+++ b/magnolia/internal/command/status/status.go
@@ -41,7 +41,8 @@
 	{Header: "quorum", Cell: func(row operator.Status) string {
 		return word(row.Quorum, "yes", "no: nothing can be changed from here")
 	}},
-	{Header: "leader", Cell: func(row operator.Status) string { return string(row.Leader) }},
+	{Header: "leader", Cell: func(row operator.Status) string { return word(row.Leader != "", string(row.Leader), "none is known") }},
+	{Header: "replicas reached", Cell: func(row operator.Status) string { return fmt.Sprintf("%d of %d", row.Reached, row.Replicas) }},
 	{Header: "actions in doubt", Cell: func(row operator.Status) string { return fmt.Sprint(row.Actions) }},
 }
 
--- a/magnoliad/process_test.go
+++ b/magnoliad/process_test.go
@@ -196,3 +196,61 @@
 		g.Expect(status.Version).To(gomega.BeEquivalentTo(2))
 	}
 }
+
+// TestReplicaWithoutATargetIsWatched looks at the health checks and metrics of
+// a process that only holds a replica.
+func TestReplicaWithoutATargetIsWatched(t *testing.T) {
+	g := gomega.NewWithT(t)
+	si := newSite(t, http.NotFoundHandler())
+	si.change(t, func(fields map[string]any) {
+		delete(fields, "service")
+		delete(fields, "target")
+		listen := fields["listen"].(map[string]any)
+		delete(listen, "callers")
+		delete(listen, "outbound")
+	})
+	si.start(t)
+	g.Expect(si.get(t, "/healthz")).To(gomega.Equal("ok\n"))
+	g.Eventually(func() string { return si.get(t, "/metrics") }).WithTimeout(patience).Should(gomega.And(
+		gomega.ContainSubstring("magnoliawall_replica_version 1\n"),
+		gomega.ContainSubstring("magnoliawall_replica_role{role=\"leader\"} 1\n"),
+		gomega.ContainSubstring("magnoliawall_claims_in_doubt 0\n"),
+		gomega.ContainSubstring("magnoliawall_registry_leases 0\n"),
+	))
+	g.Expect(si.process.Process.Signal(syscall.SIGTERM)).To(gomega.Succeed())
+	g.Eventually(si.exited).WithTimeout(patience).Should(gomega.Receive(gomega.BeNil()))
+}
+
+// change rewrites the settings.
+func (si *site) change(t *testing.T, edit func(map[string]any)) {
+	t.Helper()
+	fields := map[string]any{}
+	text, err := os.ReadFile(si.settings)
+	if err == nil {
+		err = json.Unmarshal(text, &fields)
+	}
+	edit(fields)
+	if err == nil {
+		text, err = json.Marshal(fields)
+	}
+	if err == nil {
+		err = os.WriteFile(si.settings, text, 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (si *site) get(t *testing.T, path string) string {
+	t.Helper()
+	answer, err := http.Get("http://" + si.admin + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	content, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(content)
+}
