Patch a copy of the text in force

Cause: the race detector in the failure tests of internal/host: the library formats a document in place, so each accepted patch rewrote white space in the ledger's own text while others read it; the replicas' texts could have come to differ from their digests. Ruled out: the replica's goroutine alone, since the text is shared with what was published. Change: Patch parses copies; TestPatchLeavesItsTextAsItIs fails without it. Conclusion: a text in force is never written to.

--- a/internal/configuration/parse_test.go
+++ b/internal/configuration/parse_test.go
@@ -126,3 +126,15 @@
 		expect(err).To(gomega.MatchError(gomega.HavePrefix(want)), patch)
 	}
 }
+
+// The library formats a document in place, so that a text in force would change
+// under its readers.
+func TestPatchLeavesItsTextAsItIs(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	text := []byte("{\"retry\":   {\n\n\n  \"allowance-per-root\" :3 /* a */ }  }\n\n")
+	before := string(text)
+	after, err := configuration.Patch(text, []byte(`[{"op":"replace","path":"/retry/allowance-per-root","value":4}]`))
+	expect(err).NotTo(gomega.HaveOccurred())
+	expect(string(after)).To(gomega.ContainSubstring("4"))
+	expect(string(text)).To(gomega.Equal(before))
+}
--- a/internal/configuration/patch.go
+++ b/internal/configuration/patch.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strings"
@@ -33,7 +34,7 @@
 // new text in the standard layout. Comments are kept. The error is a
 // [*PatchError]; the new text is not checked, see [Parse].
 func Patch(text, operations []byte) ([]byte, error) {
-	document, err := hujson.Parse(text)
+	document, err := hujson.Parse(bytes.Clone(text))
 	if err != nil {
 		return nil, &PatchError{Problem: "the document to patch cannot be read: " + err.Error()}
 	}
@@ -51,7 +52,7 @@
 }
 
 func parseOperations(operations []byte) ([]hujson.Value, error) {
-	value, err := hujson.Parse(operations)
+	value, err := hujson.Parse(bytes.Clone(operations))
 	if err != nil {
 		return nil, &PatchError{Problem: err.Error() + "; write an RFC 6902 patch"}
 	}
