Tell the caller the refusal that a failed answer stems from

Change: where a call below was refused and the target answers 502, 503 or 504, its node answers with that refusal; one that another target could have helped becomes overloaded-below or no-target, so that it is not retried at each level. Conclusion: other answers of the target stand as they are.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -85,13 +85,13 @@
 	for used := 0; ; used++ {
 		at := no.try(ctx, og, tried)
 		if at.refusal == nil {
-			og.root.resume(time.Now(), false)
+			og.root.resume(time.Now(), nil)
 			return at
 		}
 		decision := no.mayRetry(og, at.refusal, used)
 		count(no.counters.retries, decision.Reason)
 		if decision.Reason != retry.Allowed || !wait.For(ctx, decision.Backoff) {
-			og.root.resume(time.Now(), true)
+			og.root.resume(time.Now(), at.refusal)
 			return at
 		}
 		tried = append(tried, at.choice.Target.Node)
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -178,6 +178,11 @@
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
+	if refusal := ar.root.refusedBelow(response.StatusCode); refusal != nil {
+		visit.end(admission.Failed)
+		ar.refuse(refusal)
+		return true
+	}
 	header := &peerpb.AnswerHeader{
 		Status:     uint32(response.StatusCode),
 		Headers:    web.EncodeHeaders(response.Header),
--- a/internal/node/roots.go
+++ b/internal/node/roots.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
@@ -23,8 +25,8 @@
 	// belowSince is when the target last began to wait for other services.
 	belowSince time.Time
 	below      time.Duration
-	// refused says that a service below refused a call of this root.
-	refused bool
+	// refused is the last refusal of a call of this root to a service below.
+	refused *web.Refusal
 }
 
 // rootTable holds the roots in flight at one node.
@@ -100,20 +102,59 @@
 	ro.outbound++
 }
 
-func (ro *root) resume(now time.Time, refused bool) {
+func (ro *root) resume(now time.Time, refused *web.Refusal) {
 	ro.lock.Lock()
 	defer ro.lock.Unlock()
 	ro.outbound--
-	ro.refused = ro.refused || refused
+	if refused != nil {
+		ro.refused = refused
+	}
 	if ro.outbound == 0 {
 		ro.below += now.Sub(ro.belowSince)
 	}
 }
 
+// refusedBelow gives the refusal that a failed answer of the target stems from,
+// or nil.
+func (ro *root) refusedBelow(status int) *web.Refusal {
+	ro.lock.Lock()
+	defer ro.lock.Unlock()
+	if ro.refused == nil || !failsForOthers(status) {
+		return nil
+	}
+	told := *ro.refused
+	told.Code = codeFromBelow(told.Code)
+	told.Outcome = request.Unknown
+	told.Claimed = false
+	return &told
+}
+
+// codeFromBelow names a refusal of a service below for the callers above, who
+// cannot help it by another target of their own.
+func codeFromBelow(code request.Code) request.Code {
+	switch {
+	case !request.Describe(code).Elsewhere:
+		return code
+	case code == request.TargetUnreachable, code == request.PeerIncompatible, code == request.NotReady:
+		return request.NoTarget
+	}
+	return request.OverloadedBelow
+}
+
+// failsForOthers tells whether a status is what a target answers when a
+// service that it needs fails it.
+func failsForOthers(status int) bool {
+	switch status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
 // waited gives the time spent waiting below so far, and whether a service
 // below refused.
 func (ro *root) waited() (time.Duration, bool) {
 	ro.lock.Lock()
 	defer ro.lock.Unlock()
-	return ro.below, ro.refused
+	return ro.below, ro.refused != nil
 }
