host: hold a request over a drain and a claim over a partition

Cause: three broken variants survived: a drain that does not wait, a claim that runs elsewhere told as not run, and no quarantine at the sender alone. Change: the drain test holds requests at a target of another host than the entry; the partition test holds one booking in the region that is cut off, and resends on the other side are told unknown while it may run.

--- a/internal/host/leave_test.go
+++ b/internal/host/leave_test.go
@@ -1,6 +1,7 @@
 package host_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -43,32 +44,33 @@
 	t.Parallel()
 	g := gomega.NewWithT(t)
 	si := newSite(t, 1, "norte-a", "norte-a", "norte-a", "norte-b")
-	leaving := si.hosts[1]
-	si.expectReached(leaving)
-	inFlight := make(chan reply, 1)
-	go func() { inFlight <- leaving.call(http.MethodGet, "/technicians/held/day", "") }()
-	runner := si.hosts[0]
-	g.Eventually(func() bool {
-		for _, me := range si.hosts {
-			select {
-			case <-me.target.held:
-				runner = me
-				return true
-			default:
-			}
-		}
-		return false
-	}).WithTimeout(patience).Should(gomega.BeTrue())
+	entry := si.hosts[1]
+	si.expectReached(entry)
+	longer := patch("longer", 1)
+	longer.Operations = json.RawMessage(`[{"op":"replace","path":"/services/agenda/kinds/day/deadline","value":"10m"}]`)
+	g.Expect(entry.outcome(longer).State).To(gomega.Equal(operator.StateAccepted))
+	si.awaitVersion(2)
+	inFlight := make(chan reply, 64)
+	sent := 0
+	runner := entry
+	for ; runner == entry; sent++ {
+		go func() { inFlight <- entry.call(http.MethodGet, "/technicians/held/day", "") }()
+		runner = si.awaitHeld()
+	}
 
 	_, err := ask[operator.Done](si.hosts[3], operator.DrainTarget, operator.NodeQuery{Node: runner.settings.Node})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	_, rest := si.others(runner)
 	g.Eventually(func() bool { return si.avoided(runner, rest) }).WithTimeout(patience).Should(gomega.BeTrue())
 	g.Expect(runner.done).NotTo(gomega.Receive(), "it stays until the request in flight is done")
-	close(runner.target.release)
-	told := <-inFlight
-	g.Expect(told.status).To(gomega.Equal(http.StatusOK), fmt.Sprint(told))
-	g.Expect(told.body).To(gomega.Equal("done "))
+	for _, me := range si.hosts {
+		close(me.target.release)
+	}
+	for range sent {
+		told := <-inFlight
+		g.Expect(told.status).To(gomega.Equal(http.StatusOK), fmt.Sprint(told))
+		g.Expect(told.body).To(gomega.Equal("done "))
+	}
 }
 
 // Callers on all other hosts stop sending to a target that died, and come back
--- a/internal/host/once_test.go
+++ b/internal/host/once_test.go
@@ -18,6 +18,9 @@
 	t.Parallel()
 	g := gomega.NewWithT(t)
 	si := newSite(t, 5, "norte-a", "norte-b", "litoral-a", "litoral-b", "sur-a", "sur-b")
+	running := make(chan reply, 1)
+	go func() { running <- si.in("norte-a").book("held") }()
+	holder := si.awaitHeld()
 	const bookings, before, sends = 36, 9, 3
 	callers := sync.WaitGroup{}
 	closed := make([]bool, bookings)
@@ -45,7 +48,17 @@
 	g.Eventually(func() int { return si.in("sur-b").book("healthy side").status }).WithTimeout(patience).
 		Should(gomega.Equal(http.StatusOK))
 	callers.Wait()
+	if holder.settings.Region == "norte" {
+		g.Eventually(func() request.Code {
+			told := si.in("sur-b").book("held")
+			g.Expect(told.outcome).To(gomega.Equal("unknown"), told.body)
+			return told.code
+		}).WithTimeout(patience).Should(gomega.Equal(request.OutcomeUnknown))
+	}
 	si.network.heal()
+	close(holder.target.release)
+	<-running
+	si.expectOneEnd("held")
 
 	for number := range bookings {
 		key := fmt.Sprint("visit-", number)
--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -253,6 +253,23 @@
 	return outcome
 }
 
+// awaitHeld waits until a target holds a request, and gives its host.
+func (si *site) awaitHeld() *member {
+	si.t.Helper()
+	var holder *member
+	gomega.NewWithT(si.t).Eventually(func() *member {
+		for _, me := range si.hosts {
+			select {
+			case <-me.target.held:
+				holder = me
+			default:
+			}
+		}
+		return holder
+	}).WithTimeout(patience).ShouldNot(gomega.BeNil())
+	return holder
+}
+
 // reply is what a caller was told.
 type reply struct {
 	status  int
--- a/internal/host/target_test.go
+++ b/internal/host/target_test.go
@@ -38,8 +38,8 @@
 	return re.at[ta]
 }
 
-// target is a stand-in of agenda. It holds a request whose path has "held"
-// until released, and goes down with all its connections at one with "poison".
+// target is a stand-in of agenda. It holds a request whose path or key has
+// "held" until released, and goes down with all its connections at one with "poison".
 type target struct {
 	address string
 	record  *record
@@ -104,7 +104,7 @@
 	switch {
 	case strings.Contains(incoming.URL.Path, "poison"):
 		ta.die()
-	case strings.Contains(incoming.URL.Path, "held"):
+	case strings.Contains(incoming.URL.Path+key, "held"):
 		ta.held <- struct{}{}
 		<-ta.release
 	}
