Say what a replica without a log, a frozen one or a wrong certificate needs

Cause: trials on a site of eight processes. A control host that came back without its disk answered operators for the whole site: an empty list of replicas and version 0, so that the lost id could not be looked up as the page says; one with a removed id showed its old list. A frozen replica counted as reached. A host with another host's certificate started and was refused by everyone else only; "no replica is in reach" gave no reason; an error of replica replace came as raw JSON; an action settled by an operator was told as "too large to keep".

--- a/internal/adapter/certificate/files.go
+++ b/internal/adapter/certificate/files.go
@@ -90,6 +90,16 @@
 	return fi.failed
 }
 
+// Fits tells whether the certificate is for the name and role, as its peers
+// will ask.
+func (fi *Files) Fits(name string, role Role) error {
+	leaf := fi.current().pair.Leaf
+	if leaf.Subject.CommonName != name {
+		return fmt.Errorf("certificate %s is for %q, and the settings name %q; give each its own", fi.Certificate, leaf.Subject.CommonName, name)
+	}
+	return checkRole(leaf, []Role{role})
+}
+
 // Expiry gives the end of the certificate in use, after a look at the files.
 func (fi *Files) Expiry() time.Time {
 	return fi.current().pair.Leaf.NotAfter
--- a/internal/adapter/operator/document.go
+++ b/internal/adapter/operator/document.go
@@ -230,7 +230,7 @@
 	Address string             `json:"address"`
 	Domain  request.DomainName `json:"domain"`
 	Role    string             `json:"role"`
-	// Reached says that the asked replica has a connection to it.
+	// Reached says that the asked replica has heard of it lately.
 	Reached bool `json:"reached"`
 }
 
--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -199,7 +199,7 @@
 		lost := c.loop.do(ctx, func(now time.Time) {
 			c.line.opening = false
 			if err != nil {
-				c.failed(now)
+				c.failed(now, err)
 				return
 			}
 			c.attach(ctx, now, link, index)
@@ -211,13 +211,15 @@
 }
 
 // failed goes on to the next replica, and waits once all have been tried.
-func (c *Client) failed(now time.Time) {
+func (c *Client) failed(now time.Time, err error) {
 	if c.line.writer != nil {
 		return
 	}
 	c.line.next++
 	if c.line.next%len(c.Replicas) == 0 {
-		c.log("registry: no replica is in reach, the last lists stay in force")
+		if c.Logger != nil {
+			c.Logger.Warn().Err(err).Msg("registry: no replica is in reach, the last lists stay in force; the error is of the last one tried")
+		}
 		c.line.connectAt = now.Add(c.line.pause.next(c.Random))
 	}
 }
--- a/internal/adapter/registry/server.go
+++ b/internal/adapter/registry/server.go
@@ -135,6 +135,20 @@
 	return domains, err
 }
 
+// Silent lists the other replicas that were not heard of lately.
+func (s *Server) Silent(ctx context.Context) ([]peer.Address, error) {
+	s.Prepare()
+	var silent []peer.Address
+	err := s.loop.do(ctx, func(now time.Time) {
+		for _, other := range s.Others {
+			if !s.Tracker.Heard(now, other.ID) {
+				silent = append(silent, other.Address)
+			}
+		}
+	})
+	return silent, err
+}
+
 // Leases counts the leases that this replica holds.
 func (s *Server) Leases(ctx context.Context) (int, error) {
 	s.Prepare()
--- a/internal/core/spread/tracker.go
+++ b/internal/core/spread/tracker.go
@@ -78,6 +78,12 @@
 	t.replicas[replica] = summary{domains: domains, heardAt: now}
 }
 
+// Heard tells whether another replica was heard of lately.
+func (t *Tracker) Heard(now time.Time, replica request.NodeID) bool {
+	told, known := t.replicas[replica]
+	return known && now.Sub(told.heardAt) < t.silence()
+}
+
 // Summary tells of the nodes that hold their lease here.
 func (t *Tracker) Summary(now time.Time) []DomainStatus {
 	domains := map[request.DomainName]*DomainStatus{}
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/control"
@@ -115,6 +116,10 @@
 	if err != nil {
 		return operator.Replicas{}, err
 	}
+	silent, err := se.registry.Silent(ctx)
+	if err != nil {
+		return operator.Replicas{}, err
+	}
 	list := operator.Replicas{
 		HereDomain: string(se.host.place.Domain),
 		Here:       operator.ReplicaID(formatID(status.ID)),
@@ -128,12 +133,18 @@
 			Address: member.Address,
 			Domain:  request.DomainName(member.FailureDomain),
 			Role:    roleOf(member, status.Leader),
-			Reached: member.ID == status.ID || se.host.transport.Connected(peer.Address(member.Address)),
+			Reached: member.ID == status.ID || se.reaches(peer.Address(member.Address), silent),
 		})
 	}
 	return list, nil
 }
 
+// reaches tells whether another replica answers: one that hangs keeps its
+// connection for a while.
+func (se *seat) reaches(address peer.Address, silent []peer.Address) bool {
+	return se.host.transport.Connected(address) && !slices.Contains(silent, address)
+}
+
 func roleOf(member quorum.Member, leader quorum.ReplicaID) string {
 	switch {
 	case member.ID == leader:
@@ -177,7 +188,7 @@
 
 // newMember asks the host at an address for its replica's id.
 func (se *seat) newMember(ctx context.Context, address peer.Address) (quorum.Member, error) {
-	there, err := operateAt[operator.Replicas](ctx, se, address, operator.ListReplicas, nil)
+	there, err := operateAt[operator.Replicas](ctx, se, address, replicaHere, nil)
 	if err != nil {
 		return quorum.Member{}, fmt.Errorf("ask the new host at %s: %w", address, err)
 	}
@@ -201,7 +212,11 @@
 		return answer, err
 	}
 	if status != http.StatusOK {
-		return answer, errors.New(string(content))
+		failure := operator.Failure{}
+		if json.Unmarshal(content, &failure) != nil || failure.Error == "" {
+			failure.Error = string(content)
+		}
+		return answer, errors.New(failure.Error)
 	}
 	return answer, json.Unmarshal(content, &answer)
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -110,6 +110,9 @@
 	if err := ho.files.Load(); err != nil {
 		return err
 	}
+	if err := ho.files.Fits(string(ho.Settings.Node), certificate.RoleNode); err != nil {
+		return err
+	}
 	ho.transport.ServerTLS = ho.files.Server(certificate.RoleNode)
 	ho.transport.ClientTLS = ho.files.Client(certificate.RoleNode)
 	ho.transport.Identify = identify
--- a/internal/host/operations.go
+++ b/internal/host/operations.go
@@ -14,6 +14,10 @@
 // drainHere is the request of a replica to a node that an operator drains.
 const drainHere = "drain-here"
 
+// replicaHere is the request of a leader for the id of a new replica, which
+// has no log yet.
+const replicaHere = "replica-here"
+
 // answerTime is left to the answer of a request that ends this process.
 const answerTime = 200 * time.Millisecond
 
@@ -36,11 +40,22 @@
 	if ho.seat == nil {
 		return http.StatusServiceUnavailable, []byte(`{"error":"this node holds no replica; ask another one"}`)
 	}
+	if verb == replicaHere {
+		here, err := ho.seat.Replicas(ctx)
+		if err != nil {
+			return http.StatusServiceUnavailable, []byte(`{"error":"the replica does not answer; look at its log"}`)
+		}
+		return encode(here)
+	}
 	return ho.operations(ctx, verb, body)
 }
 
 func done() (int, []byte) {
-	answer, err := json.Marshal(operator.Done{Done: true})
+	return encode(operator.Done{Done: true})
+}
+
+func encode(message any) (int, []byte) {
+	answer, err := json.Marshal(message)
 	if err != nil {
 		return http.StatusInternalServerError, nil
 	}
--- a/internal/host/seat.go
+++ b/internal/host/seat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/oklog/run"
@@ -116,8 +117,22 @@
 	return errors.Join(err, se.folder.Close())
 }
 
-// operations answers operators from this replica.
+// operations answers operators from this replica, once it has a log: one whose
+// disk was lost knows nothing until it takes the place of the lost one.
 func (se *seat) operations() operator.Operate {
 	service := &operator.Service{Ledger: se, Directory: se, Replicas: se, Now: time.Now}
-	return service.Operate
+	return func(ctx context.Context, verb string, body []byte) (int, []byte) {
+		status, err := se.replica.Status(ctx)
+		switch {
+		case err == nil && len(status.Membership.Members) == 0:
+			return http.StatusServiceUnavailable, []byte(noLogYet)
+		case err == nil && status.Removed:
+			return http.StatusServiceUnavailable, []byte(wasRemoved)
+		}
+		return service.Operate(ctx, verb, body)
+	}
 }
+
+const wasRemoved = `{"error":"the id of this replica was removed, it knows nothing of what came after: ask another node, and start this host with an empty data folder"}`
+
+const noLogYet = `{"error":"this replica has no log: if its disk was lost, ask another node and put it in the place of the lost replica by magnolia replica replace; if the site is new, wait until all replicas run"}`
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -144,6 +144,11 @@
 		silent += len(domain.Silent)
 		unreached += int(flag(domain.OutOfReach))
 	}
+	lost, err := se.registry.Silent(ctx)
+	if err != nil {
+		return
+	}
+	gauge(page, "registry_silent_replicas", uint64(len(lost)))
 	gauge(page, "registry_leases", uint64(leases))
 	gauge(page, "registry_silent_nodes", uint64(silent))
 	gauge(page, "registry_domains_out_of_reach", uint64(unreached))
--- a/internal/replica/form.go
+++ b/internal/replica/form.go
@@ -11,6 +11,8 @@
 	ticks    int
 	round    uint64
 	unformed map[string]quorum.Member
+	// waits says that others have a log, and this was logged.
+	waits bool
 }
 
 // formed tells whether this replica holds anything of a log. A vote alone is
@@ -64,7 +66,11 @@
 		replica.sendGreeting(message.GetSenderAddress(), false, greeting.GetRound())
 		return
 	}
-	if replica.formed() || greeting.GetFormed() || greeting.GetRound() != replica.forming.round {
+	if replica.formed() || greeting.GetRound() != replica.forming.round {
+		return
+	}
+	if greeting.GetFormed() {
+		replica.noteOthers(message.GetSenderAddress())
 		return
 	}
 	address := message.GetSenderAddress()
@@ -76,6 +82,14 @@
 	replica.formIfReady()
 }
 
+// noteOthers logs once that this replica waits for an operator or a leader.
+func (replica *Replica[M]) noteOthers(address string) {
+	if !replica.forming.waits {
+		replica.forming.waits = true
+		replica.info("the one at %s has a log and this one has none: if its disk was lost, put it in the place of the lost replica", address)
+	}
+}
+
 func (replica *Replica[M]) formIfReady() {
 	if members, ready := replica.firstMembers(); ready {
 		replica.fail(replica.form(members))
--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -102,7 +102,7 @@
 	{ClaimInDoubt, "claim-in-doubt", http.StatusServiceUnavailable, Unknown, false, true, time.Second, "no quorum answered; this attempt did not start the action, but an earlier one with this key may have"},
 	{ClaimRunning, "claim-running", http.StatusConflict, Unknown, false, true, time.Second, "an earlier attempt with this key still runs; its answer is kept for a resend"},
 	{OutcomeUnknown, "outcome-unknown", http.StatusConflict, Unknown, false, false, 0, "an earlier attempt with this key may have run; it is never run again"},
-	{AnswerNotKept, "answer-not-kept", http.StatusConflict, Ran, false, false, 0, "the action ran once; its answer was too large to keep"},
+	{AnswerNotKept, "answer-not-kept", http.StatusConflict, Ran, false, false, 0, "the action ran once; its answer was not kept"},
 
 	{Internal, "internal", http.StatusInternalServerError, Unknown, false, false, 0, "a fault of the node itself"},
 }
