Count a node that moved to another replica once

Cause: a replica kept a node that had moved on its list, in force for 5 s and silent for an hour; status said 3 of 3 nodes where there were 2, and named a node as silent that was well (seen after a frozen node went on). Change: what another replica's records show as held there is dropped. Figures: the new test fails without the change with target-0 as silent. Conclusion: the silent nodes of status and metrics can be relied on.

--- a/internal/adapter/registry/desk.go
+++ b/internal/adapter/registry/desk.go
@@ -212,6 +212,9 @@
 	for _, message := range reply.GetUpdates() {
 		again = d.registry.ApplyReplica(now, replica, decodeUpdate(message)) || again
 	}
+	if len(reply.GetUpdates()) > 0 {
+		d.tracker.Forget(d.registry.HeldElsewhere)
+	}
 	if beat := reply.GetBeat(); beat != nil {
 		d.tracker.Merge(now, replica, decodeDomains(beat.GetDomains()))
 		d.usage.Merge(now, replica, decodeFlows(beat.GetFlows()))
--- a/internal/adapter/registry/fleet_test.go
+++ b/internal/adapter/registry/fleet_test.go
@@ -248,6 +248,20 @@
 	expect.Expect(status[1].OutOfReach).To(gomega.BeTrue())
 }
 
+func TestNodeThatMovedIsCountedOnce(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	made, targets, _ := smallFleet()
+	made.breakSession(targets[0])
+	made.attach(targets[0], 1)
+	made.pass(spread.DefaultSilence+time.Second, nil)
+	nodes := 0
+	for _, status := range made.replicas[0].desk.tracker.Status(made.now) {
+		nodes += status.Nodes
+		expect.Expect(status.Silent).To(gomega.BeEmpty())
+	}
+	expect.Expect(nodes).To(gomega.Equal(8))
+}
+
 func TestNodesKnowWhatOthersPutOnALink(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	made := newFleet(2)
--- a/internal/core/membership/registry.go
+++ b/internal/core/membership/registry.go
@@ -180,6 +180,12 @@
 	return r.table.list(service).sorted()
 }
 
+// HeldElsewhere tells whether another replica holds the lease of a node.
+func (r *Registry) HeldElsewhere(node request.NodeID) bool {
+	known := r.table.records[node]
+	return known != nil && known.live() && known.Holder != r.Self
+}
+
 // Leases counts the leases that this replica holds.
 func (r *Registry) Leases() int {
 	return len(r.leases)
--- a/internal/core/spread/tracker.go
+++ b/internal/core/spread/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -65,11 +66,16 @@
 	t.nodes[node] = report{domain: domain, number: number, heardAt: now}
 }
 
-// Left forgets a node that stopped as planned or holds its lease elsewhere.
+// Left forgets a node that stopped as planned.
 func (t *Tracker) Left(node request.NodeID) {
 	delete(t.nodes, node)
 }
 
+// Forget drops the nodes that hold their lease elsewhere by now.
+func (t *Tracker) Forget(elsewhere func(request.NodeID) bool) {
+	maps.DeleteFunc(t.nodes, func(node request.NodeID, _ report) bool { return elsewhere(node) })
+}
+
 // Merge notes the summary of another replica.
 func (t *Tracker) Merge(now time.Time, replica request.NodeID, domains []DomainStatus) {
 	if t.replicas == nil {
