--- a/internal/host/operations.go
+++ b/internal/host/operations.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
@@ -13,6 +14,13 @@
 // drainHere is the request of a replica to a node that an operator drains.
 const drainHere = "drain-here"
 
+// replicaHere is the request of a leader for the id of a new replica, which
+// has no log yet.
+const replicaHere = "replica-here"
+
+// answerTime is left to the answer of a request that ends this process.
+const answerTime = 200 * time.Millisecond
+
 // operations makes a function serve as [control.Operations].
 type operations operator.Operate
 
@@ -26,17 +34,28 @@
 func (ho *Host) operateHere(ctx context.Context, verb string, body []byte) (int, []byte) {
 	if verb == drainHere {
 		ho.Logger.Info().Msg("host: an operator drains this node")
-		ho.drain()
+		time.AfterFunc(answerTime, ho.drain)
 		return done()
 	}
 	if ho.seat == nil {
 		return http.StatusServiceUnavailable, []byte(`{"error":"this node holds no replica; ask another one"}`)
 	}
+	if verb == replicaHere {
+		here, err := ho.seat.Replicas(ctx)
+		if err != nil {
+			return http.StatusServiceUnavailable, []byte(`{"error":"the replica does not answer; look at its log"}`)
+		}
+		return encode(here)
+	}
 	return ho.operations(ctx, verb, body)
 }
 
 func done() (int, []byte) {
-	answer, err := json.Marshal(operator.Done{Done: true})
+	return encode(operator.Done{Done: true})
+}
+
+func encode(message any) (int, []byte) {
+	answer, err := json.Marshal(message)
 	if err != nil {
 		return http.StatusInternalServerError, nil
 	}
--- a/internal/host/seat.go
+++ b/internal/host/seat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/oklog/run"
@@ -29,8 +30,8 @@
 	keeper    *keeper
 }
 
-// addReplica joins a replica to the run, where the settings name one.
-func (ho *Host) addReplica(ctx context.Context, group *run.Group) error {
+// buildReplica makes a replica, where the settings name one.
+func (ho *Host) buildReplica() error {
 	if !ho.Settings.HoldsReplica() {
 		return nil
 	}
@@ -43,10 +44,17 @@
 	ho.transport.Handlers[peer.KindQuorum] = se.messenger.Serve
 	ho.transport.Handlers[peer.KindRegistry] = se.registry.Handle
 	ho.transport.Handlers[peer.KindControl] = (&control.Server{Ledger: se, Operations: operations(ho.operateHere)}).Serve
-	for _, part := range []func(context.Context) error{se.runReplica, se.registry.Run, se.keeper.run} {
+	return nil
+}
+
+// addReplica joins the replica to the run.
+func (ho *Host) addReplica(ctx context.Context, group *run.Group) {
+	if ho.seat == nil {
+		return
+	}
+	for _, part := range []func(context.Context) error{ho.seat.runReplica, ho.seat.registry.Run, ho.seat.keeper.run} {
 		add(ctx, group, part)
 	}
-	return nil
 }
 
 // add joins a part that ends with its context to the run.
@@ -109,8 +117,22 @@
 	return errors.Join(err, se.folder.Close())
 }
 
-// operations answers operators from this replica.
+// operations answers operators from this replica, once it has a log: one whose
+// disk was lost knows nothing until it takes the place of the lost one.
 func (se *seat) operations() operator.Operate {
 	service := &operator.Service{Ledger: se, Directory: se, Replicas: se, Now: time.Now}
-	return service.Operate
+	return func(ctx context.Context, verb string, body []byte) (int, []byte) {
+		status, err := se.replica.Status(ctx)
+		switch {
+		case err == nil && len(status.Membership.Members) == 0:
+			return http.StatusServiceUnavailable, []byte(noLogYet)
+		case err == nil && status.Removed:
+			return http.StatusServiceUnavailable, []byte(wasRemoved)
+		}
+		return service.Operate(ctx, verb, body)
+	}
 }
+
+const wasRemoved = `{"error":"the id of this replica was removed, it knows nothing of what came after: ask another node, and start this host with an empty data folder"}`
+
+const noLogYet = `{"error":"this replica has no log: if its disk was lost, ask another node and put it in the place of the lost replica by magnolia replica replace; if the site is new, wait until all replicas run"}`
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -85,13 +85,13 @@
 	for used := 0; ; used++ {
 		at := no.try(ctx, og, tried)
 		if at.refusal == nil {
-			og.root.resume(time.Now(), false)
+			og.root.resume(time.Now(), nil)
 			return at
 		}
 		decision := no.mayRetry(og, at.refusal, used)
 		count(no.counters.retries, decision.Reason)
 		if decision.Reason != retry.Allowed || !wait.For(ctx, decision.Backoff) {
-			og.root.resume(time.Now(), true)
+			og.root.resume(time.Now(), at.refusal)
 			return at
 		}
 		tried = append(tried, at.choice.Target.Node)
@@ -104,13 +104,14 @@
 	og.root.lock.Lock()
 	defer og.root.lock.Unlock()
 	return no.retryPolicy.Decide(time.Now(), retry.Attempt{
-		Rule:     og.kind.Repeat,
-		Retries:  og.retries(),
-		Used:     used,
-		Code:     refusal.Code,
-		Outcome:  refusal.Outcome,
-		BodyLost: og.body.lost(),
-		Deadline: og.work.Deadline,
+		Rule:      og.kind.Repeat,
+		Retries:   og.retries(),
+		Used:      used,
+		Important: og.work.Priority.Importance() >= no.Configuration.Current().Half,
+		Code:      refusal.Code,
+		Outcome:   refusal.Outcome,
+		BodyLost:  og.body.lost(),
+		Deadline:  og.work.Deadline,
 	}, &og.root.account, &og.edge.budget)
 }
 
