Print lines to copy for a mesh that is left up

Change: curl calls, a status, a patch and the metrics; a stand-in target takes a call without a nonce; a mesh that does not come up is taken down. Before: the printed call got 502. After: each printed line was run: 200 twice, status, the patch accepted as version 2, and again refused as stale with what changed. Conclusion: a newcomer can try the mesh by its own lines.

--- a/magnolia-load/internal/command/demo/serve.go
+++ b/magnolia-load/internal/command/demo/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/magnoliawall/magnoliawall/internal/terminal"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/factory"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/mesh"
 )
@@ -15,10 +16,27 @@
 	if err := running.Start(ctx); err != nil {
 		return err
 	}
-	entry := running.Callers()[0].Entry
-	streams.Printf("A checklist, through the whole chain:\n")
-	streams.Printf("  curl -i -H 'Magnoliawall-Service: agenda' http://%s/visits/7/checklist\n", entry)
-	streams.Printf("Ctrl-C stops the mesh.\n")
+	printLines(streams, running.Callers()[0].Entry, running.Admins()[0])
 	<-ctx.Done()
+	streams.Progressf("magnoliawall: stopping the mesh")
 	return running.Stop()
 }
+
+// printLines prints commands that work on the mesh as it stands.
+func printLines(streams *terminal.Streams, entry, admin string) {
+	streams.Printf(`A checklist, through the whole chain of services:
+  curl -i -H 'Magnoliawall-Service: agenda' http://%[1]s/visits/7/checklist
+
+A subsidy request; sent again with its key, it is not run a second time:
+  curl -i -H 'Magnoliawall-Service: subsidios' -H 'Idempotency-Key: request-1' -d 'leak at the meter' http://%[1]s/requests
+
+What is in force, and a patch against version 1:
+  go run ./magnolia status --address %[2]s
+  go run ./magnolia patch create --address %[2]s --operator me --base 1 --note 'longer day view' --set /services/agenda/kinds/day/deadline='"2500ms"'
+
+Counters of a node:
+  curl http://%[2]s/metrics
+
+Ctrl-C stops the mesh.
+`, entry, admin)
+}
--- a/magnolia-load/internal/mesh/mesh.go
+++ b/magnolia-load/internal/mesh/mesh.go
@@ -100,7 +100,10 @@
 	serving, stopNodes := context.WithCancel(context.WithoutCancel(ctx))
 	m.outer = stopNodes
 	m.nodes.Go(func() error { return m.System.Run(serving) })
-	return m.waitReady(ctx)
+	if err := m.waitReady(ctx); err != nil {
+		return errors.Join(err, m.Stop())
+	}
+	return nil
 }
 
 // Stop ends the nodes and then the targets.
--- a/magnolia-load/internal/target/handler.go
+++ b/magnolia-load/internal/target/handler.go
@@ -143,7 +143,7 @@
 }
 
 func (t *Target) reply(writer http.ResponseWriter, call *http.Request, behaviour Behaviour) {
-	body := answer.Encode(call.Header.Get(NonceHeader), behaviour.AnswerSize)
+	body := answer.Encode(nonceOf(call), behaviour.AnswerSize)
 	writer.Header().Set("Content-Type", "text/plain")
 	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = writer.Write(body)
@@ -157,7 +157,7 @@
 		return err
 	}
 	below.Host = string(next.Service)
-	nonce := parent.Header.Get(NonceHeader)
+	nonce := nonceOf(parent)
 	below.Header.Set(NonceHeader, nonce)
 	below.Header.Set(AttemptHeader, parent.Header.Get(AttemptHeader))
 	below.Header.Set(TraceHeader, t.childOf(parent.Header.Get(TraceHeader)))
@@ -182,6 +182,14 @@
 	return answer.Check(body, nonce)
 }
 
+// nonceOf gives the nonce of a call, or a fixed one for a call without.
+func nonceOf(call *http.Request) string {
+	if nonce := call.Header.Get(NonceHeader); nonce != "" {
+		return nonce
+	}
+	return "-"
+}
+
 // childOf keeps the trace id and names a new parent, as a tracing client does.
 func (t *Target) childOf(traceparent string) string {
 	const traceEnd = len("00-") + 32
