--- a/magnolia-load/internal/measure/all.go
+++ b/magnolia-load/internal/measure/all.go
@@ -15,4 +15,6 @@
 	{Name: "patch", About: patchAbout, Runs: usualRuns, Run: runPatch},
 	{Name: "restart", About: restartAbout, Runs: usualRuns, Run: runRestart},
 	{Name: "lease", About: leaseAbout, Runs: longRuns, Run: runLease},
+	{Name: "histories", About: historiesAbout, Runs: longRuns, Run: runHistories},
+	{Name: "slopes", About: slopesAbout, Runs: longRuns, Run: runSlopes},
 }
--- a/magnolia-load/internal/measure/measure_test.go
+++ b/magnolia-load/internal/measure/measure_test.go
@@ -38,3 +38,13 @@
 	expect(number(0)).To(gomega.Equal("0"))
 	expect(number(1364)).To(gomega.Equal("1364"))
 }
+
+func TestFitLineFindsSlopeAndFit(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	exact := fitLine([]point{{Size: 1, Value: 5}, {Size: 2, Value: 7}, {Size: 4, Value: 11}})
+	expect(exact).To(gomega.Equal(line{Slope: 2, Intercept: 3, Fit: 1}))
+	expect(exact.at(10)).To(gomega.Equal(23.0))
+	rough := fitLine([]point{{Size: 1, Value: 1}, {Size: 2, Value: 4}, {Size: 3, Value: 1}})
+	expect(rough.Slope).To(gomega.BeZero())
+	expect(rough.Fit).To(gomega.BeZero())
+}
--- a/magnolia-load/internal/measure/plot.go
+++ b/magnolia-load/internal/measure/plot.go
@@ -68,3 +68,26 @@
 	}
 	return image.Bytes(), nil
 }
+
+// plotSlopes draws the processor time over the number of nodes with its line.
+func plotSlopes(scales []scale) ([]byte, error) {
+	var measured []point
+	var points plotter.XYs
+	for _, found := range scales {
+		measured = append(measured, point{Size: float64(found.nodes), Value: found.processor})
+		points = append(points, plotter.XY{X: float64(found.nodes), Y: found.processor})
+	}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return nil, oops.Wrapf(err, "the points cannot be drawn")
+	}
+	fitted := plotter.NewFunction(fitLine(measured).at)
+	fitted.Color = color.RGBA{G: 100, A: 255}
+	drawing := plot.New()
+	drawing.Title.Text = "Processor time of hosts without load"
+	drawing.X.Label.Text = "hosts in one process"
+	drawing.Y.Label.Text = "% of a core"
+	drawing.X.Min, drawing.Y.Min = 0, 0
+	drawing.Add(scatter, fitted)
+	return svg(drawing)
+}
