Leave a replica that is behind a version in force elsewhere

Cause: a node that restarted with an older version heard of the newer one from nobody: the version that calls carry was not read.

Change: the node notes the newest version among its callers; the client goes on to the next replica when its own has not given that version for 3 s.

The first form of the test did not end, since its clock ran ahead of the servers; the clock now waits for them.

Conclusion: a stale replica holds a node back for seconds and not for as long as it is stale.

--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -25,6 +25,10 @@
 	Problem func(problem string, err error)
 }
 
+// behindTime is how long a replica may lack a version that is in force at a
+// peer.
+const behindTime = 3 * time.Second
+
 // agent answers the messages of a replica for one node.
 type agent struct {
 	self     membership.Announcement
@@ -41,6 +45,8 @@
 	attached bool
 	// coldSince is when the target became what it is.
 	coldSince time.Time
+	// behindSince is since when a peer is known to have a newer version.
+	behindSince time.Time
 	// pending holds reports that were made while no replica was in reach.
 	pending []quarantine.Report
 }
@@ -146,6 +152,16 @@
 	return a.attached && now.After(a.granted)
 }
 
+// outdated says whether the replica has long not given a version that a peer
+// has in force.
+func (a *agent) outdated(now time.Time) bool {
+	if !a.attached || !a.follower.Behind() {
+		a.behindSince = now
+		return false
+	}
+	return now.Sub(a.behindSince) >= behindTime
+}
+
 // receive takes in a message of the replica and gives the answer, if any.
 func (a *agent) receive(now time.Time, reply *pb.Reply) *pb.Request {
 	answer := &pb.Request{}
--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -137,15 +137,11 @@
 	return c.loop.do(ctx, func(time.Time) { c.send(c.agent.report(reports)) })
 }
 
-// Heard notes the version that a peer has in force. A node that is behind asks
-// its replica.
+// Heard notes the version that a peer has in force. A client whose replica
+// does not give it that version for a while goes on to the next replica.
 func (c *Client) Heard(ctx context.Context, number configuration.Version) error {
 	c.loop.prepare()
-	return c.loop.do(ctx, func(now time.Time) {
-		if c.Follower.Heard(number) {
-			c.send(&pb.Request{Renew: c.agent.renewal(now)})
-		}
-	})
+	return c.loop.do(ctx, func(time.Time) { c.Follower.Heard(number) })
 }
 
 // Leave ends the lease of a node that stops as planned.
@@ -165,13 +161,22 @@
 	c.send(c.agent.tick(now))
 	if c.agent.silent(now) {
 		c.log("registry: the replica is silent, trying the next one")
-		c.line.writer.finish()
-		c.detach()
-		c.line.next = c.line.index + 1
+		c.moveOn()
+	}
+	if c.agent.outdated(now) && len(c.Replicas) > 1 {
+		c.log("registry: the replica is behind a version in force elsewhere, trying the next one")
+		c.moveOn()
 	}
 	c.connect(ctx, now)
 }
 
+// moveOn leaves the present replica for the next one.
+func (c *Client) moveOn() {
+	c.line.writer.finish()
+	c.detach()
+	c.line.next = c.line.index + 1
+}
+
 // connect opens a stream when there is none, or to the nearest replica when the
 // present one is another.
 func (c *Client) connect(ctx context.Context, now time.Time) {
--- a/internal/adapter/registry/client_test.go
+++ b/internal/adapter/registry/client_test.go
@@ -71,6 +71,7 @@
 	ctx     context.Context
 	ticks   chan time.Time
 	moved   atomic.Int64
+	home    time.Duration
 	servers map[peer.Address]*Server
 	lock    sync.Mutex
 	down    map[peer.Address]bool
@@ -162,7 +163,7 @@
 		Replicas:     replicas,
 		Open:         s.open(node),
 		Follower:     &spread.Follower{Patch: configuration.Patch},
-		HomeInterval: time.Millisecond,
+		HomeInterval: s.home,
 		Clock:        s.clock, Ticks: s.ticks, Random: rand.New(rand.NewPCG(2, 2)),
 		Events: Events{
 			Targets:       func(_ time.Time, view choice.View) { stub.targets <- view },
@@ -214,6 +215,7 @@
 func TestClientMovesToTheNextReplicaAndComesBack(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	made := newSite(t, "one", "two")
+	made.home = time.Millisecond
 	moving := made.client("a", "one", "two")
 	other := made.client("b", "two")
 	moving.await(lists(2))
@@ -232,10 +234,29 @@
 	waitUntil(made, holder("one"))
 }
 
-// waitUntil moves the clock a little at a time; leases are long against it.
+func TestClientLeavesAReplicaThatIsBehind(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	made := newSite(t, "one", "two")
+	behind := made.client("a", "one", "two")
+	behind.await(lists(1))
+	expect.Expect(made.servers["one"].Publish(made.ctx, version(1))).To(gomega.Succeed())
+	expect.Expect(<-behind.versions).To(gomega.Equal(configuration.Version(1)))
+	for _, number := range []int{1, 2} {
+		expect.Expect(made.servers["two"].Publish(made.ctx, version(number))).To(gomega.Succeed())
+	}
+	expect.Expect(behind.Heard(made.ctx, 2)).To(gomega.Succeed())
+	waitUntil(made, func() bool { return len(behind.versions) > 0 })
+	expect.Expect(<-behind.versions).To(gomega.Equal(configuration.Version(2)))
+}
+
+// waitUntil moves the clock a little at a time, and only as fast as the servers
+// take their turns; leases are long against it.
 func waitUntil(made *site, holds func() bool) {
 	for !holds() {
 		made.moved.Add(int64(time.Millisecond))
+		for _, server := range made.servers {
+			_, _ = server.Status(made.ctx)
+		}
 	}
 }
 
--- a/internal/core/spread/follower.go
+++ b/internal/core/spread/follower.go
@@ -49,10 +49,13 @@
 	return f.text
 }
 
-// Heard notes the version that a peer has in force and says whether this node
-// is behind it.
-func (f *Follower) Heard(number configuration.Version) bool {
+// Heard notes the version that a peer has in force.
+func (f *Follower) Heard(number configuration.Version) {
 	f.heard = max(f.heard, number)
+}
+
+// Behind says whether a newer version than the one in force is known of.
+func (f *Follower) Behind() bool {
 	return f.heard > f.held.Number
 }
 
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -111,7 +111,9 @@
 	cutOff.Apply(start, old)
 	expect.Expect(cutOff.Tick(start.Add(spread.DefaultStartWait - 1)).Changed).To(gomega.BeFalse())
 	expect.Expect(cutOff.Tick(start.Add(spread.DefaultStartWait)).Changed).To(gomega.BeTrue())
-	expect.Expect(cutOff.Heard(5)).To(gomega.BeTrue())
+	expect.Expect(cutOff.Behind()).To(gomega.BeFalse())
+	cutOff.Heard(5)
+	expect.Expect(cutOff.Behind()).To(gomega.BeTrue())
 }
 
 func TestUnusableTextStaysOut(t *testing.T) {
--- a/internal/host/tend.go
+++ b/internal/host/tend.go
@@ -27,6 +27,9 @@
 		_ = st.client.Report(ctx, reports...)
 	}
 	st.guard.Expire(now)
+	if heard := st.node.Heard(); heard > st.host.holder.Current().Version {
+		_ = st.client.Heard(ctx, heard)
+	}
 	if st.down.Load() && answers(string(st.host.Settings.Target)) {
 		st.down.Store(false)
 		_ = st.client.Change(ctx, membership.Cold)
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -61,6 +61,7 @@
 
 func (no *Node) arrive(inbound *peer.Inbound, now time.Time) (*arrival, *web.Refusal) {
 	header := inbound.Header
+	no.hear(configuration.Version(header.GetConfigurationVersion()))
 	ar := &arrival{node: no, inbound: inbound, unspent: retry.Allowance(header.GetAllowance())}
 	if request.ServiceName(header.GetService()) != no.Service {
 		return ar, web.NewRefusal(request.TargetUnreachable, "this node has no target of "+header.GetService())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	once        onceTable
 	runs        sync.WaitGroup
 	calls       atomic.Uint64
+	heard       atomic.Uint64
 }
 
 // Listeners are the sockets of a node; a nil one is not served.
