Let an empty replica tell who it is, and nothing for others

Cause: the earlier made TestSecondHostLostRightAfterARepair of internal/host fail: a replica without a log refused also the question for its own id. A faulty first configuration was recorded as faulty for good, without a line in the log: the site stayed at version 0 whatever was corrected. Change: asked at its own admin port it lists no replicas and its id; over the peer port it answers nothing. The first text is checked before it is proposed. Conclusion: the test of the host stands as it was.

--- a/internal/host/keeper.go
+++ b/internal/host/keeper.go
@@ -149,14 +149,18 @@
 	_, _ = ke.seat.Propose(proposing, ledger.AdvanceCommand{From: age, Elapsed: elapsed}.Encode())
 }
 
-// begin records the first version from its file.
+// begin records the first version from its file. A faulty text is not proposed:
+// its outcome would stand for good.
 func (ke *keeper) begin(ctx context.Context) {
 	text, err := os.ReadFile(ke.seat.host.Settings.Replica.InitialConfiguration)
+	if err == nil {
+		_, err = configuration.Parse(text)
+	}
 	if err == nil {
 		err = ke.propose(ctx, text)
 	}
 	if err != nil {
-		ke.seat.host.Logger.Error().Err(err).Msg("configuration: the first version was not recorded")
+		ke.seat.host.Logger.Error().Err(err).Msg("configuration: the first version was not recorded, correct its file here, it is read again")
 	}
 }
 
--- a/internal/host/operations.go
+++ b/internal/host/operations.go
@@ -47,6 +47,9 @@
 		}
 		return encode(here)
 	}
+	if why := ho.seat.knowsNothing(ctx); why != "" {
+		return http.StatusServiceUnavailable, []byte(why)
+	}
 	return ho.operations(ctx, verb, body)
 }
 
--- a/internal/host/seat.go
+++ b/internal/host/seat.go
@@ -117,22 +117,36 @@
 	return errors.Join(err, se.folder.Close())
 }
 
-// operations answers operators from this replica, once it has a log: one whose
-// disk was lost knows nothing until it takes the place of the lost one.
+// operations answers operators from this replica, if it has a log. Without one
+// it tells only who it is.
 func (se *seat) operations() operator.Operate {
 	service := &operator.Service{Ledger: se, Directory: se, Replicas: se, Now: time.Now}
 	return func(ctx context.Context, verb string, body []byte) (int, []byte) {
-		status, err := se.replica.Status(ctx)
-		switch {
-		case err == nil && len(status.Membership.Members) == 0:
-			return http.StatusServiceUnavailable, []byte(noLogYet)
-		case err == nil && status.Removed:
-			return http.StatusServiceUnavailable, []byte(wasRemoved)
+		why := se.knowsNothing(ctx)
+		if why != "" && operator.Verb(verb) != operator.ListReplicas {
+			return http.StatusServiceUnavailable, []byte(why)
 		}
 		return service.Operate(ctx, verb, body)
 	}
 }
 
-const wasRemoved = `{"error":"the id of this replica was removed, it knows nothing of what came after: ask another node, and start this host with an empty data folder"}`
+// knowsNothing gives the answer of a replica that must not speak for the site,
+// or nothing: one whose disk was lost has no log until it takes the place of
+// the lost one, and one that was removed has an old log.
+func (se *seat) knowsNothing(ctx context.Context) string {
+	status, err := se.replica.Status(ctx)
+	switch {
+	case err != nil:
+		return ""
+	case status.Removed:
+		return wasRemoved
+	case len(status.Membership.Members) == 0:
+		return noLogYet
+	}
+	return ""
+}
 
-const noLogYet = `{"error":"this replica has no log: if its disk was lost, ask another node and put it in the place of the lost replica by magnolia replica replace; if the site is new, wait until all replicas run"}`
+const (
+	wasRemoved = `{"error":"the id of this replica was removed, it knows nothing of what came after: ask another node, and start this host with an empty data folder"}`
+	noLogYet   = `{"error":"this replica has no log: if its disk was lost, ask another node and put it in the place of the lost replica by magnolia replica replace; if the site is new, wait until all replicas run"}`
+)
--- a/magnolia/internal/command/replica/list/list.go
+++ b/magnolia/internal/command/replica/list/list.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
 	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
@@ -49,6 +50,9 @@
 	if err != nil {
 		return err
 	}
+	if len(answer.Replicas) == 0 {
+		return fmt.Errorf("the asked replica %s has no log: ask another node, by --address", answer.Here)
+	}
 	return listing.Show(tools.Streams, op.Flags, answer.Replicas, columns)
 }
 
--- a/magnoliad/process_test.go
+++ b/magnoliad/process_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -90,9 +91,16 @@
 }
 
 func (si *site) start(t *testing.T) {
+	t.Helper()
+	si.launch(t, os.Stderr)
+	gomega.NewWithT(t).Eventually(si.ready).WithTimeout(patience).Should(gomega.Equal(http.StatusOK))
+}
+
+// launch starts the process, and does not wait until it is ready.
+func (si *site) launch(t *testing.T, said io.Writer) {
 	t.Helper()
 	si.process = exec.Command(program, "run", si.settings)
-	si.process.Stderr = os.Stderr
+	si.process.Stderr = said
 	if err := si.process.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -100,7 +108,6 @@
 	process, exited := si.process, si.exited
 	go func() { exited <- process.Wait() }()
 	t.Cleanup(func() { _ = process.Process.Kill() })
-	gomega.NewWithT(t).Eventually(si.ready).WithTimeout(patience).Should(gomega.Equal(http.StatusOK))
 }
 
 // ready gives the status of the readiness check, or zero.
@@ -254,3 +261,40 @@
 	}
 	return string(content)
 }
+
+// TestFaultyFirstConfigurationCanBeCorrected corrects the file of the first
+// version while the site runs.
+func TestFaultyFirstConfigurationCanBeCorrected(t *testing.T) {
+	g := gomega.NewWithT(t)
+	si := newSite(t, http.NotFoundHandler())
+	initial := filepath.Join(filepath.Dir(si.settings), "first.jsonc")
+	text, err := os.ReadFile("../examples/gota-justa.jsonc")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(os.WriteFile(initial, []byte(`{"services": {}}`), 0o600)).To(gomega.Succeed())
+	si.change(t, func(fields map[string]any) {
+		fields["replica"].(map[string]any)["initial-configuration"] = initial
+	})
+	said := &safeBuffer{}
+	si.launch(t, said)
+	g.Eventually(said.text).WithTimeout(patience).Should(gomega.ContainSubstring("the first version was not recorded"))
+	g.Expect(os.WriteFile(initial, text, 0o600)).To(gomega.Succeed())
+	g.Eventually(si.ready).WithTimeout(patience).Should(gomega.Equal(http.StatusOK))
+}
+
+// safeBuffer keeps what a process writes.
+type safeBuffer struct {
+	lock    sync.Mutex
+	content bytes.Buffer
+}
+
+func (sb *safeBuffer) Write(content []byte) (int, error) {
+	sb.lock.Lock()
+	defer sb.lock.Unlock()
+	return sb.content.Write(content)
+}
+
+func (sb *safeBuffer) text() string {
+	sb.lock.Lock()
+	defer sb.lock.Unlock()
+	return sb.content.String()
+}
