--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -41,7 +41,7 @@
 	// Warm starts with all slots open, for a target that has been at work
 	// before its node started.
 	Warm bool
-	// Sojourn is the time in the line that the level aims at, at least a third
+	// Sojourn is the time in the line that the level aims at, at least a fifth
 	// of the target's latency. Zero is 50 ms.
 	Sojourn time.Duration
 	// LongestWait bounds the line to what the target clears in this time, at
--- a/internal/core/admission/levels.go
+++ b/internal/core/admission/levels.go
@@ -8,15 +8,13 @@
 )
 
 const (
-	defaultHold = 500 * time.Millisecond
+	defaultHold = 250 * time.Millisecond
 	// levelSmoothing is the time constant over which the levels of a service's
 	// targets are averaged.
 	levelSmoothing = 10 * time.Millisecond
-	// maxWeight bounds the weight of one answer where answers are rare.
-	maxWeight = 0.5
 	// releaseTime is the time in which an unconfirmed level falls by one
 	// importance.
-	releaseTime = 100 * time.Millisecond
+	releaseTime = 50 * time.Millisecond
 	// highestInterval is the time for which the highest level of all services
 	// is kept.
 	highestInterval = 2 * time.Millisecond
@@ -27,7 +25,7 @@
 // services the highest counts.
 type Levels struct {
 	// Hold is how long a level stands without an answer that confirms it;
-	// then it falls. Zero is half a second.
+	// then it falls. Zero is 250 ms.
 	Hold time.Duration
 
 	rows map[request.KindName]*levelRow
@@ -57,7 +55,7 @@
 		return
 	}
 	current := l.current(heard, now)
-	weight := math.Min(maxWeight, 1-math.Exp(-now.Sub(heard.at).Seconds()/levelSmoothing.Seconds()))
+	weight := 1 - math.Exp(-now.Sub(heard.at).Seconds()/levelSmoothing.Seconds())
 	heard.level = current + weight*(float64(level)-current)
 	heard.at = now
 }
@@ -82,7 +80,10 @@
 		row.highestAt = now
 		row.highest = 0
 		for index := range row.services {
-			row.highest = max(row.highest, l.current(&row.services[index], now))
+			heard := &row.services[index]
+			if heard.level > row.highest {
+				row.highest = max(row.highest, l.current(heard, now))
+			}
 		}
 	}
 	return request.Level(row.highest)
