--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -25,18 +25,28 @@
 	Problem func(problem string, err error)
 }
 
+// behindTime is how long a replica may lack a version that is in force at a
+// peer.
+const behindTime = 3 * time.Second
+
 // agent answers the messages of a replica for one node.
 type agent struct {
 	self     membership.Announcement
 	view     *membership.View
 	follower *spread.Follower
 	events   Events
+	// links is nil where nothing is metered.
+	links *choice.Links
 
 	// granted is the end of the lease by this node's clock.
 	granted  time.Time
 	renewAt  time.Time
 	retryAt  time.Time
 	attached bool
+	// coldSince is when the target became what it is.
+	coldSince time.Time
+	// behindSince is since when a peer is known to have a newer version.
+	behindSince time.Time
 	// pending holds reports that were made while no replica was in reach.
 	pending []quarantine.Report
 }
@@ -53,19 +63,50 @@
 	return &pb.Request{
 		Reports:   encodeReports(reports),
 		Announce:  encodeAnnouncement(a.self),
-		Renew:     a.renewal(),
+		Renew:     a.renewal(now),
 		Subscribe: encodeSubscription(a.view.Subscription()),
 	}
 }
 
-// change announces another state or number of slots.
-func (a *agent) change(state membership.State, slots membership.Slots) *pb.Request {
+// change announces another state. A target that leaves is never announced as
+// anything else again.
+func (a *agent) change(now time.Time, state membership.State) *pb.Request {
+	if a.self.State == membership.Draining || a.self.State == state {
+		return nil
+	}
 	a.self.State = state
+	a.coldSince = now
+	return a.announce()
+}
+
+// resize announces another number of slots.
+func (a *agent) resize(slots membership.Slots) *pb.Request {
+	if a.self.Slots == slots {
+		return nil
+	}
 	a.self.Slots = slots
+	return a.announce()
+}
+
+func (a *agent) announce() *pb.Request {
 	a.self.Sequence++
 	return &pb.Request{Announce: encodeAnnouncement(a.self)}
 }
 
+// warm announces a cold target as ready once it had time to warm up.
+func (a *agent) warm(now time.Time) *pb.Request {
+	if a.self.State != membership.Cold {
+		return nil
+	}
+	if a.coldSince.IsZero() {
+		a.coldSince = now
+	}
+	if now.Sub(a.coldSince) < choice.DefaultWarmTime {
+		return nil
+	}
+	return a.change(now, membership.Ready)
+}
+
 // report gives reports to the replica, or holds them until one is in reach.
 func (a *agent) report(reports []quarantine.Report) *pb.Request {
 	if a.attached {
@@ -79,9 +120,13 @@
 // tick renews the lease. It is called several times a second.
 func (a *agent) tick(now time.Time) *pb.Request {
 	a.enforced(a.follower.Tick(now))
+	warmed := a.warm(now)
 	if !a.attached {
 		return nil
 	}
+	if warmed != nil {
+		return warmed
+	}
 	if !a.retryAt.IsZero() {
 		return a.retry(now)
 	}
@@ -89,7 +134,7 @@
 		return nil
 	}
 	a.renewAt = now.Add(membership.DefaultRenewal)
-	return &pb.Request{Renew: a.renewal()}
+	return &pb.Request{Renew: a.renewal(now)}
 }
 
 // retry registers again once the replica is ready for it.
@@ -107,6 +152,16 @@
 	return a.attached && now.After(a.granted)
 }
 
+// outdated says whether the replica has long not given a version that a peer
+// has in force.
+func (a *agent) outdated(now time.Time) bool {
+	if !a.attached || !a.follower.Behind() {
+		a.behindSince = now
+		return false
+	}
+	return now.Sub(a.behindSince) >= behindTime
+}
+
 // receive takes in a message of the replica and gives the answer, if any.
 func (a *agent) receive(now time.Time, reply *pb.Reply) *pb.Request {
 	answer := &pb.Request{}
@@ -115,6 +170,9 @@
 			a.events.Reports(now, report)
 		}
 	}
+	for _, flow := range decodeFlows(reply.GetOthers()) {
+		a.links.Others(now, flow.To, flow.Rate)
+	}
 	resync := a.updates(now, reply.GetUpdates())
 	if reply.GetLease() != nil {
 		resync = a.lease(now, decodeLease(reply.GetLease()), answer) || resync
@@ -179,7 +237,7 @@
 		answer.Renew = &pb.Renewal{Incarnation: uint64(a.self.Incarnation), Sequence: uint64(a.self.Sequence)}
 		return
 	}
-	answer.Renew = a.renewal()
+	answer.Renew = a.renewal(now)
 }
 
 func (a *agent) enforced(result spread.Result) {
@@ -198,13 +256,14 @@
 	}
 }
 
-func (a *agent) renewal() *pb.Renewal {
+func (a *agent) renewal(now time.Time) *pb.Renewal {
 	held := a.follower.Held()
 	return &pb.Renewal{
 		Incarnation:   uint64(a.self.Incarnation),
 		Sequence:      uint64(a.self.Sequence),
 		Version:       uint64(held.Number),
 		VersionDigest: uint64(held.Digest),
+		Flows:         encodeFlows(a.links.Flows(now, a.self.Place.Region)),
 	}
 }
 
--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -23,7 +23,7 @@
 //		Events:   registry.Events{Targets: chooser.Update},
 //	}
 //	go client.Run(ctx)
-//	client.Change(ctx, membership.Draining, slots)
+//	client.Change(ctx, membership.Draining)
 //	client.Leave(ctx)
 package registry
 
@@ -36,6 +36,7 @@
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	"github.com/magnoliawall/magnoliawall/internal/core/membership"
 	pb "github.com/magnoliawall/magnoliawall/internal/core/membership/membershippb"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
@@ -59,6 +60,8 @@
 	Open     Open
 	Follower *spread.Follower
 	Events   Events
+	// Links meters what the node sends to other regions; nil meters nothing.
+	Links *choice.Links
 	// HomeInterval is how often a node that holds its lease with another replica
 	// tries the nearest one again; it is spread at random by half.
 	HomeInterval time.Duration
@@ -96,7 +99,7 @@
 	if c.HomeInterval == 0 {
 		c.HomeInterval = DefaultHomeInterval
 	}
-	c.agent = agent{self: c.Self, view: &membership.View{Services: c.Services}, follower: c.Follower, events: c.Events}
+	c.agent = agent{self: c.Self, view: &membership.View{Services: c.Services}, follower: c.Follower, events: c.Events, links: c.Links}
 	c.connect(ctx, c.Clock())
 	err := c.loop.run(ctx, c.Clock, ticks, func(now time.Time) { c.tick(ctx, now) })
 	if c.line.writer != nil {
@@ -105,10 +108,17 @@
 	return err
 }
 
-// Change announces another state of the target.
-func (c *Client) Change(ctx context.Context, state membership.State, slots membership.Slots) error {
+// Change announces another state of the target. A cold one is announced as
+// ready by itself after a while; one that leaves stays so.
+func (c *Client) Change(ctx context.Context, state membership.State) error {
 	c.loop.prepare()
-	return c.loop.do(ctx, func(time.Time) { c.send(c.agent.change(state, slots)) })
+	return c.loop.do(ctx, func(now time.Time) { c.send(c.agent.change(now, state)) })
+}
+
+// Resize announces another number of slots.
+func (c *Client) Resize(ctx context.Context, slots membership.Slots) error {
+	c.loop.prepare()
+	return c.loop.do(ctx, func(time.Time) { c.send(c.agent.resize(slots)) })
 }
 
 // Watch replaces the services whose targets the node wants to know.
@@ -127,15 +137,11 @@
 	return c.loop.do(ctx, func(time.Time) { c.send(c.agent.report(reports)) })
 }
 
-// Heard notes the version that a peer has in force. A node that is behind asks
-// its replica.
+// Heard notes the version that a peer has in force. A client whose replica
+// does not give it that version for a while goes on to the next replica.
 func (c *Client) Heard(ctx context.Context, number configuration.Version) error {
 	c.loop.prepare()
-	return c.loop.do(ctx, func(time.Time) {
-		if c.Follower.Heard(number) {
-			c.send(&pb.Request{Renew: c.agent.renewal()})
-		}
-	})
+	return c.loop.do(ctx, func(time.Time) { c.Follower.Heard(number) })
 }
 
 // Leave ends the lease of a node that stops as planned.
@@ -155,13 +161,22 @@
 	c.send(c.agent.tick(now))
 	if c.agent.silent(now) {
 		c.log("registry: the replica is silent, trying the next one")
-		c.line.writer.finish()
-		c.detach()
-		c.line.next = c.line.index + 1
+		c.moveOn()
+	}
+	if c.agent.outdated(now) && len(c.Replicas) > 1 {
+		c.log("registry: the replica is behind a version in force elsewhere, trying the next one")
+		c.moveOn()
 	}
 	c.connect(ctx, now)
 }
 
+// moveOn leaves the present replica for the next one.
+func (c *Client) moveOn() {
+	c.line.writer.finish()
+	c.detach()
+	c.line.next = c.line.index + 1
+}
+
 // connect opens a stream when there is none, or to the nearest replica when the
 // present one is another.
 func (c *Client) connect(ctx context.Context, now time.Time) {
@@ -189,7 +204,7 @@
 		lost := c.loop.do(ctx, func(now time.Time) {
 			c.line.opening = false
 			if err != nil {
-				c.failed(now)
+				c.failed(now, err)
 				return
 			}
 			c.attach(ctx, now, link, index)
@@ -201,13 +216,15 @@
 }
 
 // failed goes on to the next replica, and waits once all have been tried.
-func (c *Client) failed(now time.Time) {
+func (c *Client) failed(now time.Time, err error) {
 	if c.line.writer != nil {
 		return
 	}
 	c.line.next++
 	if c.line.next%len(c.Replicas) == 0 {
-		c.log("registry: no replica is in reach, the last lists stay in force")
+		if c.Logger != nil {
+			c.Logger.Warn().Err(err).Msg("registry: no replica is in reach, the last lists stay in force; the error is of the last one tried")
+		}
 		c.line.connectAt = now.Add(c.line.pause.next(c.Random))
 	}
 }
--- a/internal/adapter/registry/client_test.go
+++ b/internal/adapter/registry/client_test.go
@@ -71,6 +71,7 @@
 	ctx     context.Context
 	ticks   chan time.Time
 	moved   atomic.Int64
+	home    time.Duration
 	servers map[peer.Address]*Server
 	lock    sync.Mutex
 	down    map[peer.Address]bool
@@ -97,7 +98,7 @@
 			Publisher: &spread.Publisher{},
 			Tracker:   &spread.Tracker{},
 			Confirmed: func() bool { return true },
-			Clock:     made.clock, Ticks: made.ticks, Open: made.open("server"),
+			Clock:     made.clock, Ticks: made.ticks, Open: made.open(request.NodeID(address)),
 			Random: rand.New(rand.NewPCG(1, 1)),
 		}
 		for _, other := range addresses {
@@ -128,7 +129,7 @@
 		}
 		near, far := newMemoryLinks()
 		s.links = append(s.links, near)
-		go s.servers[address].Serve(s.ctx, far, node, "norte-1")
+		go s.servers[address].Serve(s.ctx, far, node, domain(0))
 		return near, nil
 	}
 }
@@ -162,7 +163,7 @@
 		Replicas:     replicas,
 		Open:         s.open(node),
 		Follower:     &spread.Follower{Patch: configuration.Patch},
-		HomeInterval: time.Millisecond,
+		HomeInterval: s.home,
 		Clock:        s.clock, Ticks: s.ticks, Random: rand.New(rand.NewPCG(2, 2)),
 		Events: Events{
 			Targets:       func(_ time.Time, view choice.View) { stub.targets <- view },
@@ -199,7 +200,7 @@
 	expect.Expect(made.servers["one"].Publish(made.ctx, version(1))).To(gomega.Succeed())
 	expect.Expect(<-first.versions).To(gomega.Equal(configuration.Version(1)))
 
-	expect.Expect(second.Change(made.ctx, membership.Draining, 5)).To(gomega.Succeed())
+	expect.Expect(second.Change(made.ctx, membership.Draining)).To(gomega.Succeed())
 	first.await(func(view choice.View) bool { return view.Targets[1].State == choice.Draining })
 	expect.Expect(second.Report(made.ctx, quarantine.Report{Event: quarantine.Crashed, Fingerprints: []request.Fingerprint{3}})).To(gomega.Succeed())
 	expect.Expect((<-first.reports).Fingerprints).To(gomega.ConsistOf(request.Fingerprint(3)))
@@ -214,6 +215,7 @@
 func TestClientMovesToTheNextReplicaAndComesBack(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	made := newSite(t, "one", "two")
+	made.home = time.Millisecond
 	moving := made.client("a", "one", "two")
 	other := made.client("b", "two")
 	moving.await(lists(2))
@@ -232,10 +234,29 @@
 	waitUntil(made, holder("one"))
 }
 
-// waitUntil moves the clock a little at a time; leases are long against it.
+func TestClientLeavesAReplicaThatIsBehind(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	made := newSite(t, "one", "two")
+	behind := made.client("a", "one", "two")
+	behind.await(lists(1))
+	expect.Expect(made.servers["one"].Publish(made.ctx, version(1))).To(gomega.Succeed())
+	expect.Expect(<-behind.versions).To(gomega.Equal(configuration.Version(1)))
+	for _, number := range []int{1, 2} {
+		expect.Expect(made.servers["two"].Publish(made.ctx, version(number))).To(gomega.Succeed())
+	}
+	expect.Expect(behind.Heard(made.ctx, 2)).To(gomega.Succeed())
+	waitUntil(made, func() bool { return len(behind.versions) > 0 })
+	expect.Expect(<-behind.versions).To(gomega.Equal(configuration.Version(2)))
+}
+
+// waitUntil moves the clock a little at a time, and only as fast as the servers
+// take their turns; leases are long against it.
 func waitUntil(made *site, holds func() bool) {
 	for !holds() {
 		made.moved.Add(int64(time.Millisecond))
+		for _, server := range made.servers {
+			_, _ = server.Status(made.ctx)
+		}
 	}
 }
 
--- a/internal/adapter/registry/fleet_test.go
+++ b/internal/adapter/registry/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	"github.com/magnoliawall/magnoliawall/internal/core/membership"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
 	"github.com/magnoliawall/magnoliawall/internal/core/spread"
@@ -56,7 +57,7 @@
 	expect := gomega.NewWithT(t)
 	made, targets, callers := smallFleet()
 	expect.Expect(counts(callers)).To(gomega.Equal([]int{6, 6}))
-	made.submit(targets[0], targets[0].agent.change(membership.Draining, 50))
+	made.submit(targets[0], targets[0].agent.change(made.now, membership.Draining))
 	took := made.pass(10*time.Second, func() bool {
 		return !slices.ContainsFunc(callers, func(caller *nodeStub) bool {
 			return !slices.ContainsFunc(caller.agent.view.Records(service), func(record membership.Record) bool {
@@ -67,6 +68,23 @@
 	expect.Expect(took).To(gomega.BeNumerically("<=", 2*time.Second))
 }
 
+func TestColdTargetBecomesReadyAndALeavingOneStaysSo(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	made, targets, callers := smallFleet()
+	state := func() choice.State { return callers[0].lists[service][0].State }
+	made.submit(targets[0], targets[0].agent.change(made.now, membership.Cold))
+	made.pass(time.Second, nil)
+	expect.Expect(state()).To(gomega.Equal(choice.Cold))
+	made.pass(choice.DefaultWarmTime, nil)
+	expect.Expect(state()).To(gomega.Equal(choice.Ready))
+	made.submit(targets[0], targets[0].agent.change(made.now, membership.Draining))
+	made.submit(targets[0], targets[0].agent.change(made.now, membership.Ready))
+	made.submit(targets[0], targets[0].agent.resize(9))
+	made.pass(time.Second, nil)
+	expect.Expect(state()).To(gomega.Equal(choice.Draining))
+	expect.Expect(callers[0].lists[service][0].Slots).To(gomega.Equal(choice.Slots(9)))
+}
+
 func TestDeadTargetIsOutEverywhereInFiveSeconds(t *testing.T) {
 	for name, kill := range map[string]func(*fleet, *nodeStub){
 		"silent":        func(*fleet, *nodeStub) {},
@@ -156,7 +174,7 @@
 	}
 	crash := quarantine.Report{Event: quarantine.Crashed, Crash: quarantine.Crash{Node: "target-0", Domain: "domain-0", Incarnation: 1}, Fingerprints: []request.Fingerprint{7}}
 	made.submit(targets[0], targets[0].agent.report([]quarantine.Report{crash}))
-	made.submit(targets[0], targets[0].agent.change(membership.Down, 50))
+	made.submit(targets[0], targets[0].agent.change(made.now, membership.Down))
 	made.pass(time.Second, nil)
 	for _, caller := range callers {
 		expect.Expect(caller.log).To(gomega.Equal([]string{"report 1", "targets 5"}))
@@ -230,6 +248,42 @@
 	expect.Expect(status[1].OutOfReach).To(gomega.BeTrue())
 }
 
+func TestNodeThatMovedIsCountedOnce(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	made, targets, _ := smallFleet()
+	made.breakSession(targets[0])
+	made.attach(targets[0], 1)
+	made.pass(spread.DefaultSilence+time.Second, nil)
+	nodes := 0
+	for _, status := range made.replicas[0].desk.tracker.Status(made.now) {
+		nodes += status.Nodes
+		expect.Expect(status.Silent).To(gomega.BeEmpty())
+	}
+	expect.Expect(nodes).To(gomega.Equal(8))
+}
+
+func TestNodesKnowWhatOthersPutOnALink(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	made := newFleet(2)
+	var links []*choice.Links
+	for index := range 3 {
+		node := made.addNode(fmt.Sprintf("node-%d", index), service, domain(index%2), nil, index%2)
+		node.agent.links = &choice.Links{Capacity: 1000, SparingShare: 0.5}
+		links = append(links, node.agent.links)
+	}
+	for range 30 {
+		links[0].Count(made.now, "region-9", 30)
+		links[1].Count(made.now, "region-9", 30)
+		made.pass(TickInterval, nil)
+	}
+	expect.Expect(links[2].Full(made.now, "region-9")).To(gomega.BeTrue())
+	expect.Expect(links[0].Full(made.now, "region-9")).To(gomega.BeTrue())
+	_, own := links[0].Used(made.now, "region-9")
+	expect.Expect(float64(own)).To(gomega.BeNumerically("<", 500))
+	made.pass(10*time.Second, nil)
+	expect.Expect(links[2].Full(made.now, "region-9")).To(gomega.BeFalse())
+}
+
 func TestStormIsSpreadOverTime(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	made := newFleet(1)
--- a/internal/adapter/registry/server.go
+++ b/internal/adapter/registry/server.go
@@ -73,8 +73,9 @@
 	defer stop()
 	now := s.Clock()
 	s.Registry.Start(now, membership.Epoch(now.UnixNano()))
-	s.desk = desk{registry: s.Registry, publisher: s.Publisher, tracker: s.Tracker, confirmed: s.Confirmed}
+	s.desk = desk{registry: s.Registry, publisher: s.Publisher, tracker: s.Tracker, confirmed: s.Confirmed, members: map[request.NodeID]bool{}}
 	for _, other := range s.Others {
+		s.desk.members[other.ID] = true
 		s.joins = append(s.joins, &join{replica: other})
 	}
 	defer s.closeAll()
@@ -90,17 +91,17 @@
 // [peer.KindRegistry].
 func (s *Server) Handle(ctx context.Context, stream *peer.Stream) {
 	remote := stream.Remote()
-	s.Serve(ctx, &peerLink{stream: stream}, remote.Node, remote.Place.Domain)
+	s.Serve(ctx, &peerLink{stream: stream}, remote.Node, remote.Place)
 }
 
 // Serve serves one link until it ends.
-func (s *Server) Serve(ctx context.Context, link Link, node request.NodeID, domain request.DomainName) {
+func (s *Server) Serve(ctx context.Context, link Link, node request.NodeID, place request.Place) {
 	s.Prepare()
 	output := newWriter(link)
 	defer output.finish()
 	var opened *session
 	err := s.loop.do(ctx, func(time.Time) {
-		opened = s.desk.open(node, domain, func(reply *pb.Reply) { _ = output.send(reply) })
+		opened = s.desk.open(node, place, func(reply *pb.Reply) { _ = output.send(reply) })
 	})
 	if err != nil {
 		return
@@ -134,6 +135,28 @@
 	return domains, err
 }
 
+// Silent lists the other replicas that were not heard of lately.
+func (s *Server) Silent(ctx context.Context) ([]peer.Address, error) {
+	s.Prepare()
+	var silent []peer.Address
+	err := s.loop.do(ctx, func(now time.Time) {
+		for _, other := range s.Others {
+			if !s.Tracker.Heard(now, other.ID) {
+				silent = append(silent, other.Address)
+			}
+		}
+	})
+	return silent, err
+}
+
+// Leases counts the leases that this replica holds.
+func (s *Server) Leases(ctx context.Context) (int, error) {
+	s.Prepare()
+	var count int
+	err := s.loop.do(ctx, func(time.Time) { count = s.Registry.Leases() })
+	return count, err
+}
+
 // Targets lists the live targets of the services.
 func (s *Server) Targets(ctx context.Context, services []request.ServiceName) ([]membership.Record, error) {
 	s.Prepare()
--- a/internal/configuration/parse_test.go
+++ b/internal/configuration/parse_test.go
@@ -101,3 +101,40 @@
 		expect(ok).To(gomega.BeTrue())
 	}
 }
+
+// Claims are recorded under the name of the kind, so a once kind keeps it.
+func TestChangeKeepsTheNamesOfOnceKinds(t *testing.T) {
+	text := example(t, "gota-justa.jsonc")
+	before, err := configuration.Parse(text)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	for patch, want := range map[string]string{
+		`[{"op": "move", "from": "/services/subsidios/kinds/file", "path": "/services/subsidios/kinds/file-request"}]`: `services.subsidios.kinds.file-request: takes the requests of the once kind "file" under another name`,
+		`[{"op": "move", "from": "/services/subsidios/kinds/status", "path": "/services/subsidios/kinds/state"}]`:      "",
+		`[{"op": "remove", "path": "/services/subsidios/kinds/withdraw"}]`:                                             "",
+		`[{"op": "replace", "path": "/services/subsidios/kinds/file/deadline", "value": "7s"}]`:                        "",
+	} {
+		expect := gomega.NewWithT(t).Expect
+		patched, err := configuration.Patch(text, []byte(patch))
+		expect(err).NotTo(gomega.HaveOccurred())
+		after, err := configuration.Parse(patched)
+		expect(err).NotTo(gomega.HaveOccurred())
+		err = configuration.CheckChange(before, after)
+		if want == "" {
+			expect(err).NotTo(gomega.HaveOccurred(), patch)
+			continue
+		}
+		expect(err).To(gomega.MatchError(gomega.HavePrefix(want)), patch)
+	}
+}
+
+// The library formats a document in place, so that a text in force would change
+// under its readers.
+func TestPatchLeavesItsTextAsItIs(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	text := []byte("{\"retry\":   {\n\n\n  \"allowance-per-root\" :3 /* a */ }  }\n\n")
+	before := string(text)
+	after, err := configuration.Patch(text, []byte(`[{"op":"replace","path":"/retry/allowance-per-root","value":4}]`))
+	expect(err).NotTo(gomega.HaveOccurred())
+	expect(string(after)).To(gomega.ContainSubstring("4"))
+	expect(string(text)).To(gomega.Equal(before))
+}
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -111,7 +111,9 @@
 	cutOff.Apply(start, old)
 	expect.Expect(cutOff.Tick(start.Add(spread.DefaultStartWait - 1)).Changed).To(gomega.BeFalse())
 	expect.Expect(cutOff.Tick(start.Add(spread.DefaultStartWait)).Changed).To(gomega.BeTrue())
-	expect.Expect(cutOff.Heard(5)).To(gomega.BeTrue())
+	expect.Expect(cutOff.Behind()).To(gomega.BeFalse())
+	cutOff.Heard(5)
+	expect.Expect(cutOff.Behind()).To(gomega.BeTrue())
 }
 
 func TestUnusableTextStaysOut(t *testing.T) {
@@ -220,3 +222,16 @@
 	current, behind := spread.InForce(status, 7)
 	expect.Expect([]int{current, behind}).To(gomega.Equal([]int{1, 2}))
 }
+
+// Its nodes hold their leases at other replicas by then.
+func TestSilentReplicaCountsNoNodeTwice(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	here, lost := &spread.Tracker{}, &spread.Tracker{}
+	lost.Report(start, "a", "norte-1", 7)
+	here.Merge(start, "replica-lost", lost.Summary(start))
+	now := start.Add(spread.DefaultSilence)
+	here.Report(now, "a", "norte-1", 7)
+	expect.Expect(here.Status(now)).To(gomega.Equal([]spread.DomainStatus{
+		{Domain: "norte-1", Nodes: 1, Versions: []spread.VersionCount{{Number: 7, Nodes: 1}}},
+	}))
+}
--- a/internal/core/spread/tracker.go
+++ b/internal/core/spread/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -65,11 +66,16 @@
 	t.nodes[node] = report{domain: domain, number: number, heardAt: now}
 }
 
-// Left forgets a node that stopped as planned or holds its lease elsewhere.
+// Left forgets a node that stopped as planned.
 func (t *Tracker) Left(node request.NodeID) {
 	delete(t.nodes, node)
 }
 
+// Forget drops the nodes that hold their lease elsewhere by now.
+func (t *Tracker) Forget(elsewhere func(request.NodeID) bool) {
+	maps.DeleteFunc(t.nodes, func(node request.NodeID, _ report) bool { return elsewhere(node) })
+}
+
 // Merge notes the summary of another replica.
 func (t *Tracker) Merge(now time.Time, replica request.NodeID, domains []DomainStatus) {
 	if t.replicas == nil {
@@ -78,6 +84,12 @@
 	t.replicas[replica] = summary{domains: domains, heardAt: now}
 }
 
+// Heard tells whether another replica was heard of lately.
+func (t *Tracker) Heard(now time.Time, replica request.NodeID) bool {
+	told, known := t.replicas[replica]
+	return known && now.Sub(told.heardAt) < t.silence()
+}
+
 // Summary tells of the nodes that hold their lease here.
 func (t *Tracker) Summary(now time.Time) []DomainStatus {
 	domains := map[request.DomainName]*DomainStatus{}
@@ -97,13 +109,21 @@
 	return sorted(domains)
 }
 
-// Status joins the nodes of this replica with the summaries of the others.
+// Status joins the nodes of this replica with the summaries of the others. A
+// silent replica tells only of domains that no other one hears: elsewhere its
+// nodes hold their leases at other replicas, and would count twice.
 func (t *Tracker) Status(now time.Time) []DomainStatus {
 	domains := map[request.DomainName]*DomainStatus{}
 	join(domains, t.Summary(now), false)
+	var old []DomainStatus
 	for _, told := range t.replicas {
-		join(domains, told.domains, now.Sub(told.heardAt) >= t.silence())
+		if now.Sub(told.heardAt) >= t.silence() {
+			old = append(old, told.domains...)
+			continue
+		}
+		join(domains, told.domains, false)
 	}
+	join(domains, slices.DeleteFunc(old, func(status DomainStatus) bool { return domains[status.Domain] != nil }), true)
 	return sorted(domains)
 }
 
--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -34,6 +34,9 @@
 	guard    *quarantine.Guard
 	client   *registry.Client
 	versions chan configuration.Version
+	// down says that the target died and has not been seen again.
+	down        atomic.Bool
+	connections connections
 }
 
 // addSite joins a host with a target to the run. The node drains when ctx ends;
@@ -65,7 +68,9 @@
 	if found.Target, err = listen(ho.Settings.Listen.Outbound); err != nil {
 		return found, err
 	}
-	found.Peers, err = listen(ho.Settings.Listen.Peers)
+	if ho.seat == nil {
+		found.Peers, err = listen(ho.Settings.Listen.Peers)
+	}
 	return found, err
 }
 
@@ -77,6 +82,7 @@
 		Domain:      ho.place.Domain,
 		Incarnation: quarantine.Incarnation(ho.incarnation),
 	}}
+	st.connections = connections{chooser: st.chooser, transport: ho.transport}
 	st.client = st.newClient()
 	st.node = &node.Node{
 		ID:            ho.Settings.Node,
@@ -109,9 +115,11 @@
 			Address:     string(ho.Settings.Listen.Peers),
 			Place:       ho.place,
 			Service:     ho.Settings.Service,
+			State:       membership.Cold,
 		},
 		Replicas: ho.replicaAddresses(),
 		Open:     registry.OpenPeer(ho.transport),
+		Links:    st.chooser.Links,
 		Follower: &spread.Follower{Patch: ledger.ApplyDelta, Check: checkText},
 		Events: registry.Events{
 			Targets:       func(now time.Time, view choice.View) { st.chooser.Update(now, view) },
@@ -139,6 +147,9 @@
 		return
 	}
 	st.host.Logger.Info().Uint64("version", uint64(number)).Msg("configuration: version in force")
+	if st.host.InForce != nil {
+		st.host.InForce(number)
+	}
 	select {
 	case st.versions <- number:
 	default:
@@ -158,6 +169,10 @@
 		leaving, stop := context.WithTimeout(context.WithoutCancel(ctx), leaveTime)
 		defer stop()
 		_ = st.client.Leave(leaving)
+		if st.host.seat != nil {
+			// The replica beside it still has to tell the others.
+			time.Sleep(leaveTime)
+		}
 		cancel()
 	})
 	watching, stop := context.WithCancel(ctx)
@@ -168,17 +183,16 @@
 }
 
 // follow adapts subscriptions, slots and links to each version in force, and
-// keeps connections to the targets that calls may go to.
+// does what comes up at intervals.
 func (st *site) follow(ctx context.Context) {
-	connector := &connector{transport: st.host.transport, chooser: st.chooser}
-	ticker := time.NewTicker(connectInterval)
+	ticker := time.NewTicker(tendInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-st.versions:
 			st.adapt(ctx)
-		case <-ticker.C:
-			connector.connectAll(ctx, st.connected())
+		case now := <-ticker.C:
+			st.tend(ctx, now)
 		case <-ctx.Done():
 			return
 		}
@@ -189,7 +203,8 @@
 	document := st.host.holder.Current().Document
 	own := document.Services[st.host.Settings.Service]
 	st.chooser.Links.SetCapacity(choice.Rate(document.Links.BytesPerSecond), document.Links.ShareForUnimportant)
-	if err := st.client.Change(ctx, membership.Ready, membership.Slots(own.Slots)); err != nil {
+	st.guard.SetHold(time.Duration(document.Quarantine.Hold))
+	if err := st.client.Resize(ctx, membership.Slots(own.Slots)); err != nil {
 		return
 	}
 	_ = st.client.Watch(ctx, st.services(document))
@@ -208,28 +223,17 @@
 	return names
 }
 
-// connected lists the services to whose targets connections are kept: those
-// that the target calls and those that callers asked for.
-func (st *site) connected() []request.ServiceName {
-	own := st.host.holder.Current().Document.Services[st.host.Settings.Service]
-	names := st.node.Called()
-	for _, name := range own.Calls {
-		if !slices.Contains(names, name) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // announceDrain tells the replica that the target leaves.
 func (st *site) announceDrain() {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	_ = st.client.Change(ctx, membership.Draining, 0)
+	_ = st.client.Change(ctx, membership.Draining)
 }
 
 func (st *site) sendReport(report quarantine.Report) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	_ = st.client.Report(ctx, report)
+	_ = st.client.Change(ctx, membership.Down)
+	st.down.Store(true)
 }
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/internal/wait"
 )
 
 // heldAnswer is the largest answer that is held until all of it is there, so
@@ -84,13 +85,13 @@
 	for used := 0; ; used++ {
 		at := no.try(ctx, og, tried)
 		if at.refusal == nil {
-			og.root.resume(time.Now(), false)
+			og.root.resume(time.Now(), nil)
 			return at
 		}
 		decision := no.mayRetry(og, at.refusal, used)
 		count(no.counters.retries, decision.Reason)
-		if decision.Reason != retry.Allowed || !pause(ctx, decision.Backoff) {
-			og.root.resume(time.Now(), true)
+		if decision.Reason != retry.Allowed || !wait.For(ctx, decision.Backoff) {
+			og.root.resume(time.Now(), at.refusal)
 			return at
 		}
 		tried = append(tried, at.choice.Target.Node)
@@ -134,20 +135,6 @@
 	return og.kind.Retries
 }
 
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // try sends the call to one target and holds a small answer.
 func (no *Node) try(ctx context.Context, og *outgoing, tried []request.NodeID) *attempt {
 	at := &attempt{started: time.Now()}
@@ -309,7 +296,7 @@
 	if at.refusal != nil {
 		answer.Result = choice.ResultOf(at.refusal.Code)
 	}
-	if at.refusal != nil && ctx.Err() != nil {
+	if at.refusal != nil && errors.Is(ctx.Err(), context.Canceled) {
 		answer.Result = choice.Neutral
 	}
 	if at.exchange != nil {
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -61,11 +61,16 @@
 
 func (no *Node) arrive(inbound *peer.Inbound, now time.Time) (*arrival, *web.Refusal) {
 	header := inbound.Header
+	no.hear(configuration.Version(header.GetConfigurationVersion()))
 	ar := &arrival{node: no, inbound: inbound, unspent: retry.Allowance(header.GetAllowance())}
 	if request.ServiceName(header.GetService()) != no.Service {
 		return ar, web.NewRefusal(request.TargetUnreachable, "this node has no target of "+header.GetService())
 	}
-	kind, ok := no.Configuration.Current().Matcher.Kind(request.KindName(header.GetKind()))
+	current := no.Configuration.Current()
+	if current.Version == 0 {
+		return ar, web.NewRefusal(request.NotReady, "")
+	}
+	kind, ok := current.Matcher.Kind(request.KindName(header.GetKind()))
 	if !ok {
 		return ar, web.NewRefusal(request.UnknownKind, header.GetKind())
 	}
@@ -178,6 +183,11 @@
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
+	if refusal := ar.root.refusedBelow(response.StatusCode); refusal != nil {
+		visit.end(admission.Failed)
+		ar.refuse(refusal)
+		return true
+	}
 	header := &peerpb.AnswerHeader{
 		Status:     uint32(response.StatusCode),
 		Headers:    web.EncodeHeaders(response.Header),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	once        onceTable
 	runs        sync.WaitGroup
 	calls       atomic.Uint64
+	heard       atomic.Uint64
 }
 
 // Listeners are the sockets of a node; a nil one is not served.
@@ -122,7 +123,8 @@
 	return no.Configuration.Current().Document.Services[no.Service].Slots
 }
 
-// Run serves until the context ends, then drains: no call in flight is cut.
+// Run serves until the context ends, then drains: no call in flight is cut. The
+// transport stays open; its owner closes it.
 func (no *Node) Run(ctx context.Context, listeners Listeners) error {
 	no.Prepare()
 	group := run.Group{}
@@ -173,10 +175,13 @@
 func (no *Node) addPeers(ctx context.Context, group *run.Group, listener net.Listener) {
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error {
+		if listener == nil {
+			<-ctx.Done()
+			return nil
+		}
 		return no.Transport.Serve(ctx, listener)
 	}, func(error) {
 		cancel()
-		_ = no.Transport.Close()
 		no.Target.Close()
 	})
 }
--- a/magnolia-load/internal/command/measure/measure.go
+++ b/magnolia-load/internal/command/measure/measure.go
@@ -2,9 +2,8 @@
 //
 // # Usage
 //
-//	command := measure.New(tools)
-//	command.Name = "overload"
-//	err := command.Run(ctx)
+//	command := &measure.Options{Name: "overload", Seed: 1}
+//	err := command.Run(ctx, tools)
 package measure
 
 import (
@@ -13,6 +12,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/magnoliawall/magnoliawall/internal/program"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/factory"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/measure"
 )
@@ -21,14 +21,11 @@
 type Options struct {
 	Name   string `arg:"" help:"Name of the measurement."`
 	Seed   uint64 `default:"1" help:"Seed of the first run; each further run adds one."`
-	Runs   int    `default:"5" help:"Number of runs."`
+	Runs   int    `help:"Number of runs; five, or two for the longer measurements." placeholder:"NUMBER"`
 	Write  bool   `help:"Keep the page and plots in the folder."`
 	Folder string `default:"docs/measurements" help:"Folder of the pages."`
 }
 
-// New gives the command.
-func New() *Options { return &Options{} }
-
 // Help tells of the command at length.
 func (o *Options) Help() string {
 	return `Runs a measurement several times and ends with a line for each figure, the
@@ -46,10 +43,10 @@
 func (o *Options) Run(ctx context.Context, tools *factory.Factory) error {
 	found, ok := measure.Find(o.Name)
 	if !ok {
-		return oops.Errorf("no measurement is named %q; choose from: %s", o.Name, strings.Join(measure.Names(), ", "))
+		return program.WithCode(program.ExitUsage, oops.Errorf("no measurement is named %q; choose from: %s", o.Name, strings.Join(measure.Names(), ", ")))
 	}
-	if o.Runs < 1 {
-		return oops.Errorf("--runs must be at least 1")
+	if o.Runs < 0 {
+		return program.WithCode(program.ExitUsage, oops.Errorf("--runs must not be negative"))
 	}
 	report, err := measure.Repeat(ctx, found, measure.Setting{
 		Seed:     o.Seed,
--- /dev/null
+++ b/magnolia-load/internal/mesh/patch.go
@@ -0,0 +1,84 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/samber/oops"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// Patch sets the deadline of a kind, as an operator does, and waits until the
+// new version is in force on all nodes.
+func (m *Magnolia) Patch(ctx context.Context, kind request.KindName, deadline time.Duration) (PatchTimes, error) {
+	status, err := operator.Ask[operator.Status](ctx, m.operator(), operator.ViewStatus, nil)
+	if err != nil {
+		return PatchTimes{}, oops.Wrapf(err, "the version in force is not known")
+	}
+	begin := time.Now()
+	version, err := m.PatchOn(ctx, status.Version, kind, deadline)
+	if err != nil {
+		return PatchTimes{}, err
+	}
+	times := PatchTimes{Commit: time.Since(begin)}
+	if err := m.WaitInForce(ctx, version); err != nil {
+		return times, err
+	}
+	times.InForce = time.Since(begin)
+	return times, nil
+}
+
+// PatchOn sends the patch of a deadline on a version and gives the new one.
+func (m *Magnolia) PatchOn(ctx context.Context, base configuration.Version, kind request.KindName, deadline time.Duration) (configuration.Version, error) {
+	operations := fmt.Sprintf(`[{"op": "replace", "path": %q, "value": %q}]`, deadlinePath(kind), deadline)
+	outcome, err := operator.Ask[operator.PatchOutcome](ctx, m.operator(), operator.CreatePatch, operator.Patch{
+		ID:         uuid.NewString(),
+		Base:       base,
+		Operator:   "magnolia-load",
+		Note:       "set a deadline",
+		Operations: json.RawMessage(operations),
+	})
+	if err != nil {
+		return 0, oops.Wrapf(err, "the patch was not answered")
+	}
+	if outcome.State != operator.StateAccepted {
+		return 0, oops.Errorf("the patch was refused: %s %v", outcome.State, outcome.Faults)
+	}
+	return outcome.Version, nil
+}
+
+// operator gives a client of the last host's port, which holds no replica in a
+// large mesh.
+func (m *Magnolia) operator() *operator.Client {
+	asked := m.settings[len(m.settings)-1]
+	return &operator.Client{Base: "http://" + string(asked.Listen.Admin), HTTP: http.DefaultClient}
+}
+
+// WaitInForce waits until all nodes have at least a version in force.
+func (m *Magnolia) WaitInForce(ctx context.Context, version configuration.Version) error {
+	for {
+		oldest, changed := m.oldest()
+		if oldest >= version {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return oops.Wrapf(ctx.Err(), "version %d is not in force everywhere; the oldest is %d", version, oldest)
+		}
+	}
+}
+
+// deadlinePath gives the JSON pointer to the deadline of a kind.
+func deadlinePath(kind request.KindName) string {
+	service, short, _ := strings.Cut(string(kind), "/")
+	return fmt.Sprintf("/services/%s/kinds/%s/deadline", service, short)
+}
