Tell the gate when the target itself sheds load

Cause: the limit falls when a target turns calls away, but the node reported a 503 or 429 of the target as any other failure. Change: they count as shed, unless a service below refused. Conclusion: a target that sheds lowers its own limit.

--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -202,8 +202,12 @@
 	return err == nil
 }
 
+// resultOf tells a target that sheds load by itself from one that fails.
 func resultOf(response *http.Response) admission.Result {
-	if response.StatusCode >= http.StatusInternalServerError {
+	switch {
+	case response.StatusCode == http.StatusTooManyRequests, response.StatusCode == http.StatusServiceUnavailable:
+		return admission.Shed
+	case response.StatusCode >= http.StatusInternalServerError:
 		return admission.Failed
 	}
 	return admission.Succeeded
@@ -231,7 +235,7 @@
 	vi.ended = true
 	now := time.Now()
 	below, refused := vi.root.waited()
-	if result == admission.Failed && refused {
+	if result != admission.Succeeded && refused {
 		result = admission.RefusedBelow
 	}
 	vi.arrival.node.traffic.finish(now, vi.arrival.work.Call, admission.Sample{
