Measure retries on a chain that is up, and end a load soon after its plan

Cause: without waiting, the calls of retries met nodes that were not ready, so its figure was 0 calls a root whatever the nodes did. Change: retries waits until a call has come down to the deepest service; a load ends two seconds after its plan; an error of a stopping mesh is shown beside the one before.

--- a/magnolia-load/internal/experiment/experiment.go
+++ b/magnolia-load/internal/experiment/experiment.go
@@ -36,6 +36,7 @@
 	patchedKind      = "agenda/day"
 	patchedDeadline  = 1900 * time.Millisecond
 	callerAttempts   = 3
+	lastAnswers      = 2 * time.Second
 )
 
 // Load is the course of the load.
@@ -115,7 +116,9 @@
 	}
 	watching, stop := context.WithCancel(ctx)
 	go t.watch(watching, runner)
-	outcome.Samples = runner.Run(ctx)
+	sending, end := context.WithTimeout(ctx, plan.Length()+lastAnswers)
+	outcome.Samples = runner.Run(sending)
+	end()
 	stop()
 	if t.Patch && ctx.Err() == nil {
 		<-patched
--- a/magnolia-load/internal/measure/patch.go
+++ b/magnolia-load/internal/measure/patch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/link"
@@ -31,9 +32,7 @@
 		return nil, err
 	}
 	longest, err := longestPatch(ctx, system)
-	if stopped := running.Stop(); err == nil {
-		err = stopped
-	}
+	err = errors.Join(err, running.Stop())
 	return []Figure{
 		{Name: "in-force", Unit: "s", Target: "1", Value: longest.InForce.Seconds()},
 		{Name: "commit", Unit: "s", Value: longest.Commit.Seconds()},
--- a/magnolia-load/internal/measure/restart.go
+++ b/magnolia-load/internal/measure/restart.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
@@ -21,9 +22,7 @@
 		return nil, err
 	}
 	took, accepted, err := patchAndRestart(ctx, system)
-	if stopped := running.Stop(); err == nil {
-		err = stopped
-	}
+	err = errors.Join(err, running.Stop())
 	return []Figure{
 		{Name: "time", Unit: "s", Target: "2", Value: took.Seconds()},
 		{Name: "accepted", Unit: "patches/s", Value: accepted},
--- a/magnolia-load/internal/measure/retries.go
+++ b/magnolia-load/internal/measure/retries.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
 
+	"github.com/samber/oops"
+
 	"github.com/magnoliawall/magnoliawall/internal/request"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/load"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/mesh"
@@ -18,6 +21,7 @@
 	retriesRoots     = 2
 	retriesAllowance = 3
 	retriesPatience  = 10 * time.Second
+	retriesPause     = 50 * time.Millisecond
 )
 
 func runRetries(ctx context.Context, run Run) ([]Figure, error) {
@@ -49,18 +53,44 @@
 	if err := running.Start(ctx); err != nil {
 		return 0, err
 	}
+	if err := waitChain(ctx, running, depth); err != nil {
+		return 0, errors.Join(err, running.Stop())
+	}
 	entry := running.Callers()[0]
 	for number := range retriesRoots {
-		kind := load.Kind{Service: chainService(1), Method: "GET", Path: fmt.Sprintf("/things/%d", number), Patience: retriesPatience}
-		entry.Send(ctx, kind, "", target.AttemptName(fmt.Sprintf("root-%d", number)))
+		entry.Send(ctx, chainKind(number), "", chainRoot(number))
 	}
 	most := 0
-	for _, calls := range running.Records.Calls() {
-		most = max(most, calls)
+	calls := running.Records.Calls()
+	for number := range retriesRoots {
+		most = max(most, calls[chainRoot(number)])
 	}
 	return most, running.Stop()
 }
 
+// waitChain sends calls until one has come down to the deepest service, which
+// answers nothing.
+func waitChain(ctx context.Context, running *mesh.Mesh, depth int) error {
+	ctx, cancel := context.WithTimeout(ctx, retriesPatience)
+	defer cancel()
+	for number := retriesRoots; ctx.Err() == nil; number++ {
+		running.Callers()[0].Send(ctx, chainKind(number), "", chainRoot(number))
+		if running.Records.Calls()[chainRoot(number)] >= depth {
+			return nil
+		}
+		time.Sleep(retriesPause)
+	}
+	return oops.Errorf("no call came down to the service at depth %d", depth)
+}
+
+func chainKind(number int) load.Kind {
+	return load.Kind{Service: chainService(1), Method: "GET", Path: fmt.Sprintf("/things/%d", number), Patience: retriesPatience}
+}
+
+func chainRoot(number int) target.AttemptName {
+	return target.AttemptName(fmt.Sprintf("root-%d", number))
+}
+
 // chainDesign is a chain of services with two instances each, whose last one
 // answers nothing. It has no kind that must be answered before the start.
 func chainDesign(depth int) mesh.Design {
--- a/magnolia-load/internal/measure/slopes.go
+++ b/magnolia-load/internal/measure/slopes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"runtime"
 	"time"
@@ -94,9 +95,7 @@
 	}
 	err := found.fill(ctx, system)
 	found.memory = heapInUse() - empty
-	if stopped := running.Stop(); err == nil {
-		err = stopped
-	}
+	err = errors.Join(err, running.Stop())
 	return found, err
 }
 
