--- a/magnolia-load/internal/measure/all.go
+++ b/magnolia-load/internal/measure/all.go
@@ -11,7 +11,7 @@
 	{Name: "added-time", About: addedAbout, Runs: usualRuns, Run: runAdded},
 	{Name: "overload", About: overloadAbout, Runs: usualRuns, Run: runOverload},
 	{Name: "recovery", About: recoveryAbout, Runs: usualRuns, Run: runRecovery},
-	{Name: "retries", About: retriesAbout, Runs: usualRuns, Run: runRetries},
+	{Name: "retries", About: retriesAbout, Runs: longRuns, Run: runRetries},
 	{Name: "patch", About: patchAbout, Runs: usualRuns, Run: runPatch},
 	{Name: "restart", About: restartAbout, Runs: usualRuns, Run: runRestart},
 	{Name: "lease", About: leaseAbout, Runs: longRuns, Run: runLease},
