Hold a level from the time its target was at it

Cause: after the overload each node on the way held a level for 250 ms anew, so the entries of a chain of four let go last. Ruled out: the claims (their kinds were back at once) and the retries (none allowed). Change: an answer carries the age of its level, and the hold counts from there.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -124,6 +124,15 @@
 	return max(g.level, below)
 }
 
+// Report is the level that travels back on answers, with its age.
+func (g *Gate) Report(rootKind request.KindName, now time.Time) LevelNotice {
+	level := g.Level(rootKind, now)
+	if level <= g.level {
+		return LevelNotice{Level: level}
+	}
+	return LevelNotice{Level: level, Age: max(0, now.Sub(g.Below.setAt(rootKind)))}
+}
+
 // Limit is the number of calls that the target is given at once.
 func (g *Gate) Limit() int {
 	return g.limiter.places()
--- a/internal/core/admission/levels.go
+++ b/internal/core/admission/levels.go
@@ -40,30 +40,49 @@
 // levelRow holds the levels of all services for one root kind.
 type levelRow struct {
 	services []*heardLevel
-	// highest is of all services at highestAt.
-	highest   float64
-	highestAt time.Time
+	// highest is of all services at highestAt; its own target set it at
+	// highestSetAt.
+	highest      float64
+	highestAt    time.Time
+	highestSetAt time.Time
 }
 
 type heardLevel struct {
-	level float64
-	at    time.Time
+	level   float64
+	heardAt time.Time
+	// setAt is when the target that the level comes from was at it.
+	setAt time.Time
 }
 
-// Learn takes the level on an answer of a service.
+// LevelNotice is a level on its way back from the target that set it.
+type LevelNotice struct {
+	Level request.Level
+	// Age is the time since its target was at that level.
+	Age time.Duration
+}
+
+// Learn takes the level on an answer of a service that is itself at the level.
 func (l *Levels) Learn(service request.ServiceName, rootKind request.KindName, level request.Level, now time.Time) {
+	l.Hear(service, rootKind, LevelNotice{Level: level}, now)
+}
+
+// Hear takes the level on an answer of a service. It is held from the time at
+// which its target was at it, so that it does not stand longer the more
+// services it passes.
+func (l *Levels) Hear(service request.ServiceName, rootKind request.KindName, notice LevelNotice, now time.Time) {
+	setAt := now.Add(-notice.Age)
 	heard := l.heard[levelKey{service, rootKind}]
 	if heard == nil {
-		if level == 0 {
-			return
+		if notice.Level > 0 {
+			l.add(levelKey{service, rootKind}, &heardLevel{level: float64(notice.Level), heardAt: now, setAt: setAt})
 		}
-		l.add(levelKey{service, rootKind}, &heardLevel{level: float64(level), at: now})
 		return
 	}
 	current := l.current(heard, now)
-	weight := 1 - math.Exp(-now.Sub(heard.at).Seconds()/levelSmoothing.Seconds())
-	heard.level = current + weight*(float64(level)-current)
-	heard.at = now
+	weight := 1 - math.Exp(-now.Sub(heard.heardAt).Seconds()/levelSmoothing.Seconds())
+	heard.level = current + weight*(float64(notice.Level)-current)
+	heard.heardAt = now
+	heard.setAt = setAt
 }
 
 // Of gives the level of one service for a root kind.
@@ -86,14 +105,23 @@
 		row.highestAt = now
 		row.highest = 0
 		for _, heard := range row.services {
-			if heard.level > row.highest {
-				row.highest = max(row.highest, l.current(heard, now))
+			if heard.level <= row.highest {
+				continue
+			}
+			if level := l.current(heard, now); level > row.highest {
+				row.highest, row.highestSetAt = level, heard.setAt
 			}
 		}
 	}
 	return request.Level(row.highest)
 }
 
+// setAt is when the target that the highest level comes from was at it, as of
+// the last call of Below.
+func (l *Levels) setAt(rootKind request.KindName) time.Time {
+	return l.rows[rootKind].highestSetAt
+}
+
 // Refuses tells whether a call that is about to be sent to a service would be
 // refused there or further down.
 func (l *Levels) Refuses(service request.ServiceName, work request.Work, now time.Time) bool {
@@ -116,7 +144,7 @@
 	if hold == 0 {
 		hold = defaultHold
 	}
-	unconfirmed := now.Sub(heard.at) - hold
+	unconfirmed := now.Sub(heard.setAt) - hold
 	if unconfirmed <= 0 {
 		return heard.level
 	}
@@ -135,5 +163,7 @@
 	}
 	l.heard[key] = heard
 	row.services = append(row.services, heard)
-	row.highest = max(row.highest, heard.level)
+	if heard.level > row.highest {
+		row.highest, row.highestSetAt = heard.level, heard.setAt
+	}
 }
--- a/internal/core/admission/levels_test.go
+++ b/internal/core/admission/levels_test.go
@@ -40,3 +40,23 @@
 	expect.Expect(levels.Below("agenda/checklist", now)).To(gomega.BeNumerically("~", 150, 10))
 	expect.Expect(levels.Below("agenda/visit", now)).To(gomega.BeZero())
 }
+
+// Each hop tells how old the level is: after the target has gone silent the
+// level falls everywhere at the same time, however many services it passed.
+func TestLevelStandsNoLongerForPassingMoreServices(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	const hops, hopTime, level = 5, 40 * time.Millisecond, 100
+	notice := admission.LevelNotice{Level: level}
+	now := epoch
+	for range hops {
+		gate := &admission.Gate{Slots: 1, Below: &admission.Levels{}}
+		gate.Below.Hear("next", "agenda/checklist", notice, now)
+		now = now.Add(hopTime)
+		notice = gate.Report("agenda/checklist", now)
+	}
+	expect.Expect(notice.Age).To(gomega.Equal(hops * hopTime))
+	last := &admission.Levels{}
+	last.Hear("next", "agenda/checklist", notice, now)
+	expect.Expect(last.Below("agenda/checklist", now)).NotTo(gomega.BeZero())
+	expect.Expect(last.Below("agenda/checklist", epoch.Add(300*time.Millisecond))).To(gomega.BeZero())
+}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -286,7 +286,10 @@
 	og.root.lock.Lock()
 	og.root.account.Return(at.share, retry.Allowance(report.GetUnspent()))
 	og.root.lock.Unlock()
-	no.traffic.learn(time.Now(), og, request.Level(report.GetLevel()))
+	no.traffic.learn(time.Now(), og, admission.LevelNotice{
+		Level: request.Level(report.GetLevel()),
+		Age:   time.Duration(report.GetLevelAgeUs()) * time.Microsecond,
+	})
 }
 
 // judge tells the chooser what the answer says of its target.
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -102,10 +102,11 @@
 	ar.leave()
 	current := ar.node.traffic.gauge(time.Now(), ar.work.RootKind)
 	return &peerpb.Report{
-		Level:    uint32(current.level),
-		Load:     uint32((current.running + current.waiting) * loadUnit / max(current.limit, 1)),
-		Unspent:  uint32(ar.unspent),
-		Draining: ar.node.draining(),
+		Level:      uint32(current.level.Level),
+		LevelAgeUs: current.level.Age.Microseconds(),
+		Load:       uint32((current.running + current.waiting) * loadUnit / max(current.limit, 1)),
+		Unspent:    uint32(ar.unspent),
+		Draining:   ar.node.draining(),
 	}
 }
 
--- a/internal/node/levels_test.go
+++ b/internal/node/levels_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/admission"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
@@ -24,7 +25,7 @@
 	tr := newTraffic(10)
 	for range 100 {
 		now = now.Add(10 * time.Millisecond)
-		tr.learn(now, og, metLevel)
+		tr.learn(now, og, admission.LevelNotice{Level: metLevel})
 	}
 	return tr, og, now
 }
@@ -33,12 +34,12 @@
 	g := gomega.NewWithT(t)
 	tr, og, now := metOverload(false)
 	g.Expect(tr.refuses(now, og)).To(gomega.BeTrue())
-	g.Expect(tr.gauge(now, og.work.RootKind).level).To(gomega.BeZero())
+	g.Expect(tr.gauge(now, og.work.RootKind).level.Level).To(gomega.BeZero())
 }
 
 func TestLevelsThatTheTargetMeetsAreReported(t *testing.T) {
 	g := gomega.NewWithT(t)
 	tr, og, now := metOverload(true)
 	g.Expect(tr.refuses(now, og)).To(gomega.BeTrue())
-	g.Expect(tr.gauge(now, og.work.RootKind).level).To(gomega.BeNumerically("~", metLevel, 5))
+	g.Expect(tr.gauge(now, og.work.RootKind).level.Level).To(gomega.BeNumerically("~", metLevel, 5))
 }
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -77,7 +77,7 @@
 
 // refusedBefore spares the ledger a claim that the gate would turn away.
 func (ar *arrival) refusedBefore() *web.Refusal {
-	if ar.node.traffic.gauge(time.Now(), ar.work.RootKind).level <= ar.work.Priority {
+	if ar.node.traffic.gauge(time.Now(), ar.work.RootKind).level.Level <= ar.work.Priority {
 		return nil
 	}
 	return web.NewRefusal(request.Overloaded, "")
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -93,10 +93,10 @@
 	return &tr.entered
 }
 
-func (tr *traffic) learn(now time.Time, og *outgoing, level request.Level) {
+func (tr *traffic) learn(now time.Time, og *outgoing, notice admission.LevelNotice) {
 	tr.lock.Lock()
 	defer tr.lock.Unlock()
-	tr.levelsOf(og.tied).Learn(og.kind.Service, og.work.RootKind, level, now)
+	tr.levelsOf(og.tied).Hear(og.kind.Service, og.work.RootKind, notice, now)
 }
 
 func (tr *traffic) refuses(now time.Time, og *outgoing) bool {
@@ -107,7 +107,7 @@
 
 // gauge is what the gate tells of itself.
 type gauge struct {
-	level   request.Level
+	level   admission.LevelNotice
 	limit   int
 	running int
 	waiting int
@@ -117,7 +117,7 @@
 	tr.lock.Lock()
 	defer tr.lock.Unlock()
 	return gauge{
-		level:   tr.gate.Level(rootKind, now),
+		level:   tr.gate.Report(rootKind, now),
 		limit:   tr.gate.Limit(),
 		running: tr.gate.Running(),
 		waiting: tr.gate.Waiting(),
