host: make the failure tests catch a drain that cuts

Cause: a drain that does not wait survived, because a retry hid the cut and the stop waited for idle connections of callers; ports taken in advance could also be taken twice, and a run beside another one failed to start a host once. Change: each request that is held over the drain is counted to have run once, callers keep no connections, a held target is known to take calls before it drains, hosts listen at fixed ports of addresses of their own, and a host that ends by an error fails its test with the reason.

--- a/internal/host/leave_test.go
+++ b/internal/host/leave_test.go
@@ -19,7 +19,7 @@
 func (si *site) avoided(left *member, from []*member) bool {
 	inbound, runs := left.inbound(), si.record.runsAt(left.target)
 	for _, me := range from {
-		for number := range 10 {
+		for number := range 40 {
 			if me.checklist(number).status != http.StatusOK {
 				return false
 			}
@@ -54,25 +54,31 @@
 	sent := 0
 	runner := entry
 	for ; runner == entry; sent++ {
-		go func() { inFlight <- entry.call(http.MethodGet, "/technicians/held/day", "") }()
+		go func(path string) { inFlight <- entry.call(http.MethodGet, path, "") }(heldPath(sent))
 		runner = si.awaitHeld()
 	}
+	si.expectReached(runner)
 
 	_, err := ask[operator.Done](si.hosts[3], operator.DrainTarget, operator.NodeQuery{Node: runner.settings.Node})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	_, rest := si.others(runner)
 	g.Eventually(func() bool { return si.avoided(runner, rest) }).WithTimeout(patience).Should(gomega.BeTrue())
-	g.Expect(runner.done).NotTo(gomega.Receive(), "it stays until the request in flight is done")
+	g.Expect(runner.done).To(gomega.BeEmpty(), "it stays until the request in flight is done")
 	for _, me := range si.hosts {
-		close(me.target.release)
+		me.target.letGo()
 	}
-	for range sent {
+	for number := range sent {
 		told := <-inFlight
 		g.Expect(told.status).To(gomega.Equal(http.StatusOK), fmt.Sprint(told))
 		g.Expect(told.body).To(gomega.Equal("done "))
+		g.Expect(si.record.runs(heldPath(number))).To(gomega.Equal(1), "it was cut and sent again")
 	}
 }
 
+func heldPath(number int) string {
+	return fmt.Sprintf("/technicians/held-%d/day", number)
+}
+
 // Callers on all other hosts stop sending to a target that died, and come back
 // to it when it is there again.
 func TestDeadTargetIsLeftAlone(t *testing.T) {
--- a/internal/host/once_test.go
+++ b/internal/host/once_test.go
@@ -22,10 +22,10 @@
 	go func() { running <- si.in("norte-a").book("held") }()
 	holder := si.awaitHeld()
 	const bookings, before, sends = 36, 9, 3
-	callers := sync.WaitGroup{}
+	senders := sync.WaitGroup{}
 	closed := make([]bool, bookings)
 	for number := range bookings {
-		callers.Go(func() {
+		senders.Go(func() {
 			key := fmt.Sprint("visit-", number)
 			for attempt := range sends {
 				told := si.hosts[(number+attempt)%len(si.hosts)].book(key)
@@ -47,7 +47,7 @@
 	}
 	g.Eventually(func() int { return si.in("sur-b").book("healthy side").status }).WithTimeout(patience).
 		Should(gomega.Equal(http.StatusOK))
-	callers.Wait()
+	senders.Wait()
 	if holder.settings.Region == "norte" {
 		g.Eventually(func() request.Code {
 			told := si.in("sur-b").book("held")
@@ -56,7 +56,7 @@
 		}).WithTimeout(patience).Should(gomega.Equal(request.OutcomeUnknown))
 	}
 	si.network.heal()
-	close(holder.target.release)
+	holder.target.letGo()
 	<-running
 	si.expectOneEnd("held")
 
--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -28,7 +29,7 @@
 // patience bounds what must happen at all; no verdict depends on how fast.
 const patience = 2 * time.Minute
 
-// blocks gives each site its own addresses.
+// blocks gives each site of this process its own addresses.
 var blocks atomic.Int32
 
 type domains = []request.DomainName
@@ -82,13 +83,13 @@
 	var members []settings.Member
 	block := blocks.Add(1)
 	for index, domain := range places {
-		address := fmt.Sprintf("127.%d.%d.1", block, 1+index)
+		address := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, block, 1+index)
 		si.network.domains[address] = domain
 		me := &member{site: si, forced: &forced{}, target: startTarget(t, si.record, address)}
 		me.settings = &settings.Settings{
 			Node: request.NodeID(fmt.Sprintf("host-%d", index)), FailureDomain: domain, Service: "agenda",
 			Target:   settings.Address(me.target.address),
-			Listen:   settings.Listen{Callers: free(t, address), Outbound: free(t, address), Peers: free(t, address), Admin: free(t, address)},
+			Listen:   settings.Listen{Callers: at(address, 7401), Outbound: at(address, 7402), Peers: at(address, 7403), Admin: at(address, 7404)},
 			Security: settings.Security{PlaintextOnLoopback: true},
 		}
 		region, _, _ := strings.Cut(string(domain), "-")
@@ -110,14 +111,8 @@
 	return si
 }
 
-func free(t *testing.T, address string) settings.Address {
-	t.Helper()
-	listener, err := net.Listen("tcp", address+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return settings.Address(listener.Addr().String())
+func at(address string, number int) settings.Address {
+	return settings.Address(net.JoinHostPort(address, strconv.Itoa(number)))
 }
 
 func (me *member) start() {
@@ -130,9 +125,16 @@
 	done := make(chan error, 1)
 	me.stop, me.done = stop, done
 	me.forced.restart()
-	go func() { done <- process.Run(ctx) }()
+	go func() {
+		err := process.Run(ctx)
+		if err != nil && ctx.Err() == nil {
+			me.site.t.Errorf("%s: %v", me.settings.Node, err)
+		}
+		done <- err
+	}()
 	me.site.t.Cleanup(func() {
 		stop()
+		me.target.letGo()
 		me.site.network.heal()
 		<-done
 		done <- nil
@@ -161,6 +163,7 @@
 type forced struct {
 	lock     sync.Mutex
 	versions []int
+	log      []byte
 }
 
 func (fo *forced) restart() {
@@ -175,9 +178,10 @@
 		Message string `json:"message"`
 		Version int    `json:"version"`
 	}{}
+	fo.lock.Lock()
+	defer fo.lock.Unlock()
+	fo.log = append(fo.log, line...)
 	if json.Unmarshal(line, &entry) == nil && entry.Message == "configuration: version in force" {
-		fo.lock.Lock()
-		defer fo.lock.Unlock()
 		fo.versions = append(fo.versions, entry.Version)
 	}
 	return len(line), nil
@@ -189,6 +193,13 @@
 	return append([]int(nil), fo.versions...)
 }
 
+// text gives the log of the host.
+func (fo *forced) text() string {
+	fo.lock.Lock()
+	defer fo.lock.Unlock()
+	return string(fo.log)
+}
+
 func (fo *forced) latest() int {
 	all := fo.all()
 	if len(all) == 0 {
@@ -205,7 +216,7 @@
 	}
 	for _, me := range at {
 		gomega.NewWithT(si.t).Eventually(me.forced.latest).WithTimeout(patience).
-			Should(gomega.Equal(version), string(me.settings.Node))
+			Should(gomega.Equal(version), me.forced.text)
 	}
 }
 
@@ -270,6 +281,9 @@
 	return holder
 }
 
+// callers keep no connection that a planned stop would wait for.
+var callers = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 // reply is what a caller was told.
 type reply struct {
 	status  int
@@ -288,7 +302,7 @@
 	if key != "" {
 		outgoing.Header.Set("Idempotency-Key", key)
 	}
-	answer, err := http.DefaultClient.Do(outgoing)
+	answer, err := callers.Do(outgoing)
 	if err != nil {
 		return reply{}
 	}
--- a/internal/host/target_test.go
+++ b/internal/host/target_test.go
@@ -1,6 +1,7 @@
 package host_test
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -9,7 +10,7 @@
 	"testing"
 )
 
-// record is what all targets of a site ran, by idempotency key and by target.
+// record is what all targets of a site ran, by idempotency key or path, and by target.
 type record struct {
 	lock sync.Mutex
 	keys map[string]int
@@ -45,6 +46,7 @@
 	record  *record
 	held    chan struct{}
 	release chan struct{}
+	letGo   func()
 
 	lock   sync.Mutex
 	server *http.Server
@@ -53,7 +55,8 @@
 
 func startTarget(t *testing.T, re *record, address string) *target {
 	t.Helper()
-	ta := &target{record: re, address: string(free(t, address)), held: make(chan struct{}, 16), release: make(chan struct{})}
+	ta := &target{record: re, address: string(at(address, 7405)), held: make(chan struct{}, 16), release: make(chan struct{})}
+	ta.letGo = sync.OnceFunc(func() { close(ta.release) })
 	ta.revive(t)
 	t.Cleanup(ta.die)
 	return ta
@@ -97,9 +100,7 @@
 	key := incoming.Header.Get("Idempotency-Key")
 	ta.record.lock.Lock()
 	ta.record.at[ta]++
-	if key != "" {
-		ta.record.keys[key]++
-	}
+	ta.record.keys[cmp.Or(key, incoming.URL.Path)]++
 	ta.record.lock.Unlock()
 	switch {
 	case strings.Contains(incoming.URL.Path, "poison"):
