--- a/internal/core/admission/levels.go
+++ b/internal/core/admission/levels.go
@@ -8,15 +8,13 @@
 )
 
 const (
-	defaultHold = 500 * time.Millisecond
+	defaultHold = 250 * time.Millisecond
 	// levelSmoothing is the time constant over which the levels of a service's
 	// targets are averaged.
 	levelSmoothing = 10 * time.Millisecond
-	// maxWeight bounds the weight of one answer where answers are rare.
-	maxWeight = 0.5
 	// releaseTime is the time in which an unconfirmed level falls by one
 	// importance.
-	releaseTime = 100 * time.Millisecond
+	releaseTime = 50 * time.Millisecond
 	// highestInterval is the time for which the highest level of all services
 	// is kept.
 	highestInterval = 2 * time.Millisecond
@@ -27,44 +25,50 @@
 // services the highest counts.
 type Levels struct {
 	// Hold is how long a level stands without an answer that confirms it;
-	// then it falls. Zero is half a second.
+	// then it falls. Zero is 250 ms.
 	Hold time.Duration
 
-	rows map[request.KindName]*levelRow
+	heard map[levelKey]*heardLevel
+	rows  map[request.KindName]*levelRow
 }
 
+type levelKey struct {
+	service  request.ServiceName
+	rootKind request.KindName
+}
+
+// levelRow holds the levels of all services for one root kind.
 type levelRow struct {
-	services []heardLevel
+	services []*heardLevel
 	// highest is of all services at highestAt.
 	highest   float64
 	highestAt time.Time
 }
 
 type heardLevel struct {
-	service request.ServiceName
-	level   float64
-	at      time.Time
+	level float64
+	at    time.Time
 }
 
 // Learn takes the level on an answer of a service.
 func (l *Levels) Learn(service request.ServiceName, rootKind request.KindName, level request.Level, now time.Time) {
-	heard := l.find(service, rootKind)
+	heard := l.heard[levelKey{service, rootKind}]
 	if heard == nil {
 		if level == 0 {
 			return
 		}
-		l.add(heardLevel{service: service, level: float64(level), at: now}, rootKind)
+		l.add(levelKey{service, rootKind}, &heardLevel{level: float64(level), at: now})
 		return
 	}
 	current := l.current(heard, now)
-	weight := math.Min(maxWeight, 1-math.Exp(-now.Sub(heard.at).Seconds()/levelSmoothing.Seconds()))
+	weight := 1 - math.Exp(-now.Sub(heard.at).Seconds()/levelSmoothing.Seconds())
 	heard.level = current + weight*(float64(level)-current)
 	heard.at = now
 }
 
 // Of gives the level of one service for a root kind.
 func (l *Levels) Of(service request.ServiceName, rootKind request.KindName, now time.Time) request.Level {
-	heard := l.find(service, rootKind)
+	heard := l.heard[levelKey{service, rootKind}]
 	if heard == nil {
 		return 0
 	}
@@ -81,8 +85,10 @@
 	if now.Sub(row.highestAt) >= highestInterval {
 		row.highestAt = now
 		row.highest = 0
-		for index := range row.services {
-			row.highest = max(row.highest, l.current(&row.services[index], now))
+		for _, heard := range row.services {
+			if heard.level > row.highest {
+				row.highest = max(row.highest, l.current(heard, now))
+			}
 		}
 	}
 	return request.Level(row.highest)
@@ -117,28 +123,17 @@
 	return max(0, heard.level-request.BucketCount*unconfirmed.Seconds()/releaseTime.Seconds())
 }
 
-func (l *Levels) find(service request.ServiceName, rootKind request.KindName) *heardLevel {
-	row := l.rows[rootKind]
-	if row == nil {
-		return nil
-	}
-	for index := range row.services {
-		if row.services[index].service == service {
-			return &row.services[index]
-		}
-	}
-	return nil
-}
-
-func (l *Levels) add(heard heardLevel, rootKind request.KindName) {
+func (l *Levels) add(key levelKey, heard *heardLevel) {
 	if l.rows == nil {
+		l.heard = make(map[levelKey]*heardLevel)
 		l.rows = make(map[request.KindName]*levelRow)
 	}
-	row := l.rows[rootKind]
+	row := l.rows[key.rootKind]
 	if row == nil {
 		row = &levelRow{}
-		l.rows[rootKind] = row
+		l.rows[key.rootKind] = row
 	}
+	l.heard[key] = heard
 	row.services = append(row.services, heard)
 	row.highest = max(row.highest, heard.level)
 }
