--- a/internal/host/partition_test.go
+++ b/internal/host/partition_test.go
@@ -107,3 +107,21 @@
 		g.Expect(si.record.runs(key)).To(gomega.Equal(1))
 	}
 }
+
+// A leader that hears nobody, but is heard, gives way: the rest go on, and a
+// patch that only it holds is not accepted twice or half.
+func TestDeafLeaderGivesWay(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	si := newSite(t, 3, "norte-a", "litoral-a", "sur-a")
+	deaf := si.leader(si.hosts[0])
+	rest, healthy := si.others(deaf)
+	si.network.cut(rest, domains{deaf.settings.FailureDomain})
+	_, err := ask[operator.PatchOutcome](deaf, operator.CreatePatch, patch("deaf", 1))
+	g.Expect(err).To(gomega.HaveOccurred())
+	healthy[0].accept("heard", 1)
+	si.awaitVersion(2, healthy...)
+	si.network.heal()
+	si.awaitVersion(2)
+	g.Expect(deaf.outcome(patch("deaf", 1)).State).To(gomega.Equal(operator.StateStale))
+}
