Count streamed answers on links, and let a second signal end a drain

Cause: a large answer from another region was not counted on its link; a second SIGTERM was swallowed while the node drained. Change: the bytes of a streamed answer count; after the first signal the default handling is back. Conclusion: an operator can cut a drain that hangs.

--- a/internal/node/deliver.go
+++ b/internal/node/deliver.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
@@ -31,6 +32,9 @@
 	}
 	no.settle(og, at)
 	no.counters.answers.Inc()
+	if at.choice.Across {
+		no.Chooser.Links.Count(time.Now(), at.choice.Target.Place.Region, answer.streamed)
+	}
 }
 
 // breakOff refuses a call whose answer was cut, or breaks its connection when
@@ -50,6 +54,8 @@
 	header  *peerpb.AnswerHeader
 	length  int64
 	started bool
+	// streamed counts the bytes of the body that went out.
+	streamed int64
 }
 
 func (aw *answerWriter) start() {
@@ -67,7 +73,9 @@
 	if !aw.started {
 		aw.start()
 	}
-	return aw.writer.Write(data)
+	count, err := aw.writer.Write(data)
+	aw.streamed += int64(count)
+	return count, err
 }
 
 // copyWhole writes what is held and the rest of the body. It holds back the
--- a/magnoliad/internal/command/run/run.go
+++ b/magnoliad/internal/command/run/run.go
@@ -28,7 +28,8 @@
 func (op *Options) Help() string {
 	return `Runs the node of this host, and the replica that its settings name, until
 SIGTERM or SIGINT. Then it tells its peers that its target leaves, takes no new
-work, finishes every request in flight, uploads included, and exits 0.
+work, finishes every request in flight, uploads included, and exits 0. A second
+signal ends the process at once.
 
 Examples:
   magnoliad run /etc/magnoliad/node.jsonc`
--- a/magnoliad/main.go
+++ b/magnoliad/main.go
@@ -13,6 +13,8 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
 	code := root.Main(ctx, factory.New(), os.Args[1:])
 	stop()
 	os.Exit(int(code))
