Publish the latest version alone after a start

A started replica rebuilt every version of its history on the goroutine that drives the log, each by undoing all later ones; where that took longer than the keeper's 0.9 s, as on a busy machine or with some thousand versions, it was thrown away and begun again, and the replica's nodes got no configuration. Ruled out: the log and the store, whose state was there. Change: after a start, or more than 16 versions behind, the latest text is published whole; an order fault of what is published already is no fault. TestLongHistoryIsNotReadAtAStart fails without the change. Conclusion: a start no longer depends on the length of the history.

--- a/internal/host/keeper.go
+++ b/internal/host/keeper.go
@@ -19,6 +19,8 @@
 	readTimeout     = 900 * time.Millisecond
 	confirmedFor    = 2 * time.Second
 	firstPatch      = "initial-configuration"
+	// mostSteps bounds the versions that are published one by one.
+	mostSteps = 16
 )
 
 // keeper keeps what a replica gives to nodes up with the log: it publishes each
@@ -77,21 +79,28 @@
 	versions []spread.Version
 }
 
+// collect runs on the replica's goroutine, so it is quick: after a start, or a
+// long time behind, nodes get the latest text whole in place of every step.
 func (fr *fresh) collect(machine *ledger.Machine) {
 	current, text := machine.Current()
+	if current <= fr.after {
+		return
+	}
+	if fr.text == nil || current-fr.after > mostSteps {
+		fr.versions = []spread.Version{newVersion(current, nil, text)}
+		return
+	}
 	before := fr.text
-	for number := fr.after + 1; number <= current; number++ {
-		between := text
-		if number < current {
-			between, _ = machine.Text(number)
-		}
-		if between == nil {
-			fr.versions, before = nil, nil
-			continue
+	for number := fr.after + 1; number < current; number++ {
+		between, ok := machine.Text(number)
+		if !ok {
+			fr.versions = nil
+			break
 		}
 		fr.versions = append(fr.versions, newVersion(number, before, between))
 		before = between
 	}
+	fr.versions = append(fr.versions, newVersion(current, before, text))
 }
 
 func newVersion(number configuration.Version, before, text []byte) spread.Version {
@@ -104,7 +113,7 @@
 
 func (ke *keeper) publish(ctx context.Context, found *fresh) {
 	for _, version := range found.versions {
-		if err := ke.seat.registry.Publish(ctx, version); err != nil {
+		if err := ke.seat.registry.Publish(ctx, version); err != nil && !isPublished(err, version) {
 			if ctx.Err() == nil {
 				ke.seat.host.Logger.Error().Err(err).Msg("configuration: version was not published")
 			}
@@ -114,6 +123,13 @@
 	}
 }
 
+// isPublished tells whether a version was refused since it, or a newer one, is
+// published already.
+func isPublished(err error, version spread.Version) bool {
+	order := &spread.OrderError{}
+	return errors.As(err, &order) && order.Newest >= version.Number
+}
+
 // lead does what one replica does for all: the leader.
 func (ke *keeper) lead(ctx context.Context) {
 	status, err := ke.seat.replica.Status(ctx)
--- /dev/null
+++ b/internal/host/keeper_test.go
@@ -0,0 +1,64 @@
+package host
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
+)
+
+// TestLongHistoryIsNotReadAtAStart fails when a started replica rebuilds every
+// version: with many of them that never ended within the keeper's time, and its
+// nodes got no configuration.
+func TestLongHistoryIsNotReadAtAStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const versions = 3 * mostSteps
+	machine := grownMachine(g, versions)
+	started := &fresh{}
+	started.collect(machine)
+	g.Expect(started.versions).To(gomega.HaveLen(1))
+	g.Expect(started.versions[0].Number).To(gomega.BeEquivalentTo(versions))
+	g.Expect(started.versions[0].Patch).To(gomega.BeNil())
+
+	before, _ := machine.Text(versions - 2)
+	behind := &fresh{after: versions - 2, text: before}
+	behind.collect(machine)
+	g.Expect(behind.versions).To(gomega.HaveLen(2))
+	text := before
+	for _, version := range behind.versions {
+		text, _ = ledger.ApplyDelta(text, version.Patch)
+		g.Expect(text).To(gomega.Equal(version.Text))
+	}
+
+	first, _ := machine.Text(1)
+	far := &fresh{after: 1, text: first}
+	far.collect(machine)
+	g.Expect(far.versions).To(gomega.HaveLen(1))
+}
+
+func grownMachine(g *gomega.WithT, versions int) *ledger.Machine {
+	text, err := os.ReadFile("../../examples/gota-justa.jsonc")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	machine := ledger.New()
+	for number := range versions {
+		submission := ledger.Submission{
+			ID: ledger.PatchID(fmt.Sprint("patch-", number)), Base: configuration.Version(number), Operator: "ines", At: time.Unix(0, 0),
+			Operations: fmt.Appendf(nil, `[{"op":"replace","path":"/retry/allowance-per-root","value":%d}]`, 3+number%5),
+		}
+		if number == 0 {
+			submission.Operations, submission.Text = nil, text
+		}
+		command, err := machine.Prepare(submission)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = machine.Apply(uint64(number+1), command)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	current, _ := machine.Current()
+	g.Expect(current).To(gomega.BeEquivalentTo(versions))
+	return machine
+}
