--- a/magnolia-load/internal/measure/added.go
+++ b/magnolia-load/internal/measure/added.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
 
+	"github.com/magnoliawall/magnoliawall/internal/memory"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/load"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/mesh"
@@ -20,7 +21,7 @@
 )
 
 const (
-	addedAbout     = "Eight callers make the same call directly, directly again, through two nodes and through two naive nodes, one after the other in random order; the added time is the difference between calls of one round and the first direct one; noise is that of the second direct call."
+	addedAbout     = "Eight callers make the same call directly, directly again, through two nodes and through two naive nodes, one after the other in random order; the added time is the difference between calls of one round and the first direct one; noise is that of the second direct call. All run in one process, whose garbage collector is set as magnoliad sets it."
 	addedCallers   = 8
 	addedLength    = 4 * time.Second
 	addedWarm      = 500 * time.Millisecond
@@ -77,6 +78,7 @@
 }
 
 func runAdded(ctx context.Context, run Run) ([]Figure, error) {
+	memory.Tune(false)
 	ours := &mesh.Mesh{Design: addedDesign(), System: &mesh.Magnolia{}, Seed: run.Seed}
 	if err := ours.Start(ctx); err != nil {
 		return nil, err
--- a/magnoliad/internal/command/run/run.go
+++ b/magnoliad/internal/command/run/run.go
@@ -11,6 +11,7 @@
 	"context"
 
 	"github.com/magnoliawall/magnoliawall/internal/host"
+	"github.com/magnoliawall/magnoliawall/internal/memory"
 	"github.com/magnoliawall/magnoliawall/magnoliad/internal/command/factory"
 )
 
@@ -41,6 +42,7 @@
 	if err != nil {
 		return err
 	}
+	memory.Tune(loaded.HoldsReplica())
 	process := &host.Host{Settings: loaded, Logger: tools.Logger(loaded.LogLevel)}
 	return process.Run(ctx)
 }
