Record changes under the name in the operator's certificate

Change: the admin port refuses a name that is not the certificate's; magnolia takes the certificate's name where none is set; the file is formatted. Conclusion: the list of versions tells who changed what where ports are secured.

--- a/internal/adapter/certificate/files.go
+++ b/internal/adapter/certificate/files.go
@@ -105,6 +105,13 @@
 	return fi.current().pair.Leaf.NotAfter
 }
 
+// Name gives the name in the process's own certificate.
+func (fi *Files) Name() string {
+	fi.lock.Lock()
+	defer fi.lock.Unlock()
+	return fi.loaded.pair.Leaf.Subject.CommonName
+}
+
 // Server gives the settings of a port that takes the roles.
 func (fi *Files) Server(roles ...Role) *tls.Config {
 	return &tls.Config{
--- /dev/null
+++ b/internal/adapter/operator/identity_test.go
@@ -0,0 +1,38 @@
+package operator_test
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+)
+
+func TestOperatorsNameIsThatOfTheCertificate(t *testing.T) {
+	ines := &tls.ConnectionState{PeerCertificates: []*x509.Certificate{{Subject: pkix.Name{CommonName: "ines"}}}}
+	for _, row := range []struct {
+		state  *tls.ConnectionState
+		body   string
+		status int
+	}{
+		{ines, `{"operator":"ines"}`, http.StatusOK},
+		{ines, `{"operator":"joao"}`, http.StatusForbidden},
+		{ines, `{}`, http.StatusOK},
+		{nil, `{"operator":"joao"}`, http.StatusOK},
+	} {
+		incoming := httptest.NewRequest(http.MethodPost, "/v1/create-patch", strings.NewReader(row.body))
+		incoming.TLS = row.state
+		recorder := httptest.NewRecorder()
+		operator.Handler(func(context.Context, string, []byte) (int, []byte) {
+			return http.StatusOK, []byte("{}")
+		}).ServeHTTP(recorder, incoming)
+		gomega.NewWithT(t).Expect(recorder.Code).To(gomega.Equal(row.status), row.body)
+	}
+}
--- a/internal/adapter/operator/web.go
+++ b/internal/adapter/operator/web.go
@@ -30,7 +30,7 @@
 		body, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, maxRequest))
 		status, answer := http.StatusRequestEntityTooLarge, []byte(`{"error":"the request is too large"}`)
 		if err == nil {
-			status, answer = operate(ctx, incoming.PathValue("verb"), body)
+			status, answer = operateAs(ctx, operate, incoming, body)
 		}
 		writer.Header().Set("Content-Type", "application/json")
 		writer.WriteHeader(status)
--- a/magnolia-load/internal/measure/lease.go
+++ b/magnolia-load/internal/measure/lease.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	leaseAbout  = "Hosts without load in one process, six for each service and each service calling the next, with five replicas; what the connections between hosts carry, sent and received, and the processor time, by node and second. The process holds the replicas too, so that their share is in the figures. The naive version has no membership and is left out."
+	leaseAbout = "Hosts without load in one process, six for each service and each service calling the next, with five replicas; what the connections between hosts carry, sent and received, and the processor time, by node and second. The process holds the replicas too, so that their share is in the figures. The naive version has no membership and is left out."
 	// leaseSettle outlasts the warm time of started targets, so that their
 	// change of state is not counted.
 	leaseSettle = 22 * time.Second
--- a/magnolia/internal/command/factory/factory.go
+++ b/magnolia/internal/command/factory/factory.go
@@ -81,7 +81,7 @@
 	}
 	fa.settings = &Settings{
 		Address:     first(fa.Flags.Address, fa.Environment("MAGNOLIA_ADDRESS"), file.Address),
-		Operator:    first(fa.Flags.Operator, fa.Environment("MAGNOLIA_OPERATOR"), file.Operator, fa.Environment("USER")),
+		Operator:    first(fa.Flags.Operator, fa.Environment("MAGNOLIA_OPERATOR"), file.Operator),
 		Authority:   first(fa.Flags.Authority, fa.Environment("MAGNOLIA_AUTHORITY"), file.Authority),
 		Certificate: first(fa.Flags.Certificate, fa.Environment("MAGNOLIA_CERTIFICATE"), file.Certificate),
 		Key:         first(fa.Flags.Key, fa.Environment("MAGNOLIA_KEY"), file.Key),
@@ -123,16 +123,34 @@
 // SetDefaults sets nothing: every field may be left out.
 func (*Settings) SetDefaults() {}
 
-// Operator gives the name that changes are recorded under.
+// Operator gives the name that changes are recorded under: as set, or else as
+// the certificate has it, or else the user's of this host.
 func (fa *Factory) Operator() (string, error) {
 	loaded, err := fa.Settings()
 	if err != nil {
 		return "", err
 	}
-	if loaded.Operator == "" {
+	if loaded.Certificate != "" && loaded.Operator == "" {
+		return certifiedName(loaded)
+	}
+	name := first(loaded.Operator, fa.Environment("USER"))
+	if name == "" {
 		return "", program.WithCode(program.ExitUsage, errors.New("no operator's name: give --operator or set MAGNOLIA_OPERATOR"))
 	}
-	return loaded.Operator, nil
+	return name, nil
+}
+
+func certifiedName(loaded *Settings) (string, error) {
+	files, err := loadFiles(loaded)
+	if err != nil {
+		return "", err
+	}
+	return files.Name(), nil
+}
+
+func loadFiles(loaded *Settings) (*certificate.Files, error) {
+	files := &certificate.Files{Authority: loaded.Authority, Certificate: loaded.Certificate, Key: loaded.Key}
+	return files, program.WithCode(program.ExitUsage, files.Load())
 }
 
 // Client gives the client of the node that the settings name.
@@ -159,9 +177,9 @@
 	if given == "" {
 		return &operator.Client{Base: "http://" + loaded.Address, HTTP: &http.Client{Timeout: requestTimeout}}, nil
 	}
-	files := &certificate.Files{Authority: loaded.Authority, Certificate: loaded.Certificate, Key: loaded.Key}
-	if err := files.Load(); err != nil {
-		return nil, program.WithCode(program.ExitUsage, err)
+	files, err := loadFiles(loaded)
+	if err != nil {
+		return nil, err
 	}
 	transport := &http.Transport{TLSClientConfig: files.Client(certificate.RoleNode)}
 	return &operator.Client{Base: "https://" + loaded.Address, HTTP: &http.Client{Timeout: requestTimeout, Transport: transport}}, nil
