--- a/internal/adapter/certificate/files.go
+++ b/internal/adapter/certificate/files.go
@@ -66,83 +66,83 @@
 }
 
 // Load reads the files for the first time.
-func (fi *Files) Load() error {
-	fi.lock.Lock()
-	defer fi.lock.Unlock()
-	changed, err := fi.times()
+func (files *Files) Load() error {
+	files.lock.Lock()
+	defer files.lock.Unlock()
+	changed, err := files.times()
 	if err != nil {
 		return err
 	}
-	loaded, err := fi.read()
+	loaded, err := files.read()
 	if err != nil {
 		return err
 	}
-	fi.loaded = loaded
-	fi.changed = changed
-	fi.checked = fi.now()
+	files.loaded = loaded
+	files.changed = changed
+	files.checked = files.now()
 	return nil
 }
 
 // Failed gives the error of the last reload, or nil.
-func (fi *Files) Failed() error {
-	fi.lock.Lock()
-	defer fi.lock.Unlock()
-	return fi.failed
+func (files *Files) Failed() error {
+	files.lock.Lock()
+	defer files.lock.Unlock()
+	return files.failed
 }
 
 // Fits tells whether the certificate is for the name and role, as its peers
 // will ask.
-func (fi *Files) Fits(name string, role Role) error {
-	leaf := fi.current().pair.Leaf
+func (files *Files) Fits(name string, role Role) error {
+	leaf := files.current().pair.Leaf
 	if leaf.Subject.CommonName != name {
-		return fmt.Errorf("certificate %s is for %q, and the settings name %q; give each its own", fi.Certificate, leaf.Subject.CommonName, name)
+		return fmt.Errorf("certificate %s is for %q, and the settings name %q; give each its own", files.Certificate, leaf.Subject.CommonName, name)
 	}
 	return checkRole(leaf, []Role{role})
 }
 
 // Expiry gives the end of the certificate in use, after a look at the files.
-func (fi *Files) Expiry() time.Time {
-	return fi.current().pair.Leaf.NotAfter
+func (files *Files) Expiry() time.Time {
+	return files.current().pair.Leaf.NotAfter
 }
 
 // Name gives the name in the process's own certificate.
-func (fi *Files) Name() string {
-	fi.lock.Lock()
-	defer fi.lock.Unlock()
-	return fi.loaded.pair.Leaf.Subject.CommonName
+func (files *Files) Name() string {
+	files.lock.Lock()
+	defer files.lock.Unlock()
+	return files.loaded.pair.Leaf.Subject.CommonName
 }
 
 // Server gives the settings of a port that takes the roles.
-func (fi *Files) Server(roles ...Role) *tls.Config {
+func (files *Files) Server(roles ...Role) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		ClientAuth: tls.RequireAnyClientCert,
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-			return &fi.current().pair, nil
+			return &files.current().pair, nil
 		},
 		VerifyConnection: func(state tls.ConnectionState) error {
-			return fi.verify(state, x509.ExtKeyUsageClientAuth, roles)
+			return files.verify(state, x509.ExtKeyUsageClientAuth, roles)
 		},
 	}
 }
 
 // Client gives the settings of a connection to a process of the role. The
 // process is known by its certificate, not by its address.
-func (fi *Files) Client(role Role) *tls.Config {
+func (files *Files) Client(role Role) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		// The chain and the role are verified below; host names are not used.
 		InsecureSkipVerify: true,
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			return &fi.current().pair, nil
+			return &files.current().pair, nil
 		},
 		VerifyConnection: func(state tls.ConnectionState) error {
-			return fi.verify(state, x509.ExtKeyUsageServerAuth, []Role{role})
+			return files.verify(state, x509.ExtKeyUsageServerAuth, []Role{role})
 		},
 	}
 }
 
-func (fi *Files) verify(state tls.ConnectionState, usage x509.ExtKeyUsage, roles []Role) error {
+func (files *Files) verify(state tls.ConnectionState, usage x509.ExtKeyUsage, roles []Role) error {
 	if len(state.PeerCertificates) == 0 {
 		return errors.New("the other side sent no certificate; name its files in its settings")
 	}
@@ -152,9 +152,9 @@
 	}
 	leaf := state.PeerCertificates[0]
 	_, err := leaf.Verify(x509.VerifyOptions{
-		Roots:         fi.current().roots,
+		Roots:         files.current().roots,
 		Intermediates: intermediates,
-		CurrentTime:   fi.now(),
+		CurrentTime:   files.now(),
 		KeyUsages:     []x509.ExtKeyUsage{usage},
 	})
 	if err != nil {
@@ -186,55 +186,55 @@
 }
 
 // current gives the identity, after a look at the files at most once a second.
-func (fi *Files) current() *identity {
-	fi.lock.Lock()
-	defer fi.lock.Unlock()
-	now := fi.now()
-	if now.Sub(fi.checked) < reloadInterval {
-		return fi.loaded
-	}
-	fi.checked = now
-	changed, err := fi.times()
+func (files *Files) current() *identity {
+	files.lock.Lock()
+	defer files.lock.Unlock()
+	now := files.now()
+	if now.Sub(files.checked) < reloadInterval {
+		return files.loaded
+	}
+	files.checked = now
+	changed, err := files.times()
 	if err != nil {
-		fi.failed = err
-		return fi.loaded
+		files.failed = err
+		return files.loaded
 	}
-	if changed == fi.changed {
-		return fi.loaded
+	if changed == files.changed {
+		return files.loaded
 	}
-	fi.reload(changed)
-	return fi.loaded
+	files.reload(changed)
+	return files.loaded
 }
 
-func (fi *Files) reload(changed [3]time.Time) {
-	loaded, err := fi.read()
-	fi.failed = err
+func (files *Files) reload(changed [3]time.Time) {
+	loaded, err := files.read()
+	files.failed = err
 	if err != nil {
 		return
 	}
-	fi.loaded = loaded
-	fi.changed = changed
+	files.loaded = loaded
+	files.changed = changed
 }
 
-func (fi *Files) read() (*identity, error) {
-	pair, err := tls.LoadX509KeyPair(fi.Certificate, fi.Key)
+func (files *Files) read() (*identity, error) {
+	pair, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
 	if err != nil {
-		return nil, fmt.Errorf("read certificate %s with key %s: %w", fi.Certificate, fi.Key, err)
+		return nil, fmt.Errorf("read certificate %s with key %s: %w", files.Certificate, files.Key, err)
 	}
-	text, err := os.ReadFile(fi.Authority)
+	text, err := os.ReadFile(files.Authority)
 	if err != nil {
 		return nil, fmt.Errorf("read authority: %w", err)
 	}
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(text) {
-		return nil, fmt.Errorf("authority %s holds no certificate in PEM form", fi.Authority)
+		return nil, fmt.Errorf("authority %s holds no certificate in PEM form", files.Authority)
 	}
 	return &identity{pair: pair, roots: roots}, nil
 }
 
-func (fi *Files) times() ([3]time.Time, error) {
+func (files *Files) times() ([3]time.Time, error) {
 	times := [3]time.Time{}
-	for index, name := range []string{fi.Authority, fi.Certificate, fi.Key} {
+	for index, name := range []string{files.Authority, files.Certificate, files.Key} {
 		info, err := os.Stat(name)
 		if err != nil {
 			return times, fmt.Errorf("look at certificate file: %w", err)
@@ -244,9 +244,9 @@
 	return times, nil
 }
 
-func (fi *Files) now() time.Time {
-	if fi.Now == nil {
+func (files *Files) now() time.Time {
+	if files.Now == nil {
 		return time.Now()
 	}
-	return fi.Now()
+	return files.Now()
 }
--- a/internal/adapter/control/client.go
+++ b/internal/adapter/control/client.go
@@ -37,15 +37,15 @@
 
 // Propose records a command and gives its result. It errors with
 // [port.ErrUnavailable] or [port.ErrInDoubt].
-func (cl *Client) Propose(ctx context.Context, command []byte) ([]byte, error) {
+func (client *Client) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	doubt := false
 	for round := 0; ; round++ {
-		answer, err := cl.ask(ctx, round, &controlpb.Request{Body: &controlpb.Request_Command{Command: command}})
+		answer, err := client.ask(ctx, round, &controlpb.Request{Body: &controlpb.Request_Command{Command: command}})
 		if err == nil && answer.GetFailure() == controlpb.Failure_FAILURE_NONE {
 			return answer.GetResult(), nil
 		}
 		doubt = doubt || mayBeRecorded(answer, err)
-		if !pause(ctx, round, len(cl.Replicas)) {
+		if !pause(ctx, round, len(client.Replicas)) {
 			return nil, failure(doubt)
 		}
 	}
@@ -53,18 +53,18 @@
 
 // Operate passes an operator's request to a replica, and to the next one while
 // no quorum answers. An error tells that no replica answered.
-func (cl *Client) Operate(ctx context.Context, verb string, body []byte) (int, []byte, error) {
+func (client *Client) Operate(ctx context.Context, verb string, body []byte) (int, []byte, error) {
 	operation := &controlpb.Operation{Verb: verb, Body: body}
 	var last *controlpb.Answer
 	for round := 0; ; round++ {
-		answer, err := cl.ask(ctx, round, &controlpb.Request{Body: &controlpb.Request_Operation{Operation: operation}})
+		answer, err := client.ask(ctx, round, &controlpb.Request{Body: &controlpb.Request_Operation{Operation: operation}})
 		if err == nil && answer.GetStatus() != http.StatusServiceUnavailable {
 			return int(answer.GetStatus()), answer.GetResult(), nil
 		}
 		if err == nil {
 			last = answer
 		}
-		if pause(ctx, round, len(cl.Replicas)) {
+		if pause(ctx, round, len(client.Replicas)) {
 			continue
 		}
 		if last != nil {
@@ -99,33 +99,33 @@
 	return wait.For(ctx, retryPause)
 }
 
-func (cl *Client) attemptTimeout() time.Duration {
-	if cl.AttemptTimeout == 0 {
+func (client *Client) attemptTimeout() time.Duration {
+	if client.AttemptTimeout == 0 {
 		return defaultAttemptTimeout
 	}
-	return cl.AttemptTimeout
+	return client.AttemptTimeout
 }
 
 // ask sends one request to one replica.
-func (cl *Client) ask(ctx context.Context, round int, message *controlpb.Request) (*controlpb.Answer, error) {
-	if len(cl.Replicas) == 0 {
+func (client *Client) ask(ctx context.Context, round int, message *controlpb.Request) (*controlpb.Answer, error) {
+	if len(client.Replicas) == 0 {
 		return nil, &peer.NotSentError{Reason: errors.New("no replica is known")}
 	}
-	index := (int(cl.preferred.Load()) + round) % len(cl.Replicas)
-	if len(cl.Replicas) > 1 {
-		bounded, cancel := context.WithTimeout(ctx, cl.attemptTimeout())
+	index := (int(client.preferred.Load()) + round) % len(client.Replicas)
+	if len(client.Replicas) > 1 {
+		bounded, cancel := context.WithTimeout(ctx, client.attemptTimeout())
 		defer cancel()
 		ctx = bounded
 	}
-	answer, err := cl.exchange(ctx, cl.Replicas[index], message)
+	answer, err := client.exchange(ctx, client.Replicas[index], message)
 	if err == nil && answer.GetFailure() == controlpb.Failure_FAILURE_NONE {
-		cl.preferred.Store(int64(index))
+		client.preferred.Store(int64(index))
 	}
 	return answer, err
 }
 
-func (cl *Client) exchange(ctx context.Context, address peer.Address, message *controlpb.Request) (*controlpb.Answer, error) {
-	stream, err := cl.Transport.Open(ctx, address, peer.KindControl)
+func (client *Client) exchange(ctx context.Context, address peer.Address, message *controlpb.Request) (*controlpb.Answer, error) {
+	stream, err := client.Transport.Open(ctx, address, peer.KindControl)
 	if err != nil {
 		return nil, &peer.NotSentError{Reason: err}
 	}
@@ -135,14 +135,14 @@
 		deadline = time.Now().Add(longestRequest)
 	}
 	message.RemainingUs = time.Until(deadline).Microseconds()
-	call := request.CallID(cl.calls.Add(1))
+	call := request.CallID(client.calls.Add(1))
 	answer := &controlpb.Answer{}
 	err = converse(stream, call, message, answer)
 	if !stop() || err != nil {
 		_ = stream.Close()
 		return answer, err
 	}
-	cl.Transport.Keep(address, stream)
+	client.Transport.Keep(address, stream)
 	return answer, nil
 }
 
--- a/internal/adapter/control/server.go
+++ b/internal/adapter/control/server.go
@@ -19,28 +19,28 @@
 }
 
 // Serve answers the requests of one stream, one after the other.
-func (se *Server) Serve(ctx context.Context, stream *peer.Stream) {
+func (server *Server) Serve(ctx context.Context, stream *peer.Stream) {
 	for {
 		message := &controlpb.Request{}
 		call, err := stream.ReceiveMessage(message)
 		if err != nil {
 			return
 		}
-		if err := stream.Send(call, se.answer(ctx, message)); err != nil {
+		if err := stream.Send(call, server.answer(ctx, message)); err != nil {
 			return
 		}
 	}
 }
 
-func (se *Server) answer(ctx context.Context, message *controlpb.Request) *controlpb.Answer {
+func (server *Server) answer(ctx context.Context, message *controlpb.Request) *controlpb.Answer {
 	remaining := time.Duration(message.GetRemainingUs()) * time.Microsecond
 	ctx, cancel := context.WithTimeout(ctx, min(remaining, longestRequest))
 	defer cancel()
 	if operation := message.GetOperation(); operation != nil {
-		status, body := se.Operations.Operate(ctx, operation.GetVerb(), operation.GetBody())
+		status, body := server.Operations.Operate(ctx, operation.GetVerb(), operation.GetBody())
 		return &controlpb.Answer{Status: uint32(status), Result: body}
 	}
-	result, err := se.Ledger.Propose(ctx, message.GetCommand())
+	result, err := server.Ledger.Propose(ctx, message.GetCommand())
 	return encodeResult(result, err)
 }
 
--- a/internal/adapter/operator/actions.go
+++ b/internal/adapter/operator/actions.go
@@ -10,9 +10,9 @@
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
-func (se *Service) listActions(ctx context.Context, _ Done) (Actions, error) {
+func (service *Service) listActions(ctx context.Context, _ Done) (Actions, error) {
 	list := Actions{Actions: []ActionRow{}}
-	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) {
+	err := service.Ledger.Read(ctx, func(machine *ledger.Machine) {
 		for _, open := range machine.Open() {
 			list.Actions = append(list.Actions, ActionRow{
 				Kind:    open.Kind,
@@ -33,7 +33,7 @@
 	ledger.SettledOtherwise:   "another operator settled the action the other way",
 }
 
-func (se *Service) settleAction(ctx context.Context, settlement Settlement) (Done, error) {
+func (service *Service) settleAction(ctx context.Context, settlement Settlement) (Done, error) {
 	attempt := request.AttemptID{}
 	decoded, err := hex.DecodeString(settlement.Attempt)
 	if err != nil || copy(attempt[:], decoded) != len(attempt) {
@@ -42,11 +42,11 @@
 	if settlement.Operator == "" {
 		return Done{}, badRequest{"the operator's name is missing"}
 	}
-	keep, err := se.recordRetention(ctx)
+	keep, err := service.recordRetention(ctx)
 	if err != nil {
 		return Done{}, err
 	}
-	result, err := se.Ledger.Propose(ctx, ledger.SettleCommand{
+	result, err := service.Ledger.Propose(ctx, ledger.SettleCommand{
 		Kind:       settlement.Kind,
 		Key:        settlement.Key,
 		Attempt:    attempt,
@@ -68,9 +68,9 @@
 	return Done{Done: true}, nil
 }
 
-func (se *Service) recordRetention(ctx context.Context) (time.Duration, error) {
+func (service *Service) recordRetention(ctx context.Context) (time.Duration, error) {
 	var text []byte
-	if err := se.Ledger.Peek(ctx, func(machine *ledger.Machine) { _, text = machine.Current() }); err != nil {
+	if err := service.Ledger.Peek(ctx, func(machine *ledger.Machine) { _, text = machine.Current() }); err != nil {
 		return 0, err
 	}
 	document, err := configuration.Parse(text)
--- a/internal/adapter/operator/hosts.go
+++ b/internal/adapter/operator/hosts.go
@@ -6,31 +6,31 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
 )
 
-func (se *Service) listTargets(ctx context.Context, _ Done) (Targets, error) {
-	rows, err := se.Directory.Targets(ctx)
+func (service *Service) listTargets(ctx context.Context, _ Done) (Targets, error) {
+	rows, err := service.Directory.Targets(ctx)
 	return Targets{Targets: rows}, err
 }
 
-func (se *Service) drainTarget(ctx context.Context, query NodeQuery) (Done, error) {
-	if err := se.Directory.Drain(ctx, query); err != nil {
+func (service *Service) drainTarget(ctx context.Context, query NodeQuery) (Done, error) {
+	if err := service.Directory.Drain(ctx, query); err != nil {
 		return Done{}, notFound{err.Error()}
 	}
 	return Done{Done: true}, nil
 }
 
 // viewStatus answers also without a quorum, from what this replica has.
-func (se *Service) viewStatus(ctx context.Context, _ Done) (Status, error) {
+func (service *Service) viewStatus(ctx context.Context, _ Done) (Status, error) {
 	status := Status{}
 	look := func(machine *ledger.Machine) { status.look(machine) }
 	reading, cancel := context.WithTimeout(ctx, statusReadTimeout)
 	defer cancel()
-	status.Quorum = se.Ledger.Read(reading, look) == nil
+	status.Quorum = service.Ledger.Read(reading, look) == nil
 	if !status.Quorum {
-		if err := se.Ledger.Peek(ctx, look); err != nil {
+		if err := service.Ledger.Peek(ctx, look); err != nil {
 			return status, err
 		}
 	}
-	replicas, err := se.Replicas.Replicas(ctx)
+	replicas, err := service.Replicas.Replicas(ctx)
 	if err != nil {
 		return status, err
 	}
@@ -41,29 +41,29 @@
 			status.Reached++
 		}
 	}
-	status.Domains, err = se.Directory.Domains(ctx, status.Version)
+	status.Domains, err = service.Directory.Domains(ctx, status.Version)
 	return status, err
 }
 
-func (st *Status) look(machine *ledger.Machine) {
-	st.Version, _ = machine.Current()
-	st.Actions = 0
+func (status *Status) look(machine *ledger.Machine) {
+	status.Version, _ = machine.Current()
+	status.Actions = 0
 	for _, open := range machine.Open() {
 		if open.InDoubt {
-			st.Actions++
+			status.Actions++
 		}
 	}
 }
 
-func (se *Service) listReplicas(ctx context.Context, _ Done) (Replicas, error) {
-	return se.Replicas.Replicas(ctx)
+func (service *Service) listReplicas(ctx context.Context, _ Done) (Replicas, error) {
+	return service.Replicas.Replicas(ctx)
 }
 
-func (se *Service) replaceReplica(ctx context.Context, asked Replacement) (Done, error) {
+func (service *Service) replaceReplica(ctx context.Context, asked Replacement) (Done, error) {
 	if asked.Lost == "" || asked.Address == "" {
 		return Done{}, badRequest{"name the lost replica's id and the new one's address"}
 	}
-	if err := se.Replicas.ReplaceReplica(ctx, asked); err != nil {
+	if err := service.Replicas.ReplaceReplica(ctx, asked); err != nil {
 		return Done{}, badRequest{err.Error()}
 	}
 	return Done{Done: true}, nil
--- a/internal/adapter/operator/patches.go
+++ b/internal/adapter/operator/patches.go
@@ -25,9 +25,9 @@
 
 // createPatch decides a patch. A resend with the same id is told the first
 // outcome again.
-func (se *Service) createPatch(ctx context.Context, patch Patch) (PatchOutcome, error) {
+func (service *Service) createPatch(ctx context.Context, patch Patch) (PatchOutcome, error) {
 	var base ledger.Base
-	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) { base = machine.Base() })
+	err := service.Ledger.Read(ctx, func(machine *ledger.Machine) { base = machine.Base() })
 	if err != nil {
 		return PatchOutcome{}, err
 	}
@@ -38,12 +38,12 @@
 		Note:       patch.Note,
 		Operations: patch.Operations,
 		Text:       []byte(patch.Text),
-		At:         se.Now(),
+		At:         service.Now(),
 	})
 	if err != nil {
 		return PatchOutcome{}, badRequest{err.Error()}
 	}
-	result, err := se.Ledger.Propose(ctx, command)
+	result, err := service.Ledger.Propose(ctx, command)
 	if err != nil {
 		return PatchOutcome{}, err
 	}
@@ -51,16 +51,16 @@
 	if err != nil {
 		return PatchOutcome{}, err
 	}
-	return se.describe(ctx, outcome)
+	return service.describe(ctx, outcome)
 }
 
 // describe adds to a stale outcome what was accepted since its base.
-func (se *Service) describe(ctx context.Context, outcome ledger.Outcome) (PatchOutcome, error) {
+func (service *Service) describe(ctx context.Context, outcome ledger.Outcome) (PatchOutcome, error) {
 	described := patchOutcome(outcome)
 	if outcome.State != ledger.Stale {
 		return described, nil
 	}
-	err := se.Ledger.Peek(ctx, func(machine *ledger.Machine) {
+	err := service.Ledger.Peek(ctx, func(machine *ledger.Machine) {
 		described.Since = versionChanges(machine.Since(outcome.Base, outcome.Version, shownSince))
 	})
 	return described, err
@@ -76,10 +76,10 @@
 	}
 }
 
-func (se *Service) viewPatch(ctx context.Context, query PatchQuery) (PatchOutcome, error) {
+func (service *Service) viewPatch(ctx context.Context, query PatchQuery) (PatchOutcome, error) {
 	var outcome ledger.Outcome
 	found := false
-	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) {
+	err := service.Ledger.Read(ctx, func(machine *ledger.Machine) {
 		outcome, found = machine.Outcome(ledger.PatchID(query.ID))
 	})
 	if err != nil {
@@ -88,12 +88,12 @@
 	if !found {
 		return PatchOutcome{}, notFound{"no patch " + query.ID + " was decided; send it again with the same id"}
 	}
-	return se.describe(ctx, outcome)
+	return service.describe(ctx, outcome)
 }
 
-func (se *Service) listPatches(ctx context.Context, query Most) (PatchList, error) {
+func (service *Service) listPatches(ctx context.Context, query Most) (PatchList, error) {
 	list := PatchList{Patches: []PatchOutcome{}}
-	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) {
+	err := service.Ledger.Read(ctx, func(machine *ledger.Machine) {
 		for _, outcome := range machine.Outcomes(rows(query.Most)) {
 			list.Patches = append(list.Patches, patchOutcome(outcome))
 		}
@@ -108,10 +108,10 @@
 	return min(asked, mostRows)
 }
 
-func (se *Service) viewConfiguration(ctx context.Context, query VersionQuery) (Configuration, error) {
+func (service *Service) viewConfiguration(ctx context.Context, query VersionQuery) (Configuration, error) {
 	answer := Configuration{}
 	found := false
-	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) {
+	err := service.Ledger.Read(ctx, func(machine *ledger.Machine) {
 		number, _ := machine.Current()
 		if query.Version != 0 {
 			number = query.Version
@@ -130,7 +130,7 @@
 	return answer, err
 }
 
-func (se *Service) checkConfiguration(_ context.Context, query Configuration) (PatchOutcome, error) {
+func (service *Service) checkConfiguration(_ context.Context, query Configuration) (PatchOutcome, error) {
 	_, err := configuration.Parse([]byte(query.Text))
 	faults := configuration.Faults{}
 	if err == nil {
@@ -158,9 +158,9 @@
 	}
 }
 
-func (se *Service) listVersions(ctx context.Context, query VersionRange) (Versions, error) {
+func (service *Service) listVersions(ctx context.Context, query VersionRange) (Versions, error) {
 	list := Versions{Versions: []VersionRow{}}
-	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) {
+	err := service.Ledger.Read(ctx, func(machine *ledger.Machine) {
 		current, _ := machine.Current()
 		upTo := query.UpTo
 		if upTo == 0 || upTo > current {
@@ -175,11 +175,11 @@
 	return list, err
 }
 
-func (se *Service) diffVersions(ctx context.Context, query DifferenceQuery) (Difference, error) {
+func (service *Service) diffVersions(ctx context.Context, query DifferenceQuery) (Difference, error) {
 	answer := Difference{From: query.From, To: query.To, Changes: []Change{}}
 	var before, after []byte
 	found := true
-	err := se.Ledger.Read(ctx, func(machine *ledger.Machine) {
+	err := service.Ledger.Read(ctx, func(machine *ledger.Machine) {
 		if query.To == 0 {
 			answer.To, _ = machine.Current()
 		}
--- a/internal/adapter/operator/service.go
+++ b/internal/adapter/operator/service.go
@@ -52,19 +52,19 @@
 type notFound struct{ what string }
 
 // Error describes what is unknown.
-func (nf notFound) Error() string { return nf.what }
+func (found notFound) Error() string { return found.what }
 
 // badRequest is an error of the request itself.
 type badRequest struct{ problem string }
 
 // Error describes the problem.
-func (br badRequest) Error() string { return br.problem }
+func (request badRequest) Error() string { return request.problem }
 
 type operation func(ctx context.Context, body []byte) (any, error)
 
 // Operate carries out one request and gives an HTTP status and a JSON document.
-func (se *Service) Operate(ctx context.Context, verb string, body []byte) (int, []byte) {
-	run, ok := se.operations()[Verb(verb)]
+func (service *Service) Operate(ctx context.Context, verb string, body []byte) (int, []byte) {
+	run, ok := service.operations()[Verb(verb)]
 	if !ok {
 		return encode(http.StatusNotFound, Failure{Error: "there is no request " + verb})
 	}
@@ -75,22 +75,22 @@
 	return encode(http.StatusOK, answer)
 }
 
-func (se *Service) operations() map[Verb]operation {
+func (service *Service) operations() map[Verb]operation {
 	return map[Verb]operation{
-		ViewConfiguration:  handle(se.viewConfiguration),
-		CheckConfiguration: handle(se.checkConfiguration),
-		CreatePatch:        handle(se.createPatch),
-		ViewPatch:          handle(se.viewPatch),
-		ListPatches:        handle(se.listPatches),
-		ListVersions:       handle(se.listVersions),
-		DiffVersions:       handle(se.diffVersions),
-		ListTargets:        handle(se.listTargets),
-		DrainTarget:        handle(se.drainTarget),
-		ViewStatus:         handle(se.viewStatus),
-		ListActions:        handle(se.listActions),
-		SettleAction:       handle(se.settleAction),
-		ListReplicas:       handle(se.listReplicas),
-		ReplaceReplica:     handle(se.replaceReplica),
+		ViewConfiguration:  handle(service.viewConfiguration),
+		CheckConfiguration: handle(service.checkConfiguration),
+		CreatePatch:        handle(service.createPatch),
+		ViewPatch:          handle(service.viewPatch),
+		ListPatches:        handle(service.listPatches),
+		ListVersions:       handle(service.listVersions),
+		DiffVersions:       handle(service.diffVersions),
+		ListTargets:        handle(service.listTargets),
+		DrainTarget:        handle(service.drainTarget),
+		ViewStatus:         handle(service.viewStatus),
+		ListActions:        handle(service.listActions),
+		SettleAction:       handle(service.settleAction),
+		ListReplicas:       handle(service.listReplicas),
+		ReplaceReplica:     handle(service.replaceReplica),
 	}
 }
 
--- a/internal/adapter/operator/web.go
+++ b/internal/adapter/operator/web.go
@@ -53,15 +53,15 @@
 }
 
 // Error says why.
-func (fe *FailureError) Error() string { return fe.Failure.Error }
+func (failureError *FailureError) Error() string { return failureError.Failure.Error }
 
 // UnansweredError is a request whose answer did not come; it may have been
 // carried out.
 type UnansweredError struct{ Reason error }
 
 // Error says why, and what to do.
-func (un *UnansweredError) Error() string {
-	return "no answer: " + un.Reason.Error() + "; " + advice(un.Reason)
+func (unansweredError *UnansweredError) Error() string {
+	return "no answer: " + unansweredError.Reason.Error() + "; " + advice(unansweredError.Reason)
 }
 
 func advice(reason error) string {
@@ -77,7 +77,7 @@
 }
 
 // Unwrap gives the reason.
-func (un *UnansweredError) Unwrap() error { return un.Reason }
+func (unansweredError *UnansweredError) Unwrap() error { return unansweredError.Reason }
 
 // Ask sends a request and reads its answer. It errors with [*FailureError] or
 // [*UnansweredError].
--- a/internal/adapter/peer/body.go
+++ b/internal/adapter/peer/body.go
@@ -42,39 +42,39 @@
 }
 
 // Read returns io.EOF only after a matching end frame.
-func (br *bodyReader) Read(data []byte) (int, error) {
-	for len(br.part) == 0 {
-		if br.err != nil {
-			return 0, br.err
+func (reader *bodyReader) Read(data []byte) (int, error) {
+	for len(reader.part) == 0 {
+		if reader.err != nil {
+			return 0, reader.err
 		}
-		br.err = br.next()
+		reader.err = reader.next()
 	}
-	count := copy(data, br.part)
-	br.part = br.part[count:]
+	count := copy(data, reader.part)
+	reader.part = reader.part[count:]
 	return count, nil
 }
 
-func (br *bodyReader) next() error {
-	frame, err := br.stream.Receive()
+func (reader *bodyReader) next() error {
+	frame, err := reader.stream.Receive()
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrBodyCut, unexpected(err))
 	}
-	if frame.Call != br.call {
-		return fmt.Errorf("%w: %d in place of %d", ErrOtherCall, frame.Call, br.call)
+	if frame.Call != reader.call {
+		return fmt.Errorf("%w: %d in place of %d", ErrOtherCall, frame.Call, reader.call)
 	}
 	switch frame.Kind {
 	case FrameBody:
-		br.part = frame.Payload
-		br.length += int64(len(frame.Payload))
-		_, _ = br.hash.Write(frame.Payload)
+		reader.part = frame.Payload
+		reader.length += int64(len(frame.Payload))
+		_, _ = reader.hash.Write(frame.Payload)
 		return nil
 	case FrameEnd:
-		return br.finish(frame.Payload)
+		return reader.finish(frame.Payload)
 	}
 	return fmt.Errorf("%w: kind %d in a body", ErrUnexpectedFrame, frame.Kind)
 }
 
-func (br *bodyReader) finish(payload []byte) error {
+func (reader *bodyReader) finish(payload []byte) error {
 	end := &peerpb.End{}
 	if err := proto.Unmarshal(payload, end); err != nil {
 		return fmt.Errorf("decode end: %w", err)
@@ -82,16 +82,16 @@
 	if end.GetAborted() {
 		return fmt.Errorf("%w at its source", ErrBodyCut)
 	}
-	if end.GetBodyLength() != br.length || end.GetBodyHash() != br.hash.Sum64() {
-		return fmt.Errorf("%w: %d of %d bytes arrived", ErrBodyCut, br.length, end.GetBodyLength())
+	if end.GetBodyLength() != reader.length || end.GetBodyHash() != reader.hash.Sum64() {
+		return fmt.Errorf("%w: %d of %d bytes arrived", ErrBodyCut, reader.length, end.GetBodyLength())
 	}
-	br.end = end
+	reader.end = end
 	return io.EOF
 }
 
 // complete tells whether the end frame was read.
-func (br *bodyReader) complete() bool {
-	return br.end != nil
+func (reader *bodyReader) complete() bool {
+	return reader.end != nil
 }
 
 // sendBody sends all of source as body frames and an end frame. The first part
--- a/internal/adapter/peer/exchange.go
+++ b/internal/adapter/peer/exchange.go
@@ -48,63 +48,65 @@
 type NotSentError struct{ Reason error }
 
 // Error describes the reason.
-func (ns *NotSentError) Error() string { return "call was not sent: " + ns.Reason.Error() }
+func (notSentError *NotSentError) Error() string {
+	return "call was not sent: " + notSentError.Reason.Error()
+}
 
 // Unwrap gives the reason.
-func (ns *NotSentError) Unwrap() error { return ns.Reason }
+func (notSentError *NotSentError) Unwrap() error { return notSentError.Reason }
 
-func (ex *Exchange) start(header *peerpb.CallHeader, body io.Reader) (*peerpb.AnswerHeader, error) {
-	if err := ex.stream.AddMessage(FrameMessage, ex.call, header); err != nil {
+func (exchange *Exchange) start(header *peerpb.CallHeader, body io.Reader) (*peerpb.AnswerHeader, error) {
+	if err := exchange.stream.AddMessage(FrameMessage, exchange.call, header); err != nil {
 		return nil, &NotSentError{Reason: err}
 	}
 	if !header.GetAwaitContinue() {
-		if err := sendBody(ex.stream, ex.call, body, nil); err != nil {
+		if err := sendBody(exchange.stream, exchange.call, body, nil); err != nil {
 			return nil, err
 		}
-		return ex.receiveAnswer()
+		return exchange.receiveAnswer()
 	}
-	return ex.startAwaiting(body)
+	return exchange.startAwaiting(body)
 }
 
-func (ex *Exchange) startAwaiting(body io.Reader) (*peerpb.AnswerHeader, error) {
-	if err := ex.stream.Flush(); err != nil {
+func (exchange *Exchange) startAwaiting(body io.Reader) (*peerpb.AnswerHeader, error) {
+	if err := exchange.stream.Flush(); err != nil {
 		return nil, err
 	}
-	frame, err := ex.receive()
+	frame, err := exchange.receive()
 	if err != nil {
 		return nil, err
 	}
 	if frame.Kind == FrameMessage {
-		return ex.decodeAnswer(frame)
+		return exchange.decodeAnswer(frame)
 	}
 	if frame.Kind != FrameContinue {
 		return nil, fmt.Errorf("%w: kind %d in place of an answer", ErrUnexpectedFrame, frame.Kind)
 	}
-	ex.sent = make(chan struct{})
-	go ex.sendRest(body)
-	return ex.receiveAnswer()
+	exchange.sent = make(chan struct{})
+	go exchange.sendRest(body)
+	return exchange.receiveAnswer()
 }
 
-func (ex *Exchange) receive() (Frame, error) {
-	frame, err := ex.stream.Receive()
+func (exchange *Exchange) receive() (Frame, error) {
+	frame, err := exchange.stream.Receive()
 	if err != nil {
 		return Frame{}, fmt.Errorf("receive answer: %w", unexpected(err))
 	}
-	if frame.Call != ex.call {
-		return Frame{}, fmt.Errorf("%w: %d in place of %d", ErrOtherCall, frame.Call, ex.call)
+	if frame.Call != exchange.call {
+		return Frame{}, fmt.Errorf("%w: %d in place of %d", ErrOtherCall, frame.Call, exchange.call)
 	}
 	return frame, nil
 }
 
-func (ex *Exchange) receiveAnswer() (*peerpb.AnswerHeader, error) {
-	frame, err := ex.receive()
+func (exchange *Exchange) receiveAnswer() (*peerpb.AnswerHeader, error) {
+	frame, err := exchange.receive()
 	if err != nil {
 		return nil, err
 	}
-	return ex.decodeAnswer(frame)
+	return exchange.decodeAnswer(frame)
 }
 
-func (ex *Exchange) decodeAnswer(frame Frame) (*peerpb.AnswerHeader, error) {
+func (exchange *Exchange) decodeAnswer(frame Frame) (*peerpb.AnswerHeader, error) {
 	if frame.Kind != FrameMessage {
 		return nil, fmt.Errorf("%w: kind %d in place of an answer", ErrUnexpectedFrame, frame.Kind)
 	}
@@ -112,55 +114,55 @@
 	if err := proto.Unmarshal(frame.Payload, header); err != nil {
 		return nil, fmt.Errorf("decode answer: %w", err)
 	}
-	ex.answer = newBodyReader(ex.stream, ex.call)
+	exchange.answer = newBodyReader(exchange.stream, exchange.call)
 	return header, nil
 }
 
 // Body reads the body of the answer; it ends with io.EOF only when all of it
 // arrived and matched.
-func (ex *Exchange) Body() io.Reader {
-	return ex.answer
+func (exchange *Exchange) Body() io.Reader {
+	return exchange.answer
 }
 
 // Report gives what the peer's end frame told, or nil before the body was read
 // to its end.
-func (ex *Exchange) Report() *peerpb.Report {
-	if ex.answer == nil || ex.answer.end == nil {
+func (exchange *Exchange) Report() *peerpb.Report {
+	if exchange.answer == nil || exchange.answer.end == nil {
 		return nil
 	}
-	return ex.answer.end.GetReport()
+	return exchange.answer.end.GetReport()
 }
 
 // Finish ends the exchange; a stream that is clean is kept for the next one.
-func (ex *Exchange) Finish() {
-	running := ex.stop()
-	if !running || ex.answer == nil || !ex.answer.complete() {
-		ex.close()
+func (exchange *Exchange) Finish() {
+	running := exchange.stop()
+	if !running || exchange.answer == nil || !exchange.answer.complete() {
+		exchange.close()
 		return
 	}
-	if !ex.bodySent() {
-		ex.close()
+	if !exchange.bodySent() {
+		exchange.close()
 		return
 	}
-	ex.transport.Keep(ex.address, ex.stream)
+	exchange.transport.Keep(exchange.address, exchange.stream)
 }
 
-func (ex *Exchange) sendRest(body io.Reader) {
-	if err := sendBody(ex.stream, ex.call, body, nil); err != nil {
-		_ = ex.stream.Close()
+func (exchange *Exchange) sendRest(body io.Reader) {
+	if err := sendBody(exchange.stream, exchange.call, body, nil); err != nil {
+		_ = exchange.stream.Close()
 		return
 	}
-	close(ex.sent)
+	close(exchange.sent)
 }
 
 // bodySent tells whether the body has gone out as a whole. An answer that came
 // before leaves the stream in the middle of a body.
-func (ex *Exchange) bodySent() bool {
-	if ex.sent == nil {
+func (exchange *Exchange) bodySent() bool {
+	if exchange.sent == nil {
 		return true
 	}
 	select {
-	case <-ex.sent:
+	case <-exchange.sent:
 		return true
 	default:
 		return false
@@ -168,13 +170,13 @@
 }
 
 // Abort closes the stream, which cancels the call at the peer.
-func (ex *Exchange) Abort() {
-	ex.stop()
-	ex.close()
+func (exchange *Exchange) Abort() {
+	exchange.stop()
+	exchange.close()
 }
 
-func (ex *Exchange) close() {
-	_ = ex.stream.Close()
+func (exchange *Exchange) close() {
+	_ = exchange.stream.Close()
 }
 
 // WasSent tells whether an error of [Transport.Call] may have left the call
--- a/internal/adapter/peer/inbound.go
+++ b/internal/adapter/peer/inbound.go
@@ -165,8 +165,8 @@
 type discardAfterClose struct{ pipe *io.PipeWriter }
 
 // Write never fails.
-func (dc discardAfterClose) Write(data []byte) (int, error) {
-	_, _ = dc.pipe.Write(data)
+func (close discardAfterClose) Write(data []byte) (int, error) {
+	_, _ = close.pipe.Write(data)
 	return len(data), nil
 }
 
--- a/internal/adapter/peer/stream.go
+++ b/internal/adapter/peer/stream.go
@@ -39,21 +39,21 @@
 }
 
 // Remote tells who is at the other end.
-func (st *Stream) Remote() Hello {
-	return st.remote
+func (stream *Stream) Remote() Hello {
+	return stream.remote
 }
 
 // Add buffers a frame for the next [Stream.Flush].
-func (st *Stream) Add(frame Frame) {
-	if !st.opened {
-		st.opened = true
-		st.outgoing = AppendFrame(st.outgoing, Frame{Kind: FrameOpen, Payload: []byte{byte(st.kind)}})
+func (stream *Stream) Add(frame Frame) {
+	if !stream.opened {
+		stream.opened = true
+		stream.outgoing = AppendFrame(stream.outgoing, Frame{Kind: FrameOpen, Payload: []byte{byte(stream.kind)}})
 	}
-	st.outgoing = AppendFrame(st.outgoing, frame)
+	stream.outgoing = AppendFrame(stream.outgoing, frame)
 }
 
 // AddMessage buffers a frame that holds one message.
-func (st *Stream) AddMessage(kind FrameKind, call request.CallID, message proto.Message) error {
+func (stream *Stream) AddMessage(kind FrameKind, call request.CallID, message proto.Message) error {
 	payload, err := proto.Marshal(message)
 	if err != nil {
 		return fmt.Errorf("encode message: %w", err)
@@ -61,38 +61,38 @@
 	if len(payload) > MaxPayload {
 		return fmt.Errorf("%w: %d bytes", ErrFrameTooLong, len(payload))
 	}
-	st.Add(Frame{Kind: kind, Call: call, Payload: payload})
+	stream.Add(Frame{Kind: kind, Call: call, Payload: payload})
 	return nil
 }
 
 // Flush writes what was added.
-func (st *Stream) Flush() error {
-	if len(st.outgoing) == 0 {
+func (stream *Stream) Flush() error {
+	if len(stream.outgoing) == 0 {
 		return nil
 	}
-	_, err := st.conn.Write(st.outgoing)
-	st.outgoing = st.outgoing[:0]
+	_, err := stream.conn.Write(stream.outgoing)
+	stream.outgoing = stream.outgoing[:0]
 	return err
 }
 
 // Send writes one message at once.
-func (st *Stream) Send(call request.CallID, message proto.Message) error {
-	if err := st.AddMessage(FrameMessage, call, message); err != nil {
+func (stream *Stream) Send(call request.CallID, message proto.Message) error {
+	if err := stream.AddMessage(FrameMessage, call, message); err != nil {
 		return err
 	}
-	return st.Flush()
+	return stream.Flush()
 }
 
 // Receive reads the next frame. Its payload is valid until the next call.
-func (st *Stream) Receive() (Frame, error) {
-	frame, buffer, err := ReadFrame(st.conn, st.incoming)
-	st.incoming = buffer
+func (stream *Stream) Receive() (Frame, error) {
+	frame, buffer, err := ReadFrame(stream.conn, stream.incoming)
+	stream.incoming = buffer
 	return frame, err
 }
 
 // ReceiveMessage reads the next frame, which must hold a message.
-func (st *Stream) ReceiveMessage(message proto.Message) (request.CallID, error) {
-	frame, err := st.Receive()
+func (stream *Stream) ReceiveMessage(message proto.Message) (request.CallID, error) {
+	frame, err := stream.Receive()
 	if err != nil {
 		return 0, err
 	}
@@ -106,11 +106,11 @@
 }
 
 // SetDeadline bounds all sending and receiving; the zero time lifts the bound.
-func (st *Stream) SetDeadline(at time.Time) error {
-	return st.conn.SetDeadline(at)
+func (stream *Stream) SetDeadline(at time.Time) error {
+	return stream.conn.SetDeadline(at)
 }
 
 // Close ends the stream at once; the other end reads an error or end of file.
-func (st *Stream) Close() error {
-	return st.conn.Close()
+func (stream *Stream) Close() error {
+	return stream.conn.Close()
 }
--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -88,126 +88,126 @@
 }
 
 // Run keeps a stream to a replica until the context ends.
-func (c *Client) Run(ctx context.Context) error {
-	c.loop.prepare()
-	setClock(&c.Clock, &c.Random)
-	ticks, stop := tickerOf(c.Ticks)
+func (client *Client) Run(ctx context.Context) error {
+	client.loop.prepare()
+	setClock(&client.Clock, &client.Random)
+	ticks, stop := tickerOf(client.Ticks)
 	defer stop()
-	if c.Self.Sequence == 0 {
-		c.Self.Sequence = 1
+	if client.Self.Sequence == 0 {
+		client.Self.Sequence = 1
 	}
-	if c.HomeInterval == 0 {
-		c.HomeInterval = DefaultHomeInterval
+	if client.HomeInterval == 0 {
+		client.HomeInterval = DefaultHomeInterval
 	}
-	c.agent = agent{self: c.Self, view: &membership.View{Services: c.Services}, follower: c.Follower, events: c.Events, links: c.Links}
-	c.connect(ctx, c.Clock())
-	err := c.loop.run(ctx, c.Clock, ticks, func(now time.Time) { c.tick(ctx, now) })
-	if c.line.writer != nil {
-		c.line.writer.finish()
+	client.agent = agent{self: client.Self, view: &membership.View{Services: client.Services}, follower: client.Follower, events: client.Events, links: client.Links}
+	client.connect(ctx, client.Clock())
+	err := client.loop.run(ctx, client.Clock, ticks, func(now time.Time) { client.tick(ctx, now) })
+	if client.line.writer != nil {
+		client.line.writer.finish()
 	}
 	return err
 }
 
 // Change announces another state of the target. A cold one is announced as
 // ready by itself after a while; one that leaves stays so.
-func (c *Client) Change(ctx context.Context, state membership.State) error {
-	c.loop.prepare()
-	return c.loop.do(ctx, func(now time.Time) { c.send(c.agent.change(now, state)) })
+func (client *Client) Change(ctx context.Context, state membership.State) error {
+	client.loop.prepare()
+	return client.loop.do(ctx, func(now time.Time) { client.send(client.agent.change(now, state)) })
 }
 
 // Resize announces another number of slots.
-func (c *Client) Resize(ctx context.Context, slots membership.Slots) error {
-	c.loop.prepare()
-	return c.loop.do(ctx, func(time.Time) { c.send(c.agent.resize(slots)) })
+func (client *Client) Resize(ctx context.Context, slots membership.Slots) error {
+	client.loop.prepare()
+	return client.loop.do(ctx, func(time.Time) { client.send(client.agent.resize(slots)) })
 }
 
 // Watch replaces the services whose targets the node wants to know.
-func (c *Client) Watch(ctx context.Context, services []request.ServiceName) error {
-	c.loop.prepare()
-	return c.loop.do(ctx, func(time.Time) {
-		c.agent.view.Services = services
-		c.send(&pb.Request{Subscribe: encodeSubscription(c.agent.view.Subscription())})
+func (client *Client) Watch(ctx context.Context, services []request.ServiceName) error {
+	client.loop.prepare()
+	return client.loop.do(ctx, func(time.Time) {
+		client.agent.view.Services = services
+		client.send(&pb.Request{Subscribe: encodeSubscription(client.agent.view.Subscription())})
 	})
 }
 
 // Report tells all nodes of crashing requests. It is called before Change
 // announces that the target is down.
-func (c *Client) Report(ctx context.Context, reports ...quarantine.Report) error {
-	c.loop.prepare()
-	return c.loop.do(ctx, func(time.Time) { c.send(c.agent.report(reports)) })
+func (client *Client) Report(ctx context.Context, reports ...quarantine.Report) error {
+	client.loop.prepare()
+	return client.loop.do(ctx, func(time.Time) { client.send(client.agent.report(reports)) })
 }
 
 // Heard notes the version that a peer has in force. A client whose replica
 // does not give it that version for a while goes on to the next replica.
-func (c *Client) Heard(ctx context.Context, number configuration.Version) error {
-	c.loop.prepare()
-	return c.loop.do(ctx, func(time.Time) { c.Follower.Heard(number) })
+func (client *Client) Heard(ctx context.Context, number configuration.Version) error {
+	client.loop.prepare()
+	return client.loop.do(ctx, func(time.Time) { client.Follower.Heard(number) })
 }
 
 // Leave ends the lease of a node that stops as planned.
-func (c *Client) Leave(ctx context.Context) error {
-	c.loop.prepare()
-	return c.loop.do(ctx, func(now time.Time) {
-		c.send(&pb.Request{Leave: true})
-		if c.line.writer != nil {
-			c.line.writer.finish()
+func (client *Client) Leave(ctx context.Context) error {
+	client.loop.prepare()
+	return client.loop.do(ctx, func(now time.Time) {
+		client.send(&pb.Request{Leave: true})
+		if client.line.writer != nil {
+			client.line.writer.finish()
 		}
-		c.line.connectAt = now.Add(time.Hour)
-		c.detach()
+		client.line.connectAt = now.Add(time.Hour)
+		client.detach()
 	})
 }
 
-func (c *Client) tick(ctx context.Context, now time.Time) {
-	c.send(c.agent.tick(now))
-	if c.agent.silent(now) {
-		c.log("registry: the replica is silent, trying the next one")
-		c.moveOn()
+func (client *Client) tick(ctx context.Context, now time.Time) {
+	client.send(client.agent.tick(now))
+	if client.agent.silent(now) {
+		client.log("registry: the replica is silent, trying the next one")
+		client.moveOn()
 	}
-	if c.agent.outdated(now) && len(c.Replicas) > 1 {
-		c.log("registry: the replica is behind a version in force elsewhere, trying the next one")
-		c.moveOn()
+	if client.agent.outdated(now) && len(client.Replicas) > 1 {
+		client.log("registry: the replica is behind a version in force elsewhere, trying the next one")
+		client.moveOn()
 	}
-	c.connect(ctx, now)
+	client.connect(ctx, now)
 }
 
 // moveOn leaves the present replica for the next one.
-func (c *Client) moveOn() {
-	c.line.writer.finish()
-	c.detach()
-	c.line.next = c.line.index + 1
+func (client *Client) moveOn() {
+	client.line.writer.finish()
+	client.detach()
+	client.line.next = client.line.index + 1
 }
 
 // connect opens a stream when there is none, or to the nearest replica when the
 // present one is another.
-func (c *Client) connect(ctx context.Context, now time.Time) {
-	if c.line.opening || len(c.Replicas) == 0 {
+func (client *Client) connect(ctx context.Context, now time.Time) {
+	if client.line.opening || len(client.Replicas) == 0 {
 		return
 	}
-	if c.line.writer != nil {
-		if c.line.index == 0 || now.Before(c.line.homeAt) {
+	if client.line.writer != nil {
+		if client.line.index == 0 || now.Before(client.line.homeAt) {
 			return
 		}
-		c.line.homeAt = c.nextHome(now)
-		c.open(ctx, 0)
+		client.line.homeAt = client.nextHome(now)
+		client.open(ctx, 0)
 		return
 	}
-	if now.Before(c.line.connectAt) {
+	if now.Before(client.line.connectAt) {
 		return
 	}
-	c.open(ctx, c.line.next%len(c.Replicas))
+	client.open(ctx, client.line.next%len(client.Replicas))
 }
 
-func (c *Client) open(ctx context.Context, index int) {
-	c.line.opening = true
+func (client *Client) open(ctx context.Context, index int) {
+	client.line.opening = true
 	go func() {
-		link, err := c.Open(ctx, c.Replicas[index])
-		lost := c.loop.do(ctx, func(now time.Time) {
-			c.line.opening = false
+		link, err := client.Open(ctx, client.Replicas[index])
+		lost := client.loop.do(ctx, func(now time.Time) {
+			client.line.opening = false
 			if err != nil {
-				c.failed(now, err)
+				client.failed(now, err)
 				return
 			}
-			c.attach(ctx, now, link, index)
+			client.attach(ctx, now, link, index)
 		})
 		if lost != nil && err == nil {
 			_ = link.Close()
@@ -216,41 +216,41 @@
 }
 
 // failed goes on to the next replica, and waits once all have been tried.
-func (c *Client) failed(now time.Time, err error) {
-	if c.line.writer != nil {
+func (client *Client) failed(now time.Time, err error) {
+	if client.line.writer != nil {
 		return
 	}
-	c.line.next++
-	if c.line.next%len(c.Replicas) == 0 {
-		if c.Logger != nil {
-			c.Logger.Warn().Err(err).Msg("registry: no replica is in reach, the last lists stay in force; the error is of the last one tried")
+	client.line.next++
+	if client.line.next%len(client.Replicas) == 0 {
+		if client.Logger != nil {
+			client.Logger.Warn().Err(err).Msg("registry: no replica is in reach, the last lists stay in force; the error is of the last one tried")
 		}
-		c.line.connectAt = now.Add(c.line.pause.next(c.Random))
+		client.line.connectAt = now.Add(client.line.pause.next(client.Random))
 	}
 }
 
-func (c *Client) attach(ctx context.Context, now time.Time, link Link, index int) {
-	if c.line.writer != nil {
-		c.line.writer.finish()
+func (client *Client) attach(ctx context.Context, now time.Time, link Link, index int) {
+	if client.line.writer != nil {
+		client.line.writer.finish()
 	}
 	output := newWriter(link)
-	c.line.writer = output
-	c.line.index, c.line.next = index, index
-	c.line.homeAt = c.nextHome(now)
-	c.line.pause.reset()
-	c.send(c.agent.connected(now))
-	go c.read(ctx, link, output)
+	client.line.writer = output
+	client.line.index, client.line.next = index, index
+	client.line.homeAt = client.nextHome(now)
+	client.line.pause.reset()
+	client.send(client.agent.connected(now))
+	go client.read(ctx, link, output)
 }
 
-func (c *Client) read(ctx context.Context, link Link, output *writer) {
+func (client *Client) read(ctx context.Context, link Link, output *writer) {
 	for {
 		reply := &pb.Reply{}
 		if link.Receive(reply) != nil {
 			break
 		}
-		err := c.loop.do(ctx, func(now time.Time) {
-			if c.line.writer == output {
-				c.send(c.agent.receive(now, reply))
+		err := client.loop.do(ctx, func(now time.Time) {
+			if client.line.writer == output {
+				client.send(client.agent.receive(now, reply))
 			}
 		})
 		if err != nil {
@@ -258,33 +258,33 @@
 		}
 	}
 	output.finish()
-	_ = c.loop.do(context.WithoutCancel(ctx), func(now time.Time) {
-		if c.line.writer != output {
+	_ = client.loop.do(context.WithoutCancel(ctx), func(now time.Time) {
+		if client.line.writer != output {
 			return
 		}
-		c.detach()
-		c.line.next = 0
-		c.line.connectAt = now.Add(c.line.pause.next(c.Random))
+		client.detach()
+		client.line.next = 0
+		client.line.connectAt = now.Add(client.line.pause.next(client.Random))
 	})
 }
 
-func (c *Client) detach() {
-	c.line.writer = nil
-	c.agent.attached = false
+func (client *Client) detach() {
+	client.line.writer = nil
+	client.agent.attached = false
 }
 
-func (c *Client) send(message *pb.Request) {
-	if message != nil && c.line.writer != nil {
-		_ = c.line.writer.send(message)
+func (client *Client) send(message *pb.Request) {
+	if message != nil && client.line.writer != nil {
+		_ = client.line.writer.send(message)
 	}
 }
 
-func (c *Client) nextHome(now time.Time) time.Time {
-	return now.Add(c.HomeInterval/2 + time.Duration(c.Random.Int64N(int64(c.HomeInterval))))
+func (client *Client) nextHome(now time.Time) time.Time {
+	return now.Add(client.HomeInterval/2 + time.Duration(client.Random.Int64N(int64(client.HomeInterval))))
 }
 
-func (c *Client) log(text string) {
-	if c.Logger != nil {
-		c.Logger.Warn().Str("node", string(c.Self.Node)).Msg(text)
+func (client *Client) log(text string) {
+	if client.Logger != nil {
+		client.Logger.Warn().Str("node", string(client.Self.Node)).Msg(text)
 	}
 }
--- a/internal/adapter/registry/client_test.go
+++ b/internal/adapter/registry/client_test.go
@@ -38,30 +38,30 @@
 	return &memoryLink{out: forth, in: back, closed: closed, once: once}, &memoryLink{out: back, in: forth, closed: closed, once: once}
 }
 
-func (ml *memoryLink) Send(message proto.Message) error {
+func (link *memoryLink) Send(message proto.Message) error {
 	payload, err := proto.Marshal(message)
 	if err != nil {
 		return err
 	}
 	select {
-	case ml.out <- payload:
+	case link.out <- payload:
 		return nil
-	case <-ml.closed:
+	case <-link.closed:
 		return io.ErrClosedPipe
 	}
 }
 
-func (ml *memoryLink) Receive(message proto.Message) error {
+func (link *memoryLink) Receive(message proto.Message) error {
 	select {
-	case payload := <-ml.in:
+	case payload := <-link.in:
 		return proto.Unmarshal(payload, message)
-	case <-ml.closed:
+	case <-link.closed:
 		return io.EOF
 	}
 }
 
-func (ml *memoryLink) Close() error {
-	ml.once.Do(func() { close(ml.closed) })
+func (link *memoryLink) Close() error {
+	link.once.Do(func() { close(link.closed) })
 	return nil
 }
 
@@ -176,9 +176,9 @@
 }
 
 // await takes views until one fits; the test's own timeout bounds it.
-func (cs *clientStub) await(fits func(choice.View) bool) choice.View {
+func (stub *clientStub) await(fits func(choice.View) bool) choice.View {
 	for {
-		view := <-cs.targets
+		view := <-stub.targets
 		if fits(view) {
 			return view
 		}
--- a/internal/adapter/registry/link.go
+++ b/internal/adapter/registry/link.go
@@ -43,19 +43,19 @@
 }
 
 // Send writes one message.
-func (pl *peerLink) Send(message proto.Message) error {
-	return pl.stream.Send(0, message)
+func (link *peerLink) Send(message proto.Message) error {
+	return link.stream.Send(0, message)
 }
 
 // Receive reads one message.
-func (pl *peerLink) Receive(message proto.Message) error {
-	_, err := pl.stream.ReceiveMessage(message)
+func (link *peerLink) Receive(message proto.Message) error {
+	_, err := link.stream.ReceiveMessage(message)
 	return err
 }
 
 // Close closes the stream.
-func (pl *peerLink) Close() error {
-	return pl.stream.Close()
+func (link *peerLink) Close() error {
+	return link.stream.Close()
 }
 
 // writer sends queued messages to a link from a goroutine of its own, so that
--- a/internal/adapter/registry/server.go
+++ b/internal/adapter/registry/server.go
@@ -61,47 +61,47 @@
 }
 
 // Prepare readies the server for its first stream; Run does so by itself.
-func (s *Server) Prepare() {
-	s.loop.prepare()
+func (server *Server) Prepare() {
+	server.loop.prepare()
 }
 
 // Run serves until the context ends.
-func (s *Server) Run(ctx context.Context) error {
-	s.Prepare()
-	setClock(&s.Clock, &s.Random)
-	ticks, stop := tickerOf(s.Ticks)
+func (server *Server) Run(ctx context.Context) error {
+	server.Prepare()
+	setClock(&server.Clock, &server.Random)
+	ticks, stop := tickerOf(server.Ticks)
 	defer stop()
-	now := s.Clock()
-	s.Registry.Start(now, membership.Epoch(now.UnixNano()))
-	s.desk = desk{registry: s.Registry, publisher: s.Publisher, tracker: s.Tracker, confirmed: s.Confirmed, members: map[request.NodeID]bool{}}
-	for _, other := range s.Others {
-		s.desk.members[other.ID] = true
-		s.joins = append(s.joins, &join{replica: other})
+	now := server.Clock()
+	server.Registry.Start(now, membership.Epoch(now.UnixNano()))
+	server.desk = desk{registry: server.Registry, publisher: server.Publisher, tracker: server.Tracker, confirmed: server.Confirmed, members: map[request.NodeID]bool{}}
+	for _, other := range server.Others {
+		server.desk.members[other.ID] = true
+		server.joins = append(server.joins, &join{replica: other})
 	}
-	defer s.closeAll()
-	return s.loop.run(ctx, s.Clock, ticks, func(now time.Time) {
-		s.desk.tick(now)
-		for _, joined := range s.joins {
-			s.connect(ctx, now, joined)
+	defer server.closeAll()
+	return server.loop.run(ctx, server.Clock, ticks, func(now time.Time) {
+		server.desk.tick(now)
+		for _, joined := range server.joins {
+			server.connect(ctx, now, joined)
 		}
 	})
 }
 
 // Handle serves the stream of a node or another replica; it is the handler of
 // [peer.KindRegistry].
-func (s *Server) Handle(ctx context.Context, stream *peer.Stream) {
+func (server *Server) Handle(ctx context.Context, stream *peer.Stream) {
 	remote := stream.Remote()
-	s.Serve(ctx, &peerLink{stream: stream}, remote.Node, remote.Place)
+	server.Serve(ctx, &peerLink{stream: stream}, remote.Node, remote.Place)
 }
 
 // Serve serves one link until it ends.
-func (s *Server) Serve(ctx context.Context, link Link, node request.NodeID, place request.Place) {
-	s.Prepare()
+func (server *Server) Serve(ctx context.Context, link Link, node request.NodeID, place request.Place) {
+	server.Prepare()
 	output := newWriter(link)
 	defer output.finish()
 	var opened *session
-	err := s.loop.do(ctx, func(time.Time) {
-		opened = s.desk.open(node, place, func(reply *pb.Reply) { _ = output.send(reply) })
+	err := server.loop.do(ctx, func(time.Time) {
+		opened = server.desk.open(node, place, func(reply *pb.Reply) { _ = output.send(reply) })
 	})
 	if err != nil {
 		return
@@ -111,37 +111,37 @@
 		if link.Receive(message) != nil {
 			break
 		}
-		err := s.loop.do(ctx, func(now time.Time) { s.desk.receive(now, opened, message) })
+		err := server.loop.do(ctx, func(now time.Time) { server.desk.receive(now, opened, message) })
 		if err != nil {
 			break
 		}
 	}
-	_ = s.loop.do(context.WithoutCancel(ctx), func(now time.Time) { s.desk.close(now, opened) })
+	_ = server.loop.do(context.WithoutCancel(ctx), func(now time.Time) { server.desk.close(now, opened) })
 }
 
 // Publish gives the next version of the configuration to the nodes.
-func (s *Server) Publish(ctx context.Context, version spread.Version) error {
-	s.Prepare()
+func (server *Server) Publish(ctx context.Context, version spread.Version) error {
+	server.Prepare()
 	var err error
-	lost := s.loop.do(ctx, func(time.Time) { err = s.Publisher.Publish(version) })
+	lost := server.loop.do(ctx, func(time.Time) { err = server.Publisher.Publish(version) })
 	return errors.Join(lost, err)
 }
 
 // Status tells which versions are in force in each failure domain.
-func (s *Server) Status(ctx context.Context) ([]spread.DomainStatus, error) {
-	s.Prepare()
+func (server *Server) Status(ctx context.Context) ([]spread.DomainStatus, error) {
+	server.Prepare()
 	var domains []spread.DomainStatus
-	err := s.loop.do(ctx, func(now time.Time) { domains = s.Tracker.Status(now) })
+	err := server.loop.do(ctx, func(now time.Time) { domains = server.Tracker.Status(now) })
 	return domains, err
 }
 
 // Silent lists the other replicas that were not heard of lately.
-func (s *Server) Silent(ctx context.Context) ([]peer.Address, error) {
-	s.Prepare()
+func (server *Server) Silent(ctx context.Context) ([]peer.Address, error) {
+	server.Prepare()
 	var silent []peer.Address
-	err := s.loop.do(ctx, func(now time.Time) {
-		for _, other := range s.Others {
-			if !s.Tracker.Heard(now, other.ID) {
+	err := server.loop.do(ctx, func(now time.Time) {
+		for _, other := range server.Others {
+			if !server.Tracker.Heard(now, other.ID) {
 				silent = append(silent, other.Address)
 			}
 		}
@@ -150,40 +150,40 @@
 }
 
 // Leases counts the leases that this replica holds.
-func (s *Server) Leases(ctx context.Context) (int, error) {
-	s.Prepare()
+func (server *Server) Leases(ctx context.Context) (int, error) {
+	server.Prepare()
 	var count int
-	err := s.loop.do(ctx, func(time.Time) { count = s.Registry.Leases() })
+	err := server.loop.do(ctx, func(time.Time) { count = server.Registry.Leases() })
 	return count, err
 }
 
 // Targets lists the live targets of the services.
-func (s *Server) Targets(ctx context.Context, services []request.ServiceName) ([]membership.Record, error) {
-	s.Prepare()
+func (server *Server) Targets(ctx context.Context, services []request.ServiceName) ([]membership.Record, error) {
+	server.Prepare()
 	var records []membership.Record
-	err := s.loop.do(ctx, func(time.Time) {
+	err := server.loop.do(ctx, func(time.Time) {
 		for _, service := range services {
-			records = append(records, s.Registry.Records(service)...)
+			records = append(records, server.Registry.Records(service)...)
 		}
 	})
 	return records, err
 }
 
 // connect keeps the stream to another replica.
-func (s *Server) connect(ctx context.Context, now time.Time, joined *join) {
+func (server *Server) connect(ctx context.Context, now time.Time, joined *join) {
 	if joined.writer != nil || joined.opening || now.Before(joined.connectAt) {
 		return
 	}
 	joined.opening = true
 	go func() {
-		link, err := s.Open(ctx, joined.replica.Address)
-		lost := s.loop.do(ctx, func(now time.Time) {
+		link, err := server.Open(ctx, joined.replica.Address)
+		lost := server.loop.do(ctx, func(now time.Time) {
 			joined.opening = false
 			if err != nil {
-				joined.connectAt = now.Add(joined.pause.next(s.Random))
+				joined.connectAt = now.Add(joined.pause.next(server.Random))
 				return
 			}
-			s.joined(ctx, joined, link)
+			server.joined(ctx, joined, link)
 		})
 		if lost != nil && err == nil {
 			_ = link.Close()
@@ -191,7 +191,7 @@
 	}()
 }
 
-func (s *Server) joined(ctx context.Context, joined *join, link Link) {
+func (server *Server) joined(ctx context.Context, joined *join, link Link) {
 	joined.pause.reset()
 	output := newWriter(link)
 	joined.writer = output
@@ -202,8 +202,8 @@
 			if link.Receive(reply) != nil {
 				break
 			}
-			err := s.loop.do(ctx, func(now time.Time) {
-				if s.desk.fromReplica(now, joined.replica.ID, reply) {
+			err := server.loop.do(ctx, func(now time.Time) {
+				if server.desk.fromReplica(now, joined.replica.ID, reply) {
 					_ = output.send(&pb.Request{Join: true})
 				}
 			})
@@ -212,24 +212,24 @@
 			}
 		}
 		output.finish()
-		_ = s.loop.do(context.WithoutCancel(ctx), func(now time.Time) {
+		_ = server.loop.do(context.WithoutCancel(ctx), func(now time.Time) {
 			joined.writer = nil
-			joined.connectAt = now.Add(joined.pause.next(s.Random))
-			s.log("registry: lost the stream to another replica", joined.replica.ID)
+			joined.connectAt = now.Add(joined.pause.next(server.Random))
+			server.log("registry: lost the stream to another replica", joined.replica.ID)
 		})
 	}()
 }
 
-func (s *Server) closeAll() {
-	for _, joined := range s.joins {
+func (server *Server) closeAll() {
+	for _, joined := range server.joins {
 		if joined.writer != nil {
 			joined.writer.finish()
 		}
 	}
 }
 
-func (s *Server) log(text string, replica request.NodeID) {
-	if s.Logger != nil {
-		s.Logger.Warn().Str("replica", string(replica)).Msg(text)
+func (server *Server) log(text string, replica request.NodeID) {
+	if server.Logger != nil {
+		server.Logger.Warn().Str("replica", string(replica)).Msg(text)
 	}
 }
--- a/internal/adapter/web/problem.go
+++ b/internal/adapter/web/problem.go
@@ -30,11 +30,11 @@
 }
 
 // Error describes the refusal.
-func (re *Refusal) Error() string {
-	if re.Detail == "" {
-		return re.Code.String()
+func (refusal *Refusal) Error() string {
+	if refusal.Detail == "" {
+		return refusal.Code.String()
 	}
-	return re.Code.String() + ": " + re.Detail
+	return refusal.Code.String() + ": " + refusal.Detail
 }
 
 // problem is the document of a refusal.
--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -28,13 +28,13 @@
 }
 
 // Start prepares the client.
-func (tc *TargetClient) Start() {
+func (targetClient *TargetClient) Start() {
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
-	tc.transport = &http.Transport{
+	targetClient.transport = &http.Transport{
 		DialContext:            dialer.DialContext,
-		MaxConnsPerHost:        tc.Connections,
-		MaxIdleConns:           tc.Connections,
-		MaxIdleConnsPerHost:    tc.Connections,
+		MaxConnsPerHost:        targetClient.Connections,
+		MaxIdleConns:           targetClient.Connections,
+		MaxIdleConnsPerHost:    targetClient.Connections,
 		IdleConnTimeout:        targetIdleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: targetHeaderLimit,
@@ -42,8 +42,8 @@
 }
 
 // Close ends idle connections.
-func (tc *TargetClient) Close() {
-	tc.transport.CloseIdleConnections()
+func (targetClient *TargetClient) Close() {
+	targetClient.transport.CloseIdleConnections()
 }
 
 // TargetCall is one call to the local target.
@@ -60,19 +60,19 @@
 type SentError struct{ Reason error }
 
 // Error describes the reason.
-func (se *SentError) Error() string {
-	return "target failed after the call was sent: " + se.Reason.Error()
+func (sentError *SentError) Error() string {
+	return "target failed after the call was sent: " + sentError.Reason.Error()
 }
 
 // Unwrap gives the reason.
-func (se *SentError) Unwrap() error { return se.Reason }
+func (sentError *SentError) Unwrap() error { return sentError.Reason }
 
 // Send hands the call to the target once and gives its answer. A [*SentError]
 // tells that the target may have run it; any other error, that it did not.
-func (tc *TargetClient) Send(ctx context.Context, call TargetCall) (*http.Response, error) {
+func (targetClient *TargetClient) Send(ctx context.Context, call TargetCall) (*http.Response, error) {
 	sent := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }}
-	outgoing, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, "http://"+tc.Address+call.Path, nil)
+	outgoing, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, "http://"+targetClient.Address+call.Path, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -80,7 +80,7 @@
 	outgoing.Header = call.Headers
 	outgoing.Body = onceBody{call.Body}
 	outgoing.ContentLength = call.BodyLength
-	response, err := tc.transport.RoundTrip(outgoing)
+	response, err := targetClient.transport.RoundTrip(outgoing)
 	if err == nil {
 		return response, nil
 	}
@@ -95,11 +95,11 @@
 type onceBody struct{ source io.Reader }
 
 // Read reads the body.
-func (ob onceBody) Read(data []byte) (int, error) {
-	if ob.source == nil {
+func (body onceBody) Read(data []byte) (int, error) {
+	if body.source == nil {
 		return 0, io.EOF
 	}
-	return ob.source.Read(data)
+	return body.source.Read(data)
 }
 
 // Close does nothing: the body belongs to the call.
--- a/internal/configuration/cycle.go
+++ b/internal/configuration/cycle.go
@@ -23,27 +23,27 @@
 	path    []request.ServiceName
 }
 
-func (s *cycleSearch) visit(name request.ServiceName) {
-	if s.done[name] {
+func (search *cycleSearch) visit(name request.ServiceName) {
+	if search.done[name] {
 		return
 	}
-	s.path = append(s.path, name)
-	for i, callee := range s.checker.document.Services[name].Calls {
-		start := slices.Index(s.path, callee)
+	search.path = append(search.path, name)
+	for i, callee := range search.checker.document.Services[name].Calls {
+		start := slices.Index(search.path, callee)
 		if start < 0 {
-			s.visit(callee)
+			search.visit(callee)
 			continue
 		}
-		s.report(fmt.Sprintf("services.%s.calls[%d]", name, i), append(slices.Clone(s.path[start:]), callee))
+		search.report(fmt.Sprintf("services.%s.calls[%d]", name, i), append(slices.Clone(search.path[start:]), callee))
 	}
-	s.path = s.path[:len(s.path)-1]
-	s.done[name] = true
+	search.path = search.path[:len(search.path)-1]
+	search.done[name] = true
 }
 
-func (s *cycleSearch) report(field string, cycle []request.ServiceName) {
+func (search *cycleSearch) report(field string, cycle []request.ServiceName) {
 	words := make([]string, len(cycle))
 	for i, name := range cycle {
 		words[i] = string(name)
 	}
-	s.checker.fault(field, "take one of the calls off its list", "the services call each other in a cycle: %s", strings.Join(words, " -> "))
+	search.checker.fault(field, "take one of the calls off its list", "the services call each other in a cycle: %s", strings.Join(words, " -> "))
 }
--- a/internal/configuration/difference.go
+++ b/internal/configuration/difference.go
@@ -16,14 +16,14 @@
 }
 
 // String writes the change on one line.
-func (c Change) String() string {
+func (change Change) String() string {
 	switch {
-	case c.Before == "":
-		return fmt.Sprintf("%s: added %s", c.Field, c.After)
-	case c.After == "":
-		return fmt.Sprintf("%s: removed %s", c.Field, c.Before)
+	case change.Before == "":
+		return fmt.Sprintf("%s: added %s", change.Field, change.After)
+	case change.After == "":
+		return fmt.Sprintf("%s: removed %s", change.Field, change.Before)
 	}
-	return fmt.Sprintf("%s: %s -> %s", c.Field, c.Before, c.After)
+	return fmt.Sprintf("%s: %s -> %s", change.Field, change.Before, change.After)
 }
 
 // Difference lists the fields that differ between two texts of JSON with
--- a/internal/configuration/match.go
+++ b/internal/configuration/match.go
@@ -81,8 +81,8 @@
 
 // Match gives the kind of a request by its service, method and path without
 // the query, or false if there is none.
-func (m *Matcher) Match(service request.ServiceName, method, path string) (request.KindName, *CompiledKind, bool) {
-	entries := m.services[service][shape{method, strings.Count(path, "/")}]
+func (matcher *Matcher) Match(service request.ServiceName, method, path string) (request.KindName, *CompiledKind, bool) {
+	entries := matcher.services[service][shape{method, strings.Count(path, "/")}]
 	for i := range entries {
 		if entries[i].pattern.matches(path) {
 			return entries[i].kind.Name, entries[i].kind, true
@@ -92,13 +92,13 @@
 }
 
 // HasService tells whether the configuration describes the service.
-func (m *Matcher) HasService(service request.ServiceName) bool {
-	_, ok := m.services[service]
+func (matcher *Matcher) HasService(service request.ServiceName) bool {
+	_, ok := matcher.services[service]
 	return ok
 }
 
 // Kind gives a kind by its full name, as in "subsidios/file".
-func (m *Matcher) Kind(name request.KindName) (*CompiledKind, bool) {
-	kind, ok := m.kinds[name]
+func (matcher *Matcher) Kind(name request.KindName) (*CompiledKind, bool) {
+	kind, ok := matcher.kinds[name]
 	return kind, ok
 }
--- a/internal/configuration/patch.go
+++ b/internal/configuration/patch.go
@@ -23,11 +23,11 @@
 }
 
 // Error describes the failed operation.
-func (p *PatchError) Error() string {
-	if p.Operation == 0 {
-		return "patch: " + p.Problem
+func (patchError *PatchError) Error() string {
+	if patchError.Operation == 0 {
+		return "patch: " + patchError.Problem
 	}
-	return fmt.Sprintf("patch operation %d, %s %q: %s", p.Operation, p.Name, p.Path, p.Problem)
+	return fmt.Sprintf("patch operation %d, %s %q: %s", patchError.Operation, patchError.Name, patchError.Path, patchError.Problem)
 }
 
 // Patch applies an RFC 6902 patch to a text of JSON with comments and gives the
--- a/internal/configuration/unit.go
+++ b/internal/configuration/unit.go
@@ -21,7 +21,7 @@
 }{{"GiB", GiB}, {"MiB", MiB}, {"KiB", KiB}, {"B", 1}}
 
 // UnmarshalJSON reads a time as text, as in "250ms" or "4s".
-func (d *Duration) UnmarshalJSON(text []byte) error {
+func (duration *Duration) UnmarshalJSON(text []byte) error {
 	var word string
 	if err := json.Unmarshal(text, &word); err != nil {
 		return fmt.Errorf("%s is not a time; write a text such as \"250ms\" or \"4s\"", text)
@@ -30,20 +30,20 @@
 	if err != nil {
 		return fmt.Errorf("%q is not a time; write a text such as \"250ms\" or \"4s\"", word)
 	}
-	*d = Duration(parsed)
+	*duration = Duration(parsed)
 	return nil
 }
 
 // MarshalJSON writes the time as text.
-func (d Duration) MarshalJSON() ([]byte, error) {
-	return json.Marshal(time.Duration(d).String())
+func (duration Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(duration).String())
 }
 
 // UnmarshalJSON reads a size as a number of bytes or as text, as in "32MiB".
-func (b *Bytes) UnmarshalJSON(text []byte) error {
+func (bytes *Bytes) UnmarshalJSON(text []byte) error {
 	var number int64
 	if json.Unmarshal(text, &number) == nil {
-		*b = Bytes(number)
+		*bytes = Bytes(number)
 		return nil
 	}
 	var word string
@@ -54,7 +54,7 @@
 	if !ok {
 		return fmt.Errorf("%q is not a size; write a number of bytes or a text such as \"32MiB\"", word)
 	}
-	*b = parsed
+	*bytes = parsed
 	return nil
 }
 
@@ -74,16 +74,16 @@
 }
 
 // String writes the size with the largest unit that divides it.
-func (b Bytes) String() string {
+func (bytes Bytes) String() string {
 	for _, unit := range byteUnits {
-		if b != 0 && b%unit.size == 0 {
-			return strconv.FormatInt(int64(b/unit.size), 10) + unit.suffix
+		if bytes != 0 && bytes%unit.size == 0 {
+			return strconv.FormatInt(int64(bytes/unit.size), 10) + unit.suffix
 		}
 	}
-	return strconv.FormatInt(int64(b), 10) + "B"
+	return strconv.FormatInt(int64(bytes), 10) + "B"
 }
 
 // MarshalJSON writes the size as text.
-func (b Bytes) MarshalJSON() ([]byte, error) {
-	return json.Marshal(b.String())
+func (bytes Bytes) MarshalJSON() ([]byte, error) {
+	return json.Marshal(bytes.String())
 }
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -63,145 +63,145 @@
 
 // Arrive decides on an inbound call. Decisions on other calls that follow from
 // it are appended to notices.
-func (g *Gate) Arrive(now time.Time, work request.Work, notices []Notice) (Decision, []Notice) {
-	g.start(now)
-	if now.Add(g.pace.shortest).After(work.Deadline) {
+func (gate *Gate) Arrive(now time.Time, work request.Work, notices []Notice) (Decision, []Notice) {
+	gate.start(now)
+	if now.Add(gate.pace.shortest).After(work.Deadline) {
 		return refusal(request.DeadlineTooClose, 0), notices
 	}
-	if g.Below != nil && doomed(work, g.Below.Below(work.RootKind, now)) {
-		return g.refuse(request.OverloadedBelow, work.Priority), notices
+	if gate.Below != nil && doomed(work, gate.Below.Below(work.RootKind, now)) {
+		return gate.refuse(request.OverloadedBelow, work.Priority), notices
 	}
-	g.demand.note(work.Priority)
-	if g.line.size() == 0 && g.running.size() < g.limiter.places() {
-		g.running.add(now, work.Call)
+	gate.demand.note(work.Priority)
+	if gate.line.size() == 0 && gate.running.size() < gate.limiter.places() {
+		gate.running.add(now, work.Call)
 		return Decision{Verdict: Admit}, notices
 	}
-	return g.queue(now, work, notices)
+	return gate.queue(now, work, notices)
 }
 
 // Finish ends an admitted call.
-func (g *Gate) Finish(now time.Time, call request.CallID, sample Sample, notices []Notice) []Notice {
-	inFlight := g.running.size()
-	if !g.running.remove(now, call) {
+func (gate *Gate) Finish(now time.Time, call request.CallID, sample Sample, notices []Notice) []Notice {
+	inFlight := gate.running.size()
+	if !gate.running.remove(now, call) {
 		return notices
 	}
-	g.limiter.finish(now, sample, inFlight)
-	g.pace.finish(sample, g.limiter.places())
-	return g.startWaiting(now, notices)
+	gate.limiter.finish(now, sample, inFlight)
+	gate.pace.finish(sample, gate.limiter.places())
+	return gate.startWaiting(now, notices)
 }
 
 // Cancel ends a waiting or running call whose answer nobody wants any more.
-func (g *Gate) Cancel(now time.Time, call request.CallID, notices []Notice) []Notice {
-	if !g.running.remove(now, call) {
-		g.line.remove(call)
+func (gate *Gate) Cancel(now time.Time, call request.CallID, notices []Notice) []Notice {
+	if !gate.running.remove(now, call) {
+		gate.line.remove(call)
 		return notices
 	}
-	return g.startWaiting(now, notices)
+	return gate.startWaiting(now, notices)
 }
 
 // Tick refuses waiting calls whose time is over, and adjusts the level.
-func (g *Gate) Tick(now time.Time, notices []Notice) []Notice {
-	g.start(now)
-	g.limiter.resize(g.Slots)
-	notices = g.line.expire(now, g.pace.shortest, notices)
-	g.line.age(now.Add(-ageShare * g.sojourn()))
-	notices = g.startWaiting(now, notices)
-	g.adjust(now)
+func (gate *Gate) Tick(now time.Time, notices []Notice) []Notice {
+	gate.start(now)
+	gate.limiter.resize(gate.Slots)
+	notices = gate.line.expire(now, gate.pace.shortest, notices)
+	gate.line.age(now.Add(-ageShare * gate.sojourn()))
+	notices = gate.startWaiting(now, notices)
+	gate.adjust(now)
 	return notices
 }
 
 // Level is the lowest priority that is still taken here and below for a root
 // kind. It travels back on answers. A level from below loses one on the way, so
 // that it dies out where services call each other in a circle.
-func (g *Gate) Level(rootKind request.KindName, now time.Time) request.Level {
-	if g.Below == nil {
-		return g.level
+func (gate *Gate) Level(rootKind request.KindName, now time.Time) request.Level {
+	if gate.Below == nil {
+		return gate.level
 	}
-	below := g.Below.Below(rootKind, now)
+	below := gate.Below.Below(rootKind, now)
 	if below > 0 {
 		below--
 	}
-	return max(g.level, below)
+	return max(gate.level, below)
 }
 
 // Report is the level that travels back on answers, with its age.
-func (g *Gate) Report(rootKind request.KindName, now time.Time) LevelNotice {
-	level := g.Level(rootKind, now)
-	if level <= g.level {
+func (gate *Gate) Report(rootKind request.KindName, now time.Time) LevelNotice {
+	level := gate.Level(rootKind, now)
+	if level <= gate.level {
 		return LevelNotice{Level: level}
 	}
-	return LevelNotice{Level: level, Age: max(0, now.Sub(g.Below.setAt(rootKind)))}
+	return LevelNotice{Level: level, Age: max(0, now.Sub(gate.Below.setAt(rootKind)))}
 }
 
 // Limit is the number of calls that the target is given at once.
-func (g *Gate) Limit() int {
-	return g.limiter.places()
+func (gate *Gate) Limit() int {
+	return gate.limiter.places()
 }
 
 // Running is the number of calls that the target works on.
-func (g *Gate) Running() int {
-	return g.running.size()
+func (gate *Gate) Running() int {
+	return gate.running.size()
 }
 
 // Waiting is the number of calls in the line.
-func (g *Gate) Waiting() int {
-	return g.line.size()
+func (gate *Gate) Waiting() int {
+	return gate.line.size()
 }
 
-func (g *Gate) start(now time.Time) {
-	if g.started {
+func (gate *Gate) start(now time.Time) {
+	if gate.started {
 		return
 	}
-	g.started = true
-	g.running.start(now)
-	g.adjustedAt = now
-	g.limiter.start(g.Slots, now)
-	if g.Warm {
-		g.limiter.limit = g.limiter.slots
-		g.limiter.phase = steady
+	gate.started = true
+	gate.running.start(now)
+	gate.adjustedAt = now
+	gate.limiter.start(gate.Slots, now)
+	if gate.Warm {
+		gate.limiter.limit = gate.limiter.slots
+		gate.limiter.phase = steady
 	}
 }
 
 // queue puts a call into the line or refuses it.
-func (g *Gate) queue(now time.Time, work request.Work, notices []Notice) (Decision, []Notice) {
-	rate := g.rate(now)
+func (gate *Gate) queue(now time.Time, work request.Work, notices []Notice) (Decision, []Notice) {
+	rate := gate.rate(now)
 	place := rankOf(work)
-	if g.hopeless(now, work, place, rate) {
+	if gate.hopeless(now, work, place, rate) {
 		return refusal(request.DeadlineTooClose, 0), notices
 	}
-	if work.Priority < g.level && g.line.size() >= g.capacity(rate, g.sojourn()) {
-		return g.refuse(request.Overloaded, work.Priority), notices
+	if work.Priority < gate.level && gate.line.size() >= gate.capacity(rate, gate.sojourn()) {
+		return gate.refuse(request.Overloaded, work.Priority), notices
 	}
-	if g.line.size() >= g.capacity(rate, g.longestWait()) {
-		dropped, ok := g.line.displace(place)
+	if gate.line.size() >= gate.capacity(rate, gate.longestWait()) {
+		dropped, ok := gate.line.displace(place)
 		if !ok {
-			return g.refuse(g.fullCode(), work.Priority), notices
+			return gate.refuse(gate.fullCode(), work.Priority), notices
 		}
-		refused := g.refuse(request.Overloaded, dropped.rank.priority())
+		refused := gate.refuse(request.Overloaded, dropped.rank.priority())
 		notices = append(notices, Notice{Call: dropped.call, Decision: refused})
 	}
-	g.line.insert(waiter{rank: place, call: work.Call, since: now, deadline: work.Deadline})
+	gate.line.insert(waiter{rank: place, call: work.Call, since: now, deadline: work.Deadline})
 	return Decision{Verdict: Wait}, notices
 }
 
 // hopeless tells whether the calls ahead take until after the deadline.
-func (g *Gate) hopeless(now time.Time, work request.Work, place rank, rate float64) bool {
+func (gate *Gate) hopeless(now time.Time, work request.Work, place rank, rate float64) bool {
 	if rate <= 0 {
 		return false
 	}
-	wait := time.Duration(float64(g.line.ahead(place)) / rate * float64(time.Second))
-	return now.Add(wait + g.pace.shortest).After(work.Deadline)
+	wait := time.Duration(float64(gate.line.ahead(place)) / rate * float64(time.Second))
+	return now.Add(wait + gate.pace.shortest).After(work.Deadline)
 }
 
 // startWaiting fills free places from the line.
-func (g *Gate) startWaiting(now time.Time, notices []Notice) []Notice {
-	for g.line.size() > 0 && g.running.size() < g.limiter.places() {
-		next := g.line.next()
-		if now.Add(g.pace.shortest).After(next.deadline) {
+func (gate *Gate) startWaiting(now time.Time, notices []Notice) []Notice {
+	for gate.line.size() > 0 && gate.running.size() < gate.limiter.places() {
+		next := gate.line.next()
+		if now.Add(gate.pace.shortest).After(next.deadline) {
 			notices = append(notices, Notice{Call: next.call, Decision: refusal(request.DeadlineTooClose, 0)})
 			continue
 		}
-		g.running.add(now, next.call)
+		gate.running.add(now, next.call)
 		notices = append(notices, Notice{Call: next.call, Decision: Decision{Verdict: Admit}})
 	}
 	return notices
@@ -209,64 +209,64 @@
 
 // adjust sets the level to what the target clears, corrected by how far the
 // line is from its sojourn target. Free places count as a negative line.
-func (g *Gate) adjust(now time.Time) {
-	interval := now.Sub(g.adjustedAt)
+func (gate *Gate) adjust(now time.Time) {
+	interval := now.Sub(gate.adjustedAt)
 	if interval < adjustInterval {
 		return
 	}
-	g.adjustedAt = now
-	excess := g.line.size() + g.running.size() - g.limiter.places()
-	rate := g.rate(now)
-	g.demand.advance(now, interval, g.level, rate, excess < 0)
+	gate.adjustedAt = now
+	excess := gate.line.size() + gate.running.size() - gate.limiter.places()
+	rate := gate.rate(now)
+	gate.demand.advance(now, interval, gate.level, rate, excess < 0)
 	if rate <= 0 {
 		return
 	}
 	sojourn := float64(excess) / rate
-	horizon := max(levelHorizon, g.pace.share(horizonShare))
-	correction := 1 + (g.sojourn().Seconds()-sojourn)/horizon.Seconds()
-	g.level = g.demand.levelFor(rate * max(correction, minCorrection))
+	horizon := max(levelHorizon, gate.pace.share(horizonShare))
+	correction := 1 + (gate.sojourn().Seconds()-sojourn)/horizon.Seconds()
+	gate.level = gate.demand.levelFor(rate * max(correction, minCorrection))
 }
 
 // latency is how long a call holds its place, zero when that is not known yet.
 // Calls that run for longer than those that ended show a slowdown sooner.
-func (g *Gate) latency(now time.Time) time.Duration {
-	if g.pace.latency == 0 {
+func (gate *Gate) latency(now time.Time) time.Duration {
+	if gate.pace.latency == 0 {
 		return 0
 	}
-	return max(g.pace.latency, g.running.meanAge(now))
+	return max(gate.pace.latency, gate.running.meanAge(now))
 }
 
 // rate is what the target clears per second at its limit, zero when that is not
 // known yet.
-func (g *Gate) rate(now time.Time) float64 {
-	latency := g.latency(now)
+func (gate *Gate) rate(now time.Time) float64 {
+	latency := gate.latency(now)
 	if latency == 0 {
 		return 0
 	}
-	return g.limiter.limit / latency.Seconds()
+	return gate.limiter.limit / latency.Seconds()
 }
 
 // capacity is the number of waiting calls that are cleared in the time.
-func (g *Gate) capacity(rate float64, wait time.Duration) int {
+func (gate *Gate) capacity(rate float64, wait time.Duration) int {
 	return max(minLine, int(rate*wait.Seconds()))
 }
 
-func (g *Gate) sojourn() time.Duration {
-	return max(cmp.Or(g.Sojourn, defaultSojourn), g.pace.share(sojournShare))
+func (gate *Gate) sojourn() time.Duration {
+	return max(cmp.Or(gate.Sojourn, defaultSojourn), gate.pace.share(sojournShare))
 }
 
-func (g *Gate) longestWait() time.Duration {
-	return max(cmp.Or(g.LongestWait, defaultLongestWait), g.pace.share(waitShare))
+func (gate *Gate) longestWait() time.Duration {
+	return max(cmp.Or(gate.LongestWait, defaultLongestWait), gate.pace.share(waitShare))
 }
 
-func (g *Gate) fullCode() request.Code {
-	if g.limiter.phase == cold {
+func (gate *Gate) fullCode() request.Code {
+	if gate.limiter.phase == cold {
 		return request.ColdTarget
 	}
 	return request.Overloaded
 }
 
-func (g *Gate) refuse(code request.Code, priority request.Priority) Decision {
+func (gate *Gate) refuse(code request.Code, priority request.Priority) Decision {
 	return refusal(code, RetryAfter(priority))
 }
 
--- a/internal/core/admission/levels.go
+++ b/internal/core/admission/levels.go
@@ -62,23 +62,23 @@
 }
 
 // Learn takes the level on an answer of a service that is itself at the level.
-func (l *Levels) Learn(service request.ServiceName, rootKind request.KindName, level request.Level, now time.Time) {
-	l.Hear(service, rootKind, LevelNotice{Level: level}, now)
+func (levels *Levels) Learn(service request.ServiceName, rootKind request.KindName, level request.Level, now time.Time) {
+	levels.Hear(service, rootKind, LevelNotice{Level: level}, now)
 }
 
 // Hear takes the level on an answer of a service. It is held from the time at
 // which its target was at it, so that it does not stand longer the more
 // services it passes.
-func (l *Levels) Hear(service request.ServiceName, rootKind request.KindName, notice LevelNotice, now time.Time) {
+func (levels *Levels) Hear(service request.ServiceName, rootKind request.KindName, notice LevelNotice, now time.Time) {
 	setAt := now.Add(-notice.Age)
-	heard := l.heard[levelKey{service, rootKind}]
+	heard := levels.heard[levelKey{service, rootKind}]
 	if heard == nil {
 		if notice.Level > 0 {
-			l.add(levelKey{service, rootKind}, &heardLevel{level: float64(notice.Level), heardAt: now, setAt: setAt})
+			levels.add(levelKey{service, rootKind}, &heardLevel{level: float64(notice.Level), heardAt: now, setAt: setAt})
 		}
 		return
 	}
-	current := l.current(heard, now)
+	current := levels.current(heard, now)
 	weight := 1 - math.Exp(-now.Sub(heard.heardAt).Seconds()/levelSmoothing.Seconds())
 	heard.level = current + weight*(float64(notice.Level)-current)
 	heard.heardAt = now
@@ -86,18 +86,18 @@
 }
 
 // Of gives the level of one service for a root kind.
-func (l *Levels) Of(service request.ServiceName, rootKind request.KindName, now time.Time) request.Level {
-	heard := l.heard[levelKey{service, rootKind}]
+func (levels *Levels) Of(service request.ServiceName, rootKind request.KindName, now time.Time) request.Level {
+	heard := levels.heard[levelKey{service, rootKind}]
 	if heard == nil {
 		return 0
 	}
-	return request.Level(l.current(heard, now))
+	return request.Level(levels.current(heard, now))
 }
 
 // Below gives the highest level of all services below for a root kind. It may
 // be some milliseconds old.
-func (l *Levels) Below(rootKind request.KindName, now time.Time) request.Level {
-	row := l.rows[rootKind]
+func (levels *Levels) Below(rootKind request.KindName, now time.Time) request.Level {
+	row := levels.rows[rootKind]
 	if row == nil {
 		return 0
 	}
@@ -108,7 +108,7 @@
 			if heard.level <= row.highest {
 				continue
 			}
-			if level := l.current(heard, now); level > row.highest {
+			if level := levels.current(heard, now); level > row.highest {
 				row.highest, row.highestSetAt = level, heard.setAt
 			}
 		}
@@ -118,14 +118,14 @@
 
 // setAt is when the target that the highest level comes from was at it, as of
 // the last call of Below.
-func (l *Levels) setAt(rootKind request.KindName) time.Time {
-	return l.rows[rootKind].highestSetAt
+func (levels *Levels) setAt(rootKind request.KindName) time.Time {
+	return levels.rows[rootKind].highestSetAt
 }
 
 // Refuses tells whether a call that is about to be sent to a service would be
 // refused there or further down.
-func (l *Levels) Refuses(service request.ServiceName, work request.Work, now time.Time) bool {
-	return doomed(work, l.Of(service, work.RootKind, now))
+func (levels *Levels) Refuses(service request.ServiceName, work request.Work, now time.Time) bool {
+	return doomed(work, levels.Of(service, work.RootKind, now))
 }
 
 // doomed tells whether the level refuses the work. Work on which something was
@@ -139,8 +139,8 @@
 	return priority < level
 }
 
-func (l *Levels) current(heard *heardLevel, now time.Time) float64 {
-	hold := l.Hold
+func (levels *Levels) current(heard *heardLevel, now time.Time) float64 {
+	hold := levels.Hold
 	if hold == 0 {
 		hold = defaultHold
 	}
@@ -151,17 +151,17 @@
 	return max(0, heard.level-request.BucketCount*unconfirmed.Seconds()/releaseTime.Seconds())
 }
 
-func (l *Levels) add(key levelKey, heard *heardLevel) {
-	if l.rows == nil {
-		l.heard = make(map[levelKey]*heardLevel)
-		l.rows = make(map[request.KindName]*levelRow)
+func (levels *Levels) add(key levelKey, heard *heardLevel) {
+	if levels.rows == nil {
+		levels.heard = make(map[levelKey]*heardLevel)
+		levels.rows = make(map[request.KindName]*levelRow)
 	}
-	row := l.rows[key.rootKind]
+	row := levels.rows[key.rootKind]
 	if row == nil {
 		row = &levelRow{}
-		l.rows[key.rootKind] = row
+		levels.rows[key.rootKind] = row
 	}
-	l.heard[key] = heard
+	levels.heard[key] = heard
 	row.services = append(row.services, heard)
 	if heard.level > row.highest {
 		row.highest, row.highestSetAt = heard.level, heard.setAt
--- a/internal/core/choice/bandit_test.go
+++ b/internal/core/choice/bandit_test.go
@@ -73,13 +73,13 @@
 	upper, upperMin, lower, lower0 float64
 }
 
-func (p *pageHinkley) changed(value, tolerance, threshold float64) bool {
-	p.count++
-	p.mean += (value - p.mean) / p.count
-	keep := (p.count - 1) / p.count
-	p.upper = keep*p.upper + value - p.mean - tolerance
-	p.lower = keep*p.lower + value - p.mean + tolerance
-	p.upperMin = min(p.upperMin, p.upper)
-	p.lower0 = max(p.lower0, p.lower)
-	return p.upper-p.upperMin >= threshold || p.lower0-p.lower >= threshold
+func (hinkley *pageHinkley) changed(value, tolerance, threshold float64) bool {
+	hinkley.count++
+	hinkley.mean += (value - hinkley.mean) / hinkley.count
+	keep := (hinkley.count - 1) / hinkley.count
+	hinkley.upper = keep*hinkley.upper + value - hinkley.mean - tolerance
+	hinkley.lower = keep*hinkley.lower + value - hinkley.mean + tolerance
+	hinkley.upperMin = min(hinkley.upperMin, hinkley.upper)
+	hinkley.lower0 = max(hinkley.lower0, hinkley.lower)
+	return hinkley.upper-hinkley.upperMin >= threshold || hinkley.lower0-hinkley.lower >= threshold
 }
--- a/internal/core/choice/chooser.go
+++ b/internal/core/choice/chooser.go
@@ -120,11 +120,11 @@
 }
 
 // Update replaces the targets of one service.
-func (c *Chooser) Update(now time.Time, view View) {
-	c.once.Do(c.prepare)
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	table := *c.pools.Load()
+func (chooser *Chooser) Update(now time.Time, view View) {
+	chooser.once.Do(chooser.prepare)
+	chooser.mutex.Lock()
+	defer chooser.mutex.Unlock()
+	table := *chooser.pools.Load()
 	if services, ok := table[view.Service]; ok {
 		services.replace(now, view.Targets)
 		return
@@ -133,16 +133,16 @@
 	for name, services := range table {
 		grown[name] = services
 	}
-	services := newPool(c)
+	services := newPool(chooser)
 	services.replace(now, view.Targets)
 	grown[view.Service] = services
-	c.pools.Store(&grown)
+	chooser.pools.Store(&grown)
 }
 
 // Pick takes a target for the call. The code is [request.OK],
 // [request.UnknownService], [request.NoTarget] or [request.LinkFull].
-func (c *Chooser) Pick(now time.Time, random *rand.Rand, call Call) (Choice, request.Code) {
-	services := c.find(call.Service)
+func (chooser *Chooser) Pick(now time.Time, random *rand.Rand, call Call) (Choice, request.Code) {
+	services := chooser.find(call.Service)
 	if services == nil {
 		return Choice{}, request.UnknownService
 	}
@@ -150,16 +150,16 @@
 }
 
 // Sent counts the call as in flight at its target.
-func (c *Chooser) Sent(choice Choice) {
+func (chooser *Chooser) Sent(choice Choice) {
 	choice.pool.mutex.Lock()
 	defer choice.pool.mutex.Unlock()
 	choice.entry.inFlight++
 }
 
 // Answered ends a call and judges its target by the answer.
-func (c *Chooser) Answered(now time.Time, choice Choice, call Call, answer Answer) {
+func (chooser *Chooser) Answered(now time.Time, choice Choice, call Call, answer Answer) {
 	if choice.Across {
-		c.Links.Count(now, choice.Target.Place.Region, answer.Bytes)
+		chooser.Links.Count(now, choice.Target.Place.Region, answer.Bytes)
 	}
 	choice.pool.mutex.Lock()
 	defer choice.pool.mutex.Unlock()
@@ -168,8 +168,8 @@
 
 // Connected tells that a connection to the node stands. It may be called again
 // while it stands.
-func (c *Chooser) Connected(now time.Time, service request.ServiceName, node request.NodeID) {
-	c.change(service, node, func(services *pool, found *entry) {
+func (chooser *Chooser) Connected(now time.Time, service request.ServiceName, node request.NodeID) {
+	chooser.change(service, node, func(services *pool, found *entry) {
 		if found.connected {
 			return
 		}
@@ -181,8 +181,8 @@
 }
 
 // Lost tells that the connection to the node broke or could not be made.
-func (c *Chooser) Lost(now time.Time, service request.ServiceName, node request.NodeID) {
-	c.change(service, node, func(services *pool, found *entry) {
+func (chooser *Chooser) Lost(now time.Time, service request.ServiceName, node request.NodeID) {
+	chooser.change(service, node, func(services *pool, found *entry) {
 		found.connected = false
 		found.lose(now)
 		services.eject(now, found, false)
@@ -192,15 +192,15 @@
 // Wanted lists the targets of a service to which connections should be kept, so
 // that no call waits for one: PerTier of the nearest tier that has any, and two
 // of each farther one to spill over to.
-func (c *Chooser) Wanted(service request.ServiceName) []Target {
-	services := c.find(service)
+func (chooser *Chooser) Wanted(service request.ServiceName) []Target {
+	services := chooser.find(service)
 	if services == nil {
 		return nil
 	}
 	services.mutex.Lock()
 	defer services.mutex.Unlock()
 	var wanted []Target
-	bound := c.PerTier
+	bound := chooser.PerTier
 	for _, entries := range services.tiers {
 		for _, candidate := range entries[:min(len(entries), bound)] {
 			wanted = append(wanted, candidate.target)
@@ -212,13 +212,13 @@
 	return wanted
 }
 
-func (c *Chooser) find(service request.ServiceName) *pool {
-	c.once.Do(c.prepare)
-	return (*c.pools.Load())[service]
+func (chooser *Chooser) find(service request.ServiceName) *pool {
+	chooser.once.Do(chooser.prepare)
+	return (*chooser.pools.Load())[service]
 }
 
-func (c *Chooser) change(service request.ServiceName, node request.NodeID, apply func(*pool, *entry)) {
-	services := c.find(service)
+func (chooser *Chooser) change(service request.ServiceName, node request.NodeID, apply func(*pool, *entry)) {
+	services := chooser.find(service)
 	if services == nil {
 		return
 	}
@@ -229,15 +229,15 @@
 	}
 }
 
-func (c *Chooser) prepare() {
-	c.pools.Store(&poolTable{})
-	setDefault(&c.PerTier, DefaultPerTier)
-	c.PerTier = min(c.PerTier, maxPerTier)
-	setDefault(&c.WarmTime, DefaultWarmTime)
-	setDefault(&c.RefusalHold, DefaultRefusalHold)
-	setDefault(&c.Ejection, DefaultEjection)
-	setDefault(&c.MaxEjection, DefaultMaxEjection)
-	setDefault(&c.Staleness, DefaultStaleness)
+func (chooser *Chooser) prepare() {
+	chooser.pools.Store(&poolTable{})
+	setDefault(&chooser.PerTier, DefaultPerTier)
+	chooser.PerTier = min(chooser.PerTier, maxPerTier)
+	setDefault(&chooser.WarmTime, DefaultWarmTime)
+	setDefault(&chooser.RefusalHold, DefaultRefusalHold)
+	setDefault(&chooser.Ejection, DefaultEjection)
+	setDefault(&chooser.MaxEjection, DefaultMaxEjection)
+	setDefault(&chooser.Staleness, DefaultStaleness)
 }
 
 func setDefault[Value comparable](field *Value, value Value) {
--- a/internal/core/choice/compare_test.go
+++ b/internal/core/choice/compare_test.go
@@ -37,9 +37,9 @@
 
 type banditPolicy struct{ *bandit }
 
-func (p banditPolicy) pick(_ float64, random *rand.Rand) (int, func(float64, float64)) {
-	index := p.bandit.pick(random)
-	return index, func(_, latency float64) { p.answered(index, latency) }
+func (policy banditPolicy) pick(_ float64, random *rand.Rand) (int, func(float64, float64)) {
+	index := policy.bandit.pick(random)
+	return index, func(_, latency float64) { policy.answered(index, latency) }
 }
 
 type chooserPolicy struct {
@@ -48,15 +48,15 @@
 	index  map[request.NodeID]int
 }
 
-func (p chooserPolicy) pick(now float64, random *rand.Rand) (int, func(float64, float64)) {
+func (policy chooserPolicy) pick(now float64, random *rand.Rand) (int, func(float64, float64)) {
 	call := choice.Call{Service: service, Repeatable: true}
-	if p.hashed {
+	if policy.hashed {
 		call.Fingerprint = request.Fingerprint(random.Uint64() | 1)
 	}
-	picked, _ := p.Pick(at(now), random, call)
-	p.Sent(picked)
-	return p.index[picked.Target.Node], func(now, latency float64) {
-		p.Answered(at(now), picked, call, choice.Answer{Result: choice.Succeeded, Latency: time.Duration(latency * 1e9)})
+	picked, _ := policy.Pick(at(now), random, call)
+	policy.Sent(picked)
+	return policy.index[picked.Target.Node], func(now, latency float64) {
+		policy.Answered(at(now), picked, call, choice.Answer{Result: choice.Succeeded, Latency: time.Duration(latency * 1e9)})
 	}
 }
 
--- a/internal/core/choice/link.go
+++ b/internal/core/choice/link.go
@@ -37,22 +37,22 @@
 
 // SetCapacity sets what one link carries and which share of it sparing calls
 // may fill.
-func (l *Links) SetCapacity(capacity Rate, share float64) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.Capacity = capacity
-	l.SparingShare = share
+func (links *Links) SetCapacity(capacity Rate, share float64) {
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
+	links.Capacity = capacity
+	links.SparingShare = share
 }
 
 // Count adds the bytes of one call to the link to a region.
-func (l *Links) Count(now time.Time, region request.RegionName, bytes int64) {
-	if l == nil || bytes <= 0 {
+func (links *Links) Count(now time.Time, region request.RegionName, bytes int64) {
+	if links == nil || bytes <= 0 {
 		return
 	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	link := l.link(region)
-	window := l.window()
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
+	link := links.link(region)
+	window := links.window()
 	link.rate = link.current(now, window) + Rate(float64(bytes)/window.Seconds())
 	if now.After(link.countedAt) {
 		link.countedAt = now
@@ -61,27 +61,27 @@
 }
 
 // Others takes in what the other nodes of this region put on the link.
-func (l *Links) Others(now time.Time, region request.RegionName, rate Rate) {
-	if l == nil {
+func (links *Links) Others(now time.Time, region request.RegionName, rate Rate) {
+	if links == nil {
 		return
 	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	link := l.link(region)
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
+	link := links.link(region)
 	link.others = rate
 	link.othersAt = now
 }
 
 // Flows gives what this node puts on the links of its region at present.
-func (l *Links) Flows(now time.Time, from request.RegionName) []Flow {
-	if l == nil {
+func (links *Links) Flows(now time.Time, from request.RegionName) []Flow {
+	if links == nil {
 		return nil
 	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
 	var list []Flow
-	for region, link := range l.meters {
-		if rate := link.current(now, l.window()); rate >= 1 {
+	for region, link := range links.meters {
+		if rate := link.current(now, links.window()); rate >= 1 {
 			list = append(list, Flow{From: from, To: region, Rate: rate})
 		}
 	}
@@ -89,49 +89,49 @@
 }
 
 // Full says whether the link has no room left for sparing calls.
-func (l *Links) Full(now time.Time, region request.RegionName) bool {
-	if l == nil {
+func (links *Links) Full(now time.Time, region request.RegionName) bool {
+	if links == nil {
 		return false
 	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.Capacity <= 0 {
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
+	if links.Capacity <= 0 {
 		return false
 	}
-	link := l.link(region)
-	used := link.current(now, l.window())
+	link := links.link(region)
+	used := link.current(now, links.window())
 	if now.Sub(link.othersAt) < usageTime {
 		used += link.others
 	}
-	return float64(used) > float64(l.Capacity)*l.SparingShare
+	return float64(used) > float64(links.Capacity)*links.SparingShare
 }
 
 // Used gives the node's own bytes on the link and their present rate.
-func (l *Links) Used(now time.Time, region request.RegionName) (int64, Rate) {
-	if l == nil {
+func (links *Links) Used(now time.Time, region request.RegionName) (int64, Rate) {
+	if links == nil {
 		return 0, 0
 	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	link := l.link(region)
-	return link.total, link.current(now, l.window())
+	links.mutex.Lock()
+	defer links.mutex.Unlock()
+	link := links.link(region)
+	return link.total, link.current(now, links.window())
 }
 
-func (l *Links) window() time.Duration {
-	if l.Window > 0 {
-		return l.Window
+func (links *Links) window() time.Duration {
+	if links.Window > 0 {
+		return links.Window
 	}
 	return DefaultLinkWindow
 }
 
-func (l *Links) link(region request.RegionName) *meter {
-	if l.meters == nil {
-		l.meters = map[request.RegionName]*meter{}
+func (links *Links) link(region request.RegionName) *meter {
+	if links.meters == nil {
+		links.meters = map[request.RegionName]*meter{}
 	}
-	found := l.meters[region]
+	found := links.meters[region]
 	if found == nil {
 		found = &meter{}
-		l.meters[region] = found
+		links.meters[region] = found
 	}
 	return found
 }
--- a/internal/core/choice/target.go
+++ b/internal/core/choice/target.go
@@ -17,8 +17,8 @@
 )
 
 // String gives the state's name.
-func (s State) String() string {
-	switch s {
+func (state State) String() string {
+	switch state {
 	case Ready:
 		return "ready"
 	case Cold:
--- a/internal/core/choice/usage.go
+++ b/internal/core/choice/usage.go
@@ -32,31 +32,31 @@
 }
 
 // Report notes what a node puts on its links.
-func (u *Usage) Report(now time.Time, node request.NodeID, list []Flow) {
+func (usage *Usage) Report(now time.Time, node request.NodeID, list []Flow) {
 	if len(list) == 0 {
-		delete(u.nodes, node)
+		delete(usage.nodes, node)
 		return
 	}
-	if u.nodes == nil {
-		u.nodes = map[request.NodeID]flows{}
+	if usage.nodes == nil {
+		usage.nodes = map[request.NodeID]flows{}
 	}
-	u.nodes[node] = flows{list: list, at: now}
+	usage.nodes[node] = flows{list: list, at: now}
 }
 
 // Merge notes the sums of another replica.
-func (u *Usage) Merge(now time.Time, replica request.NodeID, list []Flow) {
-	if u.replicas == nil {
-		u.replicas = map[request.NodeID]flows{}
+func (usage *Usage) Merge(now time.Time, replica request.NodeID, list []Flow) {
+	if usage.replicas == nil {
+		usage.replicas = map[request.NodeID]flows{}
 	}
-	u.replicas[replica] = flows{list: list, at: now}
+	usage.replicas[replica] = flows{list: list, at: now}
 }
 
 // Sums gives what the nodes that report here put on each link.
-func (u *Usage) Sums(now time.Time) []Flow {
+func (usage *Usage) Sums(now time.Time) []Flow {
 	var sums []Flow
-	for node, told := range u.nodes {
+	for node, told := range usage.nodes {
 		if now.Sub(told.at) >= usageTime {
-			delete(u.nodes, node)
+			delete(usage.nodes, node)
 			continue
 		}
 		sums = addFlows(sums, told.list)
@@ -65,15 +65,15 @@
 }
 
 // Others gives what all nodes of a region but one put on each of its links.
-func (u *Usage) Others(now time.Time, node request.NodeID, from request.RegionName) []Flow {
-	all := u.Sums(now)
-	for _, told := range u.replicas {
+func (usage *Usage) Others(now time.Time, node request.NodeID, from request.RegionName) []Flow {
+	all := usage.Sums(now)
+	for _, told := range usage.replicas {
 		if now.Sub(told.at) < usageTime {
 			all = addFlows(all, told.list)
 		}
 	}
 	all = slices.DeleteFunc(all, func(flow Flow) bool { return flow.From != from })
-	for _, own := range u.nodes[node].list {
+	for _, own := range usage.nodes[node].list {
 		index := slices.IndexFunc(all, own.sameLink)
 		if index >= 0 {
 			all[index].Rate = max(0, all[index].Rate-own.Rate)
@@ -83,8 +83,8 @@
 	return all
 }
 
-func (f Flow) sameLink(other Flow) bool {
-	return f.From == other.From && f.To == other.To
+func (flow Flow) sameLink(other Flow) bool {
+	return flow.From == other.From && flow.To == other.To
 }
 
 func addFlows(sums, list []Flow) []Flow {
--- a/internal/core/claim/attempt.go
+++ b/internal/core/claim/attempt.go
@@ -72,8 +72,8 @@
 	}
 }
 
-func (c *Core) find(name request.AttemptID) *attempt {
-	for _, current := range c.attempts {
+func (core *Core) find(name request.AttemptID) *attempt {
+	for _, current := range core.attempts {
 		if current.request.Attempt == name {
 			return current
 		}
@@ -82,8 +82,8 @@
 }
 
 // joinable gives the attempt at a key that a further call can wait for.
-func (c *Core) joinable(kind request.KindName, key request.IdempotencyKey) *attempt {
-	for _, current := range c.attempts {
+func (core *Core) joinable(kind request.KindName, key request.IdempotencyKey) *attempt {
+	for _, current := range core.attempts {
 		if current.state != releasing && current.request.Key == key && current.request.Kind == kind {
 			return current
 		}
@@ -91,15 +91,15 @@
 	return nil
 }
 
-func (c *Core) drop(gone *attempt) {
-	c.attempts = slices.DeleteFunc(c.attempts, func(one *attempt) bool { return one == gone })
+func (core *Core) drop(gone *attempt) {
+	core.attempts = slices.DeleteFunc(core.attempts, func(one *attempt) bool { return one == gone })
 }
 
-func (c *Core) ask(now time.Time, current *attempt) {
-	command := current.claim(c.Node)
+func (core *Core) ask(now time.Time, current *attempt) {
+	command := current.claim(core.Node)
 	current.command = command.Encode()
-	current.proposeAt = now.Add(c.AskEvery)
-	c.actions = append(c.actions, Action{
+	current.proposeAt = now.Add(core.AskEvery)
+	core.actions = append(core.actions, Action{
 		Type:    Ask,
 		Attempt: current.request.Attempt,
 		Command: current.command,
@@ -107,45 +107,45 @@
 	})
 }
 
-func (c *Core) release(now time.Time, current *attempt) {
+func (core *Core) release(now time.Time, current *attempt) {
 	release := ledger.ReleaseCommand{
 		Kind:    current.request.Kind,
 		Key:     current.request.Key,
 		Attempt: current.request.Attempt,
 	}
-	c.record(now, current, releasing, release.Encode())
+	core.record(now, current, releasing, release.Encode())
 }
 
-func (c *Core) record(now time.Time, current *attempt, state attemptState, command []byte) {
+func (core *Core) record(now time.Time, current *attempt, state attemptState, command []byte) {
 	current.state = state
 	current.command = command
-	c.propose(now, current)
+	core.propose(now, current)
 }
 
-func (c *Core) propose(now time.Time, current *attempt) {
-	current.proposeAt = now.Add(c.RecordEvery << min(current.proposed, maxRecordDoublings))
+func (core *Core) propose(now time.Time, current *attempt) {
+	current.proposeAt = now.Add(core.RecordEvery << min(current.proposed, maxRecordDoublings))
 	current.proposed++
-	c.actions = append(c.actions, Action{Type: Record, Attempt: current.request.Attempt, Command: current.command})
+	core.actions = append(core.actions, Action{Type: Record, Attempt: current.request.Attempt, Command: current.command})
 }
 
-func (c *Core) refuse(call request.CallID, code request.Code, outcome request.Outcome) {
-	c.actions = append(c.actions, Action{Type: Refuse, Call: call, Code: code, Outcome: outcome})
+func (core *Core) refuse(call request.CallID, code request.Code, outcome request.Outcome) {
+	core.actions = append(core.actions, Action{Type: Refuse, Call: call, Code: code, Outcome: outcome})
 }
 
-func (c *Core) refuseAll(current *attempt, code request.Code, outcome request.Outcome) {
+func (core *Core) refuseAll(current *attempt, code request.Code, outcome request.Outcome) {
 	for _, one := range current.callers {
-		c.refuse(one.call, code, outcome)
+		core.refuse(one.call, code, outcome)
 	}
 	current.callers = nil
 }
 
-func (c *Core) reply(call request.CallID, answer *Answer) {
-	c.actions = append(c.actions, Action{Type: Reply, Call: call, Answer: answer})
+func (core *Core) reply(call request.CallID, answer *Answer) {
+	core.actions = append(core.actions, Action{Type: Reply, Call: call, Answer: answer})
 }
 
-func (c *Core) replyAll(current *attempt, answer *Answer) {
+func (core *Core) replyAll(current *attempt, answer *Answer) {
 	for _, one := range current.callers {
-		c.reply(one.call, answer)
+		core.reply(one.call, answer)
 	}
 	current.callers = nil
 	current.replied = true
--- a/internal/core/claim/core.go
+++ b/internal/core/claim/core.go
@@ -115,34 +115,34 @@
 }
 
 // Pending is the number of attempts whose end is not recorded yet.
-func (c *Core) Pending() int {
-	return len(c.attempts)
+func (core *Core) Pending() int {
+	return len(core.attempts)
 }
 
-func (c *Core) begin() {
-	c.actions = c.actions[:0]
+func (core *Core) begin() {
+	core.actions = core.actions[:0]
 }
 
 // Arrive takes a request. The actions are valid until the next event.
-func (c *Core) Arrive(now time.Time, arrived Request) []Action {
-	c.begin()
-	current := c.joinable(arrived.Kind, arrived.Key)
+func (core *Core) Arrive(now time.Time, arrived Request) []Action {
+	core.begin()
+	current := core.joinable(arrived.Kind, arrived.Key)
 	switch {
 	case current == nil:
-		c.start(now, arrived)
+		core.start(now, arrived)
 	case current.request.Digest == arrived.Digest:
-		c.join(current, arrived)
+		core.join(current, arrived)
 	case current.state == running || current.state == storing:
-		c.refuse(arrived.Call, request.KeyReusedOtherBody, request.NotRun)
+		core.refuse(arrived.Call, request.KeyReusedOtherBody, request.NotRun)
 	default:
-		c.refuse(arrived.Call, request.ClaimInDoubt, request.Unknown)
+		core.refuse(arrived.Call, request.ClaimInDoubt, request.Unknown)
 	}
-	return c.actions
+	return core.actions
 }
 
-func (c *Core) start(now time.Time, arrived Request) {
-	if !now.Before(arrived.Deadline) || len(c.attempts) >= c.MaxPending {
-		c.refuse(arrived.Call, request.ClaimInDoubt, request.Unknown)
+func (core *Core) start(now time.Time, arrived Request) {
+	if !now.Before(arrived.Deadline) || len(core.attempts) >= core.MaxPending {
+		core.refuse(arrived.Call, request.ClaimInDoubt, request.Unknown)
 		return
 	}
 	started := &attempt{
@@ -150,154 +150,154 @@
 		state:    asking,
 		callers:  []caller{{arrived.Call, arrived.Deadline}},
 		within:   arrived.Deadline.Sub(now),
-		seen:     c.age,
-		giveUpAt: earlier(arrived.Deadline, now.Add(c.AskWithin)),
+		seen:     core.age,
+		giveUpAt: earlier(arrived.Deadline, now.Add(core.AskWithin)),
 	}
-	c.attempts = append(c.attempts, started)
-	c.ask(now, started)
+	core.attempts = append(core.attempts, started)
+	core.ask(now, started)
 }
 
-func (c *Core) join(current *attempt, arrived Request) {
+func (core *Core) join(current *attempt, arrived Request) {
 	switch {
 	case current.lost:
-		c.refuse(arrived.Call, request.OutcomeUnknown, request.Unknown)
+		core.refuse(arrived.Call, request.OutcomeUnknown, request.Unknown)
 	case current.replied:
-		c.reply(arrived.Call, current.answer)
+		core.reply(arrived.Call, current.answer)
 	default:
 		current.callers = append(current.callers, caller{arrived.Call, arrived.Deadline})
 	}
 }
 
 // Claimed takes the ledger's answer to a claim.
-func (c *Core) Claimed(now time.Time, name request.AttemptID, result ledger.ClaimResult) []Action {
-	c.begin()
-	c.age = max(c.age, result.Age)
-	current := c.find(name)
+func (core *Core) Claimed(now time.Time, name request.AttemptID, result ledger.ClaimResult) []Action {
+	core.begin()
+	core.age = max(core.age, result.Age)
+	current := core.find(name)
 	if current == nil || current.state != asking {
-		return c.actions
+		return core.actions
 	}
 	switch result.State {
 	case ledger.Granted:
-		c.granted(now, current)
+		core.granted(now, current)
 	case ledger.TooOld:
-		c.askAgain(now, current)
+		core.askAgain(now, current)
 	case ledger.Finished:
-		c.finishedBefore(current, result.Answer)
+		core.finishedBefore(current, result.Answer)
 	case ledger.OtherBody:
-		c.turnAway(current, request.KeyReusedOtherBody, request.NotRun)
+		core.turnAway(current, request.KeyReusedOtherBody, request.NotRun)
 	case ledger.InDoubt:
-		c.turnAway(current, request.OutcomeUnknown, request.Unknown)
+		core.turnAway(current, request.OutcomeUnknown, request.Unknown)
 	case ledger.Full:
-		c.turnAway(current, request.ClaimUnavailable, request.NotRun)
+		core.turnAway(current, request.ClaimUnavailable, request.NotRun)
 	default:
-		c.turnAway(current, request.ClaimRunning, request.Unknown)
+		core.turnAway(current, request.ClaimRunning, request.Unknown)
 	}
-	return c.actions
+	return core.actions
 }
 
-func (c *Core) granted(now time.Time, current *attempt) {
+func (core *Core) granted(now time.Time, current *attempt) {
 	if !now.Before(current.request.Deadline) {
-		c.refuseAll(current, request.DeadlineTooClose, request.NotRun)
+		core.refuseAll(current, request.DeadlineTooClose, request.NotRun)
 	}
 	if len(current.callers) == 0 {
-		c.release(now, current)
+		core.release(now, current)
 		return
 	}
 	current.state = running
-	c.actions = append(c.actions, Action{Type: Run, Attempt: current.request.Attempt})
+	core.actions = append(core.actions, Action{Type: Run, Attempt: current.request.Attempt})
 }
 
-func (c *Core) askAgain(now time.Time, current *attempt) {
-	if current.seen < c.age {
-		current.seen = c.age
-		c.ask(now, current)
+func (core *Core) askAgain(now time.Time, current *attempt) {
+	if current.seen < core.age {
+		current.seen = core.age
+		core.ask(now, current)
 	}
 }
 
-func (c *Core) finishedBefore(current *attempt, answer *Answer) {
+func (core *Core) finishedBefore(current *attempt, answer *Answer) {
 	if answer == nil {
-		c.turnAway(current, request.AnswerNotKept, request.Ran)
+		core.turnAway(current, request.AnswerNotKept, request.Ran)
 		return
 	}
-	c.replyAll(current, answer)
-	c.drop(current)
+	core.replyAll(current, answer)
+	core.drop(current)
 }
 
-func (c *Core) turnAway(current *attempt, code request.Code, outcome request.Outcome) {
-	c.refuseAll(current, code, outcome)
-	c.drop(current)
+func (core *Core) turnAway(current *attempt, code request.Code, outcome request.Outcome) {
+	core.refuseAll(current, code, outcome)
+	core.drop(current)
 }
 
 // CallerLeft takes a call whose caller went away. An action that runs goes on,
 // and its answer is kept for a resend.
-func (c *Core) CallerLeft(now time.Time, call request.CallID) []Action {
-	c.begin()
-	for _, current := range slices.Clone(c.attempts) {
+func (core *Core) CallerLeft(now time.Time, call request.CallID) []Action {
+	core.begin()
+	for _, current := range slices.Clone(core.attempts) {
 		current.callers = slices.DeleteFunc(current.callers, func(one caller) bool { return one.call == call })
 		if current.state == asking && len(current.callers) == 0 {
-			c.release(now, current)
+			core.release(now, current)
 		}
 	}
-	return c.actions
+	return core.actions
 }
 
 // Answered takes the whole answer of the target.
-func (c *Core) Answered(now time.Time, name request.AttemptID, answer *Answer) []Action {
-	c.begin()
-	current := c.find(name)
+func (core *Core) Answered(now time.Time, name request.AttemptID, answer *Answer) []Action {
+	core.begin()
+	current := core.find(name)
 	if current == nil || current.state != running {
-		return c.actions
+		return core.actions
 	}
 	current.answer = answer
-	current.replyBy = now.Add(c.StoreWithin)
+	current.replyBy = now.Add(core.StoreWithin)
 	finish := current.finish()
 	if int64(len(answer.GetBody())) <= current.request.KeptAnswer {
 		finish.Answer = answer
 	}
-	c.record(now, current, storing, finish.Encode())
-	return c.actions
+	core.record(now, current, storing, finish.Encode())
+	return core.actions
 }
 
 // NotStarted takes the certainty that the target was not handed the request and
 // will not be.
-func (c *Core) NotStarted(now time.Time, name request.AttemptID, code request.Code) []Action {
-	c.begin()
-	current := c.find(name)
+func (core *Core) NotStarted(now time.Time, name request.AttemptID, code request.Code) []Action {
+	core.begin()
+	current := core.find(name)
 	if current == nil || current.state != running {
-		return c.actions
+		return core.actions
 	}
-	c.refuseAll(current, code, request.NotRun)
-	c.release(now, current)
-	return c.actions
+	core.refuseAll(current, code, request.NotRun)
+	core.release(now, current)
+	return core.actions
 }
 
 // Lost takes the news that the target's answer will never come whole, though it
 // may have run the action.
-func (c *Core) Lost(now time.Time, name request.AttemptID, code request.Code) []Action {
-	c.begin()
-	current := c.find(name)
+func (core *Core) Lost(now time.Time, name request.AttemptID, code request.Code) []Action {
+	core.begin()
+	current := core.find(name)
 	if current == nil || current.state != running {
-		return c.actions
+		return core.actions
 	}
-	c.refuseAll(current, code, request.Unknown)
+	core.refuseAll(current, code, request.Unknown)
 	current.lost = true
 	finish := current.finish()
 	finish.Lost = true
-	c.record(now, current, storing, finish.Encode())
-	return c.actions
+	core.record(now, current, storing, finish.Encode())
+	return core.actions
 }
 
 // Recorded takes the ledger's answer to a finish or a release.
-func (c *Core) Recorded(_ time.Time, name request.AttemptID, state ledger.RecordState) []Action {
-	c.begin()
-	current := c.find(name)
+func (core *Core) Recorded(_ time.Time, name request.AttemptID, state ledger.RecordState) []Action {
+	core.begin()
+	current := core.find(name)
 	if current == nil || current.state != storing && current.state != releasing {
-		return c.actions
+		return core.actions
 	}
 	if current.state == storing && state == ledger.RecordClosed {
-		c.Conflicts++
+		core.Conflicts++
 	}
-	c.replyAll(current, current.answer)
-	c.drop(current)
-	return c.actions
+	core.replyAll(current, current.answer)
+	core.drop(current)
+	return core.actions
 }
--- a/internal/core/claim/tick.go
+++ b/internal/core/claim/tick.go
@@ -8,32 +8,32 @@
 )
 
 // Tick carries out what is due.
-func (c *Core) Tick(now time.Time) []Action {
-	c.begin()
-	for _, current := range slices.Clone(c.attempts) {
-		c.tick(now, current)
+func (core *Core) Tick(now time.Time) []Action {
+	core.begin()
+	for _, current := range slices.Clone(core.attempts) {
+		core.tick(now, current)
 	}
-	return c.actions
+	return core.actions
 }
 
-func (c *Core) tick(now time.Time, current *attempt) {
-	c.refuseLate(now, current)
+func (core *Core) tick(now time.Time, current *attempt) {
+	core.refuseLate(now, current)
 	switch current.state {
 	case asking:
-		c.tickAsking(now, current)
+		core.tickAsking(now, current)
 	case storing:
 		if current.answer != nil && !now.Before(current.replyBy) {
-			c.replyAll(current, current.answer)
+			core.replyAll(current, current.answer)
 		}
-		c.proposeIfDue(now, current)
+		core.proposeIfDue(now, current)
 	case releasing:
-		c.proposeIfDue(now, current)
+		core.proposeIfDue(now, current)
 	}
 }
 
 // refuseLate answers the callers whose deadline passed. An answer that is there
 // and only waits to be stored is given to them instead.
-func (c *Core) refuseLate(now time.Time, current *attempt) {
+func (core *Core) refuseLate(now time.Time, current *attempt) {
 	code := request.DeadlinePassed
 	if current.state == asking {
 		code = request.ClaimInDoubt
@@ -43,33 +43,33 @@
 			return false
 		}
 		if current.answer != nil {
-			c.reply(one.call, current.answer)
+			core.reply(one.call, current.answer)
 		} else {
-			c.refuse(one.call, code, request.Unknown)
+			core.refuse(one.call, code, request.Unknown)
 		}
 		return true
 	})
 }
 
-func (c *Core) tickAsking(now time.Time, current *attempt) {
+func (core *Core) tickAsking(now time.Time, current *attempt) {
 	if len(current.callers) == 0 || !now.Before(current.giveUpAt) {
-		c.refuseAll(current, request.ClaimInDoubt, request.Unknown)
-		c.release(now, current)
+		core.refuseAll(current, request.ClaimInDoubt, request.Unknown)
+		core.release(now, current)
 		return
 	}
 	if !now.Before(current.proposeAt) {
-		c.ask(now, current)
+		core.ask(now, current)
 	}
 }
 
-func (c *Core) proposeIfDue(now time.Time, current *attempt) {
+func (core *Core) proposeIfDue(now time.Time, current *attempt) {
 	if !now.Before(current.proposeAt) {
-		c.propose(now, current)
+		core.propose(now, current)
 	}
 }
 
 // NextWake gives the time of the next Tick, or false if none is needed.
-func (c *Core) NextWake() (time.Time, bool) {
+func (core *Core) NextWake() (time.Time, bool) {
 	var next time.Time
 	due := false
 	consider := func(at time.Time) {
@@ -77,7 +77,7 @@
 			next, due = at, true
 		}
 	}
-	for _, current := range c.attempts {
+	for _, current := range core.attempts {
 		for _, one := range current.callers {
 			consider(one.deadline)
 		}
--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -43,8 +43,8 @@
 )
 
 // String gives the state's name.
-func (s State) String() string {
-	switch s {
+func (state State) String() string {
+	switch state {
 	case Running:
 		return "running"
 	case Draining:
@@ -75,101 +75,101 @@
 // Enter takes in an inbound request, or gives the code that refuses it. A
 // request that entered is in flight until Leave: from the first byte of its
 // body until the last byte of its answer was sent.
-func (d *Drain) Enter(ticket Ticket) request.Code {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.state != Running {
+func (drain *Drain) Enter(ticket Ticket) request.Code {
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	if drain.state != Running {
 		return request.Draining
 	}
-	if d.inFlight == nil {
-		d.inFlight = map[Ticket]struct{}{}
+	if drain.inFlight == nil {
+		drain.inFlight = map[Ticket]struct{}{}
 	}
-	d.inFlight[ticket] = struct{}{}
+	drain.inFlight[ticket] = struct{}{}
 	return request.OK
 }
 
 // MayCall says whether an outbound call may start. Calls of a request in
 // flight go on; zero stands for a call that no request is known for, which
 // goes on as long as any request is in flight.
-func (d *Drain) MayCall(ticket Ticket) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.state == Running {
+func (drain *Drain) MayCall(ticket Ticket) bool {
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	if drain.state == Running {
 		return true
 	}
-	if d.state != Draining {
+	if drain.state != Draining {
 		return false
 	}
 	if ticket == 0 {
-		return len(d.inFlight) > 0
+		return len(drain.inFlight) > 0
 	}
-	_, ok := d.inFlight[ticket]
+	_, ok := drain.inFlight[ticket]
 	return ok
 }
 
 // Leave ends a request in flight.
-func (d *Drain) Leave(ticket Ticket) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	delete(d.inFlight, ticket)
-	if d.state == Draining && len(d.inFlight) == 0 {
-		d.state = Empty
+func (drain *Drain) Leave(ticket Ticket) {
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	delete(drain.inFlight, ticket)
+	if drain.state == Draining && len(drain.inFlight) == 0 {
+		drain.state = Empty
 	}
 }
 
 // Begin starts the drain. A second call changes nothing, since a platform may
 // both drain and signal.
-func (d *Drain) Begin(now time.Time) State {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.state != Running {
-		return d.state
+func (drain *Drain) Begin(now time.Time) State {
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	if drain.state != Running {
+		return drain.state
 	}
-	d.begun = now
-	d.announce = true
-	d.state = Draining
-	if len(d.inFlight) == 0 {
-		d.state = Empty
+	drain.begun = now
+	drain.announce = true
+	drain.state = Draining
+	if len(drain.inFlight) == 0 {
+		drain.state = Empty
 	}
-	return d.state
+	return drain.state
 }
 
 // Cut ends a drain early, with the requests that are in flight.
-func (d *Drain) Cut() {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.state == Draining {
-		d.state = Ended
+func (drain *Drain) Cut() {
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	if drain.state == Draining {
+		drain.state = Ended
 	}
 }
 
 // Announce says once that the start of the drain is to be told to the peers
 // and the replica.
-func (d *Drain) Announce() bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	due := d.announce
-	d.announce = false
+func (drain *Drain) Announce() bool {
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	due := drain.announce
+	drain.announce = false
 	return due
 }
 
 // Done says whether the node may exit.
-func (d *Drain) Done(now time.Time) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	limit := d.Limit
+func (drain *Drain) Done(now time.Time) bool {
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	limit := drain.Limit
 	if limit == 0 {
 		limit = DefaultLimit
 	}
-	if d.state == Draining && now.Sub(d.begun) >= limit {
-		d.state = Ended
+	if drain.state == Draining && now.Sub(drain.begun) >= limit {
+		drain.state = Ended
 	}
-	return d.state == Empty || d.state == Ended
+	return drain.state == Empty || drain.state == Ended
 }
 
 // State gives the state and the number of requests in flight.
-func (d *Drain) State() (State, int) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.state, len(d.inFlight)
+func (drain *Drain) State() (State, int) {
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	return drain.state, len(drain.inFlight)
 }
--- a/internal/core/ledger/command.go
+++ b/internal/core/ledger/command.go
@@ -26,15 +26,15 @@
 }
 
 // Encode gives the command for the log.
-func (c ClaimCommand) Encode() []byte {
+func (claimCommand ClaimCommand) Encode() []byte {
 	return encode(&ledgerpb.Command{Body: &ledgerpb.Command_Claim{Claim: &ledgerpb.Claim{
-		Kind:         string(c.Kind),
-		Key:          string(c.Key),
-		Digest:       c.Digest[:],
-		Attempt:      c.Attempt[:],
-		Node:         string(c.Node),
-		FinishWithin: int64(c.FinishWithin),
-		SeenAge:      int64(c.SeenAge),
+		Kind:         string(claimCommand.Kind),
+		Key:          string(claimCommand.Key),
+		Digest:       claimCommand.Digest[:],
+		Attempt:      claimCommand.Attempt[:],
+		Node:         string(claimCommand.Node),
+		FinishWithin: int64(claimCommand.FinishWithin),
+		SeenAge:      int64(claimCommand.SeenAge),
 	}}})
 }
 
@@ -52,15 +52,15 @@
 }
 
 // Encode gives the command for the log.
-func (f FinishCommand) Encode() []byte {
+func (finishCommand FinishCommand) Encode() []byte {
 	return encode(&ledgerpb.Command{Body: &ledgerpb.Command_Finish{Finish: &ledgerpb.Finish{
-		Kind:       string(f.Kind),
-		Key:        string(f.Key),
-		Attempt:    f.Attempt[:],
-		Lost:       f.Lost,
-		Answer:     f.Answer,
-		KeepAnswer: int64(f.KeepAnswer),
-		KeepRecord: int64(f.KeepRecord),
+		Kind:       string(finishCommand.Kind),
+		Key:        string(finishCommand.Key),
+		Attempt:    finishCommand.Attempt[:],
+		Lost:       finishCommand.Lost,
+		Answer:     finishCommand.Answer,
+		KeepAnswer: int64(finishCommand.KeepAnswer),
+		KeepRecord: int64(finishCommand.KeepRecord),
 	}}})
 }
 
@@ -72,11 +72,11 @@
 }
 
 // Encode gives the command for the log.
-func (r ReleaseCommand) Encode() []byte {
+func (releaseCommand ReleaseCommand) Encode() []byte {
 	return encode(&ledgerpb.Command{Body: &ledgerpb.Command_Release{Release: &ledgerpb.Release{
-		Kind:    string(r.Kind),
-		Key:     string(r.Key),
-		Attempt: r.Attempt[:],
+		Kind:    string(releaseCommand.Kind),
+		Key:     string(releaseCommand.Key),
+		Attempt: releaseCommand.Attempt[:],
 	}}})
 }
 
@@ -88,8 +88,8 @@
 }
 
 // Encode gives the command for the log.
-func (a AdvanceCommand) Encode() []byte {
-	advance := &ledgerpb.Advance{From: int64(a.From), Elapsed: int64(a.Elapsed)}
+func (advanceCommand AdvanceCommand) Encode() []byte {
+	advance := &ledgerpb.Advance{From: int64(advanceCommand.From), Elapsed: int64(advanceCommand.Elapsed)}
 	return encode(&ledgerpb.Command{Body: &ledgerpb.Command_Advance{Advance: advance}})
 }
 
@@ -106,15 +106,15 @@
 }
 
 // Encode gives the command for the log.
-func (s SettleCommand) Encode() []byte {
+func (settleCommand SettleCommand) Encode() []byte {
 	return encode(&ledgerpb.Command{Body: &ledgerpb.Command_Settle{Settle: &ledgerpb.Settle{
-		Kind:       string(s.Kind),
-		Key:        string(s.Key),
-		Attempt:    s.Attempt[:],
-		Ran:        s.Ran,
-		Operator:   s.Operator,
-		Note:       s.Note,
-		KeepRecord: int64(s.KeepRecord),
+		Kind:       string(settleCommand.Kind),
+		Key:        string(settleCommand.Key),
+		Attempt:    settleCommand.Attempt[:],
+		Ran:        settleCommand.Ran,
+		Operator:   settleCommand.Operator,
+		Note:       settleCommand.Note,
+		KeepRecord: int64(settleCommand.KeepRecord),
 	}}})
 }
 
@@ -217,8 +217,8 @@
 }
 
 // Error describes the result.
-func (r *ResultError) Error() string {
-	return "the result cannot be used: " + r.Problem
+func (resultError *ResultError) Error() string {
+	return "the result cannot be used: " + resultError.Problem
 }
 
 func decodeResult(result []byte) (*ledgerpb.Result, error) {
--- a/internal/core/ledger/machine.go
+++ b/internal/core/ledger/machine.go
@@ -74,54 +74,54 @@
 }
 
 // Applied is the index of the last command that was applied.
-func (m *Machine) Applied() uint64 {
-	return m.applied
+func (machine *Machine) Applied() uint64 {
+	return machine.applied
 }
 
 // Age is the ledger's age.
-func (m *Machine) Age() Age {
-	return m.age
+func (machine *Machine) Age() Age {
+	return machine.age
 }
 
 // Apply carries out the command at an index of the log and gives its encoded
 // result. An index that was applied before changes nothing and is an error.
-func (m *Machine) Apply(index uint64, command []byte) ([]byte, error) {
-	if index <= m.applied {
-		return nil, fmt.Errorf("index %d is applied already, the state is at %d", index, m.applied)
+func (machine *Machine) Apply(index uint64, command []byte) ([]byte, error) {
+	if index <= machine.applied {
+		return nil, fmt.Errorf("index %d is applied already, the state is at %d", index, machine.applied)
 	}
-	m.applied = index
+	machine.applied = index
 	decoded := new(ledgerpb.Command)
 	if err := proto.Unmarshal(command, decoded); err != nil {
 		return encode(malformed("the command cannot be read")), nil
 	}
-	return encode(m.apply(decoded)), nil
+	return encode(machine.apply(decoded)), nil
 }
 
-func (m *Machine) apply(command *ledgerpb.Command) *ledgerpb.Result {
+func (machine *Machine) apply(command *ledgerpb.Command) *ledgerpb.Result {
 	switch body := command.GetBody().(type) {
 	case *ledgerpb.Command_Patch:
-		return &ledgerpb.Result{Body: &ledgerpb.Result_Patch{Patch: m.history.patch(body.Patch)}}
+		return &ledgerpb.Result{Body: &ledgerpb.Result_Patch{Patch: machine.history.patch(body.Patch)}}
 	case *ledgerpb.Command_Claim:
-		return &ledgerpb.Result{Body: &ledgerpb.Result_Claim{Claim: m.book.claim(m.age, body.Claim)}}
+		return &ledgerpb.Result{Body: &ledgerpb.Result_Claim{Claim: machine.book.claim(machine.age, body.Claim)}}
 	case *ledgerpb.Command_Finish:
-		return recorded(m.age, m.book.finish(m.age, body.Finish))
+		return recorded(machine.age, machine.book.finish(machine.age, body.Finish))
 	case *ledgerpb.Command_Release:
-		return recorded(m.age, m.book.release(m.age, body.Release))
+		return recorded(machine.age, machine.book.release(machine.age, body.Release))
 	case *ledgerpb.Command_Advance:
-		return m.advance(body.Advance)
+		return machine.advance(body.Advance)
 	case *ledgerpb.Command_Settle:
-		return &ledgerpb.Result{Body: &ledgerpb.Result_Settle{Settle: m.book.settle(m.age, body.Settle)}}
+		return &ledgerpb.Result{Body: &ledgerpb.Result_Settle{Settle: machine.book.settle(machine.age, body.Settle)}}
 	}
 	return malformed("the command is of an unknown kind")
 }
 
 // advance is idempotent, since it names the age that it starts from.
-func (m *Machine) advance(advance *ledgerpb.Advance) *ledgerpb.Result {
-	if Age(advance.GetFrom()) == m.age && advance.GetElapsed() > 0 {
-		m.age += Age(min(time.Duration(advance.GetElapsed()), MaxAdvance))
-		m.book.expire(m.age)
+func (machine *Machine) advance(advance *ledgerpb.Advance) *ledgerpb.Result {
+	if Age(advance.GetFrom()) == machine.age && advance.GetElapsed() > 0 {
+		machine.age += Age(min(time.Duration(advance.GetElapsed()), MaxAdvance))
+		machine.book.expire(machine.age)
 	}
-	return &ledgerpb.Result{Body: &ledgerpb.Result_Advance{Advance: &ledgerpb.AdvanceResult{Age: int64(m.age)}}}
+	return &ledgerpb.Result{Body: &ledgerpb.Result_Advance{Advance: &ledgerpb.AdvanceResult{Age: int64(machine.age)}}}
 }
 
 func recorded(age Age, state ledgerpb.RecordState) *ledgerpb.Result {
@@ -145,27 +145,27 @@
 // behind the log, or says that only the log can answer it. It answers only for
 // a finished action: that an action ran never becomes untrue, so a replica that
 // is behind, or cut off from the quorum, cannot be wrong. It grants nothing.
-func (m *Machine) Lookup(command ClaimCommand) (ClaimResult, bool) {
-	holder, ok := m.book.claims[claimID(string(command.Kind), string(command.Key))]
+func (machine *Machine) Lookup(command ClaimCommand) (ClaimResult, bool) {
+	holder, ok := machine.book.claims[claimID(string(command.Kind), string(command.Key))]
 	if !ok || holder.state != heldFinished {
 		return ClaimResult{}, false
 	}
-	return claimResult(holder.result(m.age, command.Digest[:])), true
+	return claimResult(holder.result(machine.age, command.Digest[:])), true
 }
 
 // Open lists the claims that are granted or in doubt, as operators see them.
-func (m *Machine) Open() []OpenClaim {
-	return m.book.open(m.age)
+func (machine *Machine) Open() []OpenClaim {
+	return machine.book.open(machine.age)
 }
 
 // Settlements lists the claims that operators settled, oldest first.
-func (m *Machine) Settlements() []*ledgerpb.Settlement {
-	return m.book.settlements
+func (machine *Machine) Settlements() []*ledgerpb.Settlement {
+	return machine.book.settlements
 }
 
 // ClaimCount is the number of claims in the state.
-func (m *Machine) ClaimCount() int {
-	return len(m.book.claims)
+func (machine *Machine) ClaimCount() int {
+	return len(machine.book.claims)
 }
 
 // OpenClaim is a claim whose action is not known to have run.
--- a/internal/core/ledger/prepare.go
+++ b/internal/core/ledger/prepare.go
@@ -44,8 +44,8 @@
 }
 
 // Error describes how far the replica is.
-func (b *BehindError) Error() string {
-	return fmt.Sprintf("version %d is not known here, the latest known is %d; look at the versions and send the patch again", b.Base, b.Current)
+func (behindError *BehindError) Error() string {
+	return fmt.Sprintf("version %d is not known here, the latest known is %d; look at the versions and send the patch again", behindError.Base, behindError.Current)
 }
 
 // Base is the current version, apart from the machine: its text never changes,
@@ -56,25 +56,25 @@
 }
 
 // Base gives the current version to prepare patches against.
-func (m *Machine) Base() Base {
-	return Base{Version: configuration.Version(m.history.current()), Text: m.history.text}
+func (machine *Machine) Base() Base {
+	return Base{Version: configuration.Version(machine.history.current()), Text: machine.history.text}
 }
 
 // Prepare prepares a submission against the current version; see
 // [Base.Prepare].
-func (m *Machine) Prepare(submission Submission) ([]byte, error) {
-	return m.Base().Prepare(submission)
+func (machine *Machine) Prepare(submission Submission) ([]byte, error) {
+	return machine.Base().Prepare(submission)
 }
 
 // Prepare reads and checks a submission and gives the command to propose.
 // Faults of the patch are no error here: the command carries them, so that the
 // log keeps the outcome. An error means that nothing was decided.
-func (b Base) Prepare(submission Submission) ([]byte, error) {
+func (base Base) Prepare(submission Submission) ([]byte, error) {
 	if err := submission.check(); err != nil {
 		return nil, err
 	}
-	if submission.Base > b.Version {
-		return nil, &BehindError{Base: submission.Base, Current: b.Version}
+	if submission.Base > base.Version {
+		return nil, &BehindError{Base: submission.Base, Current: base.Version}
 	}
 	patch := &ledgerpb.Patch{
 		Id:               string(submission.ID),
@@ -84,27 +84,27 @@
 		Note:             submission.Note,
 		UnixMilliseconds: submission.At.UnixMilli(),
 	}
-	if submission.Base == b.Version {
-		b.evaluate(submission, patch)
+	if submission.Base == base.Version {
+		base.evaluate(submission, patch)
 	}
 	return encode(&ledgerpb.Command{Body: &ledgerpb.Command_Patch{Patch: patch}}), nil
 }
 
-func (s Submission) check() error {
+func (submission Submission) check() error {
 	switch {
-	case s.ID == "" || len(s.ID) > maxPatchID:
-		return fmt.Errorf("the patch id has %d bytes; give 1 to %d", len(s.ID), maxPatchID)
-	case s.Operator == "" || len(s.Operator) > maxOperator:
-		return fmt.Errorf("the operator's name has %d bytes; give 1 to %d", len(s.Operator), maxOperator)
-	case len(s.Note) > maxNote:
-		return fmt.Errorf("the note has %d bytes; give at most %d", len(s.Note), maxNote)
-	case len(s.Operations) > maxOperations:
-		return fmt.Errorf("the patch has %d bytes; split it into patches of at most %d", len(s.Operations), maxOperations)
-	case len(s.Text) > maxText:
-		return fmt.Errorf("the document has %d bytes; at most %d are allowed", len(s.Text), maxText)
-	case s.Base == 0 && len(s.Text) == 0:
+	case submission.ID == "" || len(submission.ID) > maxPatchID:
+		return fmt.Errorf("the patch id has %d bytes; give 1 to %d", len(submission.ID), maxPatchID)
+	case submission.Operator == "" || len(submission.Operator) > maxOperator:
+		return fmt.Errorf("the operator's name has %d bytes; give 1 to %d", len(submission.Operator), maxOperator)
+	case len(submission.Note) > maxNote:
+		return fmt.Errorf("the note has %d bytes; give at most %d", len(submission.Note), maxNote)
+	case len(submission.Operations) > maxOperations:
+		return fmt.Errorf("the patch has %d bytes; split it into patches of at most %d", len(submission.Operations), maxOperations)
+	case len(submission.Text) > maxText:
+		return fmt.Errorf("the document has %d bytes; at most %d are allowed", len(submission.Text), maxText)
+	case submission.Base == 0 && len(submission.Text) == 0:
 		return errors.New("the base is 0, before the first version; look at the current version and base the patch on it")
-	case s.Base > 0 && len(s.Text) > 0:
+	case submission.Base > 0 && len(submission.Text) > 0:
 		return errors.New("a whole document can only be the first version; send an RFC 6902 patch")
 	}
 	return nil
@@ -112,11 +112,11 @@
 
 // content identifies what the operator sent; each part is preceded by its
 // length.
-func (s Submission) content() []byte {
+func (submission Submission) content() []byte {
 	sum := sha256.New()
 	size := make([]byte, 0, 8)
-	parts := [][]byte{[]byte(s.Operator), []byte(s.Note), s.Operations, s.Text}
-	sum.Write(binary.BigEndian.AppendUint64(size, uint64(s.Base)))
+	parts := [][]byte{[]byte(submission.Operator), []byte(submission.Note), submission.Operations, submission.Text}
+	sum.Write(binary.BigEndian.AppendUint64(size, uint64(submission.Base)))
 	for _, part := range parts {
 		sum.Write(binary.BigEndian.AppendUint64(size, uint64(len(part))))
 		sum.Write(part)
@@ -124,10 +124,10 @@
 	return sum.Sum(nil)
 }
 
-func (b Base) evaluate(submission Submission, patch *ledgerpb.Patch) {
-	text, err := submission.apply(b.Text)
+func (base Base) evaluate(submission Submission, patch *ledgerpb.Patch) {
+	text, err := submission.apply(base.Text)
 	if err == nil {
-		err = b.check(text)
+		err = base.check(text)
 	}
 	if err == nil && len(text) > maxText {
 		err = fmt.Errorf("the document would have %d bytes; at most %d are allowed", len(text), maxText)
@@ -138,28 +138,28 @@
 	}
 	digest := sha256.Sum256(text)
 	patch.TextDigest = digest[:]
-	patch.Splice = newSplice(b.Text, text)
+	patch.Splice = newSplice(base.Text, text)
 }
 
 // check reads the new text and compares it with the current one, which a replica
 // of an older build may have accepted under other checks.
-func (b Base) check(text []byte) error {
+func (base Base) check(text []byte) error {
 	document, err := configuration.Parse(text)
-	if err != nil || b.Version == 0 {
+	if err != nil || base.Version == 0 {
 		return err
 	}
-	current, err := configuration.Parse(b.Text)
+	current, err := configuration.Parse(base.Text)
 	if err != nil {
 		return nil
 	}
 	return configuration.CheckChange(current, document)
 }
 
-func (s Submission) apply(base []byte) ([]byte, error) {
-	if s.Base == 0 {
-		return s.Text, nil
+func (submission Submission) apply(base []byte) ([]byte, error) {
+	if submission.Base == 0 {
+		return submission.Text, nil
 	}
-	return configuration.Patch(base, s.Operations)
+	return configuration.Patch(base, submission.Operations)
 }
 
 func faultLines(err error) []string {
--- a/internal/core/ledger/read.go
+++ b/internal/core/ledger/read.go
@@ -18,20 +18,20 @@
 
 // Current gives the number and text of the configuration in force; zero and nil
 // before the first.
-func (m *Machine) Current() (configuration.Version, []byte) {
-	return configuration.Version(m.history.current()), m.history.text
+func (machine *Machine) Current() (configuration.Version, []byte) {
+	return configuration.Version(machine.history.current()), machine.history.text
 }
 
 // Text gives the text of a version that the history still holds.
-func (m *Machine) Text(number configuration.Version) ([]byte, bool) {
-	return m.history.textAt(uint64(number))
+func (machine *Machine) Text(number configuration.Version) ([]byte, bool) {
+	return machine.history.textAt(uint64(number))
 }
 
 // Versions gives the records after one version up to another that the history
 // still holds.
-func (m *Machine) Versions(after, upTo configuration.Version) []VersionRecord {
+func (machine *Machine) Versions(after, upTo configuration.Version) []VersionRecord {
 	var records []VersionRecord
-	for _, version := range m.history.versions {
+	for _, version := range machine.history.versions {
 		number := configuration.Version(version.GetNumber())
 		if number <= after || number > upTo {
 			continue
@@ -57,14 +57,14 @@
 // Since gives the versions after one version up to another with what each
 // changed, as a refusal of a stale patch shows them. Of more than most versions
 // the latest ones are given.
-func (m *Machine) Since(after, upTo configuration.Version, most int) []VersionChange {
-	records := m.Versions(after, upTo)
+func (machine *Machine) Since(after, upTo configuration.Version, most int) []VersionChange {
+	records := machine.Versions(after, upTo)
 	records = records[max(0, len(records)-most):]
 	changes := make([]VersionChange, 0, len(records))
 	for _, record := range records {
 		change := VersionChange{VersionRecord: record}
-		before, hasBefore := m.Text(record.Number - 1)
-		text, hasText := m.Text(record.Number)
+		before, hasBefore := machine.Text(record.Number - 1)
+		text, hasText := machine.Text(record.Number)
 		if hasBefore && hasText {
 			change.Changes, _ = configuration.Difference(before, text)
 		}
@@ -75,8 +75,8 @@
 
 // Outcome gives how a patch ended, if it was decided and is still kept. It
 // needs no log entry, since an outcome never changes.
-func (m *Machine) Outcome(id PatchID) (Outcome, bool) {
-	recorded, ok := m.history.byID[string(id)]
+func (machine *Machine) Outcome(id PatchID) (Outcome, bool) {
+	recorded, ok := machine.history.byID[string(id)]
 	if !ok {
 		return Outcome{}, false
 	}
@@ -85,8 +85,8 @@
 
 // Outcomes gives the latest decided patches, oldest first, at most as many as
 // asked.
-func (m *Machine) Outcomes(most int) []Outcome {
-	recorded := m.history.outcomes[max(0, len(m.history.outcomes)-most):]
+func (machine *Machine) Outcomes(most int) []Outcome {
+	recorded := machine.history.outcomes[max(0, len(machine.history.outcomes)-most):]
 	outcomes := make([]Outcome, len(recorded))
 	for i, one := range recorded {
 		outcomes[i] = outcome(one)
--- a/internal/core/ledger/restore.go
+++ b/internal/core/ledger/restore.go
@@ -21,7 +21,7 @@
 
 // Restore replaces the state by a snapshot. After an error the state is as it
 // was.
-func (m *Machine) Restore(snapshot []byte) error {
+func (machine *Machine) Restore(snapshot []byte) error {
 	state := new(ledgerpb.State)
 	if err := proto.Unmarshal(snapshot, state); err != nil {
 		return fmt.Errorf("the snapshot cannot be read: %w; take it from another replica", err)
@@ -33,7 +33,7 @@
 	if err := restored.book.restore(state); err != nil {
 		return err
 	}
-	*m = *restored
+	*machine = *restored
 	return nil
 }
 
--- a/internal/core/ledger/snapshot.go
+++ b/internal/core/ledger/snapshot.go
@@ -27,63 +27,63 @@
 }
 
 // Snapshot encodes the whole state; equal states give equal bytes.
-func (m *Machine) Snapshot() []byte {
-	return m.Freeze().Encode()
+func (machine *Machine) Snapshot() []byte {
+	return machine.Freeze().Encode()
 }
 
 // Freeze copies the state, which takes the owner of a large one far less time
 // than encoding it; another goroutine may encode the copy.
-func (m *Machine) Freeze() *Frozen {
+func (machine *Machine) Freeze() *Frozen {
 	frozen := &Frozen{
 		state: &ledgerpb.State{
-			Applied:       m.applied,
-			Age:           int64(m.age),
-			Text:          m.history.text,
-			Versions:      slices.Clone(m.history.versions),
-			Outcomes:      slices.Clone(m.history.outcomes),
-			ForgottenBase: m.history.forgottenBase,
-			Settlements:   slices.Clone(m.book.settlements),
+			Applied:       machine.applied,
+			Age:           int64(machine.age),
+			Text:          machine.history.text,
+			Versions:      slices.Clone(machine.history.versions),
+			Outcomes:      slices.Clone(machine.history.outcomes),
+			ForgottenBase: machine.history.forgottenBase,
+			Settlements:   slices.Clone(machine.book.settlements),
 		},
-		claims:     make([]frozenClaim, 0, len(m.book.claims)),
-		tombstones: make([]frozenTombstone, 0, len(m.book.tombstones)),
+		claims:     make([]frozenClaim, 0, len(machine.book.claims)),
+		tombstones: make([]frozenTombstone, 0, len(machine.book.tombstones)),
 	}
-	for name, holder := range m.book.claims {
+	for name, holder := range machine.book.claims {
 		frozen.claims = append(frozen.claims, frozenClaim{name, *holder})
 	}
-	for attempt, expires := range m.book.tombstones {
+	for attempt, expires := range machine.book.tombstones {
 		frozen.tombstones = append(frozen.tombstones, frozenTombstone{attempt, expires})
 	}
 	return frozen
 }
 
 // Encode gives the bytes for [Machine.Restore].
-func (f *Frozen) Encode() []byte {
-	slices.SortFunc(f.claims, func(left, right frozenClaim) int {
+func (frozen *Frozen) Encode() []byte {
+	slices.SortFunc(frozen.claims, func(left, right frozenClaim) int {
 		return bytes.Compare(left.id[:], right.id[:])
 	})
-	slices.SortFunc(f.tombstones, func(left, right frozenTombstone) int {
+	slices.SortFunc(frozen.tombstones, func(left, right frozenTombstone) int {
 		return bytes.Compare(left.attempt[:], right.attempt[:])
 	})
-	f.state.Claims, f.state.Finished, f.state.Tombstones = nil, nil, nil
-	for i := range f.claims {
-		f.add(&f.claims[i])
+	frozen.state.Claims, frozen.state.Finished, frozen.state.Tombstones = nil, nil, nil
+	for i := range frozen.claims {
+		frozen.add(&frozen.claims[i])
 	}
-	for i := range f.tombstones {
-		one := &f.tombstones[i]
-		f.state.Tombstones = append(f.state.Tombstones, &ledgerpb.Tombstone{Attempt: one.attempt[:], Expires: int64(one.expires)})
+	for i := range frozen.tombstones {
+		one := &frozen.tombstones[i]
+		frozen.state.Tombstones = append(frozen.state.Tombstones, &ledgerpb.Tombstone{Attempt: one.attempt[:], Expires: int64(one.expires)})
 	}
-	return encode(f.state)
+	return encode(frozen.state)
 }
 
-func (f *Frozen) add(claim *frozenClaim) {
+func (frozen *Frozen) add(claim *frozenClaim) {
 	if claim.held.state != heldFinished || claim.held.kept != nil {
-		f.state.Claims = append(f.state.Claims, claim.held.record(claim.id[:]))
+		frozen.state.Claims = append(frozen.state.Claims, claim.held.record(claim.id[:]))
 		return
 	}
-	f.state.Finished = append(f.state.Finished, claim.id[:]...)
-	f.state.Finished = append(f.state.Finished, claim.held.attempt[:]...)
-	f.state.Finished = append(f.state.Finished, claim.held.digest[:]...)
-	f.state.Finished = binary.BigEndian.AppendUint64(f.state.Finished, uint64(claim.held.expires))
+	frozen.state.Finished = append(frozen.state.Finished, claim.id[:]...)
+	frozen.state.Finished = append(frozen.state.Finished, claim.held.attempt[:]...)
+	frozen.state.Finished = append(frozen.state.Finished, claim.held.digest[:]...)
+	frozen.state.Finished = binary.BigEndian.AppendUint64(frozen.state.Finished, uint64(claim.held.expires))
 }
 
 func (h *held) record(name []byte) *ledgerpb.ClaimRecord {
--- a/internal/core/membership/feed.go
+++ b/internal/core/membership/feed.go
@@ -65,13 +65,13 @@
 
 // Subscribe begins or renews the subscription of a node. The answer holds each
 // list whose digest differs.
-func (r *Registry) Subscribe(now time.Time, node request.NodeID, subscription Subscription) Update {
-	subscribed := &listener{services: map[request.ServiceName]bool{}, sent: r.feed.sequence, scanned: r.feed.sequence, partial: r.Warming(now)}
-	r.listeners[subscriber{node: node}] = subscribed
-	answer := Update{Epoch: r.epoch, To: r.feed.sequence, Answer: true}
+func (registry *Registry) Subscribe(now time.Time, node request.NodeID, subscription Subscription) Update {
+	subscribed := &listener{services: map[request.ServiceName]bool{}, sent: registry.feed.sequence, scanned: registry.feed.sequence, partial: registry.Warming(now)}
+	registry.listeners[subscriber{node: node}] = subscribed
+	answer := Update{Epoch: registry.epoch, To: registry.feed.sequence, Answer: true}
 	for index, service := range subscription.Services {
 		subscribed.services[service] = true
-		current := r.table.list(service)
+		current := registry.table.list(service)
 		list := List{Service: service, Digest: current.digest, Partial: subscribed.partial}
 		if index >= len(subscription.Held) || subscription.Held[index] != current.digest {
 			list.Whole = true
@@ -83,92 +83,92 @@
 }
 
 // Unsubscribe ends the subscription of a node.
-func (r *Registry) Unsubscribe(node request.NodeID) {
-	delete(r.listeners, subscriber{node: node})
+func (registry *Registry) Unsubscribe(node request.NodeID) {
+	delete(registry.listeners, subscriber{node: node})
 }
 
 // Position gives the epoch and where a node should stand.
-func (r *Registry) Position(node request.NodeID) (Epoch, Sequence) {
-	return r.position(subscriber{node: node})
+func (registry *Registry) Position(node request.NodeID) (Epoch, Sequence) {
+	return registry.position(subscriber{node: node})
 }
 
-func (r *Registry) position(of subscriber) (Epoch, Sequence) {
-	if subscribed := r.listeners[of]; subscribed != nil {
-		return r.epoch, subscribed.sent
+func (registry *Registry) position(of subscriber) (Epoch, Sequence) {
+	if subscribed := registry.listeners[of]; subscribed != nil {
+		return registry.epoch, subscribed.sent
 	}
-	return r.epoch, 0
+	return registry.epoch, 0
 }
 
 // Pull gives what is due to a node since the last call, as at most one
 // update. Once the replica is warm it sends the digests again, so that what
 // was held over its start is dropped.
-func (r *Registry) Pull(now time.Time, node request.NodeID) []Update {
-	return r.pull(now, subscriber{node: node})
+func (registry *Registry) Pull(now time.Time, node request.NodeID) []Update {
+	return registry.pull(now, subscriber{node: node})
 }
 
-func (r *Registry) pull(now time.Time, to subscriber) []Update {
-	subscribed := r.listeners[to]
+func (registry *Registry) pull(now time.Time, to subscriber) []Update {
+	subscribed := registry.listeners[to]
 	if subscribed == nil {
 		return nil
 	}
-	if subscribed.partial && !r.Warming(now) {
-		return []Update{r.restate(to.node, subscribed)}
+	if subscribed.partial && !registry.Warming(now) {
+		return []Update{registry.restate(to.node, subscribed)}
 	}
-	changes, ok := r.feed.since(subscribed.scanned)
+	changes, ok := registry.feed.since(subscribed.scanned)
 	if !ok {
-		return []Update{r.restate(to.node, subscribed)}
+		return []Update{registry.restate(to.node, subscribed)}
 	}
-	subscribed.scanned = r.feed.sequence
-	records := r.collect(to.node, subscribed, changes)
+	subscribed.scanned = registry.feed.sequence
+	records := registry.collect(to.node, subscribed, changes)
 	if len(records) == 0 {
 		return nil
 	}
-	update := Update{Epoch: r.epoch, From: subscribed.sent, To: r.feed.sequence, Records: records}
-	subscribed.sent = r.feed.sequence
+	update := Update{Epoch: registry.epoch, From: subscribed.sent, To: registry.feed.sequence, Records: records}
+	subscribed.sent = registry.feed.sequence
 	if !subscribed.replica && !subscribed.partial {
-		update.Lists = r.digests(subscribed, records)
+		update.Lists = registry.digests(subscribed, records)
 	}
 	return []Update{update}
 }
 
 // restate sends where the subscriber should stand. A node gets digests and
 // asks for the lists that differ; a replica gets all records.
-func (r *Registry) restate(node request.NodeID, subscribed *listener) Update {
+func (registry *Registry) restate(node request.NodeID, subscribed *listener) Update {
 	subscribed.partial = false
-	subscribed.sent = r.feed.sequence
-	subscribed.scanned = r.feed.sequence
+	subscribed.sent = registry.feed.sequence
+	subscribed.scanned = registry.feed.sequence
 	if subscribed.replica {
-		return r.replicaAnswer(node, subscribed)
+		return registry.replicaAnswer(node, subscribed)
 	}
-	update := Update{Epoch: r.epoch, To: r.feed.sequence, Answer: true}
+	update := Update{Epoch: registry.epoch, To: registry.feed.sequence, Answer: true}
 	for service := range subscribed.services {
-		update.Lists = append(update.Lists, List{Service: service, Digest: r.table.list(service).digest})
+		update.Lists = append(update.Lists, List{Service: service, Digest: registry.table.list(service).digest})
 	}
 	return update
 }
 
 // digests gives the digest of each subscribed list that the records change.
-func (r *Registry) digests(subscribed *listener, records []Record) []List {
+func (registry *Registry) digests(subscribed *listener, records []Record) []List {
 	var lists []List
 	for _, record := range records {
 		if !subscribed.services[record.Service] || slices.ContainsFunc(lists, func(list List) bool { return list.Service == record.Service }) {
 			continue
 		}
-		lists = append(lists, List{Service: record.Service, Digest: r.table.list(record.Service).digest})
+		lists = append(lists, List{Service: record.Service, Digest: registry.table.list(record.Service).digest})
 	}
 	return lists
 }
 
 // collect gives the present record of each node that changed, once.
-func (r *Registry) collect(receiver request.NodeID, subscribed *listener, changes []change) []Record {
+func (registry *Registry) collect(receiver request.NodeID, subscribed *listener, changes []change) []Record {
 	var records []Record
 	var seen map[request.NodeID]bool
 	for _, changed := range changes {
 		if !subscribed.wants(changed) || seen[changed.node] {
 			continue
 		}
-		current := r.table.records[changed.node]
-		if current == nil || subscribed.replica && !r.passesOn(receiver, current) {
+		current := registry.table.records[changed.node]
+		if current == nil || subscribed.replica && !registry.passesOn(receiver, current) {
 			continue
 		}
 		if seen == nil {
--- a/internal/core/membership/record.go
+++ b/internal/core/membership/record.go
@@ -34,8 +34,8 @@
 )
 
 // String gives the state's name.
-func (s State) String() string {
-	switch s {
+func (state State) String() string {
+	switch state {
 	case Ready:
 		return "ready"
 	case Cold:
@@ -72,16 +72,16 @@
 }
 
 // live says whether the record is on the list of its service.
-func (r *Record) live() bool {
-	return !r.Gone && !r.Hidden
+func (record *Record) live() bool {
+	return !record.Gone && !record.Hidden
 }
 
 // standing orders the records of one incarnation and sequence.
-func (r *Record) standing() int {
+func (record *Record) standing() int {
 	switch {
-	case r.Gone:
+	case record.Gone:
 		return 2
-	case r.Hidden:
+	case record.Hidden:
 		return 0
 	}
 	return 1
@@ -90,27 +90,27 @@
 // newer says whether the record replaces the other one of the same node. It is
 // a total order for the states that one node can be in, so that merging is
 // commutative, associative and idempotent.
-func (r *Record) newer(other *Record) bool {
-	if r.Incarnation != other.Incarnation {
-		return r.Incarnation > other.Incarnation
+func (record *Record) newer(other *Record) bool {
+	if record.Incarnation != other.Incarnation {
+		return record.Incarnation > other.Incarnation
 	}
-	if r.Sequence != other.Sequence {
-		return r.Sequence > other.Sequence
+	if record.Sequence != other.Sequence {
+		return record.Sequence > other.Sequence
 	}
-	return r.standing() > other.standing()
+	return record.standing() > other.standing()
 }
 
 // Digest stands for a set of records, whatever their order.
 type Digest uint64
 
 // digest hashes what decides which of two records stands.
-func (r *Record) digest() Digest {
+func (record *Record) digest() Digest {
 	var hash xxhash.Digest
 	hash.Reset()
-	_, _ = hash.WriteString(string(r.Node))
+	_, _ = hash.WriteString(string(record.Node))
 	var numbers [16]byte
-	binary.BigEndian.PutUint64(numbers[:8], uint64(r.Incarnation))
-	binary.BigEndian.PutUint64(numbers[8:], uint64(r.Sequence))
+	binary.BigEndian.PutUint64(numbers[:8], uint64(record.Incarnation))
+	binary.BigEndian.PutUint64(numbers[8:], uint64(record.Sequence))
 	_, _ = hash.Write(numbers[:])
 	return Digest(hash.Sum64())
 }
--- a/internal/core/membership/registry.go
+++ b/internal/core/membership/registry.go
@@ -75,162 +75,162 @@
 }
 
 // Start begins an epoch, which must be above that of earlier starts.
-func (r *Registry) Start(now time.Time, epoch Epoch) {
-	setDefault(&r.LeaseTime, DefaultLeaseTime)
-	setDefault(&r.ReconnectTime, DefaultReconnectTime)
-	setDefault(&r.WarmTime, DefaultWarmTime)
-	setDefault(&r.RegisterRate, DefaultRegisterRate)
-	setDefault(&r.OrphanTime, DefaultOrphanTime)
-	r.epoch = epoch
-	r.started = now
-	r.lastTick = now
-	r.pace = newPace(now, r.RegisterRate)
-	r.table = newTable()
-	r.leases = map[request.NodeID]time.Time{}
-	r.listeners = map[subscriber]*listener{}
-	r.peers = map[request.NodeID]*peer{}
+func (registry *Registry) Start(now time.Time, epoch Epoch) {
+	setDefault(&registry.LeaseTime, DefaultLeaseTime)
+	setDefault(&registry.ReconnectTime, DefaultReconnectTime)
+	setDefault(&registry.WarmTime, DefaultWarmTime)
+	setDefault(&registry.RegisterRate, DefaultRegisterRate)
+	setDefault(&registry.OrphanTime, DefaultOrphanTime)
+	registry.epoch = epoch
+	registry.started = now
+	registry.lastTick = now
+	registry.pace = newPace(now, registry.RegisterRate)
+	registry.table = newTable()
+	registry.leases = map[request.NodeID]time.Time{}
+	registry.listeners = map[subscriber]*listener{}
+	registry.peers = map[request.NodeID]*peer{}
 }
 
 // Register grants a lease, or asks the node to come later or with a higher
 // sequence.
-func (r *Registry) Register(now time.Time, announcement Announcement) Lease {
-	known := r.table.records[announcement.Node]
-	_, held := r.leases[announcement.Node]
+func (registry *Registry) Register(now time.Time, announcement Announcement) Lease {
+	known := registry.table.records[announcement.Node]
+	_, held := registry.leases[announcement.Node]
 	if !held {
-		if wait := r.pace.wait(now, announcement.Node, r.RegisterRate); wait > 0 {
+		if wait := registry.pace.wait(now, announcement.Node, registry.RegisterRate); wait > 0 {
 			return Lease{RetryAfter: wait}
 		}
 	}
-	record := Record{Announcement: announcement, Holder: r.Self}
+	record := Record{Announcement: announcement, Holder: registry.Self}
 	if known != nil && known.Incarnation > announcement.Incarnation {
-		return r.outdated(known)
+		return registry.outdated(known)
 	}
 	if known != nil && !record.newer(known) && !(held && sameKey(known, &record)) {
-		return r.again(announcement.Node)
+		return registry.again(announcement.Node)
 	}
-	r.put(now, record)
-	r.leases[announcement.Node] = now.Add(r.LeaseTime)
-	return r.granted(announcement.Node)
+	registry.put(now, record)
+	registry.leases[announcement.Node] = now.Add(registry.LeaseTime)
+	return registry.granted(announcement.Node)
 }
 
 // Renew lengthens a lease. A node that the replica does not know, or knows
 // better, is asked to register again.
-func (r *Registry) Renew(now time.Time, node request.NodeID, incarnation Incarnation, sequence Sequence) Lease {
-	known := r.table.records[node]
-	_, held := r.leases[node]
+func (registry *Registry) Renew(now time.Time, node request.NodeID, incarnation Incarnation, sequence Sequence) Lease {
+	known := registry.table.records[node]
+	_, held := registry.leases[node]
 	if !held || known == nil {
-		return r.again(node)
+		return registry.again(node)
 	}
 	if known.Incarnation > incarnation {
-		return r.outdated(known)
+		return registry.outdated(known)
 	}
-	if known.Incarnation != incarnation || known.Sequence != sequence || known.Holder != r.Self {
-		return r.again(node)
+	if known.Incarnation != incarnation || known.Sequence != sequence || known.Holder != registry.Self {
+		return registry.again(node)
 	}
-	r.leases[node] = now.Add(r.LeaseTime)
-	return r.granted(node)
+	registry.leases[node] = now.Add(registry.LeaseTime)
+	return registry.granted(node)
 }
 
 // Disconnected shortens the lease of a node whose session broke.
-func (r *Registry) Disconnected(now time.Time, node request.NodeID) {
-	r.Unsubscribe(node)
-	expires, held := r.leases[node]
-	short := now.Add(r.ReconnectTime)
+func (registry *Registry) Disconnected(now time.Time, node request.NodeID) {
+	registry.Unsubscribe(node)
+	expires, held := registry.leases[node]
+	short := now.Add(registry.ReconnectTime)
 	if held && short.Before(expires) {
-		r.leases[node] = short
+		registry.leases[node] = short
 	}
 }
 
 // Release ends the lease of a node that has stopped as planned.
-func (r *Registry) Release(now time.Time, node request.NodeID, incarnation Incarnation) {
-	known := r.table.records[node]
-	if _, held := r.leases[node]; !held || known == nil || known.Incarnation != incarnation {
+func (registry *Registry) Release(now time.Time, node request.NodeID, incarnation Incarnation) {
+	known := registry.table.records[node]
+	if _, held := registry.leases[node]; !held || known == nil || known.Incarnation != incarnation {
 		return
 	}
-	r.expire(now, node)
+	registry.expire(now, node)
 }
 
 // Tick ends the leases that were not renewed. A replica that itself stood
 // still grants the time that it missed.
-func (r *Registry) Tick(now time.Time) {
-	missed := now.Sub(r.lastTick)
-	r.lastTick = now
+func (registry *Registry) Tick(now time.Time) {
+	missed := now.Sub(registry.lastTick)
+	registry.lastTick = now
 	if missed > largestTick || missed < 0 {
-		r.shift(missed)
+		registry.shift(missed)
 		return
 	}
-	for node, expires := range r.leases {
+	for node, expires := range registry.leases {
 		if !now.Before(expires) {
-			r.expire(now, node)
+			registry.expire(now, node)
 		}
 	}
-	r.pace.forget(now)
-	r.dropOrphans(now)
-	r.table.forget(now, goneTime)
+	registry.pace.forget(now)
+	registry.dropOrphans(now)
+	registry.table.forget(now, goneTime)
 }
 
 // Warming says whether the replica may lack records because it has just
 // started.
-func (r *Registry) Warming(now time.Time) bool {
-	return now.Sub(r.started) < r.WarmTime
+func (registry *Registry) Warming(now time.Time) bool {
+	return now.Sub(registry.started) < registry.WarmTime
 }
 
 // Records gives all live records of a service.
-func (r *Registry) Records(service request.ServiceName) []Record {
-	return r.table.list(service).sorted()
+func (registry *Registry) Records(service request.ServiceName) []Record {
+	return registry.table.list(service).sorted()
 }
 
 // HeldElsewhere tells whether another replica holds the lease of a node.
-func (r *Registry) HeldElsewhere(node request.NodeID) bool {
-	known := r.table.records[node]
-	return known != nil && known.live() && known.Holder != r.Self
+func (registry *Registry) HeldElsewhere(node request.NodeID) bool {
+	known := registry.table.records[node]
+	return known != nil && known.live() && known.Holder != registry.Self
 }
 
 // Leases counts the leases that this replica holds.
-func (r *Registry) Leases() int {
-	return len(r.leases)
+func (registry *Registry) Leases() int {
+	return len(registry.leases)
 }
 
-func (r *Registry) put(now time.Time, record Record) {
+func (registry *Registry) put(now time.Time, record Record) {
 	before := record.Service
-	if known := r.table.records[record.Node]; known != nil {
+	if known := registry.table.records[record.Node]; known != nil {
 		before = known.Service
 	}
-	if !r.table.merge(now, record) {
+	if !registry.table.merge(now, record) {
 		return
 	}
-	r.feed.add(record.Node, record.Service)
+	registry.feed.add(record.Node, record.Service)
 	if before != record.Service {
-		r.feed.add(record.Node, before)
+		registry.feed.add(record.Node, before)
 	}
 }
 
-func (r *Registry) expire(now time.Time, node request.NodeID) {
-	delete(r.leases, node)
-	known := r.table.records[node]
-	if known == nil || known.Holder != r.Self || !known.live() {
+func (registry *Registry) expire(now time.Time, node request.NodeID) {
+	delete(registry.leases, node)
+	known := registry.table.records[node]
+	if known == nil || known.Holder != registry.Self || !known.live() {
 		return
 	}
 	ended := *known
 	ended.Gone = true
-	r.put(now, ended)
+	registry.put(now, ended)
 }
 
-func (r *Registry) shift(missed time.Duration) {
-	for node, expires := range r.leases {
-		r.leases[node] = expires.Add(missed)
+func (registry *Registry) shift(missed time.Duration) {
+	for node, expires := range registry.leases {
+		registry.leases[node] = expires.Add(missed)
 	}
 }
 
-func (r *Registry) granted(node request.NodeID) Lease {
-	epoch, sent := r.Position(node)
-	return Lease{Granted: r.LeaseTime, Epoch: epoch, Sent: sent}
+func (registry *Registry) granted(node request.NodeID) Lease {
+	epoch, sent := registry.Position(node)
+	return Lease{Granted: registry.LeaseTime, Epoch: epoch, Sent: sent}
 }
 
 // again asks a node to register with a record above the known one.
-func (r *Registry) again(node request.NodeID) Lease {
+func (registry *Registry) again(node request.NodeID) Lease {
 	lease := Lease{Again: true}
-	if known := r.table.records[node]; known != nil {
+	if known := registry.table.records[node]; known != nil {
 		lease.Incarnation, lease.Above = known.Incarnation, known.Sequence
 	}
 	return lease
@@ -238,11 +238,11 @@
 
 // outdated refuses an older incarnation while the newer one lives. Once that
 // one is gone, the older one, whose clock was set back, may rise above it.
-func (r *Registry) outdated(known *Record) Lease {
+func (registry *Registry) outdated(known *Record) Lease {
 	if known.live() {
-		return Lease{RetryAfter: r.LeaseTime}
+		return Lease{RetryAfter: registry.LeaseTime}
 	}
-	return r.again(known.Node)
+	return registry.again(known.Node)
 }
 
 func sameKey(left, right *Record) bool {
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -84,20 +84,20 @@
 	return found
 }
 
-func (l *serviceList) add(record *Record) {
-	l.members[record.Node] = record
-	l.digest += record.digest()
+func (list *serviceList) add(record *Record) {
+	list.members[record.Node] = record
+	list.digest += record.digest()
 }
 
-func (l *serviceList) remove(record *Record) {
-	delete(l.members, record.Node)
-	l.digest -= record.digest()
+func (list *serviceList) remove(record *Record) {
+	delete(list.members, record.Node)
+	list.digest -= record.digest()
 }
 
 // sorted gives the records in the order of their nodes.
-func (l *serviceList) sorted() []Record {
-	records := make([]Record, 0, len(l.members))
-	for _, record := range l.members {
+func (list *serviceList) sorted() []Record {
+	records := make([]Record, 0, len(list.members))
+	for _, record := range list.members {
 		records = append(records, *record)
 	}
 	sortRecords(records)
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -18,33 +18,33 @@
 }
 
 // Subscription gives what the node asks of a replica.
-func (v *View) Subscription() Subscription {
-	v.prepare()
-	subscription := Subscription{Services: v.Services}
-	for _, service := range v.Services {
-		subscription.Held = append(subscription.Held, v.table.list(service).digest)
+func (view *View) Subscription() Subscription {
+	view.prepare()
+	subscription := Subscription{Services: view.Services}
+	for _, service := range view.Services {
+		subscription.Held = append(subscription.Held, view.table.list(service).digest)
 	}
 	return subscription
 }
 
 // Connected forgets where the subscription with the last replica stood, and
 // keeps the lists.
-func (v *View) Connected() {
-	v.synced = false
+func (view *View) Connected() {
+	view.synced = false
 }
 
 // Apply takes in an update. It gives the services whose list changed and
 // whether the node must subscribe again.
-func (v *View) Apply(now time.Time, update Update) (changed []request.ServiceName, resync bool) {
-	v.prepare()
-	v.table.forget(now, goneTime)
+func (view *View) Apply(now time.Time, update Update) (changed []request.ServiceName, resync bool) {
+	view.prepare()
+	view.table.forget(now, goneTime)
 	touched := map[request.ServiceName]bool{}
 	if update.Answer {
-		resync = v.answer(now, update, touched)
+		resync = view.answer(now, update, touched)
 	} else {
-		resync = v.advance(now, update, touched)
+		resync = view.advance(now, update, touched)
 	}
-	for _, service := range v.Services {
+	for _, service := range view.Services {
 		if touched[service] {
 			changed = append(changed, service)
 		}
@@ -54,44 +54,44 @@
 
 // Check compares where the subscription stands with where the replica says
 // that it should, and says whether the node must subscribe again.
-func (v *View) Check(lease Lease) bool {
+func (view *View) Check(lease Lease) bool {
 	if lease.Granted == 0 {
 		return false
 	}
-	return !v.synced || lease.Epoch != v.epoch || lease.Sent > v.at
+	return !view.synced || lease.Epoch != view.epoch || lease.Sent > view.at
 }
 
 // Records gives the list of a service.
-func (v *View) Records(service request.ServiceName) []Record {
-	v.prepare()
-	return v.table.list(service).sorted()
+func (view *View) Records(service request.ServiceName) []Record {
+	view.prepare()
+	return view.table.list(service).sorted()
 }
 
 // advance takes in a delta in its order only: a late or doubled one may hold
 // records that have been hidden since.
-func (v *View) advance(now time.Time, update Update, touched map[request.ServiceName]bool) bool {
-	if !v.synced || update.Epoch != v.epoch || update.From > v.at {
+func (view *View) advance(now time.Time, update Update, touched map[request.ServiceName]bool) bool {
+	if !view.synced || update.Epoch != view.epoch || update.From > view.at {
 		return true
 	}
-	if update.To <= v.at {
+	if update.To <= view.at {
 		return false
 	}
-	v.at = update.To
+	view.at = update.To
 	for _, record := range update.Records {
 		if record.Hidden {
-			v.hide(now, record, touched)
+			view.hide(now, record, touched)
 			continue
 		}
-		v.merge(now, record, touched)
+		view.merge(now, record, touched)
 	}
-	return v.differs(update.Lists)
+	return view.differs(update.Lists)
 }
 
 // differs compares digests. They differ also when the replica lacks what this
 // node heard from another one.
-func (v *View) differs(lists []List) bool {
+func (view *View) differs(lists []List) bool {
 	for _, list := range lists {
-		if !list.Whole && v.table.list(list.Service).digest != list.Digest {
+		if !list.Whole && view.table.list(list.Service).digest != list.Digest {
 			return true
 		}
 	}
@@ -99,49 +99,49 @@
 }
 
 // answer takes in whole lists and compares the digests of the others.
-func (v *View) answer(now time.Time, update Update, touched map[request.ServiceName]bool) bool {
-	if v.synced && update.Epoch == v.epoch && update.To < v.at {
+func (view *View) answer(now time.Time, update Update, touched map[request.ServiceName]bool) bool {
+	if view.synced && update.Epoch == view.epoch && update.To < view.at {
 		return false
 	}
-	v.epoch, v.at, v.synced = update.Epoch, update.To, true
+	view.epoch, view.at, view.synced = update.Epoch, update.To, true
 	for _, list := range update.Lists {
 		if list.Whole {
-			v.replace(now, list, touched)
+			view.replace(now, list, touched)
 		}
 	}
-	return v.differs(update.Lists)
+	return view.differs(update.Lists)
 }
 
-func (v *View) replace(now time.Time, list List, touched map[request.ServiceName]bool) {
+func (view *View) replace(now time.Time, list List, touched map[request.ServiceName]bool) {
 	sent := map[request.NodeID]bool{}
 	for _, record := range list.Records {
 		sent[record.Node] = true
-		v.merge(now, record, touched)
+		view.merge(now, record, touched)
 	}
 	if list.Partial {
 		return
 	}
-	for node := range v.table.list(list.Service).members {
+	for node := range view.table.list(list.Service).members {
 		if !sent[node] {
-			v.table.hide(now, node)
+			view.table.hide(now, node)
 			touched[list.Service] = true
 		}
 	}
 }
 
 // hide takes a record off its list when the replica no longer has it.
-func (v *View) hide(now time.Time, record Record, touched map[request.ServiceName]bool) {
-	known := v.table.records[record.Node]
+func (view *View) hide(now time.Time, record Record, touched map[request.ServiceName]bool) {
+	known := view.table.records[record.Node]
 	if known == nil || !known.live() || known.newer(&record) && !sameKey(known, &record) {
 		return
 	}
-	v.table.hide(now, record.Node)
+	view.table.hide(now, record.Node)
 	touched[known.Service] = true
 }
 
-func (v *View) merge(now time.Time, record Record, touched map[request.ServiceName]bool) {
-	known := v.table.records[record.Node]
-	if v.table.merge(now, record) {
+func (view *View) merge(now time.Time, record Record, touched map[request.ServiceName]bool) {
+	known := view.table.records[record.Node]
+	if view.table.merge(now, record) {
 		touched[record.Service] = true
 		if known != nil {
 			touched[known.Service] = true
@@ -149,9 +149,9 @@
 	}
 }
 
-func (v *View) prepare() {
-	if v.table == nil {
+func (view *View) prepare() {
+	if view.table == nil {
 		fresh := newTable()
-		v.table = &fresh
+		view.table = &fresh
 	}
 }
--- a/internal/core/quarantine/apply.go
+++ b/internal/core/quarantine/apply.go
@@ -6,50 +6,50 @@
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
-func (g *Guard) apply(now time.Time, report Report) {
+func (guard *Guard) apply(now time.Time, report Report) {
 	switch report.Event {
 	case Crashed:
-		g.applyCrash(now, report)
+		guard.applyCrash(now, report)
 	case Finished:
 		for _, fingerprint := range report.Fingerprints {
-			g.clear(fingerprint)
+			guard.clear(fingerprint)
 		}
 	case Resent:
 		for _, fingerprint := range report.Fingerprints {
-			g.extend(now, fingerprint)
+			guard.extend(now, fingerprint)
 		}
 	}
 }
 
-func (g *Guard) applyCrash(now time.Time, report Report) {
-	members := g.crashes[report.Crash]
+func (guard *Guard) applyCrash(now time.Time, report Report) {
+	members := guard.crashes[report.Crash]
 	if members == nil {
 		members = map[request.Fingerprint]bool{}
-		g.crashes[report.Crash] = members
+		guard.crashes[report.Crash] = members
 	}
 	for _, fingerprint := range report.Fingerprints {
-		if g.suspect(now, fingerprint, report.Crash) {
+		if guard.suspect(now, fingerprint, report.Crash) {
 			members[fingerprint] = true
 		}
 	}
-	g.convict(members)
+	guard.convict(members)
 }
 
 // suspect adds the crash to the record of a fingerprint.
-func (g *Guard) suspect(now time.Time, fingerprint request.Fingerprint, crash Crash) bool {
-	found := g.find(now, fingerprint)
+func (guard *Guard) suspect(now time.Time, fingerprint request.Fingerprint, crash Crash) bool {
+	found := guard.find(now, fingerprint)
 	if found == nil {
-		if len(g.records) >= maxRecords {
+		if len(guard.records) >= maxRecords {
 			return false
 		}
 		found = &record{verdict: Alone}
-		g.records[fingerprint] = found
-		g.known.Store(int64(len(g.records)))
+		guard.records[fingerprint] = found
+		guard.known.Store(int64(len(guard.records)))
 	}
 	if found.has(crash) {
 		return true
 	}
-	found.until = now.Add(g.Hold)
+	found.until = now.Add(guard.Hold)
 	if len(found.crashes) < maxCrashes {
 		found.crashes = append(found.crashes, crash)
 	}
@@ -58,11 +58,11 @@
 
 // convict settles the requests that were at this crash and an earlier one. A
 // single one is refused; several are told apart in other failure domains.
-func (g *Guard) convict(members map[request.Fingerprint]bool) {
+func (guard *Guard) convict(members map[request.Fingerprint]bool) {
 	most := 0
 	var common []*record
 	for fingerprint := range members {
-		found := g.records[fingerprint]
+		found := guard.records[fingerprint]
 		if found == nil || len(found.crashes) < crashesPerDomain {
 			continue
 		}
@@ -86,24 +86,24 @@
 }
 
 // clear drops the suspicion against a request that ran to its end.
-func (g *Guard) clear(fingerprint request.Fingerprint) {
-	found := g.records[fingerprint]
+func (guard *Guard) clear(fingerprint request.Fingerprint) {
+	found := guard.records[fingerprint]
 	if found == nil {
 		return
 	}
-	g.forget(fingerprint)
+	guard.forget(fingerprint)
 	for _, crash := range found.crashes {
-		members := g.crashes[crash]
+		members := guard.crashes[crash]
 		delete(members, fingerprint)
-		g.convict(members)
+		guard.convict(members)
 	}
 }
 
-func (g *Guard) extend(now time.Time, fingerprint request.Fingerprint) {
-	found := g.find(now, fingerprint)
+func (guard *Guard) extend(now time.Time, fingerprint request.Fingerprint) {
+	found := guard.find(now, fingerprint)
 	if found == nil || found.verdict != Refused {
 		return
 	}
-	found.until = now.Add(g.Hold)
+	found.until = now.Add(guard.Hold)
 	found.renewed = now
 }
--- a/internal/core/quarantine/guard.go
+++ b/internal/core/quarantine/guard.go
@@ -65,27 +65,27 @@
 }
 
 // SetHold sets Hold for what is suspected from now on.
-func (g *Guard) SetHold(hold time.Duration) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+func (guard *Guard) SetHold(hold time.Duration) {
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
 	if hold > 0 {
-		g.Hold = hold
+		guard.Hold = hold
 	}
 }
 
 // Judge says where the node may send the request.
-func (g *Guard) Judge(now time.Time, fingerprint request.Fingerprint) Ruling {
-	if g.known.Load() == 0 {
+func (guard *Guard) Judge(now time.Time, fingerprint request.Fingerprint) Ruling {
+	if guard.known.Load() == 0 {
 		return Ruling{}
 	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	found := g.find(now, fingerprint)
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	found := guard.find(now, fingerprint)
 	if found == nil {
 		return Ruling{}
 	}
 	if found.verdict == Refused {
-		g.renew(now, fingerprint, found)
+		guard.renew(now, fingerprint, found)
 		return Ruling{Verdict: Refused}
 	}
 	return Ruling{Verdict: found.verdict, Nodes: found.nodes(), Domains: found.domains()}
@@ -96,72 +96,72 @@
 // the target had when it died; when an earlier call has ended that request,
 // this is the same death and nothing is done. Waiting suspects are to be judged
 // again: Waiting gives their tickets.
-func (g *Guard) TargetDied(now time.Time, ticket Ticket) (Report, bool) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.prepare()
-	if _, running := g.inFlight[ticket]; !running {
+func (guard *Guard) TargetDied(now time.Time, ticket Ticket) (Report, bool) {
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	guard.prepare()
+	if _, running := guard.inFlight[ticket]; !running {
 		return Report{}, false
 	}
-	report := Report{Event: Crashed, Crash: g.Crash}
-	for _, fingerprint := range g.inFlight {
+	report := Report{Event: Crashed, Crash: guard.Crash}
+	for _, fingerprint := range guard.inFlight {
 		report.Fingerprints = append(report.Fingerprints, fingerprint)
 	}
 	slices.Sort(report.Fingerprints)
 	report.Fingerprints = slices.Compact(report.Fingerprints)
 	report.Fingerprints = slices.DeleteFunc(report.Fingerprints, func(fingerprint request.Fingerprint) bool {
-		return fingerprint == 0 || g.finished.take(fingerprint)
+		return fingerprint == 0 || guard.finished.take(fingerprint)
 	})
-	clear(g.inFlight)
-	g.line.running = false
-	g.Crash.Incarnation++
-	g.apply(now, report)
+	clear(guard.inFlight)
+	guard.line.running = false
+	guard.Crash.Incarnation++
+	guard.apply(now, report)
 	return report, true
 }
 
 // Apply takes in the report of another node.
-func (g *Guard) Apply(now time.Time, report Report) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.prepare()
-	g.apply(now, report)
+func (guard *Guard) Apply(now time.Time, report Report) {
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	guard.prepare()
+	guard.apply(now, report)
 }
 
 // Reports gives the reports that are to be sent since the last call.
-func (g *Guard) Reports() []Report {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	reports := g.outbox
-	g.outbox = nil
+func (guard *Guard) Reports() []Report {
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	reports := guard.outbox
+	guard.outbox = nil
 	return reports
 }
 
 // Expire forgets what is past its hold; it is called about once a second.
-func (g *Guard) Expire(now time.Time) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.prepare()
-	for fingerprint := range g.records {
-		g.find(now, fingerprint)
+func (guard *Guard) Expire(now time.Time) {
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	guard.prepare()
+	for fingerprint := range guard.records {
+		guard.find(now, fingerprint)
 	}
-	for crash, members := range g.crashes {
+	for crash, members := range guard.crashes {
 		for fingerprint := range members {
-			if g.records[fingerprint] == nil {
+			if guard.records[fingerprint] == nil {
 				delete(members, fingerprint)
 			}
 		}
 		if len(members) == 0 {
-			delete(g.crashes, crash)
+			delete(guard.crashes, crash)
 		}
 	}
 }
 
 // Quarantined counts the requests that are refused at present.
-func (g *Guard) Quarantined(now time.Time) int {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+func (guard *Guard) Quarantined(now time.Time) int {
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
 	count := 0
-	for _, found := range g.records {
+	for _, found := range guard.records {
 		if found.verdict == Refused && now.Before(found.until) {
 			count++
 		}
@@ -169,42 +169,42 @@
 	return count
 }
 
-func (g *Guard) find(now time.Time, fingerprint request.Fingerprint) *record {
-	found := g.records[fingerprint]
+func (guard *Guard) find(now time.Time, fingerprint request.Fingerprint) *record {
+	found := guard.records[fingerprint]
 	if found == nil {
 		return nil
 	}
 	if now.Before(found.until) {
 		return found
 	}
-	g.forget(fingerprint)
+	guard.forget(fingerprint)
 	return nil
 }
 
-func (g *Guard) forget(fingerprint request.Fingerprint) {
-	delete(g.records, fingerprint)
-	g.known.Store(int64(len(g.records)))
+func (guard *Guard) forget(fingerprint request.Fingerprint) {
+	delete(guard.records, fingerprint)
+	guard.known.Store(int64(len(guard.records)))
 }
 
 // renew lengthens the hold of a request that its caller sends again.
-func (g *Guard) renew(now time.Time, fingerprint request.Fingerprint, refused *record) {
-	refused.until = now.Add(g.Hold)
-	if now.Sub(refused.renewed) < g.Hold/4 {
+func (guard *Guard) renew(now time.Time, fingerprint request.Fingerprint, refused *record) {
+	refused.until = now.Add(guard.Hold)
+	if now.Sub(refused.renewed) < guard.Hold/4 {
 		return
 	}
 	refused.renewed = now
-	g.outbox = append(g.outbox, Report{Event: Resent, Fingerprints: []request.Fingerprint{fingerprint}})
+	guard.outbox = append(guard.outbox, Report{Event: Resent, Fingerprints: []request.Fingerprint{fingerprint}})
 }
 
-func (g *Guard) prepare() {
-	if g.records != nil {
+func (guard *Guard) prepare() {
+	if guard.records != nil {
 		return
 	}
-	if g.Hold == 0 {
-		g.Hold = DefaultHold
+	if guard.Hold == 0 {
+		guard.Hold = DefaultHold
 	}
-	g.records = map[request.Fingerprint]*record{}
-	g.crashes = map[Crash]map[request.Fingerprint]bool{}
-	g.inFlight = map[Ticket]request.Fingerprint{}
-	g.finished.prepare()
+	guard.records = map[request.Fingerprint]*record{}
+	guard.crashes = map[Crash]map[request.Fingerprint]bool{}
+	guard.inFlight = map[Ticket]request.Fingerprint{}
+	guard.finished.prepare()
 }
--- a/internal/core/quarantine/target.go
+++ b/internal/core/quarantine/target.go
@@ -31,79 +31,79 @@
 }
 
 // Admit asks whether a request may be handed to this node's target.
-func (g *Guard) Admit(now time.Time, fingerprint request.Fingerprint, ticket Ticket) Admission {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.prepare()
-	found := g.find(now, fingerprint)
+func (guard *Guard) Admit(now time.Time, fingerprint request.Fingerprint, ticket Ticket) Admission {
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	guard.prepare()
+	found := guard.find(now, fingerprint)
 	if found == nil {
-		g.inFlight[ticket] = fingerprint
+		guard.inFlight[ticket] = fingerprint
 		return Run
 	}
 	if found.verdict == Refused {
-		g.renew(now, fingerprint, found)
+		guard.renew(now, fingerprint, found)
 		return Refuse
 	}
-	if g.line.running {
-		g.line.waiting = append(g.line.waiting, ticket)
+	if guard.line.running {
+		guard.line.waiting = append(guard.line.waiting, ticket)
 		return Wait
 	}
-	g.line.running = true
-	g.line.holder = ticket
-	g.inFlight[ticket] = fingerprint
+	guard.line.running = true
+	guard.line.holder = ticket
+	guard.inFlight[ticket] = fingerprint
 	return Run
 }
 
 // Finish ends a request that ran. Completed says that the target ran it to its
 // end and still lives. The tickets it gives are to be admitted again. A request
 // that the death of the target has ended already is ignored.
-func (g *Guard) Finish(now time.Time, ticket Ticket, completed bool) []Ticket {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.prepare()
-	fingerprint, ran := g.inFlight[ticket]
+func (guard *Guard) Finish(now time.Time, ticket Ticket, completed bool) []Ticket {
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	guard.prepare()
+	fingerprint, ran := guard.inFlight[ticket]
 	if !ran {
 		return nil
 	}
-	delete(g.inFlight, ticket)
+	delete(guard.inFlight, ticket)
 	if completed && fingerprint != 0 {
-		g.finished.add(fingerprint)
+		guard.finished.add(fingerprint)
 	}
-	if completed && g.find(now, fingerprint) != nil {
-		g.clear(fingerprint)
-		g.outbox = append(g.outbox, Report{Event: Finished, Fingerprints: []request.Fingerprint{fingerprint}})
+	if completed && guard.find(now, fingerprint) != nil {
+		guard.clear(fingerprint)
+		guard.outbox = append(guard.outbox, Report{Event: Finished, Fingerprints: []request.Fingerprint{fingerprint}})
 	}
-	if !g.line.running || g.line.holder != ticket {
+	if !guard.line.running || guard.line.holder != ticket {
 		return nil
 	}
-	g.line.running = false
-	return g.line.release()
+	guard.line.running = false
+	return guard.line.release()
 }
 
 // Leave takes a waiting request out of the line.
-func (g *Guard) Leave(ticket Ticket) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	kept := g.line.waiting[:0]
-	for _, waiting := range g.line.waiting {
+func (guard *Guard) Leave(ticket Ticket) {
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	kept := guard.line.waiting[:0]
+	for _, waiting := range guard.line.waiting {
 		if waiting != ticket {
 			kept = append(kept, waiting)
 		}
 	}
-	g.line.waiting = kept
+	guard.line.waiting = kept
 }
 
 // Waiting empties the line after the target died: each ticket is to be
 // admitted again.
-func (g *Guard) Waiting() []Ticket {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.line.release()
+func (guard *Guard) Waiting() []Ticket {
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	return guard.line.release()
 }
 
-func (l *waitingLine) release() []Ticket {
-	released := l.waiting
-	l.waiting = nil
+func (line *waitingLine) release() []Ticket {
+	released := line.waiting
+	line.waiting = nil
 	return released
 }
 
--- a/internal/core/retry/account.go
+++ b/internal/core/retry/account.go
@@ -15,33 +15,33 @@
 // HandOver takes the share of a call that the target makes, or of another
 // attempt of it. One retry stays behind for the caller itself when there is
 // more than one, and the rest goes down, where a retry repeats the least work.
-func (a *Account) HandOver() Allowance {
-	share := a.Left
+func (account *Account) HandOver() Allowance {
+	share := account.Left
 	if share > 1 {
 		share--
 	}
-	if a.closed {
+	if account.closed {
 		share = 0
 	}
-	a.Left -= share
+	account.Left -= share
 	return share
 }
 
 // Return takes back what the answer to a call says was not spent of the share
 // that was handed over to it. What exceeds the share is ignored, and so is
 // what returns after the account was closed.
-func (a *Account) Return(share, unspent Allowance) {
-	if a.closed {
+func (account *Account) Return(share, unspent Allowance) {
+	if account.closed {
 		return
 	}
-	a.Left += max(0, min(unspent, share))
+	account.Left += max(0, min(unspent, share))
 }
 
 // Close ends the account and gives what was not spent, for the answer to the
 // inbound call.
-func (a *Account) Close() Allowance {
-	left := a.Left
-	a.Left = 0
-	a.closed = true
+func (account *Account) Close() Allowance {
+	left := account.Left
+	account.Left = 0
+	account.closed = true
 	return left
 }
--- a/internal/core/retry/edge.go
+++ b/internal/core/retry/edge.go
@@ -19,36 +19,36 @@
 }
 
 // Success adds a share of a retry.
-func (e *Edge) Success() {
-	share := e.Share
+func (edge *Edge) Success() {
+	share := edge.Share
 	if share == 0 {
 		share = defaultShare
 	}
-	e.spent = max(0, e.spent-share)
+	edge.spent = max(0, edge.spent-share)
 }
 
 // Left is the number of retries that the edge still allows.
-func (e *Edge) Left() float64 {
-	return e.burst() - e.spent
+func (edge *Edge) Left() float64 {
+	return edge.burst() - edge.spent
 }
 
 // take spends one retry. The last half of the bucket is kept for important
 // calls, so that the retries of others do not spend what those need.
-func (e *Edge) take(important bool) bool {
+func (edge *Edge) take(important bool) bool {
 	kept := 0.0
 	if !important {
-		kept = reserveShare * e.burst()
+		kept = reserveShare * edge.burst()
 	}
-	if e.Left()-kept < 1 {
+	if edge.Left()-kept < 1 {
 		return false
 	}
-	e.spent++
+	edge.spent++
 	return true
 }
 
-func (e *Edge) burst() float64 {
-	if e.Burst == 0 {
+func (edge *Edge) burst() float64 {
+	if edge.Burst == 0 {
 		return defaultBurst
 	}
-	return e.Burst
+	return edge.Burst
 }
--- a/internal/core/retry/reason.go
+++ b/internal/core/retry/reason.go
@@ -43,9 +43,9 @@
 }
 
 // String gives the name of the reason's counter.
-func (r Reason) String() string {
-	if r >= ReasonCount {
+func (reason Reason) String() string {
+	if reason >= ReasonCount {
 		return "invalid"
 	}
-	return reasonNames[r]
+	return reasonNames[reason]
 }
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -84,11 +84,11 @@
 // Decide tells whether an attempt is followed by another one, and takes the
 // retry from account and edge if so. A nil account belongs to a call that is
 // tied to no root request, which has no allowance.
-func (p *Policy) Decide(now time.Time, attempt Attempt, account *Account, edge *Edge) Decision {
+func (policy *Policy) Decide(now time.Time, attempt Attempt, account *Account, edge *Edge) Decision {
 	if reason := attempt.forbidden(); reason != Allowed {
 		return Decision{Reason: reason}
 	}
-	backoff := p.backoff(attempt.Used)
+	backoff := policy.backoff(attempt.Used)
 	if now.Add(backoff + attempt.Expected).After(attempt.Deadline) {
 		return Decision{Reason: DeadlineTooClose}
 	}
@@ -103,35 +103,35 @@
 }
 
 // forbidden names what in the attempt itself rules out another one.
-func (a Attempt) forbidden() Reason {
-	row := request.Describe(a.Code)
-	outcome := a.Outcome
+func (attempt Attempt) forbidden() Reason {
+	row := request.Describe(attempt.Code)
+	outcome := attempt.Outcome
 	if outcome == 0 {
 		outcome = row.Outcome
 	}
 	switch {
-	case a.Code == request.OK:
+	case attempt.Code == request.OK:
 		return Succeeded
-	case a.Code == request.Quarantined:
+	case attempt.Code == request.Quarantined:
 		return Quarantined
-	case a.Rule == request.Once && outcome != request.NotRun:
+	case attempt.Rule == request.Once && outcome != request.NotRun:
 		return MayHaveRun
 	case !row.Elsewhere:
 		return NoHelpElsewhere
-	case a.BodyLost:
+	case attempt.BodyLost:
 		return BodyLost
-	case a.Used >= a.Retries:
+	case attempt.Used >= attempt.Retries:
 		return KindLimit
 	}
 	return Allowed
 }
 
-func (p *Policy) backoff(used int) time.Duration {
-	bound := p.Backoff
+func (policy *Policy) backoff(used int) time.Duration {
+	bound := policy.Backoff
 	if bound == 0 {
 		bound = defaultBackoff
 	}
-	longest := p.MaxBackoff
+	longest := policy.MaxBackoff
 	if longest == 0 {
 		longest = defaultMaxBackoff
 	}
@@ -142,8 +142,8 @@
 		bound *= 2
 	}
 	bound = min(bound, longest)
-	if p.Random == nil {
+	if policy.Random == nil {
 		return bound
 	}
-	return time.Duration(p.Random.Int64N(int64(bound) + 1))
+	return time.Duration(policy.Random.Int64N(int64(bound) + 1))
 }
--- a/internal/core/spread/follower.go
+++ b/internal/core/spread/follower.go
@@ -40,76 +40,76 @@
 }
 
 // Held gives what is in force.
-func (f *Follower) Held() Held {
-	return f.held
+func (follower *Follower) Held() Held {
+	return follower.held
 }
 
 // Text gives the text in force.
-func (f *Follower) Text() []byte {
-	return f.text
+func (follower *Follower) Text() []byte {
+	return follower.text
 }
 
 // Heard notes the version that a peer has in force.
-func (f *Follower) Heard(number configuration.Version) {
-	f.heard = max(f.heard, number)
+func (follower *Follower) Heard(number configuration.Version) {
+	follower.heard = max(follower.heard, number)
 }
 
 // Behind says whether a newer version than the one in force is known of.
-func (f *Follower) Behind() bool {
-	return f.heard > f.held.Number
+func (follower *Follower) Behind() bool {
+	return follower.heard > follower.held.Number
 }
 
 // Apply takes in an update. An older version never replaces a newer one.
-func (f *Follower) Apply(now time.Time, update Update) Result {
-	f.heard = max(f.heard, update.Number)
-	if update.Number < f.held.Number {
+func (follower *Follower) Apply(now time.Time, update Update) Result {
+	follower.heard = max(follower.heard, update.Number)
+	if update.Number < follower.held.Number {
 		return Result{}
 	}
-	if update.Number == f.held.Number {
-		return Result{Conflict: update.Digest != f.held.Digest}
+	if update.Number == follower.held.Number {
+		return Result{Conflict: update.Digest != follower.held.Digest}
 	}
 	if len(update.Steps) > 0 {
-		return f.advance(update)
+		return follower.advance(update)
 	}
-	if f.held.Number == 0 && !update.Confirmed {
-		return f.wait(now, update)
+	if follower.held.Number == 0 && !update.Confirmed {
+		return follower.wait(now, update)
 	}
-	return f.take(update)
+	return follower.take(update)
 }
 
 // Tick puts the best unconfirmed version in force once the wait after the
 // start is over.
-func (f *Follower) Tick(now time.Time) Result {
-	wait := f.StartWait
+func (follower *Follower) Tick(now time.Time) Result {
+	wait := follower.StartWait
 	if wait == 0 {
 		wait = DefaultStartWait
 	}
-	if f.first == nil || now.Sub(f.startAt) < wait {
+	if follower.first == nil || now.Sub(follower.startAt) < wait {
 		return Result{}
 	}
-	return f.take(*f.first)
+	return follower.take(*follower.first)
 }
 
-func (f *Follower) wait(now time.Time, update Update) Result {
-	if f.first == nil {
-		f.startAt = now
+func (follower *Follower) wait(now time.Time, update Update) Result {
+	if follower.first == nil {
+		follower.startAt = now
 	}
-	if f.first == nil || f.first.Number < update.Number {
-		f.first = &update
+	if follower.first == nil || follower.first.Number < update.Number {
+		follower.first = &update
 	}
 	return Result{}
 }
 
-func (f *Follower) take(update Update) Result {
+func (follower *Follower) take(update Update) Result {
 	if DigestOf(update.Text) != update.Digest {
 		return Result{Whole: true}
 	}
-	return f.enforce(Held{Number: update.Number, Digest: update.Digest}, update.Text)
+	return follower.enforce(Held{Number: update.Number, Digest: update.Digest}, update.Text)
 }
 
 // advance applies the steps that are newer than what is held, all or none.
-func (f *Follower) advance(update Update) Result {
-	held, text := f.held, f.text
+func (follower *Follower) advance(update Update) Result {
+	held, text := follower.held, follower.text
 	for _, step := range update.Steps {
 		if step.Number <= held.Number {
 			continue
@@ -117,25 +117,25 @@
 		if step.Number != held.Number+1 || held.Number == 0 {
 			return Result{Whole: true}
 		}
-		patched, err := f.Patch(text, step.Patch)
+		patched, err := follower.Patch(text, step.Patch)
 		if err != nil || DigestOf(patched) != step.Digest {
 			return Result{Whole: true}
 		}
 		held, text = Held{Number: step.Number, Digest: step.Digest}, patched
 	}
-	if held.Number == f.held.Number {
+	if held.Number == follower.held.Number {
 		return Result{}
 	}
-	return f.enforce(held, text)
+	return follower.enforce(held, text)
 }
 
-func (f *Follower) enforce(held Held, text []byte) Result {
-	if f.Check != nil {
-		if err := f.Check(text); err != nil {
+func (follower *Follower) enforce(held Held, text []byte) Result {
+	if follower.Check != nil {
+		if err := follower.Check(text); err != nil {
 			return Result{Unusable: err}
 		}
 	}
-	f.held, f.text = held, text
-	f.first = nil
+	follower.held, follower.text = held, text
+	follower.first = nil
 	return Result{Changed: true}
 }
