--- a/internal/core/spread/publisher.go
+++ b/internal/core/spread/publisher.go
@@ -28,76 +28,76 @@
 }
 
 // Error describes the break of order.
-func (o *OrderError) Error() string {
-	return fmt.Sprintf("version %d is not after version %d; publish versions in their order", o.Got, o.Newest)
+func (orderError *OrderError) Error() string {
+	return fmt.Sprintf("version %d is not after version %d; publish versions in their order", orderError.Got, orderError.Newest)
 }
 
 // Publish takes in the next version. One that skips numbers, as after a
 // snapshot, is given to nodes whole.
-func (p *Publisher) Publish(version Version) error {
-	if version.Number <= p.newest.Number {
-		return &OrderError{Newest: p.newest.Number, Got: version.Number}
+func (publisher *Publisher) Publish(version Version) error {
+	if version.Number <= publisher.newest.Number {
+		return &OrderError{Newest: publisher.newest.Number, Got: version.Number}
 	}
-	follows := version.Number == p.newest.Number+1 && version.Patch != nil && p.newest.Number > 0
-	p.newest = version
-	p.digest = DigestOf(version.Text)
+	follows := version.Number == publisher.newest.Number+1 && version.Patch != nil && publisher.newest.Number > 0
+	publisher.newest = version
+	publisher.digest = DigestOf(version.Text)
 	if !follows {
-		p.base = Held{Number: version.Number, Digest: p.digest}
-		p.steps = nil
+		publisher.base = Held{Number: version.Number, Digest: publisher.digest}
+		publisher.steps = nil
 		return nil
 	}
-	p.steps = append(p.steps, Step{Number: version.Number, Patch: version.Patch, Digest: p.digest})
-	p.trim()
+	publisher.steps = append(publisher.steps, Step{Number: version.Number, Patch: version.Patch, Digest: publisher.digest})
+	publisher.trim()
 	return nil
 }
 
 // Newest gives the newest version that the replica knows.
-func (p *Publisher) Newest() Held {
-	return Held{Number: p.newest.Number, Digest: p.digest}
+func (publisher *Publisher) Newest() Held {
+	return Held{Number: publisher.newest.Number, Digest: publisher.digest}
 }
 
 // Offer gives what brings a node from what it holds to the newest version, or
 // false when it holds that or a newer one. Confirmed says that a quorum read
 // has shown that no newer version is accepted.
-func (p *Publisher) Offer(held Held, confirmed bool) (Update, bool) {
-	if p.newest.Number == 0 || held.Number > p.newest.Number || held == p.Newest() {
+func (publisher *Publisher) Offer(held Held, confirmed bool) (Update, bool) {
+	if publisher.newest.Number == 0 || held.Number > publisher.newest.Number || held == publisher.Newest() {
 		return Update{}, false
 	}
-	update := Update{Number: p.newest.Number, Digest: p.digest, Confirmed: confirmed}
-	steps, ok := p.since(held)
-	if ok && size(steps) < len(p.newest.Text) {
+	update := Update{Number: publisher.newest.Number, Digest: publisher.digest, Confirmed: confirmed}
+	steps, ok := publisher.since(held)
+	if ok && size(steps) < len(publisher.newest.Text) {
 		update.Base, update.Steps = held, steps
 		return update, true
 	}
-	update.Text = p.newest.Text
+	update.Text = publisher.newest.Text
 	return update, true
 }
 
 // since gives the steps after a version whose digest is the known one.
-func (p *Publisher) since(held Held) ([]Step, bool) {
-	if held == p.base {
-		return p.steps, len(p.steps) > 0
+func (publisher *Publisher) since(held Held) ([]Step, bool) {
+	if held == publisher.base {
+		return publisher.steps, len(publisher.steps) > 0
 	}
-	for index, step := range p.steps {
+	for index, step := range publisher.steps {
 		if step.Number == held.Number && step.Digest == held.Digest {
-			return p.steps[index+1:], index+1 < len(p.steps)
+			return publisher.steps[index+1:], index+1 < len(publisher.steps)
 		}
 	}
 	return nil, false
 }
 
-func (p *Publisher) trim() {
-	kept := p.Kept
+func (publisher *Publisher) trim() {
+	kept := publisher.Kept
 	if kept == 0 {
 		kept = DefaultKept
 	}
-	excess := len(p.steps) - kept
+	excess := len(publisher.steps) - kept
 	if excess <= 0 {
 		return
 	}
-	last := p.steps[excess-1]
-	p.base = Held{Number: last.Number, Digest: last.Digest}
-	p.steps = append([]Step(nil), p.steps[excess:]...)
+	last := publisher.steps[excess-1]
+	publisher.base = Held{Number: last.Number, Digest: last.Digest}
+	publisher.steps = append([]Step(nil), publisher.steps[excess:]...)
 }
 
 func size(steps []Step) int {
--- a/internal/core/spread/tracker.go
+++ b/internal/core/spread/tracker.go
@@ -59,48 +59,48 @@
 }
 
 // Report notes what a node has in force.
-func (t *Tracker) Report(now time.Time, node request.NodeID, domain request.DomainName, number configuration.Version) {
-	if t.nodes == nil {
-		t.nodes = map[request.NodeID]report{}
+func (tracker *Tracker) Report(now time.Time, node request.NodeID, domain request.DomainName, number configuration.Version) {
+	if tracker.nodes == nil {
+		tracker.nodes = map[request.NodeID]report{}
 	}
-	t.nodes[node] = report{domain: domain, number: number, heardAt: now}
+	tracker.nodes[node] = report{domain: domain, number: number, heardAt: now}
 }
 
 // Left forgets a node that stopped as planned.
-func (t *Tracker) Left(node request.NodeID) {
-	delete(t.nodes, node)
+func (tracker *Tracker) Left(node request.NodeID) {
+	delete(tracker.nodes, node)
 }
 
 // Forget drops the nodes that hold their lease elsewhere by now.
-func (t *Tracker) Forget(elsewhere func(request.NodeID) bool) {
-	maps.DeleteFunc(t.nodes, func(node request.NodeID, _ report) bool { return elsewhere(node) })
+func (tracker *Tracker) Forget(elsewhere func(request.NodeID) bool) {
+	maps.DeleteFunc(tracker.nodes, func(node request.NodeID, _ report) bool { return elsewhere(node) })
 }
 
 // Merge notes the summary of another replica.
-func (t *Tracker) Merge(now time.Time, replica request.NodeID, domains []DomainStatus) {
-	if t.replicas == nil {
-		t.replicas = map[request.NodeID]summary{}
+func (tracker *Tracker) Merge(now time.Time, replica request.NodeID, domains []DomainStatus) {
+	if tracker.replicas == nil {
+		tracker.replicas = map[request.NodeID]summary{}
 	}
-	t.replicas[replica] = summary{domains: domains, heardAt: now}
+	tracker.replicas[replica] = summary{domains: domains, heardAt: now}
 }
 
 // Heard tells whether another replica was heard of lately.
-func (t *Tracker) Heard(now time.Time, replica request.NodeID) bool {
-	told, known := t.replicas[replica]
-	return known && now.Sub(told.heardAt) < t.silence()
+func (tracker *Tracker) Heard(now time.Time, replica request.NodeID) bool {
+	told, known := tracker.replicas[replica]
+	return known && now.Sub(told.heardAt) < tracker.silence()
 }
 
 // Summary tells of the nodes that hold their lease here.
-func (t *Tracker) Summary(now time.Time) []DomainStatus {
+func (tracker *Tracker) Summary(now time.Time) []DomainStatus {
 	domains := map[request.DomainName]*DomainStatus{}
-	for node, told := range t.nodes {
+	for node, told := range tracker.nodes {
 		age := now.Sub(told.heardAt)
 		if age >= forgetTime {
-			delete(t.nodes, node)
+			delete(tracker.nodes, node)
 			continue
 		}
 		status := statusOf(domains, told.domain)
-		if age >= t.silence() {
+		if age >= tracker.silence() {
 			status.Silent = append(status.Silent, node)
 			continue
 		}
@@ -112,12 +112,12 @@
 // Status joins the nodes of this replica with the summaries of the others. A
 // silent replica tells only of domains that no other one hears: elsewhere its
 // nodes hold their leases at other replicas, and would count twice.
-func (t *Tracker) Status(now time.Time) []DomainStatus {
+func (tracker *Tracker) Status(now time.Time) []DomainStatus {
 	domains := map[request.DomainName]*DomainStatus{}
-	join(domains, t.Summary(now), false)
+	join(domains, tracker.Summary(now), false)
 	var old []DomainStatus
-	for _, told := range t.replicas {
-		if now.Sub(told.heardAt) >= t.silence() {
+	for _, told := range tracker.replicas {
+		if now.Sub(told.heardAt) >= tracker.silence() {
 			old = append(old, told.domains...)
 			continue
 		}
@@ -143,11 +143,11 @@
 	return current, behind
 }
 
-func (t *Tracker) silence() time.Duration {
-	if t.Silence == 0 {
+func (tracker *Tracker) silence() time.Duration {
+	if tracker.Silence == 0 {
 		return DefaultSilence
 	}
-	return t.Silence
+	return tracker.Silence
 }
 
 func join(domains map[request.DomainName]*DomainStatus, told []DomainStatus, silent bool) {
@@ -170,15 +170,15 @@
 	return found
 }
 
-func (d *DomainStatus) count(counted VersionCount) {
-	d.Nodes += counted.Nodes
-	for index := range d.Versions {
-		if d.Versions[index].Number == counted.Number {
-			d.Versions[index].Nodes += counted.Nodes
+func (domainStatus *DomainStatus) count(counted VersionCount) {
+	domainStatus.Nodes += counted.Nodes
+	for index := range domainStatus.Versions {
+		if domainStatus.Versions[index].Number == counted.Number {
+			domainStatus.Versions[index].Nodes += counted.Nodes
 			return
 		}
 	}
-	d.Versions = append(d.Versions, counted)
+	domainStatus.Versions = append(domainStatus.Versions, counted)
 }
 
 func sorted(domains map[request.DomainName]*DomainStatus) []DomainStatus {
--- a/internal/host/machine.go
+++ b/internal/host/machine.go
@@ -17,24 +17,24 @@
 }
 
 // Apply applies a command.
-func (wm *watchedMachine) Apply(index uint64, command []byte) ([]byte, error) {
-	before, _ := wm.Current()
-	result, err := wm.Machine.Apply(index, command)
-	if after, _ := wm.Current(); after != before {
-		wm.signal()
+func (machine *watchedMachine) Apply(index uint64, command []byte) ([]byte, error) {
+	before, _ := machine.Current()
+	result, err := machine.Machine.Apply(index, command)
+	if after, _ := machine.Current(); after != before {
+		machine.signal()
 	}
 	return result, err
 }
 
 // Restore takes in a snapshot.
-func (wm *watchedMachine) Restore(snapshot []byte) error {
-	defer wm.signal()
-	return wm.Machine.Restore(snapshot)
+func (machine *watchedMachine) Restore(snapshot []byte) error {
+	defer machine.signal()
+	return machine.Machine.Restore(snapshot)
 }
 
-func (wm *watchedMachine) signal() {
+func (machine *watchedMachine) signal() {
 	select {
-	case wm.changed <- struct{}{}:
+	case machine.changed <- struct{}{}:
 	default:
 	}
 }
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -110,24 +110,24 @@
 	claims, open, inDoubt int
 }
 
-func (ls *ledgerState) read(machine *ledger.Machine) {
+func (state *ledgerState) read(machine *ledger.Machine) {
 	version, _ := machine.Current()
-	ls.applied, ls.version = machine.Applied(), uint64(version)
-	ls.claims = machine.ClaimCount()
+	state.applied, state.version = machine.Applied(), uint64(version)
+	state.claims = machine.ClaimCount()
 	for _, claim := range machine.Open() {
-		ls.open++
+		state.open++
 		if claim.InDoubt {
-			ls.inDoubt++
+			state.inDoubt++
 		}
 	}
 }
 
-func (ls *ledgerState) write(page io.Writer) {
-	gauge(page, "replica_applied_index", ls.applied)
-	gauge(page, "replica_version", ls.version)
-	gauge(page, "claims", uint64(ls.claims))
-	gauge(page, "claims_open", uint64(ls.open))
-	gauge(page, "claims_in_doubt", uint64(ls.inDoubt))
+func (state *ledgerState) write(page io.Writer) {
+	gauge(page, "replica_applied_index", state.applied)
+	gauge(page, "replica_version", state.version)
+	gauge(page, "claims", uint64(state.claims))
+	gauge(page, "claims_open", uint64(state.open))
+	gauge(page, "claims_in_doubt", uint64(state.inDoubt))
 }
 
 func (se *seat) writeRegistry(ctx context.Context, page io.Writer) {
--- a/internal/naive/admission.go
+++ b/internal/naive/admission.go
@@ -16,34 +16,34 @@
 }
 
 // Arrive admits the call unless all connections are in use.
-func (g *Gate) Arrive(_ time.Time, work request.Work, notices []admission.Notice) (admission.Decision, []admission.Notice) {
-	if g.running == nil {
-		g.running = make(map[request.CallID]struct{})
+func (gate *Gate) Arrive(_ time.Time, work request.Work, notices []admission.Notice) (admission.Decision, []admission.Notice) {
+	if gate.running == nil {
+		gate.running = make(map[request.CallID]struct{})
 	}
-	if len(g.running) >= g.Connections {
+	if len(gate.running) >= gate.Connections {
 		return admission.Decision{Verdict: admission.Refuse, Code: request.ConnectionsFull}, notices
 	}
-	g.running[work.Call] = struct{}{}
+	gate.running[work.Call] = struct{}{}
 	return admission.Decision{Verdict: admission.Admit}, notices
 }
 
 // Finish frees the call's connection.
-func (g *Gate) Finish(_ time.Time, call request.CallID, _ admission.Sample, notices []admission.Notice) []admission.Notice {
-	delete(g.running, call)
+func (gate *Gate) Finish(_ time.Time, call request.CallID, _ admission.Sample, notices []admission.Notice) []admission.Notice {
+	delete(gate.running, call)
 	return notices
 }
 
 // Cancel does nothing: the target works on to the end.
-func (g *Gate) Cancel(_ time.Time, _ request.CallID, notices []admission.Notice) []admission.Notice {
+func (gate *Gate) Cancel(_ time.Time, _ request.CallID, notices []admission.Notice) []admission.Notice {
 	return notices
 }
 
 // Tick does nothing.
-func (g *Gate) Tick(_ time.Time, notices []admission.Notice) []admission.Notice {
+func (gate *Gate) Tick(_ time.Time, notices []admission.Notice) []admission.Notice {
 	return notices
 }
 
 // Level takes every priority.
-func (g *Gate) Level(request.KindName, time.Time) request.Level {
+func (gate *Gate) Level(request.KindName, time.Time) request.Level {
 	return 0
 }
--- a/internal/naive/choice.go
+++ b/internal/naive/choice.go
@@ -16,16 +16,16 @@
 }
 
 // Update replaces the targets of one service.
-func (c *Chooser) Update(_ time.Time, view choice.View) {
-	if c.targets == nil {
-		c.targets = map[request.ServiceName][]choice.Target{}
+func (chooser *Chooser) Update(_ time.Time, view choice.View) {
+	if chooser.targets == nil {
+		chooser.targets = map[request.ServiceName][]choice.Target{}
 	}
-	c.targets[view.Service] = view.Targets
+	chooser.targets[view.Service] = view.Targets
 }
 
 // Pick takes any target of the service.
-func (c *Chooser) Pick(_ time.Time, random *rand.Rand, call choice.Call) (choice.Choice, request.Code) {
-	targets, ok := c.targets[call.Service]
+func (chooser *Chooser) Pick(_ time.Time, random *rand.Rand, call choice.Call) (choice.Choice, request.Code) {
+	targets, ok := chooser.targets[call.Service]
 	if !ok {
 		return choice.Choice{}, request.UnknownService
 	}
@@ -36,7 +36,7 @@
 }
 
 // Sent does nothing.
-func (c *Chooser) Sent(choice.Choice) {}
+func (chooser *Chooser) Sent(choice.Choice) {}
 
 // Answered does nothing.
-func (c *Chooser) Answered(time.Time, choice.Choice, choice.Call, choice.Answer) {}
+func (chooser *Chooser) Answered(time.Time, choice.Choice, choice.Call, choice.Answer) {}
--- a/internal/naive/claim.go
+++ b/internal/naive/claim.go
@@ -15,27 +15,27 @@
 }
 
 // Arrive runs the request.
-func (c *Claims) Arrive(_ time.Time, arrived claim.Request) []claim.Action {
-	if c.calls == nil {
-		c.calls = make(map[request.AttemptID]request.CallID)
+func (claims *Claims) Arrive(_ time.Time, arrived claim.Request) []claim.Action {
+	if claims.calls == nil {
+		claims.calls = make(map[request.AttemptID]request.CallID)
 	}
-	c.calls[arrived.Attempt] = arrived.Call
+	claims.calls[arrived.Attempt] = arrived.Call
 	return []claim.Action{{Type: claim.Run, Attempt: arrived.Attempt}}
 }
 
 // Answered gives the answer to the caller.
-func (c *Claims) Answered(_ time.Time, name request.AttemptID, answer *claim.Answer) []claim.Action {
-	return []claim.Action{{Type: claim.Reply, Call: c.calls[name], Answer: answer}}
+func (claims *Claims) Answered(_ time.Time, name request.AttemptID, answer *claim.Answer) []claim.Action {
+	return []claim.Action{{Type: claim.Reply, Call: claims.calls[name], Answer: answer}}
 }
 
 // NotStarted refuses the call.
-func (c *Claims) NotStarted(_ time.Time, name request.AttemptID, code request.Code) []claim.Action {
-	return []claim.Action{{Type: claim.Refuse, Call: c.calls[name], Code: code, Outcome: request.NotRun}}
+func (claims *Claims) NotStarted(_ time.Time, name request.AttemptID, code request.Code) []claim.Action {
+	return []claim.Action{{Type: claim.Refuse, Call: claims.calls[name], Code: code, Outcome: request.NotRun}}
 }
 
 // Lost refuses the call.
-func (c *Claims) Lost(now time.Time, name request.AttemptID, code request.Code) []claim.Action {
-	return c.NotStarted(now, name, code)
+func (claims *Claims) Lost(now time.Time, name request.AttemptID, code request.Code) []claim.Action {
+	return claims.NotStarted(now, name, code)
 }
 
 // CallerLeft does nothing.
--- a/internal/naive/membership.go
+++ b/internal/naive/membership.go
@@ -13,35 +13,35 @@
 }
 
 // Subscription asks for all lists.
-func (v *View) Subscription() membership.Subscription {
+func (view *View) Subscription() membership.Subscription {
 	return membership.Subscription{Services: []request.ServiceName{"consumo"}}
 }
 
 // Apply stores whatever arrives.
-func (v *View) Apply(_ time.Time, update membership.Update) ([]request.ServiceName, bool) {
-	if v.records == nil {
-		v.records = map[request.NodeID]membership.Record{}
+func (view *View) Apply(_ time.Time, update membership.Update) ([]request.ServiceName, bool) {
+	if view.records == nil {
+		view.records = map[request.NodeID]membership.Record{}
 	}
 	for _, list := range update.Lists {
 		for _, record := range list.Records {
-			v.store(record)
+			view.store(record)
 		}
 	}
 	for _, record := range update.Records {
-		v.store(record)
+		view.store(record)
 	}
 	return nil, false
 }
 
 // Check never asks for anything.
-func (v *View) Check(membership.Lease) bool {
+func (view *View) Check(membership.Lease) bool {
 	return false
 }
 
 // Records gives the list of a service.
-func (v *View) Records(service request.ServiceName) []membership.Record {
+func (view *View) Records(service request.ServiceName) []membership.Record {
 	var found []membership.Record
-	for _, record := range v.records {
+	for _, record := range view.records {
 		if record.Service == service {
 			found = append(found, record)
 		}
@@ -49,10 +49,10 @@
 	return found
 }
 
-func (v *View) store(record membership.Record) {
+func (view *View) store(record membership.Record) {
 	if record.Gone || record.Hidden {
-		delete(v.records, record.Node)
+		delete(view.records, record.Node)
 		return
 	}
-	v.records[record.Node] = record
+	view.records[record.Node] = record
 }
--- a/internal/naive/node.go
+++ b/internal/naive/node.go
@@ -55,22 +55,22 @@
 }
 
 // Run serves until the context ends.
-func (n *Node) Run(ctx context.Context) error {
-	n.random = rand.New(rand.NewPCG(n.Seed, n.Seed))
-	n.working = make(chan struct{}, max(n.Connections, 1))
-	n.peers = &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: idlePeerConns, DisableCompression: true}
-	n.target = &http.Transport{MaxIdleConnsPerHost: idlePeerConns, DisableCompression: true}
+func (node *Node) Run(ctx context.Context) error {
+	node.random = rand.New(rand.NewPCG(node.Seed, node.Seed))
+	node.working = make(chan struct{}, max(node.Connections, 1))
+	node.peers = &http.Transport{DialContext: node.Dial, MaxIdleConnsPerHost: idlePeerConns, DisableCompression: true}
+	node.target = &http.Transport{MaxIdleConnsPerHost: idlePeerConns, DisableCompression: true}
 	var group run.Group
-	serve(&group, n.Outbound, n.handleOutbound)
-	serve(&group, n.Inbound, n.handleInbound)
+	serve(&group, node.Outbound, node.handleOutbound)
+	serve(&group, node.Inbound, node.handleInbound)
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error {
 		<-ctx.Done()
 		return nil
 	}, func(error) { cancel() })
 	err := group.Run()
-	n.peers.CloseIdleConnections()
-	n.target.CloseIdleConnections()
+	node.peers.CloseIdleConnections()
+	node.target.CloseIdleConnections()
 	return err
 }
 
@@ -90,21 +90,21 @@
 }
 
 // Configure takes a configuration version, whichever it is.
-func (n *Node) Configure(version uint64) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.version = version
+func (node *Node) Configure(version uint64) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	node.version = version
 }
 
 // Version gives the configuration version that was written last.
-func (n *Node) Version() uint64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.version
+func (node *Node) Version() uint64 {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	return node.version
 }
 
 // handleOutbound passes a call to random targets until one answers it.
-func (n *Node) handleOutbound(writer http.ResponseWriter, call *http.Request) {
+func (node *Node) handleOutbound(writer http.ResponseWriter, call *http.Request) {
 	body, err := io.ReadAll(call.Body)
 	if err != nil {
 		http.Error(writer, "the body ended early", http.StatusBadRequest)
@@ -112,7 +112,7 @@
 	}
 	var response *http.Response
 	for range attemptsPerCall {
-		response, err = forward(n.peers, call, n.pick(call.Host), body)
+		response, err = forward(node.peers, call, node.pick(call.Host), body)
 		if err == nil && response.StatusCode < http.StatusInternalServerError {
 			break
 		}
@@ -124,10 +124,10 @@
 }
 
 // handleInbound passes a call to the local target.
-func (n *Node) handleInbound(writer http.ResponseWriter, call *http.Request) {
+func (node *Node) handleInbound(writer http.ResponseWriter, call *http.Request) {
 	select {
-	case n.working <- struct{}{}:
-		defer func() { <-n.working }()
+	case node.working <- struct{}{}:
+		defer func() { <-node.working }()
 	default:
 		http.Error(writer, "all connections are in use", http.StatusServiceUnavailable)
 		return
@@ -137,18 +137,18 @@
 		http.Error(writer, "the body ended early", http.StatusBadRequest)
 		return
 	}
-	response, err := forward(n.target, call, n.Target, body)
+	response, err := forward(node.target, call, node.Target, body)
 	reply(writer, response, err)
 }
 
-func (n *Node) pick(service string) string {
-	addresses := n.Peers[request.ServiceName(service)]
+func (node *Node) pick(service string) string {
+	addresses := node.Peers[request.ServiceName(service)]
 	if len(addresses) == 0 {
 		return ""
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return addresses[n.random.IntN(len(addresses))]
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	return addresses[node.random.IntN(len(addresses))]
 }
 
 // forward sends the call on and reads the whole answer.
--- a/internal/naive/version.go
+++ b/internal/naive/version.go
@@ -8,8 +8,8 @@
 }
 
 // Write accepts whatever comes.
-func (v *Versions) Write(writer string) uint64 {
-	v.Number++
-	v.Writer = writer
-	return v.Number
+func (versions *Versions) Write(writer string) uint64 {
+	versions.Number++
+	versions.Writer = writer
+	return versions.Number
 }
--- a/internal/node/active.go
+++ b/internal/node/active.go
@@ -55,18 +55,18 @@
 }
 
 // Current gives the configuration in force.
-func (ho *Holder) Current() *Active {
-	return ho.current.Load()
+func (holder *Holder) Current() *Active {
+	return holder.current.Load()
 }
 
 // Replace puts a newer version in force and tells whether it did.
-func (ho *Holder) Replace(next *Active) bool {
+func (holder *Holder) Replace(next *Active) bool {
 	for {
-		current := ho.current.Load()
+		current := holder.current.Load()
 		if current != nil && current.Version >= next.Version {
 			return false
 		}
-		if ho.current.CompareAndSwap(current, next) {
+		if holder.current.CompareAndSwap(current, next) {
 			return true
 		}
 	}
--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -86,15 +86,15 @@
 }
 
 // Read returns errBodyTooLarge in place of the byte over the limit.
-func (li *limitedBody) Read(data []byte) (int, error) {
-	if int64(len(data)) > li.left+1 {
-		data = data[:li.left+1]
+func (body *limitedBody) Read(data []byte) (int, error) {
+	if int64(len(data)) > body.left+1 {
+		data = data[:body.left+1]
 	}
-	count, err := li.source.Read(data)
-	if int64(count) > li.left {
-		li.over = true
+	count, err := body.source.Read(data)
+	if int64(count) > body.left {
+		body.over = true
 		return 0, errBodyTooLarge
 	}
-	li.left -= int64(count)
+	body.left -= int64(count)
 	return count, err
 }
--- a/internal/node/deliver.go
+++ b/internal/node/deliver.go
@@ -107,11 +107,11 @@
 type copyBuffers struct{ one, two [peer.BodyPart]byte }
 
 // other gives the buffer that is not in use.
-func (cb *copyBuffers) other(used []byte) []byte {
-	if &used[0] == &cb.one[0] {
-		return cb.two[:]
+func (buffers *copyBuffers) other(used []byte) []byte {
+	if &used[0] == &buffers.one[0] {
+		return buffers.two[:]
 	}
-	return cb.one[:]
+	return buffers.one[:]
 }
 
 var copyPool = sync.Pool{New: func() any { return new(copyBuffers) }}
--- a/internal/node/edge.go
+++ b/internal/node/edge.go
@@ -25,26 +25,26 @@
 }
 
 // services lists the services that were called so far.
-func (et *edgeTable) services() []request.ServiceName {
-	et.lock.Lock()
-	defer et.lock.Unlock()
-	names := make([]request.ServiceName, 0, len(et.edges))
-	for name := range et.edges {
+func (table *edgeTable) services() []request.ServiceName {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	names := make([]request.ServiceName, 0, len(table.edges))
+	for name := range table.edges {
 		names = append(names, name)
 	}
 	return names
 }
 
-func (et *edgeTable) of(service request.ServiceName) *edge {
-	et.lock.Lock()
-	defer et.lock.Unlock()
-	found := et.edges[service]
+func (table *edgeTable) of(service request.ServiceName) *edge {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	found := table.edges[service]
 	if found == nil {
 		found = &edge{}
-		if et.edges == nil {
-			et.edges = make(map[request.ServiceName]*edge)
+		if table.edges == nil {
+			table.edges = make(map[request.ServiceName]*edge)
 		}
-		et.edges[service] = found
+		table.edges[service] = found
 	}
 	return found
 }
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -29,20 +29,20 @@
 	calls map[request.AttemptID]*arrival
 }
 
-func (ot *onceTable) add(attempt request.AttemptID, ar *arrival) {
-	ot.lock.Lock()
-	defer ot.lock.Unlock()
-	if ot.calls == nil {
-		ot.calls = make(map[request.AttemptID]*arrival)
+func (table *onceTable) add(attempt request.AttemptID, ar *arrival) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	if table.calls == nil {
+		table.calls = make(map[request.AttemptID]*arrival)
 	}
-	ot.calls[attempt] = ar
+	table.calls[attempt] = ar
 }
 
-func (ot *onceTable) take(attempt request.AttemptID) *arrival {
-	ot.lock.Lock()
-	defer ot.lock.Unlock()
-	ar := ot.calls[attempt]
-	delete(ot.calls, attempt)
+func (table *onceTable) take(attempt request.AttemptID) *arrival {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	ar := table.calls[attempt]
+	delete(table.calls, attempt)
 	return ar
 }
 
--- a/internal/node/once_test.go
+++ b/internal/node/once_test.go
@@ -24,14 +24,14 @@
 	away    atomic.Bool
 }
 
-func (fl *fakeLedger) Propose(_ context.Context, command []byte) ([]byte, error) {
-	if fl.away.Load() {
+func (ledger *fakeLedger) Propose(_ context.Context, command []byte) ([]byte, error) {
+	if ledger.away.Load() {
 		return nil, errors.New("away")
 	}
-	fl.lock.Lock()
-	defer fl.lock.Unlock()
-	fl.index++
-	return fl.machine.Apply(fl.index, command)
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	ledger.index++
+	return ledger.machine.Apply(ledger.index, command)
 }
 
 // bookings is a target that counts what it runs. Before it answers a request it
--- a/internal/node/roots.go
+++ b/internal/node/roots.go
@@ -39,14 +39,14 @@
 	roots map[request.RootID]*root
 }
 
-func (rt *rootTable) shard(id request.RootID) *rootShard {
-	return &rt.shards[id[15]%rootShards]
+func (table *rootTable) shard(id request.RootID) *rootShard {
+	return &table.shards[id[15]%rootShards]
 }
 
 // enter adds an inbound call with the share of the allowance that came with it.
 // Calls of one root at one node share their allowance.
-func (rt *rootTable) enter(work request.Work, depth uint32, share retry.Allowance, now time.Time) *root {
-	shard := rt.shard(work.Root)
+func (table *rootTable) enter(work request.Work, depth uint32, share retry.Allowance, now time.Time) *root {
+	shard := table.shard(work.Root)
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
 	current := shard.roots[work.Root]
@@ -69,8 +69,8 @@
 
 // leave ends an inbound call and gives back what it leaves unspent: all of it
 // when it is the last of its root here, nothing otherwise.
-func (rt *rootTable) leave(current *root) retry.Allowance {
-	shard := rt.shard(current.work.Root)
+func (table *rootTable) leave(current *root) retry.Allowance {
+	shard := table.shard(current.work.Root)
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
 	current.lock.Lock()
@@ -84,8 +84,8 @@
 }
 
 // find gives the root that an outbound call of the target belongs to.
-func (rt *rootTable) find(id request.RootID) (*root, bool) {
-	shard := rt.shard(id)
+func (table *rootTable) find(id request.RootID) (*root, bool) {
+	shard := table.shard(id)
 	shard.lock.Lock()
 	defer shard.lock.Unlock()
 	current, ok := shard.roots[id]
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -37,10 +37,10 @@
 }
 
 // Error describes the error.
-func (ce *CodedError) Error() string { return ce.Err.Error() }
+func (codedError *CodedError) Error() string { return codedError.Err.Error() }
 
 // Unwrap gives the error.
-func (ce *CodedError) Unwrap() error { return ce.Err }
+func (codedError *CodedError) Unwrap() error { return codedError.Err }
 
 // WithCode gives an error an exit code. Nil stays nil.
 func WithCode(code ExitCode, err error) error {
@@ -66,20 +66,20 @@
 }
 
 // Main runs the command that the arguments name. Commands is the grammar.
-func (pr *Program) Main(ctx context.Context, commands any, arguments []string) ExitCode {
+func (program *Program) Main(ctx context.Context, commands any, arguments []string) ExitCode {
 	exit, exited := ExitOK, false
 	options := []kong.Option{
-		kong.Name(pr.Name),
-		kong.Description(pr.Description),
-		kong.Writers(pr.Streams.Out, pr.Streams.Err),
+		kong.Name(program.Name),
+		kong.Description(program.Description),
+		kong.Writers(program.Streams.Out, program.Streams.Err),
 		kong.Exit(func(code int) { exit, exited = ExitCode(code), true }),
 		kong.BindTo(ctx, (*context.Context)(nil)),
-		kong.Bind(pr.Bindings...),
+		kong.Bind(program.Bindings...),
 		kong.ConfigureHelp(kong.HelpOptions{NoExpandSubcommands: true}),
 	}
 	parser, err := kong.New(commands, options...)
 	if err != nil {
-		pr.Streams.Errorf("%s: %v", pr.Name, err)
+		program.Streams.Errorf("%s: %v", program.Name, err)
 		return ExitFailure
 	}
 	parsed, err := parser.Parse(arguments)
@@ -87,26 +87,26 @@
 		return exit
 	}
 	if err != nil {
-		return pr.usage(err)
+		return program.usage(err)
 	}
-	if pr.Parsed != nil {
-		pr.Parsed()
+	if program.Parsed != nil {
+		program.Parsed()
 	}
-	return pr.exitOf(parsed.Run())
+	return program.exitOf(parsed.Run())
 }
 
 // usage prints what was wrong with the arguments, and the usage of the command.
-func (pr *Program) usage(err error) ExitCode {
+func (program *Program) usage(err error) ExitCode {
 	parse := &kong.ParseError{}
 	if errors.As(err, &parse) && parse.Context != nil {
-		parse.Context.Stdout = pr.Streams.Err
+		parse.Context.Stdout = program.Streams.Err
 		_ = parse.Context.PrintUsage(true)
 	}
-	pr.Streams.Errorf("%s: %v; see --help", pr.Name, err)
+	program.Streams.Errorf("%s: %v; see --help", program.Name, err)
 	return ExitUsage
 }
 
-func (pr *Program) exitOf(err error) ExitCode {
+func (program *Program) exitOf(err error) ExitCode {
 	coded := &CodedError{}
 	code := ExitFailure
 	if errors.As(err, &coded) {
@@ -120,6 +120,6 @@
 	case errors.Is(err, context.Canceled):
 		return ExitCancelled
 	}
-	pr.Streams.Errorf("%s: %v", pr.Name, err)
+	program.Streams.Errorf("%s: %v", program.Name, err)
 	return code
 }
--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -128,9 +128,9 @@
 }
 
 // String gives the code's name.
-func (c Code) String() string {
-	if c == OK {
+func (code Code) String() string {
+	if code == OK {
 		return "ok"
 	}
-	return Describe(c).Name
+	return Describe(code).Name
 }
--- a/internal/request/priority.go
+++ b/internal/request/priority.go
@@ -29,13 +29,13 @@
 }
 
 // Importance gives the importance part of the priority.
-func (p Priority) Importance() Importance {
-	return Importance(p / BucketCount)
+func (priority Priority) Importance() Importance {
+	return Importance(priority / BucketCount)
 }
 
 // Bucket gives the bucket part of the priority.
-func (p Priority) Bucket() Bucket {
-	return Bucket(p % BucketCount)
+func (priority Priority) Bucket() Bucket {
+	return Bucket(priority % BucketCount)
 }
 
 // BucketOf spreads root ids evenly over the buckets.
--- a/internal/request/terms.go
+++ b/internal/request/terms.go
@@ -81,8 +81,8 @@
 )
 
 // String gives the outcome's name in problem documents.
-func (o Outcome) String() string {
-	switch o {
+func (outcome Outcome) String() string {
+	switch outcome {
 	case NotRun:
 		return "not-run"
 	case Unknown:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -93,13 +93,13 @@
 }
 
 // SetDefaults sets what a file need not give.
-func (s *Settings) SetDefaults() {
-	s.LogLevel = "info"
+func (settings *Settings) SetDefaults() {
+	settings.LogLevel = "info"
 }
 
 // HoldsReplica tells whether the host holds a replica.
-func (s *Settings) HoldsReplica() bool {
-	return len(s.Replica.Members) > 0
+func (settings *Settings) HoldsReplica() bool {
+	return len(settings.Replica.Members) > 0
 }
 
 // Read reads and checks a settings file. The error is of type [Faults] and
@@ -119,10 +119,10 @@
 }
 
 // Resolve makes the paths relative to the folder of the settings file.
-func (s *Settings) Resolve(folder string) {
+func (settings *Settings) Resolve(folder string) {
 	for _, path := range []*string{
-		&s.DataFolder, &s.Replica.InitialConfiguration,
-		&s.Security.Authority, &s.Security.Certificate, &s.Security.Key,
+		&settings.DataFolder, &settings.Replica.InitialConfiguration,
+		&settings.Security.Authority, &settings.Security.Certificate, &settings.Security.Key,
 	} {
 		if *path != "" && !filepath.IsAbs(*path) {
 			*path = filepath.Join(folder, *path)
--- a/internal/strictjson/fault.go
+++ b/internal/strictjson/fault.go
@@ -19,17 +19,17 @@
 }
 
 // String writes the fault on one line.
-func (f Fault) String() string {
+func (fault Fault) String() string {
 	text := ""
-	if f.Line > 0 {
-		text = fmt.Sprintf("line %d: ", f.Line)
+	if fault.Line > 0 {
+		text = fmt.Sprintf("line %d: ", fault.Line)
 	}
-	if f.Field != "" {
-		text += f.Field + ": "
+	if fault.Field != "" {
+		text += fault.Field + ": "
 	}
-	text += f.Problem
-	if f.Advice != "" {
-		text += "; " + f.Advice
+	text += fault.Problem
+	if fault.Advice != "" {
+		text += "; " + fault.Advice
 	}
 	return text
 }
@@ -39,9 +39,9 @@
 type Faults []Fault
 
 // Error writes one fault on each line.
-func (f Faults) Error() string {
-	lines := make([]string, len(f))
-	for i, fault := range f {
+func (faults Faults) Error() string {
+	lines := make([]string, len(faults))
+	for i, fault := range faults {
 		lines[i] = fault.String()
 	}
 	return strings.Join(lines, "\n")
@@ -49,10 +49,10 @@
 
 // Err gives the faults in the order of their lines as an error, or nil if
 // there are none.
-func (f Faults) Err() error {
-	if len(f) == 0 {
+func (faults Faults) Err() error {
+	if len(faults) == 0 {
 		return nil
 	}
-	sort.SliceStable(f, func(i, j int) bool { return f[i].Line < f[j].Line })
-	return f
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
+	return faults
 }
--- a/internal/strictjson/source.go
+++ b/internal/strictjson/source.go
@@ -12,17 +12,17 @@
 }
 
 // Has tells whether the text gives the field.
-func (s *Source) Has(field string) bool {
-	_, ok := s.offsets[field]
+func (source *Source) Has(field string) bool {
+	_, ok := source.offsets[field]
 	return ok
 }
 
 // Line gives the line of a field, or of the nearest enclosing field that the
 // text has.
-func (s *Source) Line(field string) int {
+func (source *Source) Line(field string) int {
 	for {
-		if offset, ok := s.offsets[field]; ok {
-			return s.lineAt(offset)
+		if offset, ok := source.offsets[field]; ok {
+			return source.lineAt(offset)
 		}
 		if field == "" {
 			return 1
@@ -31,11 +31,11 @@
 	}
 }
 
-func (s *Source) lineAt(offset int) int {
-	return bytes.Count(s.text[:offset], []byte("\n")) + 1
+func (source *Source) lineAt(offset int) int {
+	return bytes.Count(source.text[:offset], []byte("\n")) + 1
 }
 
 // Fault builds a fault at a field.
-func (s *Source) Fault(field, problem, advice string) Fault {
-	return Fault{Line: s.Line(field), Field: field, Problem: problem, Advice: advice}
+func (source *Source) Fault(field, problem, advice string) Fault {
+	return Fault{Line: source.Line(field), Field: field, Problem: problem, Advice: advice}
 }
--- a/internal/terminal/color.go
+++ b/internal/terminal/color.go
@@ -10,22 +10,22 @@
 )
 
 // Bold shows text in bold.
-func (s *Streams) Bold(text string) string { return s.style(boldStyle, text) }
+func (streams *Streams) Bold(text string) string { return streams.style(boldStyle, text) }
 
 // Red shows text that tells of a failure.
-func (s *Streams) Red(text string) string { return s.style(redStyle, text) }
+func (streams *Streams) Red(text string) string { return streams.style(redStyle, text) }
 
 // Green shows text that tells of success.
-func (s *Streams) Green(text string) string { return s.style(greenStyle, text) }
+func (streams *Streams) Green(text string) string { return streams.style(greenStyle, text) }
 
 // Yellow shows text that asks for attention.
-func (s *Streams) Yellow(text string) string { return s.style(amberStyle, text) }
+func (streams *Streams) Yellow(text string) string { return streams.style(amberStyle, text) }
 
 // Grey shows text of less interest.
-func (s *Streams) Grey(text string) string { return s.style(greyStyle, text) }
+func (streams *Streams) Grey(text string) string { return streams.style(greyStyle, text) }
 
-func (s *Streams) style(style, text string) string {
-	if !s.Color || text == "" {
+func (streams *Streams) style(style, text string) string {
+	if !streams.Color || text == "" {
 		return text
 	}
 	return style + text + reset
--- a/internal/terminal/fields.go
+++ b/internal/terminal/fields.go
@@ -17,8 +17,8 @@
 }
 
 // Error names the field and those that exist.
-func (e *UnknownFieldError) Error() string {
-	return fmt.Sprintf("unknown JSON field %q; choose from: %s", e.Field, strings.Join(e.Known, ", "))
+func (unknownFieldError *UnknownFieldError) Error() string {
+	return fmt.Sprintf("unknown JSON field %q; choose from: %s", unknownFieldError.Field, strings.Join(unknownFieldError.Known, ", "))
 }
 
 // FieldsOf lists the JSON names of the fields of a row type, in their order.
--- a/internal/terminal/streams.go
+++ b/internal/terminal/streams.go
@@ -69,17 +69,17 @@
 }
 
 // Printf writes to the output.
-func (s *Streams) Printf(format string, values ...any) {
-	_, _ = fmt.Fprintf(s.Out, format, values...)
+func (streams *Streams) Printf(format string, values ...any) {
+	_, _ = fmt.Fprintf(streams.Out, format, values...)
 }
 
 // Errorf writes a line to the error stream.
-func (s *Streams) Errorf(format string, values ...any) {
-	_, _ = fmt.Fprintf(s.Err, format+"\n", values...)
+func (streams *Streams) Errorf(format string, values ...any) {
+	_, _ = fmt.Fprintf(streams.Err, format+"\n", values...)
 }
 
 // Progressf writes a line on the course of a long command to the error
 // stream, so that the output holds the result alone.
-func (s *Streams) Progressf(format string, values ...any) {
-	s.Errorf("%s", s.Grey(fmt.Sprintf(format, values...)))
+func (streams *Streams) Progressf(format string, values ...any) {
+	streams.Errorf("%s", streams.Grey(fmt.Sprintf(format, values...)))
 }
--- a/internal/terminal/table.go
+++ b/internal/terminal/table.go
@@ -23,46 +23,46 @@
 }
 
 // Add appends a row. Tabs and line ends within a cell become spaces.
-func (t *Table) Add(cells ...string) {
+func (table *Table) Add(cells ...string) {
 	row := make([]string, len(cells))
 	for column, cell := range cells {
 		row[column] = flatten(cell)
 	}
-	t.rows = append(t.rows, row)
+	table.rows = append(table.rows, row)
 }
 
 // Len is the number of rows.
-func (t *Table) Len() int { return len(t.rows) }
+func (table *Table) Len() int { return len(table.rows) }
 
 // Render writes all rows.
-func (t *Table) Render() error {
-	out := bufio.NewWriter(t.Streams.Out)
-	if t.Streams.OutTerminal {
-		t.renderAligned(out)
+func (table *Table) Render() error {
+	out := bufio.NewWriter(table.Streams.Out)
+	if table.Streams.OutTerminal {
+		table.renderAligned(out)
 	} else {
-		t.renderTabs(out)
+		table.renderTabs(out)
 	}
 	return out.Flush()
 }
 
-func (t *Table) renderTabs(out *bufio.Writer) {
-	for _, row := range t.rows {
+func (table *Table) renderTabs(out *bufio.Writer) {
+	for _, row := range table.rows {
 		_, _ = out.WriteString(strings.Join(row, "\t"))
 		_ = out.WriteByte('\n')
 	}
 }
 
-func (t *Table) renderAligned(out *bufio.Writer) {
-	widths := t.widths()
-	t.renderRow(out, widths, t.Header, func(_ int, cell string) string {
-		return t.Streams.Bold(cell)
+func (table *Table) renderAligned(out *bufio.Writer) {
+	widths := table.widths()
+	table.renderRow(out, widths, table.Header, func(_ int, cell string) string {
+		return table.Streams.Bold(cell)
 	})
-	for _, row := range t.rows {
-		t.renderRow(out, widths, row, t.Paint)
+	for _, row := range table.rows {
+		table.renderRow(out, widths, row, table.Paint)
 	}
 }
 
-func (t *Table) renderRow(out *bufio.Writer, widths []int, row []string, paint func(int, string) string) {
+func (table *Table) renderRow(out *bufio.Writer, widths []int, row []string, paint func(int, string) string) {
 	for column, cell := range row {
 		text := truncate(cell, widths[column])
 		padding := widths[column] - utf8.RuneCountInString(text)
@@ -79,9 +79,9 @@
 
 // widths gives each column the width of its widest cell and takes what is
 // over the terminal's width from the last column.
-func (t *Table) widths() []int {
+func (table *Table) widths() []int {
 	var widths []int
-	for _, row := range append([][]string{t.Header}, t.rows...) {
+	for _, row := range append([][]string{table.Header}, table.rows...) {
 		for column, cell := range row {
 			if column == len(widths) {
 				widths = append(widths, 0)
@@ -89,15 +89,15 @@
 			widths[column] = max(widths[column], utf8.RuneCountInString(cell))
 		}
 	}
-	t.fitLast(widths)
+	table.fitLast(widths)
 	return widths
 }
 
-func (t *Table) fitLast(widths []int) {
+func (table *Table) fitLast(widths []int) {
 	if len(widths) == 0 {
 		return
 	}
-	limit := t.Streams.Width
+	limit := table.Streams.Width
 	if limit == 0 {
 		limit = defaultWidth
 	}
@@ -107,8 +107,8 @@
 		used += width
 	}
 	least := len(ellipsis)
-	if len(t.Header) > last {
-		least = max(least, utf8.RuneCountInString(t.Header[last]))
+	if len(table.Header) > last {
+		least = max(least, utf8.RuneCountInString(table.Header[last]))
 	}
 	widths[last] = min(widths[last], max(limit-used, least))
 }
--- a/magnolia-load/internal/command/demo/demo.go
+++ b/magnolia-load/internal/command/demo/demo.go
@@ -42,7 +42,7 @@
 }
 
 // Help tells of the command at length.
-func (o *Options) Help() string {
+func (options *Options) Help() string {
 	return `Brings up the Gota Justa mesh in small within this process and on loopback:
 four services in a chain, a node and a stand-in target of each in every failure
 domain of three regions. The load doubles for a while and then ends, and the
@@ -55,38 +55,38 @@
 }
 
 // Run runs the command.
-func (o *Options) Run(ctx context.Context, tools *factory.Factory) error {
-	if o.Serve {
-		return o.serve(ctx, tools)
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	if options.Serve {
+		return options.serve(ctx, tools)
 	}
-	ours, err := o.try(ctx, tools, "magnoliawall", tools.Systems.Magnolia())
+	ours, err := options.try(ctx, tools, "magnoliawall", tools.Systems.Magnolia())
 	if err != nil {
 		return err
 	}
-	naive, err := o.try(ctx, tools, "naive", tools.Systems.Naive())
+	naive, err := options.try(ctx, tools, "naive", tools.Systems.Naive())
 	if err != nil {
 		return err
 	}
 	document := Document{
-		Seed:         o.Seed,
+		Seed:         options.Seed,
 		RecoveryTime: ours.RecoveryTime,
 		PatchTime:    ours.PatchTime,
 		Magnoliawall: ours,
 		Naive:        naive,
 	}
-	if o.JSON {
+	if options.JSON {
 		return terminal.WriteJSON(tools.Streams.Out, document)
 	}
 	return render(tools.Streams, document)
 }
 
-func (o *Options) try(ctx context.Context, tools *factory.Factory, name string, system mesh.System) (experiment.Summary, error) {
+func (options *Options) try(ctx context.Context, tools *factory.Factory, name string, system mesh.System) (experiment.Summary, error) {
 	streams := tools.Streams
 	streams.Progressf("%s: starting the mesh", name)
 	trial := experiment.Trial{
 		Design: tools.Design(),
 		System: system,
-		Load:   o.load(),
+		Load:   options.load(),
 		Patch:  true,
 		Progress: func(progress experiment.Progress) {
 			streams.Progressf("%s: %3.0fs %-12s %4.0f requests/s, %4.0f answered whole",
@@ -103,15 +103,15 @@
 	return experiment.Summarize(outcome), ctx.Err()
 }
 
-func (o *Options) load() experiment.Load {
-	before := time.Duration(shareBefore * float64(o.For))
-	during := time.Duration(shareDuring * float64(o.For))
+func (options *Options) load() experiment.Load {
+	before := time.Duration(shareBefore * float64(options.For))
+	during := time.Duration(shareDuring * float64(options.For))
 	return experiment.Load{
-		Seed:   o.Seed,
+		Seed:   options.Seed,
 		WarmUp: warmUp,
 		Before: before,
 		During: during,
-		After:  o.For - before - during,
+		After:  options.For - before - during,
 		Factor: factor,
 	}
 }
--- a/magnolia-load/internal/command/demo/serve.go
+++ b/magnolia-load/internal/command/demo/serve.go
@@ -9,9 +9,9 @@
 )
 
 // serve leaves the mesh up until the context ends.
-func (o *Options) serve(ctx context.Context, tools *factory.Factory) error {
+func (options *Options) serve(ctx context.Context, tools *factory.Factory) error {
 	streams := tools.Streams
-	running := &mesh.Mesh{Design: tools.Design(), System: tools.Systems.Magnolia(), Seed: o.Seed}
+	running := &mesh.Mesh{Design: tools.Design(), System: tools.Systems.Magnolia(), Seed: options.Seed}
 	streams.Progressf("magnoliawall: starting the mesh")
 	if err := running.Start(ctx); err != nil {
 		return err
--- a/magnolia-load/internal/command/measure/measure.go
+++ b/magnolia-load/internal/command/measure/measure.go
@@ -27,7 +27,7 @@
 }
 
 // Help tells of the command at length.
-func (o *Options) Help() string {
+func (options *Options) Help() string {
 	return `Runs a measurement several times and ends with a line for each figure, the
 median over the runs, beside the naive version on the same load and seed.
 
@@ -40,24 +40,24 @@
 }
 
 // Run runs the command.
-func (o *Options) Run(ctx context.Context, tools *factory.Factory) error {
-	found, ok := measure.Find(o.Name)
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	found, ok := measure.Find(options.Name)
 	if !ok {
-		return program.WithCode(program.ExitUsage, oops.Errorf("no measurement is named %q; choose from: %s", o.Name, strings.Join(measure.Names(), ", ")))
+		return program.WithCode(program.ExitUsage, oops.Errorf("no measurement is named %q; choose from: %s", options.Name, strings.Join(measure.Names(), ", ")))
 	}
-	if o.Runs < 0 {
+	if options.Runs < 0 {
 		return program.WithCode(program.ExitUsage, oops.Errorf("--runs must not be negative"))
 	}
 	report, err := measure.Repeat(ctx, found, measure.Setting{
-		Seed:     o.Seed,
-		Runs:     o.Runs,
+		Seed:     options.Seed,
+		Runs:     options.Runs,
 		Progress: tools.Streams.Progressf,
 	})
 	if err != nil {
 		return err
 	}
-	if o.Write {
-		if err := report.Write(o.Folder); err != nil {
+	if options.Write {
+		if err := report.Write(options.Folder); err != nil {
 			return err
 		}
 	}
--- a/magnolia-load/internal/experiment/experiment.go
+++ b/magnolia-load/internal/experiment/experiment.go
@@ -87,17 +87,17 @@
 }
 
 // Run brings the mesh up, sends the load and takes the mesh down.
-func (t *Trial) Run(ctx context.Context) (Outcome, error) {
-	running := &mesh.Mesh{Design: t.Design, System: t.System, Seed: t.Load.Seed, Latencies: t.Latencies}
+func (trial *Trial) Run(ctx context.Context) (Outcome, error) {
+	running := &mesh.Mesh{Design: trial.Design, System: trial.System, Seed: trial.Load.Seed, Latencies: trial.Latencies}
 	if err := running.Start(ctx); err != nil {
 		return Outcome{}, err
 	}
-	outcome := t.drive(ctx, running)
+	outcome := trial.drive(ctx, running)
 	return outcome, running.Stop()
 }
 
-func (t *Trial) drive(ctx context.Context, running *mesh.Mesh) Outcome {
-	plan := t.plan(len(running.Callers()))
+func (trial *Trial) drive(ctx context.Context, running *mesh.Mesh) Outcome {
+	plan := trial.plan(len(running.Callers()))
 	patched := make(chan struct{})
 	outcome := Outcome{Plan: plan, Records: running.Records}
 	runner := &load.Runner{
@@ -105,54 +105,54 @@
 		Callers: running.Callers(),
 		Label:   "run",
 		Reached: func(phase load.Phase) {
-			t.slow(running, phase)
-			if phase.Name == Overload && t.Patch {
+			trial.slow(running, phase)
+			if phase.Name == Overload && trial.Patch {
 				go func() {
 					defer close(patched)
-					outcome.Patched, outcome.PatchErr = t.System.Patch(ctx, patchedKind, patchedDeadline)
+					outcome.Patched, outcome.PatchErr = trial.System.Patch(ctx, patchedKind, patchedDeadline)
 				}()
 			}
 		},
 	}
 	watching, stop := context.WithCancel(ctx)
-	go t.watch(watching, runner)
+	go trial.watch(watching, runner)
 	sending, end := context.WithTimeout(ctx, plan.Length()+lastAnswers)
 	outcome.Samples = runner.Run(sending)
 	end()
 	stop()
-	if t.Patch && ctx.Err() == nil {
+	if trial.Patch && ctx.Err() == nil {
 		<-patched
 	}
 	outcome.Work, outcome.Calls = running.Records.Work(), running.Records.Calls()
 	return outcome
 }
 
-func (t *Trial) slow(running *mesh.Mesh, phase load.Phase) {
+func (trial *Trial) slow(running *mesh.Mesh, phase load.Phase) {
 	factor := 1.0
-	if phase.Name == Overload && t.Load.Slowness > 0 {
-		factor = t.Load.Slowness
+	if phase.Name == Overload && trial.Load.Slowness > 0 {
+		factor = trial.Load.Slowness
 	}
-	running.Slow(t.Design.Deepest, factor)
+	running.Slow(trial.Design.Deepest, factor)
 }
 
-func (t *Trial) plan(entries int) load.Plan {
+func (trial *Trial) plan(entries int) load.Plan {
 	return load.Plan{
-		Seed:     t.Load.Seed,
-		Kinds:    t.Design.Kinds,
+		Seed:     trial.Load.Seed,
+		Kinds:    trial.Design.Kinds,
 		Entries:  entries,
 		Attempts: callerAttempts,
 		Phases: []load.Phase{
-			{Name: Warm, Length: t.Load.WarmUp, Factor: 1},
-			{Name: Steady, Length: t.Load.Before, Factor: 1},
-			{Name: Overload, Length: t.Load.During, Factor: t.Load.Factor},
-			{Name: Recovery, Length: t.Load.After, Factor: 1},
+			{Name: Warm, Length: trial.Load.WarmUp, Factor: 1},
+			{Name: Steady, Length: trial.Load.Before, Factor: 1},
+			{Name: Overload, Length: trial.Load.During, Factor: trial.Load.Factor},
+			{Name: Recovery, Length: trial.Load.After, Factor: 1},
 		},
 	}
 }
 
 // watch tells the progress of the run.
-func (t *Trial) watch(ctx context.Context, runner *load.Runner) {
-	if t.Progress == nil {
+func (trial *Trial) watch(ctx context.Context, runner *load.Runner) {
+	if trial.Progress == nil {
 		return
 	}
 	ticker := time.NewTicker(progressInterval)
@@ -165,7 +165,7 @@
 		}
 		span := load.Span{From: at - progressInterval, To: at}
 		samples := runner.Samples()
-		t.Progress(Progress{
+		trial.Progress(Progress{
 			At:      at,
 			Phase:   phaseAt(runner.Plan, at),
 			Offered: runner.Plan.OfferedIn(span),
@@ -184,15 +184,15 @@
 }
 
 // Deep weighs a request by the calls of the deepest service that it makes.
-func (o Outcome) Deep(sample load.Sample) float64 {
-	return o.Plan.Kinds[sample.Kind].Deep
+func (outcome Outcome) Deep(sample load.Sample) float64 {
+	return outcome.Plan.Kinds[sample.Kind].Deep
 }
 
 // Important counts the requests of kinds that may not be repeated which
 // arrived within a span, and those of them that were lost.
-func (o Outcome) Important(span load.Span) (arrived, lost int) {
-	for _, sample := range o.Samples {
-		if o.Plan.Kinds[sample.Kind].Repeat != request.Once || !span.Holds(sample.Arrived) {
+func (outcome Outcome) Important(span load.Span) (arrived, lost int) {
+	for _, sample := range outcome.Samples {
+		if outcome.Plan.Kinds[sample.Kind].Repeat != request.Once || !span.Holds(sample.Arrived) {
 			continue
 		}
 		arrived++
--- a/magnolia-load/internal/experiment/summary.go
+++ b/magnolia-load/internal/experiment/summary.go
@@ -91,20 +91,20 @@
 	return summaries
 }
 
-func (o Outcome) recovery() *float64 {
-	plan := o.Plan
-	took, back := load.Recovery(o.Samples, len(plan.Kinds), plan.SpanOf(Steady), plan.SpanOf(Overload).To, plan.Length())
+func (outcome Outcome) recovery() *float64 {
+	plan := outcome.Plan
+	took, back := load.Recovery(outcome.Samples, len(plan.Kinds), plan.SpanOf(Steady), plan.SpanOf(Overload).To, plan.Length())
 	if !back {
 		return nil
 	}
 	return seconds(took)
 }
 
-func (o Outcome) patchTime() *float64 {
-	if o.PatchErr != nil || o.Patched.InForce == 0 {
+func (outcome Outcome) patchTime() *float64 {
+	if outcome.PatchErr != nil || outcome.Patched.InForce == 0 {
 		return nil
 	}
-	return seconds(o.Patched.InForce)
+	return seconds(outcome.Patched.InForce)
 }
 
 func seconds(length time.Duration) *float64 {
--- a/magnolia-load/internal/link/conn.go
+++ b/magnolia-load/internal/link/conn.go
@@ -47,65 +47,65 @@
 }
 
 // Write takes the data at once unless too much is under way.
-func (d *delayedConn) Write(data []byte) (int, error) {
-	sent := packet{due: time.Now().Add(d.latency), data: append([]byte(nil), data...)}
+func (conn *delayedConn) Write(data []byte) (int, error) {
+	sent := packet{due: time.Now().Add(conn.latency), data: append([]byte(nil), data...)}
 	select {
-	case <-d.closed:
+	case <-conn.closed:
 		return 0, net.ErrClosed
 	default:
 	}
 	select {
-	case d.out <- sent:
+	case conn.out <- sent:
 		return len(data), nil
-	case <-d.closed:
+	case <-conn.closed:
 		return 0, net.ErrClosed
 	}
 }
 
 // Read gives data that has arrived. It is called by one goroutine at a time.
-func (d *delayedConn) Read(data []byte) (int, error) {
-	if len(d.current.data) == 0 && d.current.err == nil {
+func (conn *delayedConn) Read(data []byte) (int, error) {
+	if len(conn.current.data) == 0 && conn.current.err == nil {
 		select {
-		case d.current = <-d.in:
-		case <-d.closed:
+		case conn.current = <-conn.in:
+		case <-conn.closed:
 			return 0, net.ErrClosed
 		}
-		time.Sleep(time.Until(d.current.due))
+		time.Sleep(time.Until(conn.current.due))
 	}
-	if len(d.current.data) == 0 {
-		return 0, d.current.err
+	if len(conn.current.data) == 0 {
+		return 0, conn.current.err
 	}
-	count := copy(data, d.current.data)
-	d.current.data = d.current.data[count:]
+	count := copy(data, conn.current.data)
+	conn.current.data = conn.current.data[count:]
 	return count, nil
 }
 
 // Close lets what was written arrive and then closes the connection.
-func (d *delayedConn) Close() error {
-	d.close()
+func (conn *delayedConn) Close() error {
+	conn.close()
 	return nil
 }
 
-func (d *delayedConn) pumpOut() {
-	defer d.Conn.Close()
+func (conn *delayedConn) pumpOut() {
+	defer conn.Conn.Close()
 	for {
 		select {
-		case sent := <-d.out:
-			if !d.deliver(sent) {
+		case sent := <-conn.out:
+			if !conn.deliver(sent) {
 				return
 			}
-		case <-d.closed:
-			d.flush()
+		case <-conn.closed:
+			conn.flush()
 			return
 		}
 	}
 }
 
-func (d *delayedConn) flush() {
+func (conn *delayedConn) flush() {
 	for {
 		select {
-		case sent := <-d.out:
-			if !d.deliver(sent) {
+		case sent := <-conn.out:
+			if !conn.deliver(sent) {
 				return
 			}
 		default:
@@ -114,20 +114,20 @@
 	}
 }
 
-func (d *delayedConn) deliver(sent packet) bool {
+func (conn *delayedConn) deliver(sent packet) bool {
 	time.Sleep(time.Until(sent.due))
-	_, err := d.Conn.Write(sent.data)
+	_, err := conn.Conn.Write(sent.data)
 	return err == nil
 }
 
-func (d *delayedConn) pumpIn() {
+func (conn *delayedConn) pumpIn() {
 	buffer := make([]byte, packetSize)
 	for {
-		count, err := d.Conn.Read(buffer)
-		arrived := packet{due: time.Now().Add(d.latency), data: append([]byte(nil), buffer[:count]...), err: err}
+		count, err := conn.Conn.Read(buffer)
+		arrived := packet{due: time.Now().Add(conn.latency), data: append([]byte(nil), buffer[:count]...), err: err}
 		select {
-		case d.in <- arrived:
-		case <-d.closed:
+		case conn.in <- arrived:
+		case <-conn.closed:
 			return
 		}
 		if err != nil {
--- a/magnolia-load/internal/link/link.go
+++ b/magnolia-load/internal/link/link.go
@@ -29,12 +29,12 @@
 }
 
 // Between gives the one-way latency between two places.
-func (l Latencies) Between(from, to request.Place) time.Duration {
+func (latencies Latencies) Between(from, to request.Place) time.Duration {
 	switch {
 	case from.Region != to.Region:
-		return l.Regions
+		return latencies.Regions
 	case from.Domain != to.Domain:
-		return l.Domains
+		return latencies.Domains
 	}
 	return 0
 }
@@ -110,15 +110,15 @@
 }
 
 // Read counts what arrived.
-func (c *countedConn) Read(data []byte) (int, error) {
-	count, err := c.Conn.Read(data)
-	c.carried.Add(int64(count))
+func (conn *countedConn) Read(data []byte) (int, error) {
+	count, err := conn.Conn.Read(data)
+	conn.carried.Add(int64(count))
 	return count, err
 }
 
 // Write counts what was sent.
-func (c *countedConn) Write(data []byte) (int, error) {
-	count, err := c.Conn.Write(data)
-	c.carried.Add(int64(count))
+func (conn *countedConn) Write(data []byte) (int, error) {
+	count, err := conn.Conn.Write(data)
+	conn.carried.Add(int64(count))
 	return count, err
 }
--- a/magnolia-load/internal/load/caller.go
+++ b/magnolia-load/internal/load/caller.go
@@ -34,16 +34,16 @@
 }
 
 // Start prepares the caller.
-func (c *Caller) Start() {
-	c.client = &http.Client{Transport: &http.Transport{
-		DialContext:         c.Dial,
+func (caller *Caller) Start() {
+	caller.client = &http.Client{Transport: &http.Transport{
+		DialContext:         caller.Dial,
 		MaxIdleConnsPerHost: idleCallerConns,
 		DisableCompression:  true,
 	}}
 }
 
 // Close ends idle connections.
-func (c *Caller) Close() { c.client.CloseIdleConnections() }
+func (caller *Caller) Close() { caller.client.CloseIdleConnections() }
 
 // Reply is how an attempt ended.
 type Reply struct {
@@ -56,18 +56,18 @@
 
 // Send makes one attempt and checks the whole answer. All attempts of an
 // action that may not be repeated ask for the same answer.
-func (c *Caller) Send(ctx context.Context, kind Kind, key request.IdempotencyKey, attempt target.AttemptName) Reply {
+func (caller *Caller) Send(ctx context.Context, kind Kind, key request.IdempotencyKey, attempt target.AttemptName) Reply {
 	ctx, cancel := context.WithTimeout(ctx, kind.Patience)
 	defer cancel()
 	nonce := string(attempt)
 	if kind.Repeat == request.Once {
 		nonce = string(key)
 	}
-	outgoing, err := c.request(ctx, kind, key, attempt, nonce)
+	outgoing, err := caller.request(ctx, kind, key, attempt, nonce)
 	if err != nil {
 		return Reply{Result: Broken}
 	}
-	response, err := c.client.Do(outgoing)
+	response, err := caller.client.Do(outgoing)
 	if err != nil {
 		return Reply{Result: resultOf(err)}
 	}
@@ -79,9 +79,9 @@
 	return judge(response.StatusCode, body, nonce)
 }
 
-func (c *Caller) request(ctx context.Context, kind Kind, key request.IdempotencyKey, attempt target.AttemptName, nonce string) (*http.Request, error) {
+func (caller *Caller) request(ctx context.Context, kind Kind, key request.IdempotencyKey, attempt target.AttemptName, nonce string) (*http.Request, error) {
 	body := bytes.NewReader(make([]byte, kind.BodySize))
-	outgoing, err := http.NewRequestWithContext(ctx, kind.Method, "http://"+c.Entry+kind.Path, body)
+	outgoing, err := http.NewRequestWithContext(ctx, kind.Method, "http://"+caller.Entry+kind.Path, body)
 	if err != nil {
 		return nil, err
 	}
--- a/magnolia-load/internal/load/plan.go
+++ b/magnolia-load/internal/load/plan.go
@@ -67,13 +67,13 @@
 // Arrivals gives the requests of the plan in order of time. Each kind has one
 // arrival at a random moment in each step of 1/rate, so that the number of
 // arrivals in a span is the same for every seed.
-func (p Plan) Arrivals() []Arrival {
+func (plan Plan) Arrivals() []Arrival {
 	var arrivals []Arrival
-	for index, kind := range p.Kinds {
-		random := rand.New(rand.NewPCG(p.Seed, uint64(index)))
+	for index, kind := range plan.Kinds {
+		random := rand.New(rand.NewPCG(plan.Seed, uint64(index)))
 		begin := time.Duration(0)
-		for _, phase := range p.Phases {
-			arrivals = append(arrivals, p.arrivalsOf(index, kind.Rate*phase.Factor, begin, phase.Length, random)...)
+		for _, phase := range plan.Phases {
+			arrivals = append(arrivals, plan.arrivalsOf(index, kind.Rate*phase.Factor, begin, phase.Length, random)...)
 			begin += phase.Length
 		}
 	}
@@ -81,7 +81,7 @@
 	return arrivals
 }
 
-func (p Plan) arrivalsOf(kind int, rate float64, begin, length time.Duration, random *rand.Rand) []Arrival {
+func (plan Plan) arrivalsOf(kind int, rate float64, begin, length time.Duration, random *rand.Rand) []Arrival {
 	count := int(rate * length.Seconds())
 	arrivals := make([]Arrival, 0, count)
 	for index := range count {
@@ -89,16 +89,16 @@
 		arrivals = append(arrivals, Arrival{
 			At:    begin + time.Duration(position*float64(length)),
 			Kind:  kind,
-			Entry: random.IntN(max(p.Entries, 1)),
+			Entry: random.IntN(max(plan.Entries, 1)),
 		})
 	}
 	return arrivals
 }
 
 // Length is the time that all phases take.
-func (p Plan) Length() time.Duration {
+func (plan Plan) Length() time.Duration {
 	length := time.Duration(0)
-	for _, phase := range p.Phases {
+	for _, phase := range plan.Phases {
 		length += phase.Length
 	}
 	return length
@@ -111,17 +111,17 @@
 }
 
 // Holds tells whether a moment is within the span.
-func (s Span) Holds(moment time.Duration) bool {
-	return moment >= s.From && moment < s.To
+func (span Span) Holds(moment time.Duration) bool {
+	return moment >= span.From && moment < span.To
 }
 
 // Seconds is the length of the span in seconds.
-func (s Span) Seconds() float64 { return (s.To - s.From).Seconds() }
+func (span Span) Seconds() float64 { return (span.To - span.From).Seconds() }
 
 // SpanOf gives the span of the phase with this name.
-func (p Plan) SpanOf(name string) Span {
+func (plan Plan) SpanOf(name string) Span {
 	begin := time.Duration(0)
-	for _, phase := range p.Phases {
+	for _, phase := range plan.Phases {
 		if phase.Name == name {
 			return Span{From: begin, To: begin + phase.Length}
 		}
@@ -131,9 +131,9 @@
 }
 
 // OfferedIn gives the requests a second that the plan has within a span.
-func (p Plan) OfferedIn(span Span) float64 {
+func (plan Plan) OfferedIn(span Span) float64 {
 	count := 0
-	for _, arrival := range p.Arrivals() {
+	for _, arrival := range plan.Arrivals() {
 		if span.Holds(arrival.At) {
 			count++
 		}
--- a/magnolia-load/internal/load/runner.go
+++ b/magnolia-load/internal/load/runner.go
@@ -28,35 +28,35 @@
 
 // Run sends all requests, waits for the last answers and gives the samples in
 // the order in which they ended. A context that ends stops new arrivals.
-func (r *Runner) Run(ctx context.Context) []Sample {
-	arrivals := r.Plan.Arrivals()
-	r.start = time.Now()
+func (runner *Runner) Run(ctx context.Context) []Sample {
+	arrivals := runner.Plan.Arrivals()
+	runner.start = time.Now()
 	var open sync.WaitGroup
 	stop := make(chan struct{})
-	go r.announce(stop)
+	go runner.announce(stop)
 	for number, arrival := range arrivals {
-		if !r.waitUntil(ctx, arrival.At) {
+		if !runner.waitUntil(ctx, arrival.At) {
 			break
 		}
-		open.Go(func() { r.send(ctx, number, arrival) })
+		open.Go(func() { runner.send(ctx, number, arrival) })
 	}
-	r.waitUntil(ctx, r.Plan.Length())
+	runner.waitUntil(ctx, runner.Plan.Length())
 	open.Wait()
 	close(stop)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.samples
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	return runner.samples
 }
 
 // Samples gives a copy of what ended so far.
-func (r *Runner) Samples() []Sample {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]Sample(nil), r.samples...)
+func (runner *Runner) Samples() []Sample {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	return append([]Sample(nil), runner.samples...)
 }
 
-func (r *Runner) waitUntil(ctx context.Context, moment time.Duration) bool {
-	timer := time.NewTimer(moment - time.Since(r.start))
+func (runner *Runner) waitUntil(ctx context.Context, moment time.Duration) bool {
+	timer := time.NewTimer(moment - time.Since(runner.start))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -66,43 +66,43 @@
 	}
 }
 
-func (r *Runner) announce(stop <-chan struct{}) {
+func (runner *Runner) announce(stop <-chan struct{}) {
 	begin := time.Duration(0)
-	for _, phase := range r.Plan.Phases {
-		timer := time.NewTimer(begin - time.Since(r.start))
+	for _, phase := range runner.Plan.Phases {
+		timer := time.NewTimer(begin - time.Since(runner.start))
 		select {
 		case <-timer.C:
 		case <-stop:
 			timer.Stop()
 			return
 		}
-		if r.Reached != nil {
-			r.Reached(phase)
+		if runner.Reached != nil {
+			runner.Reached(phase)
 		}
 		begin += phase.Length
 	}
 }
 
 // send makes the attempts of one request, each right after the last failed.
-func (r *Runner) send(ctx context.Context, number int, arrival Arrival) {
-	kind := r.Plan.Kinds[arrival.Kind]
-	key := request.IdempotencyKey(fmt.Sprintf("%s-%d-%d", r.Label, r.Plan.Seed, number))
+func (runner *Runner) send(ctx context.Context, number int, arrival Arrival) {
+	kind := runner.Plan.Kinds[arrival.Kind]
+	key := request.IdempotencyKey(fmt.Sprintf("%s-%d-%d", runner.Label, runner.Plan.Seed, number))
 	sample := Sample{Kind: arrival.Kind, Key: key, Arrived: arrival.At}
-	caller := r.Callers[arrival.Entry%len(r.Callers)]
-	for count := range max(r.Plan.Attempts, 1) {
-		attempt := Attempt{Name: target.AttemptName(fmt.Sprintf("%s-%d", key, count)), Sent: time.Since(r.start)}
+	caller := runner.Callers[arrival.Entry%len(runner.Callers)]
+	for count := range max(runner.Plan.Attempts, 1) {
+		attempt := Attempt{Name: target.AttemptName(fmt.Sprintf("%s-%d", key, count)), Sent: time.Since(runner.start)}
 		reply := caller.Send(ctx, kind, key, attempt.Name)
 		attempt.Result, attempt.Code, attempt.Outcome = reply.Result, reply.Code, reply.Outcome
-		attempt.Ended = time.Since(r.start)
+		attempt.Ended = time.Since(runner.start)
 		sample.Attempts = append(sample.Attempts, attempt)
 		if attempt.Result == Whole || ctx.Err() != nil {
 			break
 		}
 	}
-	sample.Ended = time.Since(r.start)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.samples = append(r.samples, sample)
+	sample.Ended = time.Since(runner.start)
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	runner.samples = append(runner.samples, sample)
 }
 
 // resultOf sorts a transport error.
--- a/magnolia-load/internal/load/sample.go
+++ b/magnolia-load/internal/load/sample.go
@@ -27,8 +27,8 @@
 )
 
 // String gives the result's name.
-func (r Result) String() string {
-	switch r {
+func (result Result) String() string {
+	switch result {
 	case Whole:
 		return "whole"
 	case Refused:
@@ -63,6 +63,6 @@
 }
 
 // Whole tells whether the caller got its whole answer in the end.
-func (s Sample) Whole() bool {
-	return len(s.Attempts) > 0 && s.Attempts[len(s.Attempts)-1].Result == Whole
+func (sample Sample) Whole() bool {
+	return len(sample.Attempts) > 0 && sample.Attempts[len(sample.Attempts)-1].Result == Whole
 }
--- a/magnolia-load/internal/measure/measure.go
+++ b/magnolia-load/internal/measure/measure.go
@@ -134,9 +134,9 @@
 	return report, nil
 }
 
-func (r *Report) add(figures []Figure) {
+func (report *Report) add(figures []Figure) {
 	for _, figure := range figures {
-		series := r.series(figure)
+		series := report.series(figure)
 		series.Values = append(series.Values, figure.Value)
 		if figure.HasNaive {
 			series.Naive = append(series.Naive, figure.Naive)
@@ -144,31 +144,31 @@
 	}
 }
 
-func (r *Report) series(figure Figure) *Series {
-	for index := range r.Figures {
-		if r.Figures[index].Name == figure.Name {
-			return &r.Figures[index]
+func (report *Report) series(figure Figure) *Series {
+	for index := range report.Figures {
+		if report.Figures[index].Name == figure.Name {
+			return &report.Figures[index]
 		}
 	}
-	r.Figures = append(r.Figures, Series{Name: figure.Name, Unit: figure.Unit, Target: figure.Target})
-	return &r.Figures[len(r.Figures)-1]
+	report.Figures = append(report.Figures, Series{Name: figure.Name, Unit: figure.Unit, Target: figure.Target})
+	return &report.Figures[len(report.Figures)-1]
 }
 
 // WriteLines writes a line for each figure: the median over the runs.
-func (r *Report) WriteLines(out io.Writer) {
-	for _, series := range r.Figures {
+func (report *Report) WriteLines(out io.Writer) {
+	for _, series := range report.Figures {
 		if len(series.Naive) > 0 {
-			_, _ = fmt.Fprintf(out, "%s-%s-naive: %s %s\n", r.Name, series.Name, number(Median(series.Naive)), series.Unit)
+			_, _ = fmt.Fprintf(out, "%s-%s-naive: %s %s\n", report.Name, series.Name, number(Median(series.Naive)), series.Unit)
 		}
 	}
-	for _, series := range r.Figures {
-		_, _ = fmt.Fprintf(out, "%s-%s: %s %s%s\n", r.Name, series.Name, number(Median(series.Values)), series.Unit, series.Target.suffix())
+	for _, series := range report.Figures {
+		_, _ = fmt.Fprintf(out, "%s-%s: %s %s%s\n", report.Name, series.Name, number(Median(series.Values)), series.Unit, series.Target.suffix())
 	}
 }
 
-func (t Target) suffix() string {
-	if t == "" {
+func (target Target) suffix() string {
+	if target == "" {
 		return ""
 	}
-	return fmt.Sprintf(" (target %s)", string(t))
+	return fmt.Sprintf(" (target %s)", string(target))
 }
--- a/magnolia-load/internal/measure/page.go
+++ b/magnolia-load/internal/measure/page.go
@@ -16,12 +16,12 @@
 )
 
 // Write keeps the report's page and files in a folder.
-func (r *Report) Write(folder string) error {
+func (report *Report) Write(folder string) error {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return oops.Wrapf(err, "the folder of the measurements cannot be made")
 	}
-	files := map[string][]byte{r.Name + ".md": r.page()}
-	for name, content := range r.Files {
+	files := map[string][]byte{report.Name + ".md": report.page()}
+	for name, content := range report.Files {
 		files[name] = content
 	}
 	for name, content := range files {
@@ -32,18 +32,18 @@
 	return nil
 }
 
-func (r *Report) page() []byte {
+func (report *Report) page() []byte {
 	var page bytes.Buffer
-	fmt.Fprintf(&page, "# %s\n\n%s\n\n", r.Name, r.About)
-	fmt.Fprintf(&page, "Command: `script/measure %s --seed %d --runs %d --write`\n\n", r.Name, r.Seed, r.Runs)
-	fmt.Fprintf(&page, "Seeds %d to %d, one for each run; the naive version gets the same load and seed. ", r.Seed, r.Seed+uint64(r.Runs)-1)
-	fmt.Fprintf(&page, "All runs took %s.\n\n", r.Took.Round(time.Second))
+	fmt.Fprintf(&page, "# %s\n\n%s\n\n", report.Name, report.About)
+	fmt.Fprintf(&page, "Command: `script/measure %s --seed %d --runs %d --write`\n\n", report.Name, report.Seed, report.Runs)
+	fmt.Fprintf(&page, "Seeds %d to %d, one for each run; the naive version gets the same load and seed. ", report.Seed, report.Seed+uint64(report.Runs)-1)
+	fmt.Fprintf(&page, "All runs took %s.\n\n", report.Took.Round(time.Second))
 	page.WriteString("| figure | unit | target | median | lowest | highest | naive median | naive lowest | naive highest |\n")
 	page.WriteString("|---|---|---|---|---|---|---|---|---|\n")
-	for _, series := range r.Figures {
+	for _, series := range report.Figures {
 		fmt.Fprintf(&page, "| %s | %s | %s | %s | %s |\n", series.Name, series.Unit, series.Target, cells(series.Values), cells(series.Naive))
 	}
-	for name := range r.Files {
+	for name := range report.Files {
 		fmt.Fprintf(&page, "\n![%s](%s)\n", name, name)
 	}
 	return page.Bytes()
--- a/magnolia-load/internal/mesh/design.go
+++ b/magnolia-load/internal/mesh/design.go
@@ -47,11 +47,11 @@
 
 // DeepCapacity gives the calls a second that all targets of the deepest
 // service can answer when their service times are slowness times longer.
-func (d Design) DeepCapacity(slowness float64) float64 {
-	for _, service := range d.Services {
-		if service.Name == d.Deepest {
-			slots := service.Slots * len(d.Places)
-			return float64(slots) / (d.DeepTime.Seconds() * slowness)
+func (design Design) DeepCapacity(slowness float64) float64 {
+	for _, service := range design.Services {
+		if service.Name == design.Deepest {
+			slots := service.Slots * len(design.Places)
+			return float64(slots) / (design.DeepTime.Seconds() * slowness)
 		}
 	}
 	return 0
--- a/magnolia-load/internal/mesh/magnolia.go
+++ b/magnolia-load/internal/mesh/magnolia.go
@@ -50,19 +50,19 @@
 }
 
 // Begin takes what all nodes share.
-func (m *Magnolia) Begin(design Design, links *link.Map, _ uint64) error {
+func (magnolia *Magnolia) Begin(design Design, links *link.Map, _ uint64) error {
 	folder, err := os.MkdirTemp("", "magnolia-load-")
 	if err != nil {
 		return oops.Wrapf(err, "no temporary folder for the replicas")
 	}
-	m.links, m.folder = links, folder
-	m.inForce = make(map[request.NodeID]configuration.Version)
-	m.changed = make(chan struct{})
-	return oops.Wrapf(os.WriteFile(m.initialFile(), design.Text, fileMode), "the first configuration cannot be kept")
+	magnolia.links, magnolia.folder = links, folder
+	magnolia.inForce = make(map[request.NodeID]configuration.Version)
+	magnolia.changed = make(chan struct{})
+	return oops.Wrapf(os.WriteFile(magnolia.initialFile(), design.Text, fileMode), "the first configuration cannot be kept")
 }
 
 // Add prepares the process of a host.
-func (m *Magnolia) Add(added Host) (Endpoints, error) {
+func (magnolia *Magnolia) Add(added Host) (Endpoints, error) {
 	made := &settings.Settings{
 		Node:          added.Node,
 		Region:        added.Place.Region,
@@ -72,17 +72,17 @@
 		Security:      settings.Security{PlaintextOnLoopback: true},
 	}
 	for _, address := range []*settings.Address{&made.Listen.Callers, &made.Listen.Outbound, &made.Listen.Peers, &made.Listen.Admin} {
-		taken, err := m.ports.take()
+		taken, err := magnolia.ports.take()
 		if err != nil {
 			return Endpoints{}, err
 		}
 		*address = taken
 	}
-	m.links.Put(string(made.Listen.Peers), added.Place)
-	if err := m.seat(made); err != nil {
+	magnolia.links.Put(string(made.Listen.Peers), added.Place)
+	if err := magnolia.seat(made); err != nil {
 		return Endpoints{}, err
 	}
-	m.settings = append(m.settings, made)
+	magnolia.settings = append(magnolia.settings, made)
 	return Endpoints{
 		Callers:  string(made.Listen.Callers),
 		Outbound: string(made.Listen.Outbound),
@@ -91,37 +91,37 @@
 }
 
 // seat gives a host a replica if its failure domain has none yet.
-func (m *Magnolia) seat(made *settings.Settings) error {
-	for _, member := range m.members {
+func (magnolia *Magnolia) seat(made *settings.Settings) error {
+	for _, member := range magnolia.members {
 		if member.FailureDomain == made.FailureDomain {
 			return nil
 		}
 	}
-	if len(m.members) == mostReplicas {
+	if len(magnolia.members) == mostReplicas {
 		return nil
 	}
-	made.DataFolder = filepath.Join(m.folder, string(made.Node))
-	made.Replica.InitialConfiguration = m.initialFile()
-	m.members = append(m.members, settings.Member{Node: made.Node, Address: made.Listen.Peers, FailureDomain: made.FailureDomain})
+	made.DataFolder = filepath.Join(magnolia.folder, string(made.Node))
+	made.Replica.InitialConfiguration = magnolia.initialFile()
+	magnolia.members = append(magnolia.members, settings.Member{Node: made.Node, Address: made.Listen.Peers, FailureDomain: made.FailureDomain})
 	return oops.Wrapf(os.MkdirAll(made.DataFolder, folderMode), "no folder for the replica of %s", made.Node)
 }
 
-func (m *Magnolia) initialFile() string { return filepath.Join(m.folder, "first.jsonc") }
+func (magnolia *Magnolia) initialFile() string { return filepath.Join(magnolia.folder, "first.jsonc") }
 
-func (m *Magnolia) newHost(made *settings.Settings) *host.Host {
-	dial := m.links.Dialer(request.Place{Region: made.Region, Domain: made.FailureDomain})
+func (magnolia *Magnolia) newHost(made *settings.Settings) *host.Host {
+	dial := magnolia.links.Dialer(request.Place{Region: made.Region, Domain: made.FailureDomain})
 	return &host.Host{
 		Settings: made,
-		Logger:   m.logger(),
+		Logger:   magnolia.logger(),
 		Dial: func(ctx context.Context, address peer.Address) (net.Conn, error) {
 			return dial(ctx, "tcp", string(address))
 		},
-		InForce: func(version configuration.Version) { m.enforced(made.Node, version) },
+		InForce: func(version configuration.Version) { magnolia.enforced(made.Node, version) },
 	}
 }
 
-func (m *Magnolia) logger() *log.Logger {
-	level := m.LogLevel
+func (magnolia *Magnolia) logger() *log.Logger {
+	level := magnolia.LogLevel
 	if level == "" {
 		level = "error"
 	}
@@ -129,13 +129,13 @@
 }
 
 // Run runs all hosts until the context ends, and removes their files.
-func (m *Magnolia) Run(ctx context.Context) error {
-	defer func() { _ = os.RemoveAll(m.folder) }()
-	m.ports.release()
+func (magnolia *Magnolia) Run(ctx context.Context) error {
+	defer func() { _ = os.RemoveAll(magnolia.folder) }()
+	magnolia.ports.release()
 	for {
 		life, end := context.WithCancel(ctx)
-		m.start(end)
-		if err := m.runLife(life); err != nil || ctx.Err() != nil {
+		magnolia.start(end)
+		if err := magnolia.runLife(life); err != nil || ctx.Err() != nil {
 			end()
 			return err
 		}
@@ -143,29 +143,29 @@
 }
 
 // start makes the hosts of the next life, which end calls an end to.
-func (m *Magnolia) start(end context.CancelFunc) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.end, m.began = end, time.Now()
-	m.inForce = make(map[request.NodeID]configuration.Version)
-	m.hosts = nil
-	for _, made := range m.settings {
+func (magnolia *Magnolia) start(end context.CancelFunc) {
+	magnolia.mu.Lock()
+	defer magnolia.mu.Unlock()
+	magnolia.end, magnolia.began = end, time.Now()
+	magnolia.inForce = make(map[request.NodeID]configuration.Version)
+	magnolia.hosts = nil
+	for _, made := range magnolia.settings {
 		made.Seeds = nil
-		for _, member := range m.members {
+		for _, member := range magnolia.members {
 			made.Seeds = append(made.Seeds, member.Address)
 		}
 		if made.DataFolder != "" {
-			made.Replica.Members = m.members
+			made.Replica.Members = magnolia.members
 		}
-		m.hosts = append(m.hosts, m.newHost(made))
+		magnolia.hosts = append(magnolia.hosts, magnolia.newHost(made))
 	}
-	close(m.changed)
-	m.changed = make(chan struct{})
+	close(magnolia.changed)
+	magnolia.changed = make(chan struct{})
 }
 
-func (m *Magnolia) runLife(ctx context.Context) error {
+func (magnolia *Magnolia) runLife(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	for _, running := range m.hosts {
+	for _, running := range magnolia.hosts {
 		group.Go(func() error { return running.Run(ctx) })
 	}
 	return group.Wait()
@@ -173,11 +173,11 @@
 
 // Restart ends all hosts at once, starts them again on their files, and gives
 // the time from their start until the version is in force on all nodes.
-func (m *Magnolia) Restart(ctx context.Context, version configuration.Version) (time.Duration, error) {
-	before := m.startedAt()
-	m.endLife()
-	for !m.startedAt().After(before) {
-		_, changed := m.oldest()
+func (magnolia *Magnolia) Restart(ctx context.Context, version configuration.Version) (time.Duration, error) {
+	before := magnolia.startedAt()
+	magnolia.endLife()
+	for !magnolia.startedAt().After(before) {
+		_, changed := magnolia.oldest()
 		select {
 		case <-changed:
 		case <-time.After(restartPoll):
@@ -185,49 +185,49 @@
 			return 0, ctx.Err()
 		}
 	}
-	if err := m.WaitInForce(ctx, version); err != nil {
+	if err := magnolia.WaitInForce(ctx, version); err != nil {
 		return 0, err
 	}
-	return time.Since(m.startedAt()), nil
+	return time.Since(magnolia.startedAt()), nil
 }
 
-func (m *Magnolia) endLife() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.end()
+func (magnolia *Magnolia) endLife() {
+	magnolia.mu.Lock()
+	defer magnolia.mu.Unlock()
+	magnolia.end()
 }
 
-func (m *Magnolia) startedAt() time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.began
+func (magnolia *Magnolia) startedAt() time.Time {
+	magnolia.mu.Lock()
+	defer magnolia.mu.Unlock()
+	return magnolia.began
 }
 
 // Links gives the connections between the hosts.
-func (m *Magnolia) Links() *link.Map { return m.links }
+func (magnolia *Magnolia) Links() *link.Map { return magnolia.links }
 
 // enforced notes a version in force at a node.
-func (m *Magnolia) enforced(node request.NodeID, version configuration.Version) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.inForce[node] = version
-	close(m.changed)
-	m.changed = make(chan struct{})
+func (magnolia *Magnolia) enforced(node request.NodeID, version configuration.Version) {
+	magnolia.mu.Lock()
+	defer magnolia.mu.Unlock()
+	magnolia.inForce[node] = version
+	close(magnolia.changed)
+	magnolia.changed = make(chan struct{})
 }
 
 // oldest gives the oldest version in force at any node, and a channel that
 // closes when that may have changed.
-func (m *Magnolia) oldest() (configuration.Version, <-chan struct{}) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(m.inForce) < len(m.settings) {
-		return 0, m.changed
+func (magnolia *Magnolia) oldest() (configuration.Version, <-chan struct{}) {
+	magnolia.mu.Lock()
+	defer magnolia.mu.Unlock()
+	if len(magnolia.inForce) < len(magnolia.settings) {
+		return 0, magnolia.changed
 	}
 	oldest := configuration.Version(0)
-	for _, version := range m.inForce {
+	for _, version := range magnolia.inForce {
 		if oldest == 0 || version < oldest {
 			oldest = version
 		}
 	}
-	return oldest, m.changed
+	return oldest, magnolia.changed
 }
--- a/magnolia-load/internal/mesh/mesh.go
+++ b/magnolia-load/internal/mesh/mesh.go
@@ -78,50 +78,50 @@
 }
 
 // Start brings up all targets and nodes and returns when each entry serves.
-func (m *Mesh) Start(ctx context.Context) error {
-	if m.Records == nil {
-		m.Records = target.NewRecords()
+func (mesh *Mesh) Start(ctx context.Context) error {
+	if mesh.Records == nil {
+		mesh.Records = target.NewRecords()
 	}
-	m.targets = make(map[request.ServiceName][]*target.Target)
-	links := link.NewMap(m.Latencies)
-	if err := m.System.Begin(m.Design, links, m.Seed); err != nil {
+	mesh.targets = make(map[request.ServiceName][]*target.Target)
+	links := link.NewMap(mesh.Latencies)
+	if err := mesh.System.Begin(mesh.Design, links, mesh.Seed); err != nil {
 		return err
 	}
 	standing, stopStands := context.WithCancel(context.WithoutCancel(ctx))
-	m.inner = stopStands
-	for _, place := range m.Design.Places {
-		for _, service := range m.Design.Services {
-			if err := m.addHost(standing, links, place, service); err != nil {
+	mesh.inner = stopStands
+	for _, place := range mesh.Design.Places {
+		for _, service := range mesh.Design.Services {
+			if err := mesh.addHost(standing, links, place, service); err != nil {
 				stopStands()
 				return err
 			}
 		}
 	}
 	serving, stopNodes := context.WithCancel(context.WithoutCancel(ctx))
-	m.outer = stopNodes
-	m.nodes.Go(func() error { return m.System.Run(serving) })
-	if err := m.waitReady(ctx); err != nil {
-		return errors.Join(err, m.Stop())
+	mesh.outer = stopNodes
+	mesh.nodes.Go(func() error { return mesh.System.Run(serving) })
+	if err := mesh.waitReady(ctx); err != nil {
+		return errors.Join(err, mesh.Stop())
 	}
 	return nil
 }
 
 // Stop ends the nodes and then the targets.
-func (m *Mesh) Stop() error {
-	m.closeIdle()
-	m.outer()
-	err := m.nodes.Wait()
-	m.inner()
-	return errors.Join(err, m.stands.Wait())
+func (mesh *Mesh) Stop() error {
+	mesh.closeIdle()
+	mesh.outer()
+	err := mesh.nodes.Wait()
+	mesh.inner()
+	return errors.Join(err, mesh.stands.Wait())
 }
 
 // closeIdle spares the nodes a wait for connections that never carried a call,
 // which net/http ends only after five seconds.
-func (m *Mesh) closeIdle() {
-	for _, caller := range m.callers {
+func (mesh *Mesh) closeIdle() {
+	for _, caller := range mesh.callers {
 		caller.Close()
 	}
-	for _, stands := range m.targets {
+	for _, stands := range mesh.targets {
 		for _, stand := range stands {
 			stand.CloseIdle()
 		}
@@ -129,22 +129,22 @@
 }
 
 // Callers gives a caller for each entry node.
-func (m *Mesh) Callers() []*load.Caller { return m.callers }
+func (mesh *Mesh) Callers() []*load.Caller { return mesh.callers }
 
 // Admins gives the operators' address of each node.
-func (m *Mesh) Admins() []string { return m.admins }
+func (mesh *Mesh) Admins() []string { return mesh.admins }
 
 // Targets gives the targets of a service.
-func (m *Mesh) Targets(service request.ServiceName) []*target.Target { return m.targets[service] }
+func (mesh *Mesh) Targets(service request.ServiceName) []*target.Target { return mesh.targets[service] }
 
 // Slow makes the service times of a service factor times longer.
-func (m *Mesh) Slow(service request.ServiceName, factor float64) {
-	for _, stand := range m.targets[service] {
+func (mesh *Mesh) Slow(service request.ServiceName, factor float64) {
+	for _, stand := range mesh.targets[service] {
 		stand.Slow(factor)
 	}
 }
 
-func (m *Mesh) addHost(ctx context.Context, links *link.Map, place request.Place, service Service) error {
+func (mesh *Mesh) addHost(ctx context.Context, links *link.Map, place request.Place, service Service) error {
 	listener, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return oops.Wrapf(err, "the target of %s cannot listen", service.Name)
@@ -155,7 +155,7 @@
 		Service: service,
 		Target:  listener.Addr().String(),
 	}
-	endpoints, err := m.System.Add(host)
+	endpoints, err := mesh.System.Add(host)
 	if err != nil {
 		return err
 	}
@@ -166,36 +166,36 @@
 		Slots:       service.Slots,
 		Connections: service.Connections,
 		Behaviours:  service.Behaviours,
-		Records:     m.Records,
-		Seed:        m.Seed + uint64(len(m.callers)),
+		Records:     mesh.Records,
+		Seed:        mesh.Seed + uint64(len(mesh.callers)),
 	}
-	m.targets[service.Name] = append(m.targets[service.Name], stand)
-	m.stands.Go(func() error { return stand.Run(ctx) })
+	mesh.targets[service.Name] = append(mesh.targets[service.Name], stand)
+	mesh.stands.Go(func() error { return stand.Run(ctx) })
 	caller := &load.Caller{Entry: endpoints.Callers, Dial: links.CallerDialer()}
 	caller.Start()
-	m.callers = append(m.callers, caller)
-	m.admins = append(m.admins, endpoints.Admin)
+	mesh.callers = append(mesh.callers, caller)
+	mesh.admins = append(mesh.admins, endpoints.Admin)
 	return nil
 }
 
 // waitReady sends requests of each kind by each entry until one of each is
 // answered whole. Each has a key of its own, since a resend with a key gets the
 // first answer again.
-func (m *Mesh) waitReady(ctx context.Context) error {
+func (mesh *Mesh) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
 	var probes errgroup.Group
-	for entry, caller := range m.callers {
-		probes.Go(func() error { return m.probe(ctx, entry, caller) })
+	for entry, caller := range mesh.callers {
+		probes.Go(func() error { return mesh.probe(ctx, entry, caller) })
 	}
 	return probes.Wait()
 }
 
-func (m *Mesh) probe(ctx context.Context, entry int, caller *load.Caller) error {
-	for index, kind := range m.Design.Kinds {
+func (mesh *Mesh) probe(ctx context.Context, entry int, caller *load.Caller) error {
+	for index, kind := range mesh.Design.Kinds {
 		replies := make(map[string]int)
 		for count := 0; ; count++ {
-			name := fmt.Sprintf("ready-%d-%d-%d-%d", m.Seed, entry, index, count)
+			name := fmt.Sprintf("ready-%d-%d-%d-%d", mesh.Seed, entry, index, count)
 			reply := caller.Send(ctx, kind, request.IdempotencyKey(name), target.AttemptName(name))
 			if reply.Result == load.Whole {
 				break
--- a/magnolia-load/internal/mesh/patch.go
+++ b/magnolia-load/internal/mesh/patch.go
@@ -18,18 +18,18 @@
 
 // Patch sets the deadline of a kind, as an operator does, and waits until the
 // new version is in force on all nodes.
-func (m *Magnolia) Patch(ctx context.Context, kind request.KindName, deadline time.Duration) (PatchTimes, error) {
-	status, err := operator.Ask[operator.Status](ctx, m.operator(), operator.ViewStatus, nil)
+func (magnolia *Magnolia) Patch(ctx context.Context, kind request.KindName, deadline time.Duration) (PatchTimes, error) {
+	status, err := operator.Ask[operator.Status](ctx, magnolia.operator(), operator.ViewStatus, nil)
 	if err != nil {
 		return PatchTimes{}, oops.Wrapf(err, "the version in force is not known")
 	}
 	begin := time.Now()
-	version, err := m.PatchOn(ctx, status.Version, kind, deadline)
+	version, err := magnolia.PatchOn(ctx, status.Version, kind, deadline)
 	if err != nil {
 		return PatchTimes{}, err
 	}
 	times := PatchTimes{Commit: time.Since(begin)}
-	if err := m.WaitInForce(ctx, version); err != nil {
+	if err := magnolia.WaitInForce(ctx, version); err != nil {
 		return times, err
 	}
 	times.InForce = time.Since(begin)
@@ -37,9 +37,9 @@
 }
 
 // PatchOn sends the patch of a deadline on a version and gives the new one.
-func (m *Magnolia) PatchOn(ctx context.Context, base configuration.Version, kind request.KindName, deadline time.Duration) (configuration.Version, error) {
+func (magnolia *Magnolia) PatchOn(ctx context.Context, base configuration.Version, kind request.KindName, deadline time.Duration) (configuration.Version, error) {
 	operations := fmt.Sprintf(`[{"op": "replace", "path": %q, "value": %q}]`, deadlinePath(kind), deadline)
-	outcome, err := operator.Ask[operator.PatchOutcome](ctx, m.operator(), operator.CreatePatch, operator.Patch{
+	outcome, err := operator.Ask[operator.PatchOutcome](ctx, magnolia.operator(), operator.CreatePatch, operator.Patch{
 		ID:         uuid.NewString(),
 		Base:       base,
 		Operator:   "magnolia-load",
@@ -57,15 +57,15 @@
 
 // operator gives a client of the last host's port, which holds no replica in a
 // large mesh.
-func (m *Magnolia) operator() *operator.Client {
-	asked := m.settings[len(m.settings)-1]
+func (magnolia *Magnolia) operator() *operator.Client {
+	asked := magnolia.settings[len(magnolia.settings)-1]
 	return &operator.Client{Base: "http://" + string(asked.Listen.Admin), HTTP: http.DefaultClient}
 }
 
 // WaitInForce waits until all nodes have at least a version in force.
-func (m *Magnolia) WaitInForce(ctx context.Context, version configuration.Version) error {
+func (magnolia *Magnolia) WaitInForce(ctx context.Context, version configuration.Version) error {
 	for {
-		oldest, changed := m.oldest()
+		oldest, changed := magnolia.oldest()
 		if oldest >= version {
 			return nil
 		}
--- a/magnolia-load/internal/target/handler.go
+++ b/magnolia-load/internal/target/handler.go
@@ -37,41 +37,41 @@
 	HealthPath = "/health"
 )
 
-func (t *Target) routes() http.Handler {
+func (target *Target) routes() http.Handler {
 	mux := http.NewServeMux()
-	for _, behaviour := range t.Behaviours {
+	for _, behaviour := range target.Behaviours {
 		mux.HandleFunc(behaviour.Pattern, func(writer http.ResponseWriter, call *http.Request) {
-			t.handle(writer, call, behaviour)
+			target.handle(writer, call, behaviour)
 		})
 	}
-	mux.HandleFunc("GET "+LoadPath, t.handleLoad)
-	mux.HandleFunc("GET "+HealthPath, t.handleHealth)
+	mux.HandleFunc("GET "+LoadPath, target.handleLoad)
+	mux.HandleFunc("GET "+HealthPath, target.handleHealth)
 	return mux
 }
 
-func (t *Target) handleLoad(writer http.ResponseWriter, _ *http.Request) {
+func (target *Target) handleLoad(writer http.ResponseWriter, _ *http.Request) {
 	writer.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(writer).Encode(t.reported())
+	_ = json.NewEncoder(writer).Encode(target.reported())
 }
 
-func (t *Target) handleHealth(writer http.ResponseWriter, _ *http.Request) {
-	if t.reported().Draining {
+func (target *Target) handleHealth(writer http.ResponseWriter, _ *http.Request) {
+	if target.reported().Draining {
 		http.Error(writer, "draining", http.StatusServiceUnavailable)
 		return
 	}
 	_, _ = io.WriteString(writer, "ok\n")
 }
 
-func (t *Target) reported() Load {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.Report.Read(time.Now())
+func (target *Target) reported() Load {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	return target.Report.Read(time.Now())
 }
 
-func (t *Target) handle(writer http.ResponseWriter, call *http.Request, behaviour Behaviour) {
-	t.inFlight.Add(1)
-	defer t.inFlight.Add(-1)
-	if t.draining.Load() {
+func (target *Target) handle(writer http.ResponseWriter, call *http.Request, behaviour Behaviour) {
+	target.inFlight.Add(1)
+	defer target.inFlight.Add(-1)
+	if target.draining.Load() {
 		http.Error(writer, "the target is leaving", http.StatusServiceUnavailable)
 		return
 	}
@@ -81,68 +81,68 @@
 	}
 	ctx, cancel := withDeadline(call)
 	defer cancel()
-	if !t.enter(ctx) {
+	if !target.enter(ctx) {
 		http.Error(writer, "the target is full", http.StatusServiceUnavailable)
 		return
 	}
-	defer t.slots.Release(1)
+	defer target.slots.Release(1)
 	if call.Header.Get(CrashHeader) != "" {
-		t.crash()
+		target.crash()
 		return
 	}
-	t.run(ctx, writer, call, behaviour)
+	target.run(ctx, writer, call, behaviour)
 }
 
 // enter waits for a slot and tells whether it got one.
-func (t *Target) enter(ctx context.Context) bool {
-	if t.slots.TryAcquire(1) {
+func (target *Target) enter(ctx context.Context) bool {
+	if target.slots.TryAcquire(1) {
 		return true
 	}
-	waiting := t.waiting.Add(1)
-	defer t.waiting.Add(-1)
-	if t.MaxWaiting > 0 && int(waiting) > t.MaxWaiting {
+	waiting := target.waiting.Add(1)
+	defer target.waiting.Add(-1)
+	if target.MaxWaiting > 0 && int(waiting) > target.MaxWaiting {
 		return false
 	}
-	return t.slots.Acquire(ctx, 1) == nil
+	return target.slots.Acquire(ctx, 1) == nil
 }
 
 // run works on a request in its slot: half of the service time, the calls to
 // further services, and the other half.
-func (t *Target) run(ctx context.Context, writer http.ResponseWriter, call *http.Request, behaviour Behaviour) {
+func (target *Target) run(ctx context.Context, writer http.ResponseWriter, call *http.Request, behaviour Behaviour) {
 	attempt := AttemptName(call.Header.Get(AttemptHeader))
-	t.Records.Called(attempt)
+	target.Records.Called(attempt)
 	if behaviour.Repeat == request.Once {
-		t.Records.Ran(Action{Kind: behaviour.Kind, Key: request.IdempotencyKey(call.Header.Get(KeyHeader))})
+		target.Records.Ran(Action{Kind: behaviour.Kind, Key: request.IdempotencyKey(call.Header.Get(KeyHeader))})
 	}
 	if behaviour.Broken {
 		panic(http.ErrAbortHandler)
 	}
-	service := t.draw(behaviour.Timing)
-	if !t.work(ctx, attempt, service/2) {
+	service := target.draw(behaviour.Timing)
+	if !target.work(ctx, attempt, service/2) {
 		http.Error(writer, "cancelled", http.StatusServiceUnavailable)
 		return
 	}
 	for _, next := range behaviour.Calls {
-		if err := t.call(ctx, call, next); err != nil {
+		if err := target.call(ctx, call, next); err != nil {
 			http.Error(writer, err.Error(), http.StatusBadGateway)
 			return
 		}
 	}
-	if !t.work(ctx, attempt, service-service/2) {
+	if !target.work(ctx, attempt, service-service/2) {
 		http.Error(writer, "cancelled", http.StatusServiceUnavailable)
 		return
 	}
-	t.reply(writer, call, behaviour)
+	target.reply(writer, call, behaviour)
 }
 
-func (t *Target) work(ctx context.Context, attempt AttemptName, length time.Duration) bool {
+func (target *Target) work(ctx context.Context, attempt AttemptName, length time.Duration) bool {
 	begin := time.Now()
 	done := sleep(ctx, length)
-	t.Records.Spent(attempt, time.Since(begin))
+	target.Records.Spent(attempt, time.Since(begin))
 	return done
 }
 
-func (t *Target) reply(writer http.ResponseWriter, call *http.Request, behaviour Behaviour) {
+func (target *Target) reply(writer http.ResponseWriter, call *http.Request, behaviour Behaviour) {
 	body := answer.Encode(nonceOf(call), behaviour.AnswerSize)
 	writer.Header().Set("Content-Type", "text/plain")
 	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -151,8 +151,8 @@
 
 // call makes a call to a further service by way of the node and checks its
 // whole answer.
-func (t *Target) call(ctx context.Context, parent *http.Request, next Call) error {
-	below, err := http.NewRequestWithContext(ctx, next.Method, "http://"+t.Outbound+next.Path, http.NoBody)
+func (target *Target) call(ctx context.Context, parent *http.Request, next Call) error {
+	below, err := http.NewRequestWithContext(ctx, next.Method, "http://"+target.Outbound+next.Path, http.NoBody)
 	if err != nil {
 		return err
 	}
@@ -160,14 +160,14 @@
 	nonce := nonceOf(parent)
 	below.Header.Set(NonceHeader, nonce)
 	below.Header.Set(AttemptHeader, parent.Header.Get(AttemptHeader))
-	below.Header.Set(TraceHeader, t.childOf(parent.Header.Get(TraceHeader)))
+	below.Header.Set(TraceHeader, target.childOf(parent.Header.Get(TraceHeader)))
 	if next.Repeat == request.Once {
 		below.Header.Set(KeyHeader, parent.Header.Get(KeyHeader)+"/"+string(next.Service))
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		below.Header.Set(DeadlineHeader, time.Until(deadline).String())
 	}
-	response, err := t.client.Do(below)
+	response, err := target.client.Do(below)
 	if err != nil {
 		return fmt.Errorf("call to %s: %w", next.Service, err)
 	}
@@ -191,14 +191,14 @@
 }
 
 // childOf keeps the trace id and names a new parent, as a tracing client does.
-func (t *Target) childOf(traceparent string) string {
+func (target *Target) childOf(traceparent string) string {
 	const traceEnd = len("00-") + 32
 	if len(traceparent) < traceEnd {
 		return traceparent
 	}
-	t.mu.Lock()
-	span := t.random.Uint64() | 1
-	t.mu.Unlock()
+	target.mu.Lock()
+	span := target.random.Uint64() | 1
+	target.mu.Unlock()
 	return fmt.Sprintf("%s-%016x-01", traceparent[:traceEnd], span)
 }
 
--- a/magnolia-load/internal/target/listener.go
+++ b/magnolia-load/internal/target/listener.go
@@ -17,35 +17,35 @@
 	open int
 }
 
-func (l *limitedListener) Accept() (net.Conn, error) {
+func (listener *limitedListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := l.Listener.Accept()
+		conn, err := listener.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if !l.take() {
+		if !listener.take() {
 			_ = conn.Close()
 			continue
 		}
-		time.Sleep(l.cost)
-		return &countedConn{Conn: conn, release: sync.OnceFunc(l.release)}, nil
+		time.Sleep(listener.cost)
+		return &countedConn{Conn: conn, release: sync.OnceFunc(listener.release)}, nil
 	}
 }
 
-func (l *limitedListener) take() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.limit > 0 && l.open >= l.limit {
+func (listener *limitedListener) take() bool {
+	listener.mu.Lock()
+	defer listener.mu.Unlock()
+	if listener.limit > 0 && listener.open >= listener.limit {
 		return false
 	}
-	l.open++
+	listener.open++
 	return true
 }
 
-func (l *limitedListener) release() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open--
+func (listener *limitedListener) release() {
+	listener.mu.Lock()
+	defer listener.mu.Unlock()
+	listener.open--
 }
 
 type countedConn struct {
@@ -53,7 +53,7 @@
 	release func()
 }
 
-func (c *countedConn) Close() error {
-	c.release()
-	return c.Conn.Close()
+func (conn *countedConn) Close() error {
+	conn.release()
+	return conn.Conn.Close()
 }
--- a/magnolia-load/internal/target/records.go
+++ b/magnolia-load/internal/target/records.go
@@ -36,25 +36,25 @@
 }
 
 // Ran counts the start of an action.
-func (r *Records) Ran(action Action) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.runs[action]++
+func (records *Records) Ran(action Action) {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	records.runs[action]++
 }
 
 // Runs tells how often an action was started.
-func (r *Records) Runs(action Action) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.runs[action]
+func (records *Records) Runs(action Action) int {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	return records.runs[action]
 }
 
 // Repeated counts the actions that were started more than once.
-func (r *Records) Repeated() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (records *Records) Repeated() int {
+	records.mu.Lock()
+	defer records.mu.Unlock()
 	repeated := 0
-	for _, runs := range r.runs {
+	for _, runs := range records.runs {
 		if runs > 1 {
 			repeated++
 		}
@@ -63,31 +63,31 @@
 }
 
 // Spent adds the time that a slot was worked in for an attempt.
-func (r *Records) Spent(attempt AttemptName, work time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.work[attempt] += work
+func (records *Records) Spent(attempt AttemptName, work time.Duration) {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	records.work[attempt] += work
 }
 
 // Called counts a call that reached a target for an attempt.
-func (r *Records) Called(attempt AttemptName) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.calls[attempt]++
+func (records *Records) Called(attempt AttemptName) {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	records.calls[attempt]++
 }
 
 // Calls gives how many calls reached targets, by attempt.
-func (r *Records) Calls() map[AttemptName]int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return copyOf(r.calls)
+func (records *Records) Calls() map[AttemptName]int {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	return copyOf(records.calls)
 }
 
 // Work gives the time that slots were worked in, by attempt.
-func (r *Records) Work() map[AttemptName]time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return copyOf(r.work)
+func (records *Records) Work() map[AttemptName]time.Duration {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	return copyOf(records.work)
 }
 
 func copyOf[Key comparable, Value any](from map[Key]Value) map[Key]Value {
--- a/magnolia-load/internal/target/report.go
+++ b/magnolia-load/internal/target/report.go
@@ -34,26 +34,26 @@
 }
 
 // Observe takes the true load at a time; times do not go back.
-func (r *Report) Observe(now time.Time, load Load) {
-	r.forget(now)
-	r.seen = append(r.seen, observation{at: now, load: load})
+func (report *Report) Observe(now time.Time, load Load) {
+	report.forget(now)
+	report.seen = append(report.seen, observation{at: now, load: load})
 }
 
 // Read gives the load as reported at a time: the newest observation that is
 // at least Lag old.
-func (r *Report) Read(now time.Time) Load {
+func (report *Report) Read(now time.Time) Load {
 	var load Load
-	for _, entry := range r.seen {
-		if entry.at.After(now.Add(-r.Lag)) {
+	for _, entry := range report.seen {
+		if entry.at.After(now.Add(-report.Lag)) {
 			break
 		}
 		load = entry.load
 	}
-	return r.bend(load)
+	return report.bend(load)
 }
 
-func (r *Report) bend(load Load) Load {
-	switch r.Lie {
+func (report *Report) bend(load Load) Load {
+	switch report.Lie {
 	case AlwaysIdle:
 		load.InFlight, load.Waiting = 0, 0
 	case AlwaysFull:
@@ -63,9 +63,9 @@
 }
 
 // forget drops observations that no later Read can return.
-func (r *Report) forget(now time.Time) {
-	due := now.Add(-r.Lag)
-	for len(r.seen) > 1 && !r.seen[1].at.After(due) {
-		r.seen = r.seen[1:]
+func (report *Report) forget(now time.Time) {
+	due := now.Add(-report.Lag)
+	for len(report.seen) > 1 && !report.seen[1].at.After(due) {
+		report.seen = report.seen[1:]
 	}
 }
--- a/magnolia-load/internal/target/target.go
+++ b/magnolia-load/internal/target/target.go
@@ -105,128 +105,128 @@
 // Run serves until the context ends and then finishes what is in flight. A
 // crash closes all connections at once; the target starts again, cold, after
 // Down.
-func (t *Target) Run(ctx context.Context) error {
-	t.prepare()
-	go t.sample(ctx)
-	listener := t.Listener
+func (target *Target) Run(ctx context.Context) error {
+	target.prepare()
+	go target.sample(ctx)
+	listener := target.Listener
 	for {
-		crashed, err := t.serve(ctx, listener)
+		crashed, err := target.serve(ctx, listener)
 		if err != nil || !crashed {
 			return err
 		}
-		if listener, err = t.rebind(ctx); err != nil {
+		if listener, err = target.rebind(ctx); err != nil {
 			return err
 		}
 	}
 }
 
 // Slow makes service times factor times longer from now on.
-func (t *Target) Slow(factor float64) {
-	t.slowness.Store(math.Float64bits(factor))
+func (target *Target) Slow(factor float64) {
+	target.slowness.Store(math.Float64bits(factor))
 }
 
 // Drain makes the target refuse new work and say so in its health.
-func (t *Target) Drain() { t.draining.Store(true) }
+func (target *Target) Drain() { target.draining.Store(true) }
 
 // CloseIdle ends the connections to the node that carry no call.
-func (t *Target) CloseIdle() { t.client.CloseIdleConnections() }
+func (target *Target) CloseIdle() { target.client.CloseIdleConnections() }
 
 // Crashes counts the crashes.
-func (t *Target) Crashes() int { return int(t.crashes.Load()) }
+func (target *Target) Crashes() int { return int(target.crashes.Load()) }
 
-func (t *Target) prepare() {
-	t.slots = semaphore.NewWeighted(int64(t.Slots))
-	t.random = rand.New(rand.NewPCG(t.Seed, uint64(t.Slots)))
-	if t.slowness.Load() == 0 {
-		t.Slow(1)
+func (target *Target) prepare() {
+	target.slots = semaphore.NewWeighted(int64(target.Slots))
+	target.random = rand.New(rand.NewPCG(target.Seed, uint64(target.Slots)))
+	if target.slowness.Load() == 0 {
+		target.Slow(1)
 	}
-	if t.ConnectionCost == 0 {
-		t.ConnectionCost = defaultConnectionCost
+	if target.ConnectionCost == 0 {
+		target.ConnectionCost = defaultConnectionCost
 	}
-	t.client = &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: t.Slots,
+	target.client = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: target.Slots,
 		DisableCompression:  true,
 	}}
 }
 
 // serve runs one life of the target and tells whether a crash ended it.
-func (t *Target) serve(ctx context.Context, listener net.Listener) (crashed bool, err error) {
-	server := &http.Server{Handler: t.routes()}
-	t.mu.Lock()
-	t.server = server
-	t.mu.Unlock()
-	t.started.Store(time.Now().UnixNano())
+func (target *Target) serve(ctx context.Context, listener net.Listener) (crashed bool, err error) {
+	server := &http.Server{Handler: target.routes()}
+	target.mu.Lock()
+	target.server = server
+	target.mu.Unlock()
+	target.started.Store(time.Now().UnixNano())
 	ended := make(chan error, 1)
 	go func() {
-		ended <- server.Serve(&limitedListener{Listener: listener, limit: t.Connections, cost: t.ConnectionCost})
+		ended <- server.Serve(&limitedListener{Listener: listener, limit: target.Connections, cost: target.ConnectionCost})
 	}()
 	select {
 	case err := <-ended:
 		if errors.Is(err, http.ErrServerClosed) {
 			return true, nil
 		}
-		return false, oops.Wrapf(err, "the stand-in target of %s cannot serve", t.Service)
+		return false, oops.Wrapf(err, "the stand-in target of %s cannot serve", target.Service)
 	case <-ctx.Done():
-		return false, t.shutdown(server)
+		return false, target.shutdown(server)
 	}
 }
 
-func (t *Target) shutdown(server *http.Server) error {
+func (target *Target) shutdown(server *http.Server) error {
 	limit, cancel := context.WithTimeout(context.Background(), shutdownLimit)
 	defer cancel()
-	t.client.CloseIdleConnections()
+	target.client.CloseIdleConnections()
 	return server.Shutdown(limit)
 }
 
-func (t *Target) rebind(ctx context.Context) (net.Listener, error) {
-	address := t.Listener.Addr().String()
-	sleep(ctx, t.Down)
+func (target *Target) rebind(ctx context.Context) (net.Listener, error) {
+	address := target.Listener.Addr().String()
+	sleep(ctx, target.Down)
 	for {
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			return listener, nil
 		}
 		if !sleep(ctx, rebindInterval) {
-			return nil, oops.Wrapf(err, "the stand-in target of %s cannot listen again", t.Service)
+			return nil, oops.Wrapf(err, "the stand-in target of %s cannot listen again", target.Service)
 		}
 	}
 }
 
-func (t *Target) crash() {
-	t.crashes.Add(1)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_ = t.server.Close()
+func (target *Target) crash() {
+	target.crashes.Add(1)
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	_ = target.server.Close()
 }
 
 // sample feeds the load report.
-func (t *Target) sample(ctx context.Context) {
+func (target *Target) sample(ctx context.Context) {
 	for {
-		load := t.load()
-		t.mu.Lock()
-		t.Report.Observe(time.Now(), load)
-		t.mu.Unlock()
+		load := target.load()
+		target.mu.Lock()
+		target.Report.Observe(time.Now(), load)
+		target.mu.Unlock()
 		if !sleep(ctx, sampleInterval) {
 			return
 		}
 	}
 }
 
-func (t *Target) load() Load {
+func (target *Target) load() Load {
 	return Load{
-		InFlight: int(t.inFlight.Load()),
-		Waiting:  int(t.waiting.Load()),
-		Slots:    t.Slots,
-		Draining: t.draining.Load(),
+		InFlight: int(target.inFlight.Load()),
+		Waiting:  int(target.waiting.Load()),
+		Slots:    target.Slots,
+		Draining: target.draining.Load(),
 	}
 }
 
-func (t *Target) draw(timing Timing) time.Duration {
-	t.mu.Lock()
-	drawn := timing.Draw(t.random)
-	t.mu.Unlock()
-	age := time.Since(time.Unix(0, t.started.Load()))
-	factor := math.Float64frombits(t.slowness.Load()) * t.Warmup.Slowness(age)
+func (target *Target) draw(timing Timing) time.Duration {
+	target.mu.Lock()
+	drawn := timing.Draw(target.random)
+	target.mu.Unlock()
+	age := time.Since(time.Unix(0, target.started.Load()))
+	factor := math.Float64frombits(target.slowness.Load()) * target.Warmup.Slowness(age)
 	return time.Duration(float64(drawn) * factor)
 }
 
--- a/magnolia-load/internal/target/timing.go
+++ b/magnolia-load/internal/target/timing.go
@@ -17,8 +17,8 @@
 }
 
 // Draw gives one service time.
-func (t Timing) Draw(random *rand.Rand) time.Duration {
-	return time.Duration(float64(t.Mean) * (fixedShare + randomShare*random.ExpFloat64()))
+func (timing Timing) Draw(random *rand.Rand) time.Duration {
+	return time.Duration(float64(timing.Mean) * (fixedShare + randomShare*random.ExpFloat64()))
 }
 
 // Warmup describes a cold start: at its start a target works Factor times
@@ -29,10 +29,10 @@
 }
 
 // Slowness gives the factor on service times at an age since the start.
-func (w Warmup) Slowness(age time.Duration) float64 {
-	if w.Factor <= 1 || age >= w.Length {
+func (warmup Warmup) Slowness(age time.Duration) float64 {
+	if warmup.Factor <= 1 || age >= warmup.Length {
 		return 1
 	}
-	left := 1 - float64(max(age, 0))/float64(w.Length)
-	return 1 + (w.Factor-1)*left
+	left := 1 - float64(max(age, 0))/float64(warmup.Length)
+	return 1 + (warmup.Factor-1)*left
 }
--- a/magnolia/internal/command/action/list/list.go
+++ b/magnolia/internal/command/action/list/list.go
@@ -33,7 +33,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Lists the actions that may not be repeated and whose end is not recorded: those
 that run now, and those in doubt, whose target or node was lost.
 
@@ -43,12 +43,12 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
 	answer, err := listing.Ask[operator.Actions](ctx, tools, operator.ListActions, operator.Done{})
 	if err != nil {
 		return err
 	}
-	return listing.Show(tools.Streams, op.Flags, answer.Actions, columns)
+	return listing.Show(tools.Streams, options.Flags, answer.Actions, columns)
 }
 
 func state(row operator.ActionRow) string {
--- a/magnolia/internal/command/action/settle/settle.go
+++ b/magnolia/internal/command/action/settle/settle.go
@@ -30,7 +30,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Records what became of an action in doubt, after you looked at the target's own
 records. "ran" closes it for good; "not-run" lets a resend run it. It is recorded
 with your name and cannot be taken back.
@@ -42,22 +42,22 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
 	name, err := tools.Operator()
 	if err != nil {
 		return err
 	}
 	settlement := operator.Settlement{
-		Kind:     op.Kind,
-		Key:      op.Key,
-		Attempt:  op.Attempt,
-		Ran:      op.As == "ran",
+		Kind:     options.Kind,
+		Key:      options.Key,
+		Attempt:  options.Attempt,
+		Ran:      options.As == "ran",
 		Operator: name,
-		Note:     op.Note,
+		Note:     options.Note,
 	}
 	if _, err := listing.Ask[operator.Done](ctx, tools, operator.SettleAction, settlement); err != nil {
 		return err
 	}
-	tools.Streams.Printf("%s %s is settled as %s\n", op.Kind, op.Key, op.As)
+	tools.Streams.Printf("%s %s is settled as %s\n", options.Kind, options.Key, options.As)
 	return nil
 }
--- a/magnolia/internal/command/certificate/create/create.go
+++ b/magnolia/internal/command/certificate/create/create.go
@@ -34,7 +34,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Makes a certificate and its key, signed by the site's own authority. The authority
 is made first where the folder has none. Keep its key away from the hosts. No
 file is ever replaced.
@@ -50,22 +50,22 @@
 )
 
 // Run runs the command.
-func (op *Options) Run(tools *factory.Factory) error {
-	if op.Days < 1 {
-		return program.WithCode(program.ExitUsage, fmt.Errorf("--days %d: give one day or more", op.Days))
+func (options *Options) Run(tools *factory.Factory) error {
+	if options.Days < 1 {
+		return program.WithCode(program.ExitUsage, fmt.Errorf("--days %d: give one day or more", options.Days))
 	}
 	now := tools.Now()
-	_, err := os.Stat(filepath.Join(op.Folder, certificate.AuthorityCertificate))
+	_, err := os.Stat(filepath.Join(options.Folder, certificate.AuthorityCertificate))
 	if errors.Is(err, fs.ErrNotExist) {
-		if err := certificate.CreateAuthority(op.Folder, op.Site, authorityYears*365*day, now); err != nil {
+		if err := certificate.CreateAuthority(options.Folder, options.Site, authorityYears*365*day, now); err != nil {
 			return err
 		}
-		tools.Streams.Printf("authority of %s in %s\n", op.Site, op.Folder)
+		tools.Streams.Printf("authority of %s in %s\n", options.Site, options.Folder)
 	}
-	asked := certificate.Request{Name: op.Name, Role: certificate.Role(op.Role), Validity: time.Duration(op.Days) * day}
-	if err := certificate.Issue(op.Folder, asked, now); err != nil {
+	asked := certificate.Request{Name: options.Name, Role: certificate.Role(options.Role), Validity: time.Duration(options.Days) * day}
+	if err := certificate.Issue(options.Folder, asked, now); err != nil {
 		return err
 	}
-	tools.Streams.Printf("%s and its key in %s, for %d days\n", op.Name+".pem", op.Folder, op.Days)
+	tools.Streams.Printf("%s and its key in %s, for %d days\n", options.Name+".pem", options.Folder, options.Days)
 	return nil
 }
--- a/magnolia/internal/command/config/check/check.go
+++ b/magnolia/internal/command/config/check/check.go
@@ -26,7 +26,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Checks a configuration file as the system would before it accepts one, and names
 every fault with its line and field. It asks no node.
 
@@ -35,14 +35,14 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(tools *factory.Factory) error {
-	text, err := os.ReadFile(op.File)
+func (options *Options) Run(tools *factory.Factory) error {
+	text, err := os.ReadFile(options.File)
 	if err != nil {
 		return program.WithCode(program.ExitUsage, err)
 	}
 	if _, err := configuration.Parse(text); err != nil {
-		return program.WithCode(program.ExitUsage, fmt.Errorf("configuration %s:\n%w", op.File, err))
+		return program.WithCode(program.ExitUsage, fmt.Errorf("configuration %s:\n%w", options.File, err))
 	}
-	tools.Streams.Printf("%s: no faults\n", op.File)
+	tools.Streams.Printf("%s: no faults\n", options.File)
 	return nil
 }
--- a/magnolia/internal/command/config/view/view.go
+++ b/magnolia/internal/command/config/view/view.go
@@ -27,7 +27,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Shows the configuration in force, comments included. Its number and who made it go
 to the error stream, so that the output is the text alone.
 
@@ -38,13 +38,13 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
-	answer, err := listing.Ask[operator.Configuration](ctx, tools, operator.ViewConfiguration, operator.VersionQuery{Version: op.Version})
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	answer, err := listing.Ask[operator.Configuration](ctx, tools, operator.ViewConfiguration, operator.VersionQuery{Version: options.Version})
 	if err != nil {
 		return err
 	}
-	if len(op.JSON) > 0 {
-		return listing.ShowOne(tools.Streams, op.Flags, flat(answer), nil)
+	if len(options.JSON) > 0 {
+		return listing.ShowOne(tools.Streams, options.Flags, flat(answer), nil)
 	}
 	tools.Streams.Errorf("version %d by %s: %s", answer.Version, answer.Operator, answer.Note)
 	tools.Streams.Printf("%s", answer.Text)
--- a/magnolia/internal/command/factory/factory.go
+++ b/magnolia/internal/command/factory/factory.go
@@ -71,22 +71,22 @@
 }
 
 // Settings gives the settings in force.
-func (fa *Factory) Settings() (*Settings, error) {
-	if fa.settings != nil {
-		return fa.settings, nil
+func (factory *Factory) Settings() (*Settings, error) {
+	if factory.settings != nil {
+		return factory.settings, nil
 	}
-	file, err := fa.fileSettings()
+	file, err := factory.fileSettings()
 	if err != nil {
 		return nil, program.WithCode(program.ExitUsage, err)
 	}
-	fa.settings = &Settings{
-		Address:     first(fa.Flags.Address, fa.Environment("MAGNOLIA_ADDRESS"), file.Address),
-		Operator:    first(fa.Flags.Operator, fa.Environment("MAGNOLIA_OPERATOR"), file.Operator),
-		Authority:   first(fa.Flags.Authority, fa.Environment("MAGNOLIA_AUTHORITY"), file.Authority),
-		Certificate: first(fa.Flags.Certificate, fa.Environment("MAGNOLIA_CERTIFICATE"), file.Certificate),
-		Key:         first(fa.Flags.Key, fa.Environment("MAGNOLIA_KEY"), file.Key),
+	factory.settings = &Settings{
+		Address:     first(factory.Flags.Address, factory.Environment("MAGNOLIA_ADDRESS"), file.Address),
+		Operator:    first(factory.Flags.Operator, factory.Environment("MAGNOLIA_OPERATOR"), file.Operator),
+		Authority:   first(factory.Flags.Authority, factory.Environment("MAGNOLIA_AUTHORITY"), file.Authority),
+		Certificate: first(factory.Flags.Certificate, factory.Environment("MAGNOLIA_CERTIFICATE"), file.Certificate),
+		Key:         first(factory.Flags.Key, factory.Environment("MAGNOLIA_KEY"), file.Key),
 	}
-	return fa.settings, nil
+	return factory.settings, nil
 }
 
 func first(values ...string) string {
@@ -99,8 +99,8 @@
 }
 
 // fileSettings reads the settings file of this user; without one all are empty.
-func (fa *Factory) fileSettings() (*Settings, error) {
-	folder, err := fa.ConfigFolder()
+func (factory *Factory) fileSettings() (*Settings, error) {
+	folder, err := factory.ConfigFolder()
 	if err != nil {
 		return &Settings{}, nil
 	}
@@ -125,15 +125,15 @@
 
 // Operator gives the name that changes are recorded under: as set, or else as
 // the certificate has it, or else the user's of this host.
-func (fa *Factory) Operator() (string, error) {
-	loaded, err := fa.Settings()
+func (factory *Factory) Operator() (string, error) {
+	loaded, err := factory.Settings()
 	if err != nil {
 		return "", err
 	}
 	if loaded.Certificate != "" && loaded.Operator == "" {
 		return certifiedName(loaded)
 	}
-	name := first(loaded.Operator, fa.Environment("USER"))
+	name := first(loaded.Operator, factory.Environment("USER"))
 	if name == "" {
 		return "", program.WithCode(program.ExitUsage, errors.New("no operator's name: give --operator or set MAGNOLIA_OPERATOR"))
 	}
@@ -154,19 +154,19 @@
 }
 
 // Client gives the client of the node that the settings name.
-func (fa *Factory) Client() (*operator.Client, error) {
-	if fa.client != nil {
-		return fa.client, nil
+func (factory *Factory) Client() (*operator.Client, error) {
+	if factory.client != nil {
+		return factory.client, nil
 	}
-	loaded, err := fa.Settings()
+	loaded, err := factory.Settings()
 	if err != nil {
 		return nil, err
 	}
 	if loaded.Address == "" {
 		return nil, program.WithCode(program.ExitUsage, errors.New("no address: give --address HOST:PORT of any node's admin port, or set MAGNOLIA_ADDRESS"))
 	}
-	fa.client, err = newClient(loaded)
-	return fa.client, err
+	factory.client, err = newClient(loaded)
+	return factory.client, err
 }
 
 func newClient(loaded *Settings) (*operator.Client, error) {
@@ -186,8 +186,8 @@
 }
 
 // Pending gives the patches whose outcome is not known yet.
-func (fa *Factory) Pending() (*pending.Folder, error) {
-	folder, err := fa.StateFolder()
+func (factory *Factory) Pending() (*pending.Folder, error) {
+	folder, err := factory.StateFolder()
 	if err != nil {
 		return nil, fmt.Errorf("find a folder for pending patches: %w", err)
 	}
--- a/magnolia/internal/command/host/list/list.go
+++ b/magnolia/internal/command/host/list/list.go
@@ -36,7 +36,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Lists the failure domains with their hosts: how many nodes were heard of lately,
 how many have the latest version in force, and which are silent.
 
@@ -46,12 +46,12 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
 	answer, err := listing.Ask[operator.Status](ctx, tools, operator.ViewStatus, operator.Done{})
 	if err != nil {
 		return err
 	}
-	return listing.Show(tools.Streams, op.Flags, answer.Domains, columns)
+	return listing.Show(tools.Streams, options.Flags, answer.Domains, columns)
 }
 
 func reached(row operator.DomainRow) string {
--- a/magnolia/internal/command/patch/create/create.go
+++ b/magnolia/internal/command/patch/create/create.go
@@ -42,7 +42,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Sends a patch against a numbered version of the whole configuration. It is refused
 if another version is in force by then, and what changed since is shown.
 
@@ -58,12 +58,12 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
-	patch, err := op.patch(tools)
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	patch, err := options.patch(tools)
 	if err != nil {
 		return err
 	}
-	forget, err := op.identify(tools, patch)
+	forget, err := options.identify(tools, patch)
 	if err != nil {
 		return err
 	}
@@ -74,29 +74,29 @@
 	if err := errors.Join(err, forget()); err != nil {
 		return err
 	}
-	if len(op.JSON) > 0 {
-		return errors.Join(listing.ShowOne(tools.Streams, op.Flags, answer, nil), outcome.Error(answer))
+	if len(options.JSON) > 0 {
+		return errors.Join(listing.ShowOne(tools.Streams, options.Flags, answer, nil), outcome.Error(answer))
 	}
 	outcome.Print(tools.Streams, answer)
 	return outcome.Error(answer)
 }
 
-func (op *Options) patch(tools *factory.Factory) (*operator.Patch, error) {
+func (options *Options) patch(tools *factory.Factory) (*operator.Patch, error) {
 	name, err := tools.Operator()
 	if err != nil {
 		return nil, err
 	}
-	operations, err := op.operations(tools.Streams.In)
+	operations, err := options.operations(tools.Streams.In)
 	if err != nil {
 		return nil, program.WithCode(program.ExitUsage, err)
 	}
-	return &operator.Patch{ID: op.ID, Base: op.Base, Operator: name, Note: op.Note, Operations: operations}, nil
+	return &operator.Patch{ID: options.ID, Base: options.Base, Operator: name, Note: options.Note, Operations: operations}, nil
 }
 
 // identify gives the patch the id that it was sent under before, or a new one
 // that is stored now. The function forgets it.
-func (op *Options) identify(tools *factory.Factory, patch *operator.Patch) (func() error, error) {
-	if op.ID != "" {
+func (options *Options) identify(tools *factory.Factory, patch *operator.Patch) (func() error, error) {
+	if options.ID != "" {
 		return func() error { return nil }, nil
 	}
 	content, err := json.Marshal(patch)
@@ -118,19 +118,19 @@
 	Value json.RawMessage `json:"value,omitempty"`
 }
 
-func (op *Options) operations(input io.Reader) (json.RawMessage, error) {
-	if op.File != "" {
-		return op.fileOperations(input)
+func (options *Options) operations(input io.Reader) (json.RawMessage, error) {
+	if options.File != "" {
+		return options.fileOperations(input)
 	}
 	var list []operation
-	for _, text := range op.Set {
+	for _, text := range options.Set {
 		set, err := parseSet(text)
 		if err != nil {
 			return nil, err
 		}
 		list = append(list, set)
 	}
-	for _, pointer := range op.Remove {
+	for _, pointer := range options.Remove {
 		list = append(list, operation{Op: "remove", Path: pointer})
 	}
 	if len(list) == 0 {
@@ -139,17 +139,17 @@
 	return json.Marshal(list)
 }
 
-func (op *Options) fileOperations(input io.Reader) (json.RawMessage, error) {
-	if len(op.Set)+len(op.Remove) > 0 {
+func (options *Options) fileOperations(input io.Reader) (json.RawMessage, error) {
+	if len(options.Set)+len(options.Remove) > 0 {
 		return nil, errors.New("give either --file or --set and --remove")
 	}
-	content, err := readFile(op.File, input)
+	content, err := readFile(options.File, input)
 	if err != nil {
 		return nil, err
 	}
 	var list []json.RawMessage
 	if err := json.Unmarshal(content, &list); err != nil {
-		return nil, fmt.Errorf(`%s is not an RFC 6902 patch: give a list of operations, as in [{"op":"replace","path":"/retry/allowance-per-root","value":3}]; a whole document is no patch`, op.File)
+		return nil, fmt.Errorf(`%s is not an RFC 6902 patch: give a list of operations, as in [{"op":"replace","path":"/retry/allowance-per-root","value":3}]; a whole document is no patch`, options.File)
 	}
 	return content, nil
 }
--- a/magnolia/internal/command/patch/list/list.go
+++ b/magnolia/internal/command/patch/list/list.go
@@ -36,7 +36,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Lists the latest patches that were decided, oldest first, with their outcome.
 
 Examples:
@@ -45,10 +45,10 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
-	answer, err := listing.Ask[operator.PatchList](ctx, tools, operator.ListPatches, operator.Most{Most: op.Most})
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	answer, err := listing.Ask[operator.PatchList](ctx, tools, operator.ListPatches, operator.Most{Most: options.Most})
 	if err != nil {
 		return err
 	}
-	return listing.Show(tools.Streams, op.Flags, answer.Patches, columns)
+	return listing.Show(tools.Streams, options.Flags, answer.Patches, columns)
 }
--- a/magnolia/internal/command/patch/view/view.go
+++ b/magnolia/internal/command/patch/view/view.go
@@ -27,7 +27,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Shows how a patch ended. A patch that was never decided is not known; sending it
 again with the same id is safe.
 
@@ -37,13 +37,13 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
-	answer, err := listing.Ask[operator.PatchOutcome](ctx, tools, operator.ViewPatch, operator.PatchQuery{ID: op.ID})
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	answer, err := listing.Ask[operator.PatchOutcome](ctx, tools, operator.ViewPatch, operator.PatchQuery{ID: options.ID})
 	if err != nil {
 		return err
 	}
-	if len(op.JSON) > 0 {
-		return listing.ShowOne(tools.Streams, op.Flags, answer, nil)
+	if len(options.JSON) > 0 {
+		return listing.ShowOne(tools.Streams, options.Flags, answer, nil)
 	}
 	outcome.Print(tools.Streams, answer)
 	return nil
--- a/magnolia/internal/command/replica/list/list.go
+++ b/magnolia/internal/command/replica/list/list.go
@@ -34,7 +34,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Lists the replicas of the control state, and which of them the asked replica
 reaches. An id belongs to one disk and is never used again; a host that lost its
 disk comes back with a new one.
@@ -45,7 +45,7 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
 	answer, err := listing.Ask[operator.Replicas](ctx, tools, operator.ListReplicas, operator.Done{})
 	if err != nil {
 		return err
@@ -53,7 +53,7 @@
 	if len(answer.Replicas) == 0 {
 		return fmt.Errorf("the asked replica %s has no log: ask another node, by --address", answer.Here)
 	}
-	return listing.Show(tools.Streams, op.Flags, answer.Replicas, columns)
+	return listing.Show(tools.Streams, options.Flags, answer.Replicas, columns)
 }
 
 func reached(row operator.ReplicaRow) string {
--- a/magnolia/internal/command/replica/replace/replace.go
+++ b/magnolia/internal/command/replica/replace/replace.go
@@ -26,7 +26,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Puts the replica of a new host, or of one that lost its disk, in the place of a lost
 one: it is added as a learner, promoted once it has caught up, and then the lost
 id is removed for good. It may be run again after it was interrupted.
@@ -37,11 +37,11 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
-	asked := operator.Replacement{Lost: op.Lost, Address: op.Address}
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	asked := operator.Replacement{Lost: options.Lost, Address: options.Address}
 	if _, err := listing.Ask[operator.Done](ctx, tools, operator.ReplaceReplica, asked); err != nil {
 		return err
 	}
-	tools.Streams.Printf("replica %s was replaced by the one at %s\n", op.Lost, op.Address)
+	tools.Streams.Printf("replica %s was replaced by the one at %s\n", options.Lost, options.Address)
 	return nil
 }
--- a/magnolia/internal/command/status/status.go
+++ b/magnolia/internal/command/status/status.go
@@ -26,7 +26,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Sums up the system as the asked replica sees it: the latest version, whether a
 quorum answers, in which failure domains it is in force, who is out of reach, and
 how many actions are in doubt.
@@ -47,7 +47,7 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
 	answer, err := listing.Ask[operator.Status](ctx, tools, operator.ViewStatus, operator.Done{})
 	if err != nil {
 		return err
@@ -60,7 +60,7 @@
 			Cell:   func(operator.Status) string { return text },
 		})
 	}
-	return listing.ShowOne(tools.Streams, op.Flags, answer, shown)
+	return listing.ShowOne(tools.Streams, options.Flags, answer, shown)
 }
 
 func describe(domain operator.DomainRow) string {
--- a/magnolia/internal/command/target/drain/drain.go
+++ b/magnolia/internal/command/target/drain/drain.go
@@ -26,7 +26,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Asks the node of a target to stop as planned: it tells its peers, takes no new work,
 finishes every request in flight, and its process exits.
 
@@ -35,10 +35,10 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
-	if _, err := listing.Ask[operator.Done](ctx, tools, operator.DrainTarget, operator.NodeQuery{Node: op.Node}); err != nil {
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	if _, err := listing.Ask[operator.Done](ctx, tools, operator.DrainTarget, operator.NodeQuery{Node: options.Node}); err != nil {
 		return err
 	}
-	tools.Streams.Printf("%s drains\n", op.Node)
+	tools.Streams.Printf("%s drains\n", options.Node)
 	return nil
 }
--- a/magnolia/internal/command/target/list/list.go
+++ b/magnolia/internal/command/target/list/list.go
@@ -36,7 +36,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Lists the live targets that the asked replica knows: their node, place, state and
 slots. A draining target takes no new work; a cold one little.
 
@@ -46,10 +46,10 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
 	answer, err := listing.Ask[operator.Targets](ctx, tools, operator.ListTargets, operator.Done{})
 	if err != nil {
 		return err
 	}
-	return listing.Show(tools.Streams, op.Flags, answer.Targets, columns)
+	return listing.Show(tools.Streams, options.Flags, answer.Targets, columns)
 }
--- a/magnolia/internal/command/version/diff/diff.go
+++ b/magnolia/internal/command/version/diff/diff.go
@@ -28,7 +28,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Shows what differs between two versions, field by field.
 
 Examples:
@@ -42,10 +42,10 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
-	answer, err := listing.Ask[operator.Difference](ctx, tools, operator.DiffVersions, operator.DifferenceQuery{From: op.From, To: op.To})
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	answer, err := listing.Ask[operator.Difference](ctx, tools, operator.DiffVersions, operator.DifferenceQuery{From: options.From, To: options.To})
 	if err != nil {
 		return err
 	}
-	return listing.Show(tools.Streams, op.Flags, answer.Changes, columns)
+	return listing.Show(tools.Streams, options.Flags, answer.Changes, columns)
 }
--- a/magnolia/internal/command/version/list/list.go
+++ b/magnolia/internal/command/version/list/list.go
@@ -38,7 +38,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Lists the versions of the configuration, oldest first: who made each, when, and
 with which note.
 
@@ -48,10 +48,10 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
-	answer, err := listing.Ask[operator.Versions](ctx, tools, operator.ListVersions, operator.VersionRange{After: op.After, Most: op.Most})
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	answer, err := listing.Ask[operator.Versions](ctx, tools, operator.ListVersions, operator.VersionRange{After: options.After, Most: options.Most})
 	if err != nil {
 		return err
 	}
-	return listing.Show(tools.Streams, op.Flags, answer.Versions, columns)
+	return listing.Show(tools.Streams, options.Flags, answer.Versions, columns)
 }
--- a/magnolia/internal/pending/folder.go
+++ b/magnolia/internal/pending/folder.go
@@ -31,23 +31,23 @@
 
 // Begin gives the id under which the content was sent before, or stores and
 // gives the new one.
-func (fo *Folder) Begin(content []byte, newID string) (string, error) {
-	stored, err := os.ReadFile(fo.file(content))
+func (folder *Folder) Begin(content []byte, newID string) (string, error) {
+	stored, err := os.ReadFile(folder.file(content))
 	if err == nil {
 		return string(stored), nil
 	}
 	if !errors.Is(err, fs.ErrNotExist) {
 		return "", fmt.Errorf("read pending patch: %w", err)
 	}
-	return newID, fo.store(content, newID)
+	return newID, folder.store(content, newID)
 }
 
 // store writes a synced file beside its place and then moves it there.
-func (fo *Folder) store(content []byte, id string) error {
-	if err := os.MkdirAll(fo.Path, folderMode); err != nil {
+func (folder *Folder) store(content []byte, id string) error {
+	if err := os.MkdirAll(folder.Path, folderMode); err != nil {
 		return fmt.Errorf("make folder for pending patches: %w", err)
 	}
-	file, err := os.OpenFile(fo.file(content)+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	file, err := os.OpenFile(folder.file(content)+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
 		return fmt.Errorf("store pending patch: %w", err)
 	}
@@ -56,19 +56,19 @@
 	if err != nil {
 		return fmt.Errorf("store pending patch: %w", err)
 	}
-	return os.Rename(file.Name(), fo.file(content))
+	return os.Rename(file.Name(), folder.file(content))
 }
 
 // End forgets a patch whose outcome is known.
-func (fo *Folder) End(content []byte) error {
-	err := os.Remove(fo.file(content))
+func (folder *Folder) End(content []byte) error {
+	err := os.Remove(folder.file(content))
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil
 	}
 	return err
 }
 
-func (fo *Folder) file(content []byte) string {
+func (folder *Folder) file(content []byte) string {
 	sum := sha256.Sum256(content)
-	return filepath.Join(fo.Path, hex.EncodeToString(sum[:]))
+	return filepath.Join(folder.Path, hex.EncodeToString(sum[:]))
 }
--- a/magnoliad/internal/command/factory/factory.go
+++ b/magnoliad/internal/command/factory/factory.go
@@ -30,7 +30,7 @@
 
 // Settings reads and checks a settings file. All faults are printed, each with
 // its line and field.
-func (fa *Factory) Settings(path string) (*settings.Settings, error) {
+func (factory *Factory) Settings(path string) (*settings.Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, program.WithCode(program.ExitUsage, fmt.Errorf("read settings: %w", err))
@@ -44,9 +44,9 @@
 }
 
 // Logger gives the logger of a process.
-func (fa *Factory) Logger(level settings.LogLevel) *log.Logger {
+func (factory *Factory) Logger(level settings.LogLevel) *log.Logger {
 	return &log.Logger{
 		Level:  log.ParseLevel(string(level)),
-		Writer: &log.IOWriter{Writer: fa.Streams.Err},
+		Writer: &log.IOWriter{Writer: factory.Streams.Err},
 	}
 }
--- a/magnoliad/internal/command/run/run.go
+++ b/magnoliad/internal/command/run/run.go
@@ -26,7 +26,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Runs the node of this host, and the replica that its settings name, until
 SIGTERM or SIGINT. Then it tells its peers that its target leaves, takes no new
 work, finishes every request in flight, uploads included, and exits 0. A second
@@ -37,8 +37,8 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
-	loaded, err := tools.Settings(op.Settings)
+func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	loaded, err := tools.Settings(options.Settings)
 	if err != nil {
 		return err
 	}
--- a/magnoliad/internal/command/settings/settings.go
+++ b/magnoliad/internal/command/settings/settings.go
@@ -28,7 +28,7 @@
 }
 
 // Help tells of the command at length.
-func (op *Options) Help() string {
+func (options *Options) Help() string {
 	return `Reads a settings file as "magnoliad run" would, without starting anything, and
 names every fault with its line and field. Where the file names an initial
 configuration, that is checked as well.
@@ -38,15 +38,15 @@
 }
 
 // Run runs the command.
-func (op *Options) Run(tools *factory.Factory) error {
-	loaded, err := tools.Settings(op.Settings)
+func (options *Options) Run(tools *factory.Factory) error {
+	loaded, err := tools.Settings(options.Settings)
 	if err != nil {
 		return err
 	}
 	if err := checkInitial(loaded.Replica.InitialConfiguration); err != nil {
 		return program.WithCode(program.ExitUsage, err)
 	}
-	tools.Streams.Printf("%s: no faults\n", op.Settings)
+	tools.Streams.Printf("%s: no faults\n", options.Settings)
 	return nil
 }
 
--- a/magnoliad/process_test.go
+++ b/magnoliad/process_test.go
@@ -287,14 +287,14 @@
 	content bytes.Buffer
 }
 
-func (sb *safeBuffer) Write(content []byte) (int, error) {
-	sb.lock.Lock()
-	defer sb.lock.Unlock()
-	return sb.content.Write(content)
+func (buffer *safeBuffer) Write(content []byte) (int, error) {
+	buffer.lock.Lock()
+	defer buffer.lock.Unlock()
+	return buffer.content.Write(content)
 }
 
-func (sb *safeBuffer) text() string {
-	sb.lock.Lock()
-	defer sb.lock.Unlock()
-	return sb.content.String()
+func (buffer *safeBuffer) text() string {
+	buffer.lock.Lock()
+	defer buffer.lock.Unlock()
+	return buffer.content.String()
 }
