--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -94,11 +94,10 @@
 func (c *checker) rules() {
 	document := c.document
 	between(c, "retry.allowance-per-root", document.Retry.AllowancePerRoot, 0, maxAllowance)
-	between(c, "retry.edge-share", document.Retry.EdgeShare, 0, 1)
+	between(c, "retry.edge-share", document.Retry.EdgeShare, 0.001, 1)
 	between(c, "claims.retention", time.Duration(document.Claims.Retention), minRetention, maxRetention)
 	between(c, "claims.record-retention", time.Duration(document.Claims.RecordRetention), time.Duration(document.Claims.Retention), maxRetention)
 	between(c, "claims.kept-answer", document.Claims.KeptAnswer, 0, maxKeptAnswer)
-	between(c, "quarantine.crashes", document.Quarantine.Crashes, 1, 10)
 	between(c, "quarantine.hold", time.Duration(document.Quarantine.Hold), time.Second, maxQuarantine)
 	between(c, "links.bytes-per-second", document.Links.BytesPerSecond, 1, 1<<40)
 	between(c, "links.share-for-unimportant", document.Links.ShareForUnimportant, 0, 1)
--- a/internal/configuration/defaults.go
+++ b/internal/configuration/defaults.go
@@ -10,7 +10,7 @@
 		RecordRetention: Duration(7 * 24 * time.Hour),
 		KeptAnswer:      16 * KiB,
 	}
-	document.Quarantine = Quarantine{Crashes: 2, Hold: Duration(time.Minute)}
+	document.Quarantine = Quarantine{Hold: Duration(time.Minute)}
 	document.Links = Links{BytesPerSecond: 500 * MiB, ShareForUnimportant: 0.6}
 }
 
--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -64,8 +64,6 @@
 
 // Quarantine rules the refusal of requests that crash targets.
 type Quarantine struct {
-	// Crashes is the number of crashes after which a request is refused.
-	Crashes int `json:"crashes"`
 	// Hold is how long it is refused.
 	Hold Duration `json:"hold"`
 }
--- a/internal/core/claim/attempt.go
+++ b/internal/core/claim/attempt.go
@@ -103,7 +103,6 @@
 		Type:    Ask,
 		Attempt: current.request.Attempt,
 		Command: current.command,
-		Lookup:  command,
 	})
 }
 
--- a/internal/core/claim/core.go
+++ b/internal/core/claim/core.go
@@ -84,9 +84,6 @@
 	Answer  *Answer
 	// Command is an encoded command of the ledger.
 	Command []byte
-	// Lookup is the claim behind an Ask, for a replica that can answer it from
-	// its state.
-	Lookup ledger.ClaimCommand
 }
 
 // Core decides on the requests of one node that may not be repeated. The fields
--- a/internal/core/ledger/machine.go
+++ b/internal/core/ledger/machine.go
@@ -20,7 +20,7 @@
 //	result, err := machine.Apply(index, command) // at every replica
 //	outcome, err := ledger.DecodePatch(result)
 //
-// [Machine.Lookup] answers a claim without a log entry where that is safe.
+// [Machine.Known] answers a claim without a log entry where that is safe.
 package ledger
 
 import (
@@ -141,16 +141,22 @@
 	return encoded
 }
 
-// Lookup answers a claim from the applied state of one replica, which may lag
+// Known answers a claim from the applied state of one replica, which may lag
 // behind the log, or says that only the log can answer it. It answers only for
 // a finished action: that an action ran never becomes untrue, so a replica that
 // is behind, or cut off from the quorum, cannot be wrong. It grants nothing.
-func (machine *Machine) Lookup(command ClaimCommand) (ClaimResult, bool) {
-	holder, ok := machine.book.claims[claimID(string(command.Kind), string(command.Key))]
+func (machine *Machine) Known(command []byte) ([]byte, bool) {
+	decoded := new(ledgerpb.Command)
+	if err := proto.Unmarshal(command, decoded); err != nil || decoded.GetClaim() == nil {
+		return nil, false
+	}
+	asked := decoded.GetClaim()
+	holder, ok := machine.book.claims[claimID(asked.GetKind(), asked.GetKey())]
 	if !ok || holder.state != heldFinished {
-		return ClaimResult{}, false
+		return nil, false
 	}
-	return claimResult(holder.result(machine.age, command.Digest[:])), true
+	result := holder.result(machine.age, asked.GetDigest())
+	return encode(&ledgerpb.Result{Body: &ledgerpb.Result_Claim{Claim: result}}), true
 }
 
 // Open lists the claims that are granted or in doubt, as operators see them.
--- a/internal/core/ledger/script_test.go
+++ b/internal/core/ledger/script_test.go
@@ -139,11 +139,11 @@
 		return claimWord(result, err)
 	case "lookup":
 		command := ledger.ClaimCommand{Kind: "a/b", Key: request.IdempotencyKey(words[1]), Digest: digest(words[2])}
-		result, known := b.machine.Lookup(command)
+		result, known := b.machine.Known(command.Encode())
 		if !known {
 			return "none"
 		}
-		return claimWord(result, nil)
+		return claimWord(ledger.DecodeClaim(result))
 	case "finish", "lost":
 		command := ledger.FinishCommand{Kind: "a/b", Key: key, Attempt: name, Lost: words[0] == "lost", KeepAnswer: time.Hour, KeepRecord: 2 * time.Hour}
 		if !command.Lost {
--- a/internal/host/machine.go
+++ b/internal/host/machine.go
@@ -39,8 +39,15 @@
 	}
 }
 
-// Propose records a command and gives its result.
+// Propose records a command and gives its result. A resend of an action that
+// ran is answered from the state here, also while no quorum can be reached.
 func (se *seat) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	var result []byte
+	known := false
+	err := se.Peek(ctx, func(machine *ledger.Machine) { result, known = machine.Known(command) })
+	if err == nil && known {
+		return result, nil
+	}
 	return se.replica.Propose(ctx, command)
 }
 
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -309,6 +309,6 @@
 	}
 	no.Chooser.Answered(now, at.choice, call, answer)
 	if answer.Result == choice.Succeeded {
-		og.edge.success()
+		og.edge.success(no.Configuration.Current().Document.Retry.EdgeShare)
 	}
 }
--- a/internal/node/edge.go
+++ b/internal/node/edge.go
@@ -13,9 +13,11 @@
 	budget retry.Edge
 }
 
-func (ed *edge) success() {
+// success adds the share of a retry that the configuration in force gives.
+func (ed *edge) success(share float64) {
 	ed.lock.Lock()
 	defer ed.lock.Unlock()
+	ed.budget.Share = share
 	ed.budget.Success()
 }
 
--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -21,18 +21,17 @@
 	KeyReusedOtherBody Code = 1007
 	KeyTooLong         Code = 1008
 
-	Overloaded        Code = 2001
-	OverloadedBelow   Code = 2002
-	DeadlineTooClose  Code = 2003
-	WaitedTooLong     Code = 2004
-	ColdTarget        Code = 2005
-	LinkFull          Code = 2006
-	ConnectionsFull   Code = 2007
-	Draining          Code = 2008
-	Quarantined       Code = 2009
-	CallerLeft        Code = 2010
-	TooManyDuplicates Code = 2011
-	NotReady          Code = 2012
+	Overloaded       Code = 2001
+	OverloadedBelow  Code = 2002
+	DeadlineTooClose Code = 2003
+	WaitedTooLong    Code = 2004
+	ColdTarget       Code = 2005
+	LinkFull         Code = 2006
+	ConnectionsFull  Code = 2007
+	Draining         Code = 2008
+	Quarantined      Code = 2009
+	CallerLeft       Code = 2010
+	NotReady         Code = 2012
 
 	NoTarget          Code = 3001
 	TargetUnreachable Code = 3002
@@ -86,7 +85,6 @@
 	{Draining, "draining", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the target is leaving and takes no new work"},
 	{Quarantined, "quarantined", http.StatusServiceUnavailable, NotRun, false, true, time.Minute, "targets died while they worked on this request"},
 	{CallerLeft, "caller-left", 499, NotRun, false, false, 0, "the caller went away before the call was handed to a target"},
-	{TooManyDuplicates, "too-many-duplicates", http.StatusTooManyRequests, NotRun, false, true, time.Second, "the same request is already in flight too often"},
 
 	{NotReady, "not-ready", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the node has just started and has no configuration yet"},
 
--- a/magnolia-load/internal/load/runner.go
+++ b/magnolia-load/internal/load/runner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/internal/wait"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/target"
 )
 
@@ -56,14 +57,7 @@
 }
 
 func (runner *Runner) waitUntil(ctx context.Context, moment time.Duration) bool {
-	timer := time.NewTimer(moment - time.Since(runner.start))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, moment-time.Since(runner.start))
 }
 
 func (runner *Runner) announce(stop <-chan struct{}) {
--- a/magnolia-load/internal/measure/retries.go
+++ b/magnolia-load/internal/measure/retries.go
@@ -124,7 +124,7 @@
 func chainText(services string) []byte {
 	return []byte(`{"importances": ["visit"], "retry": {"allowance-per-root": 3, "edge-share": 0.1},
 		"claims": {"retention": "24h", "record-retention": "168h", "kept-answer": "16KiB"},
-		"quarantine": {"crashes": 2, "hold": "10m"},
+		"quarantine": {"hold": "10m"},
 		"links": {"bytes-per-second": 500000000, "share-for-unimportant": 0.6},
 		"services": {` + services + `}}`)
 }
--- a/magnolia-load/internal/target/handler.go
+++ b/magnolia-load/internal/target/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/internal/wait"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/answer"
 )
 
@@ -137,7 +138,7 @@
 
 func (target *Target) work(ctx context.Context, attempt AttemptName, length time.Duration) bool {
 	begin := time.Now()
-	done := sleep(ctx, length)
+	done := wait.For(ctx, length)
 	target.Records.Spent(attempt, time.Since(begin))
 	return done
 }
--- a/magnolia-load/internal/target/target.go
+++ b/magnolia-load/internal/target/target.go
@@ -33,6 +33,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/internal/wait"
 )
 
 const (
@@ -180,13 +181,13 @@
 
 func (target *Target) rebind(ctx context.Context) (net.Listener, error) {
 	address := target.Listener.Addr().String()
-	sleep(ctx, target.Down)
+	wait.For(ctx, target.Down)
 	for {
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			return listener, nil
 		}
-		if !sleep(ctx, rebindInterval) {
+		if !wait.For(ctx, rebindInterval) {
 			return nil, oops.Wrapf(err, "the stand-in target of %s cannot listen again", target.Service)
 		}
 	}
@@ -206,7 +207,7 @@
 		target.mu.Lock()
 		target.Report.Observe(time.Now(), load)
 		target.mu.Unlock()
-		if !sleep(ctx, sampleInterval) {
+		if !wait.For(ctx, sampleInterval) {
 			return
 		}
 	}
@@ -229,18 +230,3 @@
 	factor := math.Float64frombits(target.slowness.Load()) * target.Warmup.Slowness(age)
 	return time.Duration(float64(drawn) * factor)
 }
-
-// sleep waits and tells whether the context still holds.
-func sleep(ctx context.Context, length time.Duration) bool {
-	if length <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
