Bound the target's connections by the configuration in force

Cause: the read-through found a third setting without effect: a service's connections, for which the node used 512 whatever the patch said. Slots kept the number below it, since a service has at least as many connections as slots. Change: the client to the target takes the bound with each version; calls under way keep theirs.

--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"time"
 )
 
@@ -21,29 +22,57 @@
 type TargetClient struct {
 	// Address is the target's host:port.
 	Address string
-	// Connections is the most connections that the target takes.
+	// Connections is the most connections that the target takes until
+	// SetConnections says otherwise.
 	Connections int
 
-	transport *http.Transport
+	lock        sync.Mutex
+	connections int
+	transport   *http.Transport
 }
 
 // Start prepares the client.
 func (targetClient *TargetClient) Start() {
+	targetClient.SetConnections(targetClient.Connections)
+}
+
+// SetConnections bounds the connections to the target from now on. Calls under
+// way go on over those that they have.
+func (targetClient *TargetClient) SetConnections(connections int) {
+	targetClient.lock.Lock()
+	defer targetClient.lock.Unlock()
+	if connections <= 0 || connections == targetClient.connections {
+		return
+	}
+	targetClient.connections = connections
+	if targetClient.transport != nil {
+		targetClient.transport.CloseIdleConnections()
+	}
+	targetClient.transport = newTargetTransport(connections)
+}
+
+func newTargetTransport(connections int) *http.Transport {
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
-	targetClient.transport = &http.Transport{
+	return &http.Transport{
 		DialContext:            dialer.DialContext,
-		MaxConnsPerHost:        targetClient.Connections,
-		MaxIdleConns:           targetClient.Connections,
-		MaxIdleConnsPerHost:    targetClient.Connections,
+		MaxConnsPerHost:        connections,
+		MaxIdleConns:           connections,
+		MaxIdleConnsPerHost:    connections,
 		IdleConnTimeout:        targetIdleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: targetHeaderLimit,
 	}
 }
 
+func (targetClient *TargetClient) current() *http.Transport {
+	targetClient.lock.Lock()
+	defer targetClient.lock.Unlock()
+	return targetClient.transport
+}
+
 // Close ends idle connections.
 func (targetClient *TargetClient) Close() {
-	targetClient.transport.CloseIdleConnections()
+	targetClient.current().CloseIdleConnections()
 }
 
 // TargetCall is one call to the local target.
@@ -80,7 +109,7 @@
 	outgoing.Header = call.Headers
 	outgoing.Body = onceBody{call.Body}
 	outgoing.ContentLength = call.BodyLength
-	response, err := targetClient.transport.RoundTrip(outgoing)
+	response, err := targetClient.current().RoundTrip(outgoing)
 	if err == nil {
 		return response, nil
 	}
--- /dev/null
+++ b/internal/adapter/web/target_test.go
@@ -0,0 +1,80 @@
+package web_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"sync/atomic"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+)
+
+// crowd is a target that holds each call and knows the most it held at once.
+type crowd struct {
+	entered chan struct{}
+	release chan struct{}
+	inside  atomic.Int64
+	most    atomic.Int64
+}
+
+func (crowd *crowd) ServeHTTP(http.ResponseWriter, *http.Request) {
+	inside := crowd.inside.Add(1)
+	defer crowd.inside.Add(-1)
+	crowd.most.Store(max(crowd.most.Load(), inside))
+	crowd.entered <- struct{}{}
+	<-crowd.release
+}
+
+// A bound of one keeps a second call waiting for the connection of the first; a
+// wider bound lets both in.
+func TestConnectionsFollowTheirBound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target := &crowd{entered: make(chan struct{}, 4), release: make(chan struct{})}
+	server := httptest.NewUnstartedServer(target)
+	opened := atomic.Int64{}
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client := &web.TargetClient{Address: server.Listener.Addr().String(), Connections: 1}
+	client.Start()
+	results, asking := make(chan error, 4), make(chan struct{}, 4)
+	send := func() {
+		trace := &httptrace.ClientTrace{GetConn: func(string) { asking <- struct{}{} }}
+		ctx := httptrace.WithClientTrace(context.Background(), trace)
+		answer, err := client.Send(ctx, web.TargetCall{Method: http.MethodGet, Path: "/", Headers: http.Header{}})
+		if err == nil {
+			err = answer.Body.Close()
+		}
+		results <- err
+	}
+	pair := func() {
+		go send()
+		<-target.entered
+		go send()
+		<-asking
+		<-asking
+	}
+	pair()
+	target.release <- struct{}{}
+	<-target.entered
+	target.release <- struct{}{}
+	g.Expect(<-results).NotTo(gomega.HaveOccurred())
+	g.Expect(<-results).NotTo(gomega.HaveOccurred())
+	g.Expect(opened.Load()).To(gomega.BeEquivalentTo(1))
+	client.SetConnections(2)
+	pair()
+	<-target.entered
+	close(target.release)
+	g.Expect(<-results).NotTo(gomega.HaveOccurred())
+	g.Expect(<-results).NotTo(gomega.HaveOccurred())
+	g.Expect(target.most.Load()).To(gomega.BeEquivalentTo(2))
+}
--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -91,7 +91,7 @@
 		Configuration: ho.holder,
 		Chooser:       st.chooser,
 		Transport:     ho.transport,
-		Target:        &web.TargetClient{Address: string(ho.Settings.Target), Connections: targetConnections},
+		Target:        &web.TargetClient{Address: string(ho.Settings.Target), Connections: firstConnections},
 		Claims:        &control.Client{Transport: ho.transport, Replicas: ho.replicaAddresses()},
 		Guard:         st.guard,
 		Logger:        ho.Logger,
@@ -104,7 +104,8 @@
 	}
 }
 
-const targetConnections = 512
+// firstConnections bounds the connections until the first version is in force.
+const firstConnections = 512
 
 func (st *site) newClient() *registry.Client {
 	ho := st.host
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,7 @@
 	if no.Guard == nil {
 		no.Guard = &quarantine.Guard{Crash: quarantine.Crash{Node: no.ID, Domain: no.Place.Domain, Incarnation: 1}}
 	}
-	no.traffic = newTraffic(no.slots())
+	no.traffic = newTraffic(no.Configuration.Current().Document.Services[no.Service].Slots)
 	if no.Claims != nil {
 		no.claims = newClaims(no.ID, no.Claims, no.runOnce)
 	}
@@ -119,10 +119,6 @@
 	no.Target.Start()
 }
 
-func (no *Node) slots() int {
-	return no.Configuration.Current().Document.Services[no.Service].Slots
-}
-
 // Run serves until the context ends, then drains: no call in flight is cut. The
 // transport stays open; its owner closes it.
 func (no *Node) Run(ctx context.Context, listeners Listeners) error {
@@ -212,7 +208,7 @@
 	for {
 		select {
 		case now := <-ticker.C:
-			no.traffic.setSlots(no.slots())
+			no.follow()
 			no.traffic.tick(now)
 		case <-ctx.Done():
 			return
@@ -220,6 +216,13 @@
 	}
 }
 
+// follow takes over what the configuration in force says of the local target.
+func (no *Node) follow() {
+	own := no.Configuration.Current().Document.Services[no.Service]
+	no.traffic.setSlots(own.Slots)
+	no.Target.SetConnections(own.Connections)
+}
+
 func (no *Node) nextCall() request.CallID {
 	return request.CallID(no.calls.Add(1))
 }
