--- a/magnolia-load/internal/command/demo/demo.go
+++ b/magnolia-load/internal/command/demo/demo.go
@@ -21,6 +21,7 @@
 	shareBefore = 0.3
 	shareDuring = 0.3
 	factor      = 2
+	warmUp      = time.Second
 )
 
 // Options are the flags of the command.
@@ -116,6 +117,7 @@
 	during := time.Duration(shareDuring * float64(o.For))
 	return experiment.Load{
 		Seed:   o.Seed,
+		WarmUp: warmUp,
 		Before: before,
 		During: during,
 		After:  o.For - before - during,
--- /dev/null
+++ b/magnolia-load/internal/command/measure/measure.go
@@ -0,0 +1,69 @@
+// Package measure is the command `magnolia-load measure NAME`.
+//
+// # Usage
+//
+//	command := measure.New(tools)
+//	command.Name = "overload"
+//	err := command.Run(ctx)
+package measure
+
+import (
+	"context"
+	"strings"
+
+	"github.com/samber/oops"
+
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/measure"
+)
+
+// Options are the arguments and flags of the command.
+type Options struct {
+	Name   string `arg:"" help:"Name of the measurement."`
+	Seed   uint64 `default:"1" help:"Seed of the first run; each further run adds one."`
+	Runs   int    `default:"5" help:"Number of runs."`
+	Write  bool   `help:"Keep the page and plots in the folder."`
+	Folder string `default:"docs/measurements" help:"Folder of the pages."`
+}
+
+// New gives the command.
+func New() *Options { return &Options{} }
+
+// Help tells of the command at length.
+func (o *Options) Help() string {
+	return `Runs a measurement several times and ends with a line for each figure, the
+median over the runs, beside the naive version on the same load and seed.
+
+Measurements: ` + strings.Join(measure.Names(), ", ") + `
+
+Examples:
+  magnolia-load measure overload
+  magnolia-load measure added-time --runs 3 --seed 7
+  magnolia-load measure recovery --write`
+}
+
+// Run runs the command.
+func (o *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	found, ok := measure.Find(o.Name)
+	if !ok {
+		return oops.Errorf("no measurement is named %q; choose from: %s", o.Name, strings.Join(measure.Names(), ", "))
+	}
+	if o.Runs < 1 {
+		return oops.Errorf("--runs must be at least 1")
+	}
+	report, err := measure.Repeat(ctx, found, measure.Setting{
+		Seed:     o.Seed,
+		Runs:     o.Runs,
+		Progress: tools.Streams.Progressf,
+	})
+	if err != nil {
+		return err
+	}
+	if o.Write {
+		if err := report.Write(o.Folder); err != nil {
+			return err
+		}
+	}
+	report.WriteLines(tools.Streams.Out)
+	return nil
+}
--- a/magnolia-load/internal/command/root/root.go
+++ b/magnolia-load/internal/command/root/root.go
@@ -14,6 +14,7 @@
 
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/demo"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/measure"
 )
 
 // ExitCode is the exit code of the process.
@@ -29,12 +30,13 @@
 
 // commands is the grammar of the command line.
 type commands struct {
-	Demo demo.Options `cmd:"" help:"Show magnoliawall and the naive version under the same load."`
+	Demo    demo.Options    `cmd:"" help:"Show magnoliawall and the naive version under the same load."`
+	Measure measure.Options `cmd:"" help:"Run a measurement by name."`
 }
 
 // Main runs the command that the arguments name.
 func Main(ctx context.Context, tools *factory.Factory, arguments []string) ExitCode {
-	line := &commands{Demo: *demo.New(tools)}
+	line := &commands{Demo: *demo.New(tools), Measure: *measure.New()}
 	exit := ExitOK
 	exited := false
 	parser, err := kong.New(
--- a/magnolia-load/internal/experiment/experiment.go
+++ b/magnolia-load/internal/experiment/experiment.go
@@ -1,5 +1,6 @@
 // Package experiment runs one load on one version of a mesh and gives the
-// figures: the load is steady, then an overload, then steady again.
+// figures: after a warm-up the load is steady, then an overload, then
+// steady again.
 //
 // # Usage
 //
@@ -24,6 +25,7 @@
 
 // The names of the phases.
 const (
+	Warm     = "warm-up"
 	Steady   = "steady"
 	Overload = "overload"
 	Recovery = "after"
@@ -38,7 +40,9 @@
 
 // Load is the course of the load.
 type Load struct {
-	Seed   uint64
+	Seed uint64
+	// WarmUp is under the usual load and left out of all figures.
+	WarmUp time.Duration
 	Before time.Duration
 	During time.Duration
 	After  time.Duration
@@ -135,6 +139,7 @@
 		Entries:  entries,
 		Attempts: callerAttempts,
 		Phases: []load.Phase{
+			{Name: Warm, Length: t.Load.WarmUp, Factor: 1},
 			{Name: Steady, Length: t.Load.Before, Factor: 1},
 			{Name: Overload, Length: t.Load.During, Factor: t.Load.Factor},
 			{Name: Recovery, Length: t.Load.After, Factor: 1},
--- a/magnolia-load/internal/experiment/summary.go
+++ b/magnolia-load/internal/experiment/summary.go
@@ -48,7 +48,7 @@
 	plan := outcome.Plan
 	results := load.Results(outcome.Samples)
 	repeated, denied := load.Overruns(outcome.Samples, plan.Kinds, outcome.Records)
-	median, tail := load.Latencies(outcome.Samples, load.Span{To: plan.Length()})
+	median, tail := load.Latencies(outcome.Samples, load.Span{From: plan.SpanOf(Steady).From, To: plan.Length()})
 	return Summary{
 		Goodput:      kindSummaries(outcome),
 		Refusals:     refusalSummaries(outcome.Samples),
--- /dev/null
+++ b/magnolia-load/internal/measure/all.go
@@ -0,0 +1,8 @@
+package measure
+
+// all lists the measurements in the order of the issues.
+var all = []Measurement{
+	{Name: "added-time", About: addedAbout, Run: runAdded},
+	{Name: "overload", About: overloadAbout, Run: runOverload},
+	{Name: "recovery", About: recoveryAbout, Run: runRecovery},
+}
--- /dev/null
+++ b/magnolia-load/internal/measure/page.go
@@ -0,0 +1,58 @@
+package measure
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+const (
+	fileMode   = 0o644
+	folderMode = 0o755
+)
+
+// Write keeps the report's page and files in a folder.
+func (r *Report) Write(folder string) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return oops.Wrapf(err, "the folder of the measurements cannot be made")
+	}
+	files := map[string][]byte{r.Name + ".md": r.page()}
+	for name, content := range r.Files {
+		files[name] = content
+	}
+	for name, content := range files {
+		if err := os.WriteFile(filepath.Join(folder, name), content, fileMode); err != nil {
+			return oops.Wrapf(err, "the measurement cannot be kept")
+		}
+	}
+	return nil
+}
+
+func (r *Report) page() []byte {
+	var page bytes.Buffer
+	fmt.Fprintf(&page, "# %s\n\n%s\n\n", r.Name, r.About)
+	fmt.Fprintf(&page, "Command: `script/measure %s --seed %d --runs %d --write`\n\n", r.Name, r.Seed, r.Runs)
+	fmt.Fprintf(&page, "Seeds %d to %d, one for each run; the naive version gets the same load and seed. ", r.Seed, r.Seed+uint64(r.Runs)-1)
+	fmt.Fprintf(&page, "All runs took %s.\n\n", r.Took.Round(time.Second))
+	page.WriteString("| figure | unit | target | median | lowest | highest | naive median | naive lowest | naive highest |\n")
+	page.WriteString("|---|---|---|---|---|---|---|---|---|\n")
+	for _, series := range r.Figures {
+		fmt.Fprintf(&page, "| %s | %s | %s | %s | %s |\n", series.Name, series.Unit, series.Target, cells(series.Values), cells(series.Naive))
+	}
+	for name := range r.Files {
+		fmt.Fprintf(&page, "\n![%s](%s)\n", name, name)
+	}
+	return page.Bytes()
+}
+
+func cells(values []float64) string {
+	if len(values) == 0 {
+		return "- | - | -"
+	}
+	lowest, highest := Spread(values)
+	return fmt.Sprintf("%s | %s | %s", number(Median(values)), number(lowest), number(highest))
+}
--- a/magnolia-load/internal/target/target.go
+++ b/magnolia-load/internal/target/target.go
@@ -227,6 +227,9 @@
 
 // sleep waits and tells whether the context still holds.
 func sleep(ctx context.Context, length time.Duration) bool {
+	if length <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
