--- a/internal/core/choice/link.go
+++ b/internal/core/choice/link.go
@@ -35,6 +35,15 @@
 	othersAt  time.Time
 }
 
+// SetCapacity sets what one link carries and which share of it sparing calls
+// may fill.
+func (l *Links) SetCapacity(capacity Rate, share float64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.Capacity = capacity
+	l.SparingShare = share
+}
+
 // Count adds the bytes of one call to the link to a region.
 func (l *Links) Count(now time.Time, region request.RegionName, bytes int64) {
 	if l == nil || bytes <= 0 {
@@ -65,11 +74,14 @@
 
 // Full says whether the link has no room left for sparing calls.
 func (l *Links) Full(now time.Time, region request.RegionName) bool {
-	if l == nil || l.Capacity <= 0 {
+	if l == nil {
 		return false
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.Capacity <= 0 {
+		return false
+	}
 	link := l.link(region)
 	used := link.current(now, l.window()) + link.others
 	return float64(used) > float64(l.Capacity)*l.SparingShare
--- a/internal/node/active.go
+++ b/internal/node/active.go
@@ -19,6 +19,12 @@
 	Half request.Importance
 }
 
+// Unconfigured is what is in force before the first version came.
+func Unconfigured() *Active {
+	document := &configuration.Document{}
+	return &Active{Document: document, Matcher: configuration.Compile(document)}
+}
+
 // NewActive compiles a checked configuration.
 func NewActive(version configuration.Version, text []byte) (*Active, error) {
 	document, err := configuration.Parse(text)
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -29,5 +29,9 @@
 		http.Error(writer, "draining", http.StatusServiceUnavailable)
 		return
 	}
+	if no.Configuration.Current().Version == 0 {
+		http.Error(writer, "no configuration yet", http.StatusServiceUnavailable)
+		return
+	}
 	_, _ = writer.Write([]byte("ready\n"))
 }
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -55,6 +55,9 @@
 // prepare matches a call to its kind and ties it to its root request.
 func (no *Node) prepare(incoming *http.Request, from origin, now time.Time) (*outgoing, *web.Refusal) {
 	current := no.Configuration.Current()
+	if current.Version == 0 {
+		return nil, web.NewRefusal(request.NotReady, "")
+	}
 	service := serviceOf(incoming)
 	if !current.Matcher.HasService(service) {
 		return nil, web.NewRefusal(request.UnknownService, "service "+string(service)+" is not in the configuration")
--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -32,6 +32,7 @@
 	Quarantined       Code = 2009
 	CallerLeft        Code = 2010
 	TooManyDuplicates Code = 2011
+	NotReady          Code = 2012
 
 	NoTarget          Code = 3001
 	TargetUnreachable Code = 3002
@@ -87,6 +88,8 @@
 	{CallerLeft, "caller-left", 499, NotRun, false, false, 0, "the caller went away before the call was handed to a target"},
 	{TooManyDuplicates, "too-many-duplicates", http.StatusTooManyRequests, NotRun, false, true, time.Second, "the same request is already in flight too often"},
 
+	{NotReady, "not-ready", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the node has just started and has no configuration yet"},
+
 	{NoTarget, "no-target", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "no target of the service is known in reach"},
 	{TargetUnreachable, "target-unreachable", http.StatusBadGateway, NotRun, true, true, time.Second, "the chosen target could not be reached"},
 	{TargetDied, "target-died", http.StatusBadGateway, Unknown, false, true, time.Second, "the target went away while it worked on the call"},
--- /dev/null
+++ b/magnoliad/internal/command/root/root.go
@@ -0,0 +1,33 @@
+// Package root is the command line of magnoliad.
+//
+// # Usage
+//
+//	os.Exit(int(root.Main(ctx, factory.New(), os.Args[1:])))
+package root
+
+import (
+	"context"
+
+	"github.com/magnoliawall/magnoliawall/internal/program"
+	"github.com/magnoliawall/magnoliawall/magnoliad/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnoliad/internal/command/run"
+	"github.com/magnoliawall/magnoliawall/magnoliad/internal/command/settings"
+)
+
+// commands is the grammar of the command line.
+type commands struct {
+	Run           run.Options      `cmd:"" help:"Run the node of this host."`
+	CheckSettings settings.Options `cmd:"" help:"Check a settings file and name every fault."`
+}
+
+// Main runs the command that the arguments name.
+func Main(ctx context.Context, tools *factory.Factory, arguments []string) program.ExitCode {
+	line := &commands{Run: *run.New(), CheckSettings: *settings.New()}
+	magnoliad := program.Program{
+		Name:        "magnoliad",
+		Description: "The node of magnoliawall on one target host.",
+		Streams:     tools.Streams,
+		Bindings:    []any{tools},
+	}
+	return magnoliad.Main(ctx, line, arguments)
+}
--- /dev/null
+++ b/magnoliad/internal/command/run/run.go
@@ -0,0 +1,45 @@
+// Package run is the command `magnoliad run`.
+//
+// # Usage
+//
+//	command := run.New()
+//	command.Settings = "/etc/magnoliad/node.jsonc"
+//	err := command.Run(ctx, tools)
+package run
+
+import (
+	"context"
+
+	"github.com/magnoliawall/magnoliawall/internal/host"
+	"github.com/magnoliawall/magnoliawall/magnoliad/internal/command/factory"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	Settings string `arg:"" help:"Settings file of this process, JSON with comments."`
+}
+
+// New gives the command.
+func New() *Options {
+	return &Options{}
+}
+
+// Help tells of the command at length.
+func (op *Options) Help() string {
+	return `Runs the node of this host, and the replica that its settings name, until
+SIGTERM or SIGINT. Then it tells its peers that its target leaves, takes no new
+work, finishes every request in flight, uploads included, and exits 0.
+
+Examples:
+  magnoliad run /etc/magnoliad/node.jsonc`
+}
+
+// Run runs the command.
+func (op *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	loaded, err := tools.Settings(op.Settings)
+	if err != nil {
+		return err
+	}
+	process := &host.Host{Settings: loaded, Logger: tools.Logger(loaded.LogLevel)}
+	return process.Run(ctx)
+}
--- /dev/null
+++ b/magnoliad/internal/command/settings/settings.go
@@ -0,0 +1,68 @@
+// Package settings is the command `magnoliad check-settings`.
+//
+// # Usage
+//
+//	command := settings.New()
+//	command.Settings = "node.jsonc"
+//	err := command.Run(tools)
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/program"
+	"github.com/magnoliawall/magnoliawall/magnoliad/internal/command/factory"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	Settings string `arg:"" help:"Settings file of a process, JSON with comments."`
+}
+
+// New gives the command.
+func New() *Options {
+	return &Options{}
+}
+
+// Help tells of the command at length.
+func (op *Options) Help() string {
+	return `Reads a settings file as "magnoliad run" would, without starting anything, and
+names every fault with its line and field. Where the file names an initial
+configuration, that is checked as well.
+
+Examples:
+  magnoliad check-settings /etc/magnoliad/node.jsonc`
+}
+
+// Run runs the command.
+func (op *Options) Run(tools *factory.Factory) error {
+	loaded, err := tools.Settings(op.Settings)
+	if err != nil {
+		return err
+	}
+	if err := checkInitial(loaded.Replica.InitialConfiguration); err != nil {
+		return program.WithCode(program.ExitUsage, err)
+	}
+	tools.Streams.Printf("%s: no faults\n", op.Settings)
+	return nil
+}
+
+func checkInitial(path string) error {
+	if path == "" {
+		return nil
+	}
+	text, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("the initial configuration %s does not exist", path)
+	}
+	if err != nil {
+		return err
+	}
+	if _, err := configuration.Parse(text); err != nil {
+		return fmt.Errorf("initial configuration %s:\n%w", path, err)
+	}
+	return nil
+}
--- a/magnoliad/main.go
+++ b/magnoliad/main.go
@@ -1,4 +1,19 @@
-// Command magnoliad is a part of magnoliawall.
+// Command magnoliad is the node of magnoliawall on one target host.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/magnoliawall/magnoliawall/magnoliad/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/magnoliad/internal/command/root"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := root.Main(ctx, factory.New(), os.Args[1:])
+	stop()
+	os.Exit(int(code))
+}
