--- a/internal/adapter/control/client.go
+++ b/internal/adapter/control/client.go
@@ -25,7 +25,7 @@
 type Client struct {
 	Transport *peer.Transport
 	// Replicas lists where replicas listen, nearest first.
-	Replicas []peer.Address
+	Replicas *peer.Directory
 	// AttemptTimeout bounds the wait for one replica while others are left;
 	// zero means half a second.
 	AttemptTimeout time.Duration
@@ -45,7 +45,7 @@
 			return answer.GetResult(), nil
 		}
 		doubt = doubt || mayBeRecorded(answer, err)
-		if !pause(ctx, round, len(client.Replicas)) {
+		if !pause(ctx, round, len(client.Replicas.List())) {
 			return nil, failure(doubt)
 		}
 	}
@@ -64,7 +64,7 @@
 		if err == nil {
 			last = answer
 		}
-		if pause(ctx, round, len(client.Replicas)) {
+		if pause(ctx, round, len(client.Replicas.List())) {
 			continue
 		}
 		if last != nil {
@@ -108,16 +108,17 @@
 
 // ask sends one request to one replica.
 func (client *Client) ask(ctx context.Context, round int, message *controlpb.Request) (*controlpb.Answer, error) {
-	if len(client.Replicas) == 0 {
+	replicas := client.Replicas.List()
+	if len(replicas) == 0 {
 		return nil, &peer.NotSentError{Reason: errors.New("no replica is known")}
 	}
-	index := (int(client.preferred.Load()) + round) % len(client.Replicas)
-	if len(client.Replicas) > 1 {
+	index := (int(client.preferred.Load()) + round) % len(replicas)
+	if len(replicas) > 1 {
 		bounded, cancel := context.WithTimeout(ctx, client.attemptTimeout())
 		defer cancel()
 		ctx = bounded
 	}
-	answer, err := client.exchange(ctx, client.Replicas[index], message)
+	answer, err := client.exchange(ctx, replicas[index], message)
 	if err == nil && answer.GetFailure() == controlpb.Failure_FAILURE_NONE {
 		client.preferred.Store(int64(index))
 	}
--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	"github.com/magnoliawall/magnoliawall/internal/core/membership"
@@ -37,6 +38,8 @@
 	events   Events
 	// links is nil where nothing is metered.
 	links *choice.Links
+	// replicas learns which replicas there are.
+	replicas *peer.Directory
 
 	// granted is the end of the lease by this node's clock.
 	granted  time.Time
@@ -79,6 +82,19 @@
 	return a.announce()
 }
 
+// present announces another service, number of slots or state of the target.
+func (a *agent) present(now time.Time, service request.ServiceName, slots membership.Slots, state membership.State) *pb.Request {
+	same := a.self.Service == service && a.self.Slots == slots && a.self.State == state
+	if a.self.State == membership.Draining || same {
+		return nil
+	}
+	if a.self.State != state {
+		a.coldSince = now
+	}
+	a.self.Service, a.self.Slots, a.self.State = service, slots, state
+	return a.announce()
+}
+
 // resize announces another number of slots.
 func (a *agent) resize(slots membership.Slots) *pb.Request {
 	if a.self.Slots == slots {
@@ -173,6 +189,9 @@
 	for _, flow := range decodeFlows(reply.GetOthers()) {
 		a.links.Others(now, flow.To, flow.Rate)
 	}
+	if places := decodePlaces(reply.GetReplicas()); len(places) > 0 && a.replicas != nil {
+		a.replicas.Learn(places)
+	}
 	resync := a.updates(now, reply.GetUpdates())
 	if reply.GetLease() != nil {
 		resync = a.lease(now, decodeLease(reply.GetLease()), answer) || resync
--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -17,7 +17,7 @@
 //	client := &registry.Client{
 //		Self:     announcement,
 //		Services: services,
-//		Replicas: []peer.Address{"127.0.0.1:7001"},
+//		Replicas: peer.At("127.0.0.1:7001"),
 //		Open:     registry.OpenPeer(transport),
 //		Follower: &spread.Follower{Patch: configuration.Patch},
 //		Events:   registry.Events{Targets: chooser.Update},
@@ -30,6 +30,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -55,8 +56,8 @@
 	Self membership.Announcement
 	// Services are those whose targets the node wants to know.
 	Services []request.ServiceName
-	// Replicas are the addresses of all replicas, nearest first.
-	Replicas []peer.Address
+	// Replicas lists all replicas, nearest first. It learns of new ones.
+	Replicas *peer.Directory
 	Open     Open
 	Follower *spread.Follower
 	Events   Events
@@ -79,7 +80,7 @@
 // line is the client's stream to a replica.
 type line struct {
 	writer    *writer
-	index     int
+	address   peer.Address
 	next      int
 	opening   bool
 	connectAt time.Time
@@ -99,7 +100,7 @@
 	if client.HomeInterval == 0 {
 		client.HomeInterval = DefaultHomeInterval
 	}
-	client.agent = agent{self: client.Self, view: &membership.View{Services: client.Services}, follower: client.Follower, events: client.Events, links: client.Links}
+	client.agent = agent{self: client.Self, replicas: client.Replicas, view: &membership.View{Services: client.Services}, follower: client.Follower, events: client.Events, links: client.Links}
 	client.connect(ctx, client.Clock())
 	err := client.loop.run(ctx, client.Clock, ticks, func(now time.Time) { client.tick(ctx, now) })
 	if client.line.writer != nil {
@@ -121,6 +122,13 @@
 	return client.loop.do(ctx, func(time.Time) { client.send(client.agent.resize(slots)) })
 }
 
+// Present announces what the local target is now: its service, its slots and
+// its state. A node that leaves says nothing else any more.
+func (client *Client) Present(ctx context.Context, service request.ServiceName, slots membership.Slots, state membership.State) error {
+	client.loop.prepare()
+	return client.loop.do(ctx, func(now time.Time) { client.send(client.agent.present(now, service, slots, state)) })
+}
+
 // Watch replaces the services whose targets the node wants to know.
 func (client *Client) Watch(ctx context.Context, services []request.ServiceName) error {
 	client.loop.prepare()
@@ -163,7 +171,7 @@
 		client.log("registry: the replica is silent, trying the next one")
 		client.moveOn()
 	}
-	if client.agent.outdated(now) && len(client.Replicas) > 1 {
+	if client.agent.outdated(now) && len(client.Replicas.List()) > 1 {
 		client.log("registry: the replica is behind a version in force elsewhere, trying the next one")
 		client.moveOn()
 	}
@@ -174,40 +182,41 @@
 func (client *Client) moveOn() {
 	client.line.writer.finish()
 	client.detach()
-	client.line.next = client.line.index + 1
+	client.line.next = slices.Index(client.Replicas.List(), client.line.address) + 1
 }
 
 // connect opens a stream when there is none, or to the nearest replica when the
 // present one is another.
 func (client *Client) connect(ctx context.Context, now time.Time) {
-	if client.line.opening || len(client.Replicas) == 0 {
+	replicas := client.Replicas.List()
+	if client.line.opening || len(replicas) == 0 {
 		return
 	}
 	if client.line.writer != nil {
-		if client.line.index == 0 || now.Before(client.line.homeAt) {
+		if client.line.address == replicas[0] || now.Before(client.line.homeAt) {
 			return
 		}
 		client.line.homeAt = client.nextHome(now)
-		client.open(ctx, 0)
+		client.open(ctx, replicas[0])
 		return
 	}
 	if now.Before(client.line.connectAt) {
 		return
 	}
-	client.open(ctx, client.line.next%len(client.Replicas))
+	client.open(ctx, replicas[client.line.next%len(replicas)])
 }
 
-func (client *Client) open(ctx context.Context, index int) {
+func (client *Client) open(ctx context.Context, address peer.Address) {
 	client.line.opening = true
 	go func() {
-		link, err := client.Open(ctx, client.Replicas[index])
+		link, err := client.Open(ctx, address)
 		lost := client.loop.do(ctx, func(now time.Time) {
 			client.line.opening = false
 			if err != nil {
 				client.failed(now, err)
 				return
 			}
-			client.attach(ctx, now, link, index)
+			client.attach(ctx, now, link, address)
 		})
 		if lost != nil && err == nil {
 			_ = link.Close()
@@ -221,7 +230,7 @@
 		return
 	}
 	client.line.next++
-	if client.line.next%len(client.Replicas) == 0 {
+	if client.line.next%max(len(client.Replicas.List()), 1) == 0 {
 		if client.Logger != nil {
 			client.Logger.Warn().Err(err).Msg("registry: no replica is in reach, the last lists stay in force; the error is of the last one tried")
 		}
@@ -229,13 +238,14 @@
 	}
 }
 
-func (client *Client) attach(ctx context.Context, now time.Time, link Link, index int) {
+func (client *Client) attach(ctx context.Context, now time.Time, link Link, address peer.Address) {
 	if client.line.writer != nil {
 		client.line.writer.finish()
 	}
 	output := newWriter(link)
 	client.line.writer = output
-	client.line.index, client.line.next = index, index
+	client.line.address = address
+	client.line.next = max(slices.Index(client.Replicas.List(), address), 0)
 	client.line.homeAt = client.nextHome(now)
 	client.line.pause.reset()
 	client.send(client.agent.connected(now))
--- a/internal/adapter/registry/client_test.go
+++ b/internal/adapter/registry/client_test.go
@@ -160,7 +160,7 @@
 	stub.Client = &Client{
 		Self:         membership.Announcement{Node: node, Incarnation: 1, Address: "127.0.0.1:1", Place: domain(0), Service: service, Slots: 5},
 		Services:     []request.ServiceName{service},
-		Replicas:     replicas,
+		Replicas:     &peer.Directory{Seeds: replicas},
 		Open:         s.open(node),
 		Follower:     &spread.Follower{Patch: configuration.Patch},
 		HomeInterval: s.home,
--- a/internal/adapter/registry/desk.go
+++ b/internal/adapter/registry/desk.go
@@ -60,6 +60,9 @@
 	// members are the other replicas.
 	members map[request.NodeID]bool
 
+	// places are where all replicas listen, as nodes are told.
+	places []*pb.ReplicaPlace
+
 	sessions map[*session]bool
 	reports  []keptReport
 }
@@ -129,7 +132,7 @@
 func (d *desk) announce(now time.Time, from *session, announcement membership.Announcement) {
 	announcement.Node = from.node
 	if from.lease == 0 {
-		from.send(&pb.Reply{Reports: d.recent(now)})
+		from.send(&pb.Reply{Reports: d.recent(now), Replicas: d.places})
 	}
 	from.lease = announcement.Incarnation
 	from.send(&pb.Reply{Lease: encodeLease(d.registry.Register(now, announcement))})
@@ -223,6 +226,16 @@
 	return again
 }
 
+// relocate tells all nodes where the replicas listen.
+func (d *desk) relocate(places []*pb.ReplicaPlace) {
+	d.places = places
+	for to := range d.sessions {
+		if !to.replica && to.lease != 0 {
+			to.send(&pb.Reply{Replicas: places})
+		}
+	}
+}
+
 // tick ends leases and sends what has changed since the last tick.
 func (d *desk) tick(now time.Time) {
 	d.registry.Tick(now)
--- a/internal/adapter/registry/records.go
+++ b/internal/adapter/registry/records.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/core/membership"
 	pb "github.com/magnoliawall/magnoliawall/internal/core/membership/membershippb"
 	"github.com/magnoliawall/magnoliawall/internal/request"
@@ -151,3 +152,19 @@
 func milliseconds(count uint64) time.Duration {
 	return time.Duration(min(count, uint64(time.Hour/time.Millisecond))) * time.Millisecond
 }
+
+func encodePlaces(replicas []Replica) []*pb.ReplicaPlace {
+	encoded := make([]*pb.ReplicaPlace, 0, len(replicas))
+	for _, replica := range replicas {
+		encoded = append(encoded, &pb.ReplicaPlace{Address: string(replica.Address), Domain: string(replica.Domain)})
+	}
+	return encoded
+}
+
+func decodePlaces(messages []*pb.ReplicaPlace) []peer.ReplicaPlace {
+	places := make([]peer.ReplicaPlace, 0, len(messages))
+	for _, message := range messages {
+		places = append(places, peer.ReplicaPlace{Address: peer.Address(message.GetAddress()), Domain: request.DomainName(message.GetDomain())})
+	}
+	return places
+}
--- a/internal/adapter/registry/server.go
+++ b/internal/adapter/registry/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -22,10 +23,11 @@
 // ErrStopped tells that the server or client does not run.
 var ErrStopped = errors.New("the registry does not run")
 
-// Replica is another replica that this one joins.
+// Replica is a replica that the others join.
 type Replica struct {
 	ID      request.NodeID
 	Address peer.Address
+	Domain  request.DomainName
 }
 
 // Server is the registry of one replica. The exported fields are set before
@@ -54,6 +56,7 @@
 // join is this replica's stream to another one.
 type join struct {
 	replica   Replica
+	gone      bool
 	writer    *writer
 	opening   bool
 	connectAt time.Time
@@ -127,6 +130,38 @@
 	return errors.Join(lost, err)
 }
 
+// Follow replaces the other replicas by those of a new membership of the log,
+// and tells the nodes of it.
+func (server *Server) Follow(ctx context.Context, members []Replica) error {
+	server.Prepare()
+	return server.loop.do(ctx, func(time.Time) { server.follow(members) })
+}
+
+func (server *Server) follow(members []Replica) {
+	var others []Replica
+	for _, member := range members {
+		if member.ID != server.Registry.Self {
+			others = append(others, member)
+		}
+	}
+	server.joins = slices.DeleteFunc(server.joins, func(joined *join) bool {
+		joined.gone = !slices.Contains(others, joined.replica)
+		if joined.gone && joined.writer != nil {
+			joined.writer.finish()
+		}
+		return joined.gone
+	})
+	server.Others = others
+	server.desk.members = map[request.NodeID]bool{}
+	for _, other := range others {
+		server.desk.members[other.ID] = true
+		if !slices.ContainsFunc(server.joins, func(joined *join) bool { return joined.replica == other }) {
+			server.joins = append(server.joins, &join{replica: other})
+		}
+	}
+	server.desk.relocate(encodePlaces(members))
+}
+
 // Status tells which versions are in force in each failure domain.
 func (server *Server) Status(ctx context.Context) ([]spread.DomainStatus, error) {
 	server.Prepare()
@@ -183,6 +218,10 @@
 				joined.connectAt = now.Add(joined.pause.next(server.Random))
 				return
 			}
+			if joined.gone {
+				_ = link.Close()
+				return
+			}
 			server.joined(ctx, joined, link)
 		})
 		if lost != nil && err == nil {
--- a/internal/adapter/web/problem.go
+++ b/internal/adapter/web/problem.go
@@ -21,6 +21,8 @@
 	// Claimed says that Outcome holds for the action under its idempotency key,
 	// and not only for one attempt at it.
 	Claimed bool
+	// Handed says that the call was handed to the target before it was refused.
+	Handed bool
 }
 
 // NewRefusal gives the refusal that the table of result codes has for a code.
--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -1,38 +1,59 @@
 package web
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"sync"
 	"time"
 )
 
 const (
 	targetDialTimeout = time.Second
-	targetIdleTimeout = 5 * time.Minute
-	targetHeaderLimit = 64 << 10
+	// heldRequest is the largest body that is written together with its header
+	// before the answer is read.
+	heldRequest = 16 << 10
+	// maxForeign bounds the answers to other calls that are read past.
+	maxForeign = 3
 )
 
-// TargetClient sends calls to the local target. The exported fields are set
-// before the first use.
+var errForeignAnswer = errors.New("the target answered another call")
+
+// TargetClient sends calls to the local target, one at a time on a connection.
+// It reads and writes HTTP by net/http, and keeps connections itself: the
+// client of net/http sends a call again by itself when a kept connection proves
+// dead, and does not tell whether any byte of a call went out. The exported
+// fields are set before the first use.
 type TargetClient struct {
 	// Address is the target's host:port.
 	Address string
 	// Connections is the most connections that the target takes until
 	// SetConnections says otherwise.
 	Connections int
-
-	lock        sync.Mutex
-	connections int
-	transport   *http.Transport
+	// Dialect tells which answer belongs to which call; nil is [Native].
+	Dialect Dialect
+	// OnDial is told of each new connection; it may be nil.
+	OnDial func()
+
+	lock  sync.Mutex
+	limit int
+	open  int
+	idle  []*targetConn
+	// changed is closed when a call that waits for a connection may get one.
+	changed chan struct{}
 }
 
 // Start prepares the client.
 func (targetClient *TargetClient) Start() {
+	if targetClient.Dialect == nil {
+		targetClient.Dialect = Native{}
+	}
 	targetClient.SetConnections(targetClient.Connections)
 }
 
@@ -41,38 +62,23 @@
 func (targetClient *TargetClient) SetConnections(connections int) {
 	targetClient.lock.Lock()
 	defer targetClient.lock.Unlock()
-	if connections <= 0 || connections == targetClient.connections {
-		return
-	}
-	targetClient.connections = connections
-	if targetClient.transport != nil {
-		targetClient.transport.CloseIdleConnections()
-	}
-	targetClient.transport = newTargetTransport(connections)
-}
-
-func newTargetTransport(connections int) *http.Transport {
-	dialer := &net.Dialer{Timeout: targetDialTimeout}
-	return &http.Transport{
-		DialContext:            dialer.DialContext,
-		MaxConnsPerHost:        connections,
-		MaxIdleConns:           connections,
-		MaxIdleConnsPerHost:    connections,
-		IdleConnTimeout:        targetIdleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: targetHeaderLimit,
+	if connections > 0 {
+		targetClient.limit = connections
+		targetClient.wake()
 	}
 }
 
-func (targetClient *TargetClient) current() *http.Transport {
-	targetClient.lock.Lock()
-	defer targetClient.lock.Unlock()
-	return targetClient.transport
-}
-
 // Close ends idle connections.
 func (targetClient *TargetClient) Close() {
-	targetClient.current().CloseIdleConnections()
+	targetClient.lock.Lock()
+	idle := targetClient.idle
+	targetClient.idle = nil
+	targetClient.open -= len(idle)
+	targetClient.wake()
+	targetClient.lock.Unlock()
+	for _, conn := range idle {
+		_ = conn.Close()
+	}
 }
 
 // TargetCall is one call to the local target.
@@ -99,40 +105,130 @@
 // Send hands the call to the target once and gives its answer. A [*SentError]
 // tells that the target may have run it; any other error, that it did not.
 func (targetClient *TargetClient) Send(ctx context.Context, call TargetCall) (*http.Response, error) {
-	sent := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }}
-	outgoing, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, "http://"+targetClient.Address+call.Path, nil)
+	for {
+		conn, kept, err := targetClient.take(ctx)
+		if err != nil {
+			return nil, err
+		}
+		response, err := conn.exchange(ctx, call)
+		if err == nil {
+			return response, nil
+		}
+		conn.discard()
+		if conn.wrote {
+			return nil, &SentError{Reason: err}
+		}
+		if !kept || ctx.Err() != nil {
+			return nil, err
+		}
+		// No byte left on a kept connection, so another one may be tried.
+	}
+}
+
+// take gives a kept connection, or a new one.
+func (targetClient *TargetClient) take(ctx context.Context) (conn *targetConn, kept bool, err error) {
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GetConn != nil {
+		trace.GetConn(targetClient.Address)
+	}
+	for {
+		conn, full := targetClient.reserve()
+		if full != nil {
+			select {
+			case <-full:
+				continue
+			case <-ctx.Done():
+				return nil, false, ctx.Err()
+			}
+		}
+		if conn == nil {
+			conn, err = targetClient.dial(ctx)
+			return conn, false, err
+		}
+		if conn.usable(time.Now()) {
+			conn.wrote = false
+			return conn, true, nil
+		}
+		conn.discard()
+	}
+}
+
+// reserve takes the connection that was used last, or a place for a new one, or
+// gives a channel that is closed when there may be one.
+func (targetClient *TargetClient) reserve() (*targetConn, <-chan struct{}) {
+	targetClient.lock.Lock()
+	defer targetClient.lock.Unlock()
+	if last := len(targetClient.idle) - 1; last >= 0 {
+		conn := targetClient.idle[last]
+		targetClient.idle = targetClient.idle[:last]
+		return conn, nil
+	}
+	if targetClient.open >= targetClient.limit {
+		if targetClient.changed == nil {
+			targetClient.changed = make(chan struct{})
+		}
+		return nil, targetClient.changed
+	}
+	targetClient.open++
+	return nil, nil
+}
+
+func (targetClient *TargetClient) dial(ctx context.Context) (*targetConn, error) {
+	dialer := &net.Dialer{Timeout: targetDialTimeout}
+	opened, err := dialer.DialContext(ctx, "tcp", targetClient.Address)
 	if err != nil {
-		return nil, err
+		targetClient.forget()
+		return nil, fmt.Errorf("connect to the target: %w", err)
 	}
-	outgoing.Host = call.Host
-	outgoing.Header = call.Headers
-	outgoing.Body = onceBody{call.Body}
-	outgoing.ContentLength = call.BodyLength
-	response, err := targetClient.current().RoundTrip(outgoing)
-	if err == nil {
-		return response, nil
+	if targetClient.OnDial != nil {
+		targetClient.OnDial()
 	}
-	if sent {
-		return nil, &SentError{Reason: err}
+	return newTargetConn(targetClient, opened), nil
+}
+
+func (targetClient *TargetClient) forget() {
+	targetClient.lock.Lock()
+	defer targetClient.lock.Unlock()
+	targetClient.open--
+	targetClient.wake()
+}
+
+// wake lets waiting calls look again. The lock is held.
+func (targetClient *TargetClient) wake() {
+	if targetClient.changed != nil {
+		close(targetClient.changed)
+		targetClient.changed = nil
 	}
-	return nil, err
 }
 
-// onceBody keeps net/http from sending a call again by itself: a request whose
-// body it cannot rewind is never replayed, whatever its method or headers.
-type onceBody struct{ source io.Reader }
+func (targetClient *TargetClient) keep(conn *targetConn) {
+	targetClient.lock.Lock()
+	defer targetClient.lock.Unlock()
+	targetClient.idle = append(targetClient.idle, conn)
+	targetClient.wake()
+}
 
-// Read reads the body.
-func (body onceBody) Read(data []byte) (int, error) {
-	if body.source == nil {
-		return 0, io.EOF
+// outgoing builds the request with the path exactly as the caller sent it.
+func (call TargetCall) outgoing(address string) *http.Request {
+	request := &http.Request{
+		Method:        call.Method,
+		URL:           &url.URL{Scheme: "http", Host: address, Opaque: call.Path},
+		Host:          call.Host,
+		Header:        call.Headers,
+		ContentLength: call.BodyLength,
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}
+	if _, named := call.Headers["User-Agent"]; !named {
+		// Keeps net/http from naming itself as the caller.
+		call.Headers["User-Agent"] = []string{""}
+	}
+	if call.Body != nil && call.BodyLength != 0 {
+		request.Body = io.NopCloser(call.Body)
 	}
-	return body.source.Read(data)
+	return request
 }
 
-// Close does nothing: the body belongs to the call.
-func (onceBody) Close() error { return nil }
+var headPool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // IsReset tells whether an error says that the target's process went away
 // while it worked, rather than that the call was cancelled.
--- a/internal/configuration/change.go
+++ b/internal/configuration/change.go
@@ -11,6 +11,13 @@
 // resend of an action that ran would run again.
 func CheckChange(before, after *Document) error {
 	var faults Faults
+	if after.Label != 0 && after.Label <= before.Label {
+		faults = append(faults, Fault{
+			Field:   "label",
+			Problem: fmt.Sprintf("%d is not above %d, the label of the version before", after.Label, before.Label),
+			Advice:  "give a higher one",
+		})
+	}
 	for _, service := range sortedNames(before.Services) {
 		for _, name := range sortedNames(before.Services[service].Kinds) {
 			kind := before.Services[service].Kinds[name]
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -58,6 +58,7 @@
 	for _, name := range sortedNames(c.document.Services) {
 		c.service(name, c.document.Services[name])
 	}
+	c.routes()
 	c.cycles()
 	c.unusedImportances()
 }
@@ -84,6 +85,9 @@
 			used[kind.Importance] = true
 		}
 	}
+	for _, route := range c.document.Routes {
+		used[route.Importance] = true
+	}
 	for i, name := range c.document.Importances {
 		if !used[name] {
 			c.fault(fmt.Sprintf("importances[%d]", i), "give it to a kind or take it off the list", "no kind has the importance %q", name)
@@ -105,6 +109,12 @@
 
 func (c *checker) service(name request.ServiceName, service Service) {
 	field := "services." + string(name)
+	c.protocol(field, service)
+	if len(service.Kinds) == 0 && len(c.document.Routes) > 0 {
+		between(c, field+".slots", service.Slots, 0, maxSlots)
+		between(c, field+".connections", service.Connections, 1, maxConnections)
+		return
+	}
 	c.name(field, string(name))
 	between(c, field+".slots", service.Slots, 1, maxSlots)
 	between(c, field+".connections", service.Connections, max(1, service.Slots), maxConnections)
@@ -120,6 +130,16 @@
 	c.overlaps(field, service.Kinds)
 }
 
+// protocol refuses what no node can speak to a target.
+func (c *checker) protocol(field string, service Service) {
+	if service.Protocol != "" && service.Protocol != "h1" {
+		c.fault(field+".protocol", `use "h1"`, "the protocol %q is not supported", service.Protocol)
+	}
+	if service.TLS {
+		c.fault(field+".tls", "let the targets listen in plaintext on their own host", "is not supported between a node and its target")
+	}
+}
+
 func (c *checker) call(field string, before []request.ServiceName, callee request.ServiceName) {
 	if _, known := c.document.Services[callee]; !known {
 		c.fault(field, "describe it under services or take it off the list", "the service %q is unknown", callee)
--- a/internal/configuration/defaults.go
+++ b/internal/configuration/defaults.go
@@ -11,6 +11,7 @@
 		KeptAnswer:      16 * KiB,
 	}
 	document.Quarantine = Quarantine{Hold: Duration(time.Minute)}
+	document.Limits.SetDefaults()
 	document.Links = Links{BytesPerSecond: 500 * MiB, ShareForUnimportant: 0.6}
 }
 
--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -24,6 +24,10 @@
 // Version numbers the accepted configurations, from one.
 type Version uint64
 
+// Label is the operators' own number of a version, which grows with each one.
+// Zero is none.
+type Label uint64
+
 // Bytes is a size in bytes.
 type Bytes int64
 
@@ -32,6 +36,10 @@
 
 // Document is the whole configuration of one user.
 type Document struct {
+	// Label is the operators' own number of this version.
+	Label Label `json:"label"`
+	// BaseLabel is the label of the version that this one was made from.
+	BaseLabel Label `json:"base-label"`
 	// Importances lists the names of the importances, least important first.
 	Importances []string                        `json:"importances"`
 	Retry       Retry                           `json:"retry"`
@@ -39,6 +47,10 @@
 	Quarantine  Quarantine                      `json:"quarantine"`
 	Links       Links                           `json:"links"`
 	Services    map[request.ServiceName]Service `json:"services"`
+	// Routes match calls by host and path prefix; calls for other hosts are
+	// matched by the kinds of the services.
+	Routes map[string]Route `json:"routes"`
+	Limits Limits           `json:"limits"`
 }
 
 // Retry bounds the retries behind one root request.
@@ -79,14 +91,21 @@
 
 // Service is one service of the call graph.
 type Service struct {
-	// Slots is how many requests one instance works on at a time.
+	// Slots is how many requests one instance works on at a time. Zero leaves
+	// that to what its targets announce.
 	Slots int `json:"slots"`
 	// Connections is how many connections one instance takes.
 	Connections int `json:"connections"`
 	// Calls lists the services that this one calls.
-	Calls []request.ServiceName `json:"calls"`
-	// Kinds lists the kinds of request by their short name.
-	Kinds map[string]Kind `json:"kinds"`
+	Calls []request.ServiceName `json:"calls,omitempty"`
+	// Kinds lists the kinds of request by their short name. A service that
+	// only routes lead to has none.
+	Kinds map[string]Kind `json:"kinds,omitempty"`
+	// HealthPath answers health checks at each target.
+	HealthPath string `json:"health-path"`
+	// Protocol is what the targets speak; empty and "h1" are HTTP/1.1.
+	Protocol string `json:"protocol"`
+	TLS      bool   `json:"tls"`
 }
 
 // Kind is one kind of request of a service.
--- a/internal/configuration/match.go
+++ b/internal/configuration/match.go
@@ -16,6 +16,12 @@
 	Deadline   time.Duration
 	Retries    int
 	BodyLimit  Bytes
+	// Objective is the time within which an answer is worth most, or zero.
+	Objective time.Duration
+	// Routed says that a route matched the call, and no kind of a service.
+	Routed bool
+	// Unkeyed says that calls that may not be repeated carry no key.
+	Unkeyed bool
 }
 
 // Matcher finds the kind of a request. It is read only after [Compile], and a
@@ -23,6 +29,7 @@
 type Matcher struct {
 	services map[request.ServiceName]map[shape][]matchEntry
 	kinds    map[request.KindName]*CompiledKind
+	routes   routeTable
 }
 
 // shape is what a request and the patterns that can match it have in common.
@@ -46,6 +53,7 @@
 	for i, name := range document.Importances {
 		ranks[name] = request.Importance(i)
 	}
+	matcher.routes = compileRoutes(document, ranks)
 	for serviceName, service := range document.Services {
 		entries := make(map[shape][]matchEntry)
 		for _, kindName := range sortedNames(service.Kinds) {
--- a/internal/core/choice/chooser.go
+++ b/internal/core/choice/chooser.go
@@ -58,6 +58,8 @@
 	homesPerDomain       = 2
 	spilloverConnections = 2
 	unreachableTime      = 5 * time.Second
+	// leftTime outlasts the 2 s within which the list of targets follows.
+	leftTime = 3 * time.Second
 )
 
 // Call is one outbound call that needs a target.
@@ -119,6 +121,11 @@
 	entry  *entry
 }
 
+// Picked tells whether the choice names a target.
+func (choice Choice) Picked() bool {
+	return choice.entry != nil
+}
+
 // Update replaces the targets of one service.
 func (chooser *Chooser) Update(now time.Time, view View) {
 	chooser.once.Do(chooser.prepare)
--- a/internal/core/choice/entry.go
+++ b/internal/core/choice/entry.go
@@ -27,16 +27,23 @@
 	connected   bool
 	unreachable bool
 	lostAt      time.Time
-	left        bool
-	ejected     bool
-	probing     bool
-	ejectUntil  time.Time
-	ejection    time.Duration
+	// leftUntil is how long the target's word that it leaves counts; by then the
+	// list of targets says so, or it has come back.
+	leftUntil  time.Time
+	ejected    bool
+	probing    bool
+	ejectUntil time.Time
+	ejection   time.Duration
 
 	warmFrom time.Time
 	warmTime time.Duration
 }
 
+// leaves says whether the target has lately said that it takes no new work.
+func (e *entry) leaves(now time.Time) bool {
+	return now.Before(e.leftUntil)
+}
+
 // refuses says whether the target is known to be unable to take the call.
 func (e *entry) refuses(now time.Time, priority request.Priority) bool {
 	if e.inFlight >= int(max(e.target.Slots, 1)) {
--- a/internal/core/choice/judge.go
+++ b/internal/core/choice/judge.go
@@ -36,7 +36,7 @@
 		judged.lose(now)
 		p.eject(now, judged, probed)
 	case Left:
-		judged.left = true
+		judged.leftUntil = now.Add(leftTime)
 	case Neutral:
 	}
 }
--- a/internal/core/choice/pool.go
+++ b/internal/core/choice/pool.go
@@ -124,7 +124,7 @@
 		due.ejectUntil = now.Add(due.ejection)
 		return p.choice(due), request.OK
 	}
-	distrusted := p.mostFail()
+	distrusted := p.mostFail(now)
 	code := request.NoTarget
 	for tier := range p.tiers {
 		found := p.best(now, random, call, tier, selection{distrusted: distrusted})
@@ -190,7 +190,7 @@
 	}
 	for tier := range p.tiers {
 		for _, candidate := range p.tiers[tier] {
-			if candidate.probeDue(since) && !candidate.left && !excluded(call, candidate) && p.isHome(now, call, tier, candidate) {
+			if candidate.probeDue(since) && !candidate.leaves(now) && !excluded(call, candidate) && p.isHome(now, call, tier, candidate) {
 				return candidate
 			}
 		}
@@ -200,14 +200,14 @@
 
 // mostFail says whether so many targets seem to fail that the judgement itself
 // is in doubt. Targets out of reach are a fact and don't count.
-func (p *pool) mostFail() bool {
+func (p *pool) mostFail(now time.Time) bool {
 	if p.ejected == 0 {
 		return false
 	}
 	reachable, failing := 0, 0
 	for tier := range p.tiers {
 		for _, candidate := range p.tiers[tier] {
-			if candidate.unreachable || candidate.left {
+			if candidate.unreachable || candidate.leaves(now) {
 				continue
 			}
 			reachable++
--- a/internal/core/choice/selection.go
+++ b/internal/core/choice/selection.go
@@ -78,7 +78,7 @@
 }
 
 func (s selection) allows(now time.Time, call *Call, candidate *entry) bool {
-	if candidate.left || excluded(call, candidate) {
+	if candidate.leaves(now) || excluded(call, candidate) {
 		return false
 	}
 	if !s.avoided && slices.Contains(call.AvoidNodes, candidate.target.Node) {
--- a/internal/core/ledger/prepare.go
+++ b/internal/core/ledger/prepare.go
@@ -29,8 +29,8 @@
 	Note     string
 	// Operations is an RFC 6902 patch against the base.
 	Operations []byte
-	// Text is the whole first document; only with base zero, in place of
-	// Operations.
+	// Text is the whole new document, in place of Operations; the first one is
+	// always given so.
 	Text []byte
 	// At is the time of day of the submission, for the history only.
 	At time.Time
@@ -104,8 +104,8 @@
 		return fmt.Errorf("the document has %d bytes; at most %d are allowed", len(submission.Text), maxText)
 	case submission.Base == 0 && len(submission.Text) == 0:
 		return errors.New("the base is 0, before the first version; look at the current version and base the patch on it")
-	case submission.Base > 0 && len(submission.Text) > 0:
-		return errors.New("a whole document can only be the first version; send an RFC 6902 patch")
+	case len(submission.Text) > 0 && len(submission.Operations) > 0:
+		return errors.New("a patch has either a whole document or operations; send one of them")
 	}
 	return nil
 }
@@ -156,7 +156,7 @@
 }
 
 func (submission Submission) apply(base []byte) ([]byte, error) {
-	if submission.Base == 0 {
+	if len(submission.Text) > 0 {
 		return submission.Text, nil
 	}
 	return configuration.Patch(base, submission.Operations)
--- a/internal/core/quorum/membership.go
+++ b/internal/core/quorum/membership.go
@@ -15,6 +15,8 @@
 	Learner       bool
 	Address       string
 	FailureDomain string
+	// Node names the node of the replica's host.
+	Node string
 }
 
 // Membership is the set of replicas, ordered by id. It is not changed once it
@@ -76,6 +78,21 @@
 	Move
 )
 
+// String gives the name of the change.
+func (kind ChangeKind) String() string {
+	switch kind {
+	case AddLearner:
+		return "addition"
+	case Promote:
+		return "promotion"
+	case Remove:
+		return "removal"
+	case Move:
+		return "move"
+	}
+	return "invalid change"
+}
+
 // Change is a change of one member.
 type Change struct {
 	Kind   ChangeKind
@@ -143,6 +160,7 @@
 			Learner:       member.Learner,
 			Address:       member.Address,
 			FailureDomain: member.FailureDomain,
+			Node:          member.Node,
 		})
 	}
 	for _, id := range membership.Removed {
@@ -160,6 +178,7 @@
 			Learner:       member.GetLearner(),
 			Address:       member.GetAddress(),
 			FailureDomain: member.GetFailureDomain(),
+			Node:          member.GetNode(),
 		})
 	}
 	for _, id := range encoded.GetRemoved() {
--- a/internal/core/quorum/replica.go
+++ b/internal/core/quorum/replica.go
@@ -126,6 +126,7 @@
 		Last:            replica.log.last(),
 		Snapshot:        replica.snapshot.Index,
 		Membership:      replica.membership(),
+		Committed:       replica.committedMembership(),
 		MembershipIndex: replica.history.latest().index,
 		Removed:         replica.removed || replica.committedMembership().IsRemoved(replica.ID),
 	}
--- a/internal/core/quorum/terms.go
+++ b/internal/core/quorum/terms.go
@@ -85,6 +85,8 @@
 	Last       Index
 	Snapshot   Index
 	Membership Membership
+	// Committed is the membership that is certain to stand.
+	Committed Membership
 	// MembershipIndex is the entry that brought the membership; after Commit
 	// the change is not committed yet.
 	MembershipIndex Index
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -99,7 +99,7 @@
 }
 
 func (se *seat) drainAt(ctx context.Context, address peer.Address) error {
-	client := &control.Client{Transport: se.host.transport, Replicas: []peer.Address{address}}
+	client := &control.Client{Transport: se.host.transport, Replicas: peer.At(address)}
 	status, answer, err := client.Operate(ctx, drainHere, nil)
 	if err != nil {
 		return err
@@ -206,7 +206,7 @@
 	if err != nil {
 		return answer, err
 	}
-	client := &control.Client{Transport: se.host.transport, Replicas: []peer.Address{address}}
+	client := &control.Client{Transport: se.host.transport, Replicas: peer.At(address)}
 	status, content, err := client.Operate(ctx, string(verb), body)
 	if err != nil {
 		return answer, err
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -28,6 +28,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/node"
+	"github.com/magnoliawall/magnoliawall/internal/port"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 	"github.com/magnoliawall/magnoliawall/internal/settings"
 )
@@ -36,6 +37,8 @@
 type Host struct {
 	Settings *settings.Settings
 	Logger   *log.Logger
+	// Platform speaks with the platform that runs this host; nil is none.
+	Platform port.Platform
 	// Dial opens connections to peers; nil means TCP.
 	Dial func(ctx context.Context, address peer.Address) (net.Conn, error)
 	// InForce is told each version that comes into force at the node of a host
@@ -50,6 +53,7 @@
 	seat        *seat
 	site        *site
 	operations  operator.Operate
+	replicas    *peer.Directory
 	drain       context.CancelFunc
 }
 
@@ -73,6 +77,9 @@
 		return err
 	}
 	ho.addReplica(background, &group)
+	if err := ho.addPlatform(&group); err != nil {
+		return err
+	}
 	if err := ho.addAdmin(&group); err != nil {
 		return err
 	}
@@ -95,6 +102,7 @@
 	ho.incarnation = uint64(time.Now().UnixMilli())
 	ho.holder = node.NewHolder(node.Unconfigured())
 	ho.operations = ho.operateRemote
+	ho.replicas = ho.newDirectory()
 	ho.transport = &peer.Transport{
 		Self:     peer.Hello{Node: ho.Settings.Node, Place: ho.place, Service: ho.Settings.Service, Incarnation: ho.incarnation},
 		Handlers: make(map[peer.Kind]peer.Handler),
@@ -107,7 +115,7 @@
 // secure sets mutual TLS for the peers, unless plaintext is allowed.
 func (ho *Host) secure() error {
 	security := ho.Settings.Security
-	if security.PlaintextOnLoopback {
+	if security.Plaintext() {
 		return nil
 	}
 	ho.files = &certificate.Files{Authority: security.Authority, Certificate: security.Certificate, Key: security.Key}
@@ -133,18 +141,21 @@
 	return nil
 }
 
-// replicaAddresses lists where replicas listen, the own one first.
-func (ho *Host) replicaAddresses() []peer.Address {
+// newDirectory lists where replicas listen, the own one first. Where the
+// replicas form by themselves, the list follows them.
+func (ho *Host) newDirectory() *peer.Directory {
+	directory := &peer.Directory{Self: ho.Settings.Node, Domain: ho.place.Domain, Spread: ho.Settings.OnPlatform()}
 	addresses := make([]peer.Address, 0, len(ho.Settings.Seeds)+1)
 	if ho.Settings.HoldsReplica() {
 		addresses = append(addresses, peer.Address(ho.Settings.Listen.Peers))
 	}
-	for _, seed := range ho.Settings.Seeds {
+	for _, seed := range ho.Settings.SeedAddresses() {
 		if seed != ho.Settings.Listen.Peers {
 			addresses = append(addresses, peer.Address(seed))
 		}
 	}
-	return addresses
+	directory.SetSeeds(addresses)
+	return directory
 }
 
 func listen(address settings.Address) (net.Listener, error) {
@@ -217,7 +228,7 @@
 }
 
 func (ho *Host) operateRemote(ctx context.Context, verb string, body []byte) (int, []byte) {
-	client := &control.Client{Transport: ho.transport, Replicas: ho.replicaAddresses(), AttemptTimeout: operateTimeout}
+	client := &control.Client{Transport: ho.transport, Replicas: ho.replicas, AttemptTimeout: operateTimeout}
 	status, answer, err := client.Operate(ctx, verb, body)
 	if err != nil {
 		return http.StatusServiceUnavailable, []byte(`{"error":"no replica could be reached from this node; ask a node of another failure domain","in-doubt":true}`)
--- a/internal/host/keeper.go
+++ b/internal/host/keeper.go
@@ -4,13 +4,17 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/registry"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
 	"github.com/magnoliawall/magnoliawall/internal/core/spread"
+	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
 const (
@@ -31,6 +35,7 @@
 	text        []byte
 	confirmedAt atomic.Int64
 	advancedAt  time.Time
+	members     []registry.Replica
 }
 
 // confirmed tells whether a quorum read has lately shown that the version
@@ -57,6 +62,7 @@
 func (ke *keeper) keep(ctx context.Context) {
 	reading, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	ke.followMembers(reading)
 	began := time.Now()
 	here := &fresh{after: ke.published, text: ke.text}
 	if err := ke.seat.Peek(reading, here.collect); err != nil {
@@ -72,6 +78,33 @@
 	ke.lead(ctx)
 }
 
+// followMembers brings the registry and the directory of this process to the
+// members of the log, where those change by themselves.
+func (ke *keeper) followMembers(ctx context.Context) {
+	if !ke.seat.host.Settings.Replica.FormsFromSeeds {
+		return
+	}
+	status, err := ke.seat.replica.Status(ctx)
+	if err != nil {
+		return
+	}
+	var members []registry.Replica
+	var places []peer.ReplicaPlace
+	for _, member := range status.Membership.Members {
+		address, domain := peer.Address(member.Address), request.DomainName(member.FailureDomain)
+		members = append(members, registry.Replica{ID: request.NodeID(member.Node), Address: address, Domain: domain})
+		places = append(places, peer.ReplicaPlace{Address: address, Domain: domain})
+	}
+	if slices.Equal(members, ke.members) {
+		return
+	}
+	if err := ke.seat.registry.Follow(ctx, members); err != nil {
+		return
+	}
+	ke.members = members
+	ke.seat.host.replicas.Learn(places)
+}
+
 // fresh collects the versions after one, while the replica's goroutine runs.
 type fresh struct {
 	after    configuration.Version
@@ -168,6 +201,9 @@
 // begin records the first version from its file. A faulty text is not proposed:
 // its outcome would stand for good.
 func (ke *keeper) begin(ctx context.Context) {
+	if ke.seat.host.Settings.Replica.InitialConfiguration == "" {
+		return
+	}
 	text, err := os.ReadFile(ke.seat.host.Settings.Replica.InitialConfiguration)
 	if err == nil {
 		_, err = configuration.Parse(text)
--- a/internal/host/machine.go
+++ b/internal/host/machine.go
@@ -48,6 +48,9 @@
 	if err == nil && known {
 		return result, nil
 	}
+	if err := se.settled(ctx); err != nil {
+		return nil, err
+	}
 	return se.replica.Propose(ctx, command)
 }
 
--- a/internal/host/seat.go
+++ b/internal/host/seat.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -28,6 +29,8 @@
 	replica   *replica.Replica[*watchedMachine]
 	registry  *registry.Server
 	keeper    *keeper
+	// enough says that enough replicas vote for anything to be recorded.
+	enough atomic.Bool
 }
 
 // buildReplica makes a replica, where the settings name one.
@@ -79,6 +82,15 @@
 		Address:       string(ho.Settings.Listen.Peers),
 		FailureDomain: string(ho.Settings.FailureDomain),
 		Logger:        ho.Logger,
+
+		Node:           string(ho.Settings.Node),
+		FormsFromSeeds: ho.Settings.Replica.FormsFromSeeds,
+		FirstStart:     ho.Settings.Replica.FirstStart,
+		LostDisks:      ho.Settings.Replica.LostDisks,
+		Seeds:          se.seeds,
+	}
+	if ho.Settings.Replica.FormsFromSeeds {
+		se.replica.Peers = se.seeds()
 	}
 	for _, member := range ho.Settings.Replica.Members {
 		se.replica.Peers = append(se.replica.Peers, string(member.Address))
@@ -96,6 +108,15 @@
 	return nil
 }
 
+// seeds gives the peer addresses that the settings name, as they are now.
+func (se *seat) seeds() []string {
+	seeds := make([]string, 0, len(se.host.Settings.Seeds))
+	for _, seed := range se.host.Settings.SeedAddresses() {
+		seeds = append(seeds, string(seed))
+	}
+	return seeds
+}
+
 func (se *seat) others() []registry.Replica {
 	var others []registry.Replica
 	for _, member := range se.host.Settings.Replica.Members {
--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -16,6 +16,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
 	"github.com/magnoliawall/magnoliawall/internal/core/membership"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
+	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/core/spread"
 	"github.com/magnoliawall/magnoliawall/internal/node"
 	"github.com/magnoliawall/magnoliawall/internal/request"
@@ -36,6 +37,7 @@
 	versions chan configuration.Version
 	// down says that the target died and has not been seen again.
 	down        atomic.Bool
+	announced   *announced
 	connections connections
 }
 
@@ -46,6 +48,7 @@
 		return nil
 	}
 	st := &site{host: ho, versions: make(chan configuration.Version, 1)}
+	st.announced = &announced{site: st}
 	st.build()
 	ho.site = st
 	listeners, err := ho.listeners()
@@ -92,12 +95,19 @@
 		Chooser:       st.chooser,
 		Transport:     ho.transport,
 		Target:        &web.TargetClient{Address: string(ho.Settings.Target), Connections: firstConnections},
-		Claims:        &control.Client{Transport: ho.transport, Replicas: ho.replicaAddresses()},
+		Claims:        &control.Client{Transport: ho.transport, Replicas: ho.replicas},
+		Announced:     ho.Platform != nil,
+		RetryBudget:   retry.Edge{Share: ho.Settings.RetryBudget.Share * budgetShare, Burst: nodeBurst(ho.Settings.RetryBudget.Slack)},
+		Linger:        time.Duration(ho.Settings.Stop.Linger),
+		Grace:         time.Duration(ho.Settings.Stop.Grace),
 		Guard:         st.guard,
 		Logger:        ho.Logger,
 		OnDrain:       st.announceDrain,
 		OnReport:      st.sendReport,
 	}
+	if ho.Platform != nil {
+		st.node.Dialect = ho.Platform.Dialect()
+	}
 	st.node.Prepare()
 	if ho.seat == nil {
 		ho.transport.Handlers[peer.KindControl] = (&control.Server{Ledger: noLedger{}, Operations: operations(ho.operateHere)}).Serve
@@ -116,9 +126,9 @@
 			Address:     string(ho.Settings.Listen.Peers),
 			Place:       ho.place,
 			Service:     ho.Settings.Service,
-			State:       membership.Cold,
+			State:       st.firstState(),
 		},
-		Replicas: ho.replicaAddresses(),
+		Replicas: ho.replicas,
 		Open:     registry.OpenPeer(ho.transport),
 		Links:    st.chooser.Links,
 		Follower: &spread.Follower{Patch: ledger.ApplyDelta, Check: checkText},
@@ -132,6 +142,33 @@
 	}
 }
 
+// firstState is what is announced of the target at the start. One that
+// announces itself gets no work until it has.
+func (st *site) firstState() membership.State {
+	if st.host.Platform != nil {
+		return membership.Down
+	}
+	return membership.Cold
+}
+
+const (
+	// budgetShare is the part of the retry budget that nodes spend by their own
+	// successes; the rest covers calls that were made by a retried call.
+	budgetShare = 0.5
+	// spreadNodes is the number of nodes among which the slack of the budget is
+	// divided, and leastBurst what a node needs to retry at all.
+	spreadNodes = 24
+	leastBurst  = 2
+)
+
+// nodeBurst is a node's part of the slack of the retry budget.
+func nodeBurst(slack float64) float64 {
+	if slack == 0 {
+		return 0
+	}
+	return max(leastBurst, slack/spreadNodes)
+}
+
 func checkText(text []byte) error {
 	_, err := configuration.Parse(text)
 	return err
@@ -202,11 +239,13 @@
 
 func (st *site) adapt(ctx context.Context) {
 	document := st.host.holder.Current().Document
-	own := document.Services[st.host.Settings.Service]
+	own := document.Services[st.node.Local().Service]
 	st.chooser.Links.SetCapacity(choice.Rate(document.Links.BytesPerSecond), document.Links.ShareForUnimportant)
 	st.guard.SetHold(time.Duration(document.Quarantine.Hold))
-	if err := st.client.Resize(ctx, membership.Slots(own.Slots)); err != nil {
-		return
+	if own.Slots > 0 {
+		if err := st.client.Resize(ctx, membership.Slots(own.Slots)); err != nil {
+			return
+		}
 	}
 	_ = st.client.Watch(ctx, st.services(document))
 }
@@ -235,6 +274,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	_ = st.client.Report(ctx, report)
+	if st.host.Platform != nil {
+		st.announced.died(ctx)
+		return
+	}
 	_ = st.client.Change(ctx, membership.Down)
 	st.down.Store(true)
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -31,6 +31,11 @@
 	_, _ = writer.Write([]byte("ok\n"))
 }
 
+// Ready tells whether callers may send work to this node.
+func (no *Node) Ready() bool {
+	return !no.draining() && no.Configuration.Current().Version != 0
+}
+
 func (no *Node) serveReady(writer http.ResponseWriter, _ *http.Request) {
 	if no.draining() {
 		http.Error(writer, "draining", http.StatusServiceUnavailable)
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -77,6 +77,20 @@
 	no.deliver(ctx, writer, og, at)
 }
 
+// maxMoves is how often a call is offered to another target after one whose
+// node did not hand it over. Such an offer costs its target nothing.
+const maxMoves = 2
+
+// mayMove tells whether a call goes to another target without a retry: its
+// target never got it.
+func (og *outgoing) mayMove(at *attempt) bool {
+	refusal := at.refusal
+	if !og.kind.Routed || refusal.Handed || refusal.Outcome != request.NotRun || og.moves >= maxMoves {
+		return false
+	}
+	return at.choice.Picked() && request.Describe(refusal.Code).Elsewhere && !og.body.lost()
+}
+
 // attempts tries targets until one answers or no retry is left.
 func (no *Node) attempts(ctx context.Context, og *outgoing) *attempt {
 	og.edge = no.edges.of(og.kind.Service)
@@ -88,6 +102,12 @@
 			og.root.resume(time.Now(), nil)
 			return at
 		}
+		if og.mayMove(at) && ctx.Err() == nil {
+			og.moves++
+			used--
+			tried = append(tried, at.choice.Target.Node)
+			continue
+		}
 		decision := no.mayRetry(og, at.refusal, used)
 		count(no.counters.retries, decision.Reason)
 		if decision.Reason != retry.Allowed || !wait.For(ctx, decision.Backoff) {
@@ -118,7 +138,7 @@
 // honest is what the caller is told. That one attempt was not started does not
 // tell that an earlier one with the same key did not run.
 func (og *outgoing) honest(refusal *web.Refusal) *web.Refusal {
-	if og.kind.Repeat != request.Once || refusal.Claimed || refusal.Outcome != request.NotRun {
+	if og.kind.Repeat != request.Once || og.kind.Unkeyed || refusal.Claimed || refusal.Outcome != request.NotRun {
 		return refusal
 	}
 	told := *refusal
@@ -215,6 +235,7 @@
 		Outcome:    request.Outcome(answer.GetOutcome()),
 		RetryAfter: time.Duration(answer.GetRetryAfterMs()) * time.Millisecond,
 		Claimed:    answer.GetClaimed(),
+		Handed:     answer.GetHanded(),
 	}
 }
 
@@ -236,6 +257,11 @@
 		ConfigurationVersion: uint64(og.version),
 		Depth:                og.depth,
 		Fingerprint:          uint64(og.fingerprint),
+		Routed:               og.kind.Routed,
+		Unkeyed:              og.kind.Unkeyed,
+		Host:                 og.host,
+		CallerService:        string(no.Local().Service),
+		RequestId:            og.id,
 	}
 }
 
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -12,6 +12,8 @@
 const (
 	drainInterval = 20 * time.Millisecond
 	recordLimit   = 10 * time.Second
+	// stopMargin is left of the grace time to close what is still open.
+	stopMargin = 300 * time.Millisecond
 )
 
 // draining tells whether the node takes no new work any more.
@@ -27,8 +29,13 @@
 	interrupted := make(chan struct{})
 	group.Add(func() error {
 		<-ctx.Done()
-		no.Drain.Begin(time.Now())
+		began := time.Now()
+		no.Drain.Begin(began)
+		if no.Grace > 0 {
+			no.stopBy.Store(began.Add(no.Grace - stopMargin).UnixNano())
+		}
 		no.announceDrain()
+		no.linger(interrupted)
 		no.awaitEmpty(interrupted)
 		no.awaitRecords(interrupted)
 		return nil
@@ -38,10 +45,18 @@
 	})
 }
 
+// linger goes on serving callers that have not yet seen that this node leaves.
+func (no *Node) linger(interrupted <-chan struct{}) {
+	select {
+	case <-time.After(no.Linger):
+	case <-interrupted:
+	}
+}
+
 func (no *Node) awaitEmpty(interrupted <-chan struct{}) {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
-	for !no.Drain.Done(time.Now()) {
+	for !no.Drain.Done(time.Now()) && !no.stopDue() {
 		select {
 		case <-ticker.C:
 		case <-interrupted:
@@ -50,6 +65,12 @@
 	}
 }
 
+// stopDue tells whether the process must end now to end by itself.
+func (no *Node) stopDue() bool {
+	by := no.stopBy.Load()
+	return by != 0 && time.Now().UnixNano() >= by
+}
+
 // awaitRecords waits, for a bounded time, until the ends of all actions that
 // may not be repeated are recorded.
 func (no *Node) awaitRecords(interrupted <-chan struct{}) {
--- a/internal/node/edge.go
+++ b/internal/node/edge.go
@@ -11,19 +11,26 @@
 type edge struct {
 	lock   sync.Mutex
 	budget retry.Edge
+	// fixed says that the share is not that of the configuration.
+	fixed bool
 }
 
 // success adds the share of a retry that the configuration in force gives.
 func (ed *edge) success(share float64) {
 	ed.lock.Lock()
 	defer ed.lock.Unlock()
-	ed.budget.Share = share
+	if !ed.fixed {
+		ed.budget.Share = share
+	}
 	ed.budget.Success()
 }
 
 type edgeTable struct {
 	lock  sync.Mutex
 	edges map[request.ServiceName]*edge
+	// budget is what each edge starts with; a share in it goes before that of
+	// the configuration.
+	budget retry.Edge
 }
 
 // services lists the services that were called so far.
@@ -42,7 +49,7 @@
 	defer table.lock.Unlock()
 	found := table.edges[service]
 	if found == nil {
-		found = &edge{}
+		found = &edge{budget: table.budget, fixed: table.budget.Share > 0}
 		if table.edges == nil {
 			table.edges = make(map[request.ServiceName]*edge)
 		}
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -24,6 +25,7 @@
 	node    *Node
 	inbound *peer.Inbound
 	kind    *configuration.CompiledKind
+	local   LocalTarget
 	work    request.Work
 	root    *root
 	// fingerprint names the request where it crashes targets.
@@ -52,7 +54,7 @@
 	defer cancel()
 	ar.root = no.roots.enter(ar.work, inbound.Header.GetDepth(), retry.Allowance(inbound.Header.GetAllowance()), now)
 	defer ar.leave()
-	if ar.kind.Repeat == request.Once {
+	if ar.kind.Repeat == request.Once && !ar.kind.Unkeyed {
 		ar.serveOnce(ctx)
 		return
 	}
@@ -63,18 +65,22 @@
 	header := inbound.Header
 	no.hear(configuration.Version(header.GetConfigurationVersion()))
 	ar := &arrival{node: no, inbound: inbound, unspent: retry.Allowance(header.GetAllowance())}
-	if request.ServiceName(header.GetService()) != no.Service {
+	local := no.Local()
+	if request.ServiceName(header.GetService()) != local.Service {
 		return ar, web.NewRefusal(request.TargetUnreachable, "this node has no target of "+header.GetService())
 	}
 	current := no.Configuration.Current()
 	if current.Version == 0 {
 		return ar, web.NewRefusal(request.NotReady, "")
 	}
-	kind, ok := current.Matcher.Kind(request.KindName(header.GetKind()))
+	if !local.Serving {
+		return ar, web.NewRefusal(request.Draining, "the target has not announced itself, or leaves")
+	}
+	kind, ok := kindOf(current.Matcher, header)
 	if !ok {
 		return ar, web.NewRefusal(request.UnknownKind, header.GetKind())
 	}
-	ar.kind = kind
+	ar.kind, ar.local = kind, local
 	ar.work = request.Work{
 		Call:     no.nextCall(),
 		RootKind: request.KindName(header.GetRootKind()),
@@ -88,6 +94,25 @@
 	return ar, nil
 }
 
+// kindOf gives the terms of a call: those of its kind, or for a call that a
+// route matched, those that came with it, so that nodes at different versions
+// agree on them.
+func kindOf(matcher *configuration.Matcher, header *peerpb.CallHeader) (*configuration.CompiledKind, bool) {
+	if !header.GetRouted() {
+		return matcher.Kind(request.KindName(header.GetKind()))
+	}
+	kind := &configuration.CompiledKind{
+		Name:    request.KindName(header.GetKind()),
+		Service: request.ServiceName(header.GetService()),
+		Routed:  true,
+		Unkeyed: header.GetUnkeyed(),
+	}
+	if header.GetUnkeyed() {
+		kind.Repeat = request.Once
+	}
+	return kind, true
+}
+
 // leave ends the root's call here, once.
 func (ar *arrival) leave() {
 	if ar.left || ar.root == nil {
@@ -118,6 +143,7 @@
 		Outcome:      uint32(refusal.Outcome),
 		RetryAfterMs: refusal.RetryAfter.Milliseconds(),
 		Claimed:      refusal.Claimed,
+		Handed:       refusal.Handed,
 	}
 	_ = ar.inbound.Answer(header, nil, ar.report)
 }
@@ -184,7 +210,12 @@
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
-	if refusal := ar.root.refusedBelow(response.StatusCode); refusal != nil {
+	if refusal := ar.declined(response); refusal != nil {
+		visit.end(admission.Shed)
+		ar.refuse(refusal)
+		return true
+	}
+	if refusal := ar.root.refusedBelow(response.StatusCode); refusal != nil && !ar.kind.Routed {
 		visit.end(admission.Failed)
 		ar.refuse(refusal)
 		return true
@@ -203,6 +234,25 @@
 	return err == nil
 }
 
+// maxDeclined is how much of the body of an answer that declines a call is
+// read, so that its connection can be used again.
+const maxDeclined = 4 << 10
+
+// declined gives the refusal for an answer in which the target states that it
+// did not run the call.
+func (ar *arrival) declined(response *http.Response) *web.Refusal {
+	code := ar.node.Dialect.Declined(response)
+	if code == request.OK {
+		return nil
+	}
+	// The connection is closed when the rest does not come; nothing else hangs on it.
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDeclined))
+	refusal := web.NewRefusal(code, "")
+	refusal.Outcome = request.NotRun
+	refusal.Handed = true
+	return refusal
+}
+
 // resultOf tells a target that sheds load by itself from one that fails.
 func resultOf(response *http.Response) admission.Result {
 	switch {
@@ -250,12 +300,21 @@
 	header := ar.inbound.Header
 	headers := make(http.Header, len(header.GetHeaders())+2)
 	web.DecodeHeaders(headers, header.GetHeaders())
-	headers.Set(web.HeaderTraceparent, web.FormatTraceparent(ar.work.Root, ar.work.Call))
-	headers.Set(web.HeaderDeadline, time.Until(ar.work.Deadline).Round(time.Microsecond).String())
+	ar.node.Dialect.Address(headers, web.TargetTerms{
+		Root:      ar.work.Root,
+		Call:      ar.work.Call,
+		Remaining: time.Until(ar.work.Deadline),
+		Caller:    request.ServiceName(header.GetCallerService()),
+		Instance:  ar.local.Instance,
+	})
+	host := string(ar.local.Service)
+	if ar.kind.Routed {
+		host = header.GetHost()
+	}
 	return web.TargetCall{
 		Method:     header.GetMethod(),
 		Path:       header.GetPath(),
-		Host:       string(ar.node.Service),
+		Host:       host,
 		Headers:    headers,
 		Body:       ar.bodyReader(),
 		BodyLength: header.GetBodyLength(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -60,6 +61,18 @@
 	Target        *web.TargetClient
 	// Claims records actions that may not be repeated; nil refuses them.
 	Claims Proposer
+	// Dialect is what callers and targets speak; nil is the product's own.
+	Dialect web.Dialect
+	// Announced says that the target announces itself, by SetLocal. Until then
+	// it gets no call.
+	Announced bool
+	// RetryBudget bounds the retries to each service; zero fields are those of
+	// the configuration.
+	RetryBudget retry.Edge
+	// Linger is how long callers are served after a stop was asked for, and
+	// Grace how long the stop may take; zero does not bound it.
+	Linger time.Duration
+	Grace  time.Duration
 	// Drain, Guard and Logger may be left nil.
 	Drain  *drain.Drain
 	Guard  *quarantine.Guard
@@ -80,6 +93,8 @@
 	once        onceTable
 	runs        sync.WaitGroup
 	calls       atomic.Uint64
+	local       atomic.Pointer[LocalTarget]
+	stopBy      atomic.Int64
 	heard       atomic.Uint64
 }
 
@@ -101,6 +116,11 @@
 		return
 	}
 	no.counters = newCounters()
+	if no.Dialect == nil {
+		no.Dialect = web.Native{}
+	}
+	no.Target.Dialect = no.Dialect
+	no.edges.budget = no.RetryBudget
 	if no.Drain == nil {
 		no.Drain = &drain.Drain{}
 	}
@@ -164,10 +184,23 @@
 	group.Add(func() error {
 		return server.Serve(listener)
 	}, func(error) {
-		_ = server.Shutdown(context.Background())
+		no.shutDown(server)
 	})
 }
 
+// shutDown lets the requests in flight end, for as long as the stop may take.
+func (no *Node) shutDown(server *http.Server) {
+	ctx := context.Background()
+	if by := no.stopBy.Load(); by != 0 {
+		bounded, cancel := context.WithDeadline(ctx, time.Unix(0, by))
+		defer cancel()
+		ctx = bounded
+	}
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
+
 func (no *Node) addPeers(ctx context.Context, group *run.Group, listener net.Listener) {
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error {
@@ -218,8 +251,9 @@
 
 // follow takes over what the configuration in force says of the local target.
 func (no *Node) follow() {
-	own := no.Configuration.Current().Document.Services[no.Service]
-	no.traffic.setSlots(own.Slots)
+	local := no.Local()
+	own := no.Configuration.Current().Document.Services[local.Service]
+	no.traffic.setSlots(cmp.Or(own.Slots, local.Slots))
 	no.Target.SetConnections(own.Connections)
 }
 
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -34,6 +34,9 @@
 	version configuration.Version
 	method  string
 	path    string
+	host    string
+	// id is the caller's own name for the call.
+	id      string
 	headers []*peerpb.Header
 	body    *callBody
 	work    request.Work
@@ -41,6 +44,8 @@
 	root    *root
 	tied    bool
 	edge    *edge
+	// moves counts the targets whose node did not hand the call over.
+	moves int
 	// fingerprint names the request where it crashes targets; suspect says that
 	// it was at a crash.
 	fingerprint request.Fingerprint
@@ -60,34 +65,69 @@
 	if current.Version == 0 {
 		return nil, web.NewRefusal(request.NotReady, "")
 	}
-	service := serviceOf(incoming)
-	if !current.Matcher.HasService(service) {
-		return nil, web.NewRefusal(request.UnknownService, "service "+string(service)+" is not in the configuration")
-	}
-	_, kind, ok := current.Matcher.Match(service, incoming.Method, incoming.URL.Path)
-	if !ok {
-		return nil, web.NewRefusal(request.UnknownKind, incoming.Method+" "+incoming.URL.Path+" is no kind of "+string(service))
+	kind, refusal := match(current.Matcher, incoming)
+	if refusal != nil {
+		return nil, refusal
 	}
 	if refusal := checkKey(incoming, kind); refusal != nil {
 		return nil, refusal
 	}
+	terms, refusal := no.Dialect.Terms(incoming)
+	if refusal != nil {
+		return nil, refusal
+	}
 	og := &outgoing{
 		kind:    kind,
 		version: current.Version,
 		method:  incoming.Method,
-		path:    incoming.URL.RequestURI(),
+		path:    pathOf(incoming),
+		host:    incoming.Host,
+		id:      terms.ID,
 		headers: web.EncodeHeaders(incoming.Header),
 	}
 	no.tie(og, incoming, from, now, current)
 	if og.depth > maxDepth {
 		return nil, web.NewRefusal(request.BadRequest, "calls are nested too deep")
 	}
-	if refusal := og.bound(incoming, now); refusal != nil {
-		return nil, refusal
+	if terms.Remaining > 0 {
+		// The caller's own deadline counts where it is sooner.
+		og.work.Deadline = earlier(og.work.Deadline, now.Add(terms.Remaining))
 	}
 	return og, og.readBody(incoming)
 }
 
+// match finds the route of the call, or else the kind of its service.
+func match(matcher *configuration.Matcher, incoming *http.Request) (*configuration.CompiledKind, *web.Refusal) {
+	host, _, _ := strings.Cut(strings.ToLower(incoming.Host), ":")
+	path, _, _ := strings.Cut(pathOf(incoming), "?")
+	route, known := matcher.Route(host, path)
+	if route != nil {
+		kind := route.Kind
+		kind.Service = route.Next()
+		return &kind, nil
+	}
+	if known {
+		return nil, web.NewRefusal(request.UnknownKind, path+" is on no route of "+host)
+	}
+	service := serviceOf(incoming)
+	if !matcher.HasService(service) {
+		return nil, web.NewRefusal(request.UnknownService, "service "+string(service)+" is not in the configuration")
+	}
+	_, kind, ok := matcher.Match(service, incoming.Method, incoming.URL.Path)
+	if !ok {
+		return nil, web.NewRefusal(request.UnknownKind, incoming.Method+" "+incoming.URL.Path+" is no kind of "+string(service))
+	}
+	return kind, nil
+}
+
+// pathOf gives path and query as the caller sent them.
+func pathOf(incoming *http.Request) string {
+	if strings.HasPrefix(incoming.RequestURI, "/") {
+		return incoming.RequestURI
+	}
+	return incoming.URL.RequestURI()
+}
+
 // tie sets root, priority and allowance. A call of the local target that names
 // no root in flight has no allowance.
 func (no *Node) tie(og *outgoing, incoming *http.Request, from origin, now time.Time, current *Active) {
@@ -135,20 +175,6 @@
 	return other
 }
 
-// bound takes the caller's own deadline where that is sooner.
-func (og *outgoing) bound(incoming *http.Request, now time.Time) *web.Refusal {
-	text := incoming.Header.Get(web.HeaderDeadline)
-	if text == "" {
-		return nil
-	}
-	remaining, err := time.ParseDuration(text)
-	if err != nil || remaining <= 0 {
-		return web.NewRefusal(request.BadDeadline, web.HeaderDeadline+` must be a duration that is left, such as "800ms"`)
-	}
-	og.work.Deadline = earlier(og.work.Deadline, now.Add(remaining))
-	return nil
-}
-
 func (og *outgoing) readBody(incoming *http.Request) *web.Refusal {
 	body, err := newCallBody(incoming.Body, incoming.ContentLength, int64(og.kind.BodyLimit))
 	if errors.Is(err, errBodyTooLarge) {
@@ -157,7 +183,7 @@
 	if err != nil {
 		return web.NewRefusal(request.BadRequest, "the body ended early")
 	}
-	if og.kind.Repeat == request.Once && body.large() {
+	if og.kind.Repeat == request.Once && !og.kind.Unkeyed && body.large() {
 		return web.NewRefusal(request.BodyTooLarge, "a call that may not be repeated takes a small body only")
 	}
 	og.body = body
@@ -172,7 +198,7 @@
 	if len(key) > maxKeyLength {
 		return web.NewRefusal(request.KeyTooLong, "")
 	}
-	if key == "" && kind.Repeat == request.Once {
+	if key == "" && kind.Repeat == request.Once && !kind.Unkeyed {
 		return web.NewRefusal(request.KeyMissing, "send an "+web.HeaderIdempotencyKey+" that is new for each action and the same for its resends")
 	}
 	return nil
@@ -209,5 +235,5 @@
 
 func (no *Node) refuse(writer http.ResponseWriter, refusal *web.Refusal) {
 	count(no.counters.refusals, refusal.Code)
-	web.WriteRefusal(writer, refusal)
+	no.Dialect.Refuse(writer, refusal)
 }
--- a/internal/replica/form.go
+++ b/internal/replica/form.go
@@ -30,7 +30,7 @@
 	if replica.forming.ticks%replica.ElectionTicks == 0 {
 		replica.forming.round = replica.nextNumber()
 		replica.forming.unformed = map[string]quorum.Member{
-			replica.Address: {ID: replica.core.ID, Address: replica.Address, FailureDomain: replica.FailureDomain},
+			replica.Address: {ID: replica.core.ID, Address: replica.Address, FailureDomain: replica.FailureDomain, Node: replica.Node},
 		}
 		replica.greetPeers()
 	}
@@ -38,7 +38,7 @@
 }
 
 func (replica *Replica[M]) greetPeers() {
-	for _, address := range replica.Peers {
+	for _, address := range replica.greeted() {
 		if address != replica.Address {
 			replica.sendGreeting(address, true, replica.forming.round)
 		}
@@ -47,15 +47,20 @@
 }
 
 func (replica *Replica[M]) sendGreeting(address string, question bool, round uint64) {
+	greeting := &quorumpb.Greeting{
+		Formed:        replica.formed(),
+		Question:      question,
+		Round:         round,
+		FailureDomain: replica.FailureDomain,
+		Node:          replica.Node,
+	}
+	if !question {
+		greeting.Members = quorum.EncodeMembership(replica.core.Status().Membership).GetMembers()
+	}
 	replica.Messenger.Send(address, &quorumpb.Message{
 		From:          uint64(replica.core.ID),
 		SenderAddress: replica.Address,
-		Body: &quorumpb.Message_Greeting{Greeting: &quorumpb.Greeting{
-			Formed:        replica.formed(),
-			Question:      question,
-			Round:         round,
-			FailureDomain: replica.FailureDomain,
-		}},
+		Body:          &quorumpb.Message_Greeting{Greeting: greeting},
 	})
 }
 
@@ -63,6 +68,7 @@
 // the one with the least id form it; the others get it from the leader.
 func (replica *Replica[M]) stepGreeting(message *quorumpb.Message, greeting *quorumpb.Greeting) {
 	if greeting.GetQuestion() {
+		replica.noteJoiner(message, greeting)
 		replica.sendGreeting(message.GetSenderAddress(), false, greeting.GetRound())
 		return
 	}
@@ -71,14 +77,10 @@
 	}
 	if greeting.GetFormed() {
 		replica.noteOthers(message.GetSenderAddress())
+		replica.meet(greeting.GetMembers())
 		return
 	}
-	address := message.GetSenderAddress()
-	replica.forming.unformed[address] = quorum.Member{
-		ID:            quorum.ReplicaID(message.GetFrom()),
-		Address:       address,
-		FailureDomain: greeting.GetFailureDomain(),
-	}
+	replica.forming.unformed[message.GetSenderAddress()] = memberOf(message, greeting)
 	replica.formIfReady()
 }
 
@@ -86,6 +88,10 @@
 func (replica *Replica[M]) noteOthers(address string) {
 	if !replica.forming.waits {
 		replica.forming.waits = true
+		if replica.FormsFromSeeds {
+			replica.info("the one at %s has a log and this one has none: asking to join", address)
+			return
+		}
 		replica.info("the one at %s has a log and this one has none: if its disk was lost, put it in the place of the lost replica", address)
 	}
 }
@@ -97,6 +103,9 @@
 }
 
 func (replica *Replica[M]) firstMembers() ([]quorum.Member, bool) {
+	if !replica.mayForm() {
+		return nil, false
+	}
 	var members []quorum.Member
 	for _, address := range replica.Peers {
 		member, ok := replica.forming.unformed[address]
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -42,8 +42,19 @@
 	// Address is where this replica listens.
 	Address       string
 	FailureDomain string
+	// Node names the node of this replica's host.
+	Node string
 	// Peers are the addresses of all first replicas, this one included.
 	Peers []string
+	// FormsFromSeeds lets the group form and mend itself: Peers are the seeds,
+	// which need not include this replica, and form the log at the FirstStart of
+	// the site; every other replica that asks is taken in.
+	FormsFromSeeds bool
+	FirstStart     bool
+	// LostDisks is how many disks may be lost at once.
+	LostDisks int
+	// Seeds gives the seeds as they are now; nil means Peers.
+	Seeds func() []string
 	// Tick is the length of a tick; an election takes ElectionTicks to twice
 	// as many.
 	Tick          time.Duration
@@ -86,6 +97,7 @@
 	changes       map[quorum.Index]*change
 	reads         readers[M]
 	forming       forming
+	growth        growth
 	learned       map[quorum.ReplicaID]string
 	failure       error
 }
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -87,6 +87,7 @@
 	replica.core.Tick()
 	replica.handOverPause--
 	replica.greet()
+	replica.grow()
 	replica.resend()
 	replica.reads.tick(replica.ElectionTicks)
 }
@@ -95,6 +96,7 @@
 	if address := message.GetSenderAddress(); address != "" {
 		replica.learned[quorum.ReplicaID(message.GetFrom())] = address
 	}
+	replica.hear(quorum.ReplicaID(message.GetFrom()))
 	if greeting := message.GetGreeting(); greeting != nil {
 		replica.stepGreeting(message, greeting)
 		return
--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -50,6 +50,10 @@
 	Internal Code = 5001
 )
 
+// StatusCallerLeft is the status of a call whose caller went away; nobody reads
+// it.
+const StatusCallerLeft = 499
+
 // Row is one row of the table of result codes.
 type Row struct {
 	Code       Code
@@ -84,7 +88,7 @@
 	{ConnectionsFull, "connections-full", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the target's connections are all in use"},
 	{Draining, "draining", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the target is leaving and takes no new work"},
 	{Quarantined, "quarantined", http.StatusServiceUnavailable, NotRun, false, true, time.Minute, "targets died while they worked on this request"},
-	{CallerLeft, "caller-left", 499, NotRun, false, false, 0, "the caller went away before the call was handed to a target"},
+	{CallerLeft, "caller-left", StatusCallerLeft, NotRun, false, false, 0, "the caller went away before the call was handed to a target"},
 
 	{NotReady, "not-ready", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the node has just started and has no configuration yet"},
 
--- a/internal/request/terms.go
+++ b/internal/request/terms.go
@@ -54,6 +54,9 @@
 // AttemptID identifies one attempt to run a request that may not be repeated.
 type AttemptID [16]byte
 
+// InstanceID names one life of a target, as the target announces it.
+type InstanceID string
+
 // Fingerprint is a hash over kind, idempotency key and body of a request.
 type Fingerprint uint64
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -5,12 +5,15 @@
 	"net/netip"
 	"regexp"
 	"slices"
+	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/strictjson"
 )
 
 const (
-	maxName       = 64
+	maxName = 64
+	// maxLostDisks keeps the replicas that are needed within the largest group.
+	maxLostDisks  = 4
 	addressAdvice = `give an IP number with a port, as in "10.1.0.5:7403"`
 	nameAdvice    = "use lower case letters, digits and hyphens"
 )
@@ -49,6 +52,7 @@
 	c.seeds()
 	c.replica()
 	c.security()
+	c.platform()
 	if !slices.Contains(logLevels, loaded.LogLevel) {
 		c.fault("log-level", "use one of: debug, info, warn, error", "the level %q is unknown", loaded.LogLevel)
 	}
@@ -74,7 +78,7 @@
 	}
 	c.address("target", loaded.Target, serves)
 	c.address("listen.callers", loaded.Listen.Callers, serves)
-	c.address("listen.outbound", loaded.Listen.Outbound, serves)
+	c.address("listen.outbound", loaded.Listen.Outbound, serves && !loaded.OnPlatform())
 	if !serves && loaded.Target != "" {
 		c.fault("target", "name the service that it serves", "is given without a service")
 	}
@@ -108,6 +112,8 @@
 		{"listen.outbound", listen.Outbound},
 		{"listen.peers", listen.Peers},
 		{"listen.admin", listen.Admin},
+		{"platform.control", c.settings.Platform.Control},
+		{"platform.ready", c.settings.Platform.Ready},
 	} {
 		if other, used := taken[one.address]; used && one.address != "" {
 			c.fault(one.field, "give each its own port", "%s is also the address of %s", one.address, other)
@@ -140,6 +146,10 @@
 	if c.settings.DataFolder == "" {
 		c.fault("data-folder", "name the folder on the disk of this host", "is missing, and the host holds a replica")
 	}
+	if held.FormsFromSeeds {
+		c.formsFromSeeds()
+		return
+	}
 	if held.InitialConfiguration == "" {
 		c.fault("replica.initial-configuration", "name the file of the first version", "is missing")
 	}
@@ -153,6 +163,35 @@
 	}
 }
 
+func (c *checker) formsFromSeeds() {
+	held := c.settings.Replica
+	if len(held.Members) > 0 {
+		c.fault("replica.members", "take them out, or take out forms-from-seeds", "are given together with forms-from-seeds")
+	}
+	if len(c.settings.Seeds) == 0 {
+		c.fault("seeds", "list the hosts that form the log", "are missing")
+	}
+	if held.LostDisks < 0 || held.LostDisks > maxLostDisks {
+		c.fault("replica.lost-disks", fmt.Sprintf("give a number from 0 to %d", maxLostDisks), "%d is out of range", held.LostDisks)
+	}
+}
+
+// platform checks the addresses of a platform and the bounds that it gives.
+func (c *checker) platform() {
+	loaded := c.settings
+	c.address("platform.control", loaded.Platform.Control, loaded.Platform.Ready != "")
+	c.address("platform.ready", loaded.Platform.Ready, loaded.OnPlatform() && loaded.Service != "")
+	if loaded.Stop.Linger < 0 || loaded.Stop.Grace < 0 || loaded.Stop.Grace > 0 && loaded.Stop.Linger >= loaded.Stop.Grace {
+		c.fault("stop.linger", "give a time below stop.grace", "%s is no time within %s", time.Duration(loaded.Stop.Linger), time.Duration(loaded.Stop.Grace))
+	}
+	if loaded.RetryBudget.Share < 0 || loaded.RetryBudget.Share > 1 {
+		c.fault("retry-budget.share", "give a ratio from 0 to 1", "%v is out of range", loaded.RetryBudget.Share)
+	}
+	if loaded.RetryBudget.Slack < 0 {
+		c.fault("retry-budget.slack", "give a number of zero or more", "%v is out of range", loaded.RetryBudget.Slack)
+	}
+}
+
 func (c *checker) member(field string, before []Member, member Member) {
 	c.name(field+".node", string(member.Node))
 	c.address(field+".address", member.Address, true)
@@ -179,13 +218,13 @@
 	}
 	for _, file := range files {
 		switch {
-		case security.PlaintextOnLoopback && file.path != "":
-			c.fault(file.field, "take it out, or take out plaintext-on-loopback", "is given together with plaintext-on-loopback")
-		case !security.PlaintextOnLoopback && file.path == "":
+		case security.Plaintext() && file.path != "":
+			c.fault(file.field, "take it out, or take out the setting that allows plaintext", "is given together with plaintext")
+		case !security.Plaintext() && file.path == "":
 			c.fault(file.field, "name the file; `magnolia certificate create` makes it", "is missing")
 		}
 	}
-	if security.PlaintextOnLoopback {
+	if security.PlaintextOnLoopback && !security.PlaintextOnClosedNetwork {
 		c.loopbackOnly("listen.peers", c.settings.Listen.Peers)
 		c.loopbackOnly("listen.admin", c.settings.Listen.Admin)
 		for i, seed := range c.settings.Seeds {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,8 +15,10 @@
 package settings
 
 import (
+	"net/netip"
 	"path/filepath"
 
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 	"github.com/magnoliawall/magnoliawall/internal/strictjson"
 )
@@ -44,12 +46,51 @@
 	Listen Listen  `json:"listen"`
 	// Seeds are the peer addresses of replicas; one that answers is enough.
 	Seeds []Address `json:"seeds"`
+	// SeedPort replaces the port of each seed, for lists that name another
+	// port of the same hosts. Zero keeps the ports.
+	SeedPort uint16 `json:"seed-port"`
 	// DataFolder is the one folder of a host with a disk.
 	DataFolder string `json:"data-folder"`
 	// Replica is given only on a host with a disk.
 	Replica  Replica  `json:"replica"`
 	Security Security `json:"security"`
-	LogLevel LogLevel `json:"log-level"`
+	// Platform is given where a platform runs the host: its calls come in here.
+	Platform Platform `json:"platform"`
+	// Stop bounds a planned stop.
+	Stop Stop `json:"stop"`
+	// RetryBudget bounds the retries of all nodes together.
+	RetryBudget RetryBudget `json:"retry-budget"`
+	LogLevel    LogLevel    `json:"log-level"`
+}
+
+// Platform holds the addresses at which a platform and its operators call this
+// process, in the platform's own protocol.
+type Platform struct {
+	// Control takes announcements of the local target, and on a host with a
+	// replica the operators' calls.
+	Control Address `json:"control"`
+	// Ready takes the question whether callers may send work here.
+	Ready Address `json:"ready"`
+}
+
+// Stop bounds a planned stop of the process.
+type Stop struct {
+	// Linger is how long callers are still served after the process has said
+	// that it leaves, until they have gone elsewhere.
+	Linger configuration.Duration `json:"linger"`
+	// Grace is the time from the signal to the forced end of the process; zero
+	// means that it is not forced.
+	Grace configuration.Duration `json:"grace"`
+}
+
+// RetryBudget bounds what all nodes together send to a service beyond the first
+// attempts.
+type RetryBudget struct {
+	// Share is the ratio of retries to calls; zero leaves the budget to the
+	// configuration.
+	Share float64 `json:"share"`
+	// Slack is the number of retries in a window on top of it.
+	Slack float64 `json:"slack"`
 }
 
 // Listen holds the addresses that the process listens at.
@@ -70,8 +111,17 @@
 	// formed only when all of them are there and none has one; a host whose disk
 	// was lost waits until an operator puts its replica in the place of the old.
 	Members []Member `json:"members"`
+	// FormsFromSeeds stands in place of Members: the seeds form the log, other
+	// hosts join it by themselves, and so does a host that lost its disk.
+	FormsFromSeeds bool `json:"forms-from-seeds"`
+	// FirstStart says that the whole site starts for the first time; without it
+	// no log is formed.
+	FirstStart bool `json:"first-start"`
+	// LostDisks is how many disks may be lost at once. No configuration is
+	// accepted before twice as many and one replicas vote.
+	LostDisks int `json:"lost-disks"`
 	// InitialConfiguration is the file of the first version. It is read only
-	// while there is no version.
+	// while there is no version. Without it the first version is an operator's.
 	InitialConfiguration string `json:"initial-configuration"`
 }
 
@@ -90,6 +140,14 @@
 	// PlaintextOnLoopback leaves TLS out; it is allowed only if each address is
 	// one of the loopback range.
 	PlaintextOnLoopback bool `json:"plaintext-on-loopback"`
+	// PlaintextOnClosedNetwork leaves TLS out on any address. It is for networks
+	// that nobody else reaches, on hosts that are given no keys.
+	PlaintextOnClosedNetwork bool `json:"plaintext-on-closed-network"`
+}
+
+// Plaintext tells whether peers and operators connect without TLS.
+func (security Security) Plaintext() bool {
+	return security.PlaintextOnLoopback || security.PlaintextOnClosedNetwork
 }
 
 // SetDefaults sets what a file need not give.
@@ -99,7 +157,25 @@
 
 // HoldsReplica tells whether the host holds a replica.
 func (settings *Settings) HoldsReplica() bool {
-	return len(settings.Replica.Members) > 0
+	return len(settings.Replica.Members) > 0 || settings.Replica.FormsFromSeeds
+}
+
+// OnPlatform tells whether a platform runs the host.
+func (settings *Settings) OnPlatform() bool {
+	return settings.Platform.Control != ""
+}
+
+// SeedAddresses gives the peer addresses of the seeds.
+func (settings *Settings) SeedAddresses() []Address {
+	addresses := make([]Address, 0, len(settings.Seeds))
+	for _, seed := range settings.Seeds {
+		parsed, err := netip.ParseAddrPort(string(seed))
+		if err == nil && settings.SeedPort != 0 {
+			seed = Address(netip.AddrPortFrom(parsed.Addr(), settings.SeedPort).String())
+		}
+		addresses = append(addresses, seed)
+	}
+	return addresses
 }
 
 // Read reads and checks a settings file. The error is of type [Faults] and
--- a/magnoliad/internal/command/run/run.go
+++ b/magnoliad/internal/command/run/run.go
@@ -13,11 +13,12 @@
 	"github.com/magnoliawall/magnoliawall/internal/host"
 	"github.com/magnoliawall/magnoliawall/internal/memory"
 	"github.com/magnoliawall/magnoliawall/magnoliad/internal/command/factory"
+	"github.com/magnoliawall/magnoliawall/platform"
 )
 
 // Options are the arguments of the command.
 type Options struct {
-	Settings string `arg:"" help:"Settings file of this process, JSON with comments."`
+	Settings string `arg:"" env:"MAGNOLIAWALL_CONFIG" help:"Settings file of this process, JSON with comments."`
 }
 
 // New gives the command.
@@ -44,5 +45,8 @@
 	}
 	memory.Tune(loaded.HoldsReplica())
 	process := &host.Host{Settings: loaded, Logger: tools.Logger(loaded.LogLevel)}
+	if loaded.OnPlatform() {
+		process.Platform = platform.Adapter{}
+	}
 	return process.Run(ctx)
 }
