Choose targets by expected time, and bound waiting by the objective

Cause, read from the new decision lines: of 517 refused calls of the first seconds, 506 were refused by the caller's node on the level of the deepest service, while other instances of it had free slots; the busiest instance had four times the mean. The level averages instances that differ threefold in speed, and the nearest tier was filled first.

Ruled out: lack of slots (34 to 51 of 66 are needed at the burst), and the instances themselves (no arrival was declined).

Changed: calls on routes weigh all instances by expected time, slots in use and distance; they wait at a gate for as long as their latency objective allows, and are refused at once when they would wait longer. One structured line a decision, bounded by kind.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -68,7 +68,7 @@
 	if now.Add(gate.pace.shortest).After(work.Deadline) {
 		return refusal(request.DeadlineTooClose, 0), notices
 	}
-	if gate.Below != nil && doomed(work, gate.Below.Below(work.RootKind, now)) {
+	if work.Patience == 0 && gate.Below != nil && doomed(work, gate.Below.Below(work.RootKind, now)) {
 		return gate.refuse(request.OverloadedBelow, work.Priority), notices
 	}
 	gate.demand.note(work.Priority)
@@ -164,6 +164,9 @@
 
 // queue puts a call into the line or refuses it.
 func (gate *Gate) queue(now time.Time, work request.Work, notices []Notice) (Decision, []Notice) {
+	if work.Patience > 0 {
+		return gate.queuePatient(now, work, notices)
+	}
 	rate := gate.rate(now)
 	place := rankOf(work)
 	if gate.hopeless(now, work, place, rate) {
@@ -184,12 +187,26 @@
 	return Decision{Verdict: Wait}, notices
 }
 
+// queuePatient puts a call into the line if it will get its slot while it is
+// patient, and refuses it at once otherwise.
+func (gate *Gate) queuePatient(now time.Time, work request.Work, notices []Notice) (Decision, []Notice) {
+	place := rankOf(work)
+	if gate.hopeless(now, work, place, gate.rate(now)) {
+		return gate.refuse(request.Overloaded, work.Priority), notices
+	}
+	gate.line.insert(waiter{rank: place, call: work.Call, since: now, deadline: work.Deadline, until: now.Add(work.Patience)})
+	return Decision{Verdict: Wait}, notices
+}
+
 // hopeless tells whether the calls ahead take until after the deadline.
 func (gate *Gate) hopeless(now time.Time, work request.Work, place rank, rate float64) bool {
 	if rate <= 0 {
 		return false
 	}
 	wait := time.Duration(float64(gate.line.ahead(place)) / rate * float64(time.Second))
+	if work.Patience > 0 && wait > work.Patience {
+		return true
+	}
 	return now.Add(wait + gate.pace.shortest).After(work.Deadline)
 }
 
--- a/internal/core/admission/line.go
+++ b/internal/core/admission/line.go
@@ -49,6 +49,8 @@
 	call     request.CallID
 	since    time.Time
 	deadline time.Time
+	// until is when the call gives up waiting; zero is the gate's own bound.
+	until time.Time
 }
 
 // compare orders by rank, and within a rank puts the older call last, so that
@@ -128,6 +130,10 @@
 // started now and took only the shortest time, and appends a notice for each.
 func (l *line) expire(now time.Time, shortest time.Duration, notices []Notice) []Notice {
 	l.waiters = slices.DeleteFunc(l.waiters, func(waiting waiter) bool {
+		if !waiting.until.IsZero() && now.After(waiting.until) {
+			notices = append(notices, Notice{Call: waiting.call, Decision: refusal(request.WaitedTooLong, RetryAfter(waiting.rank.priority()))})
+			return true
+		}
 		if !now.Add(shortest).After(waiting.deadline) {
 			return false
 		}
--- a/internal/core/choice/chooser.go
+++ b/internal/core/choice/chooser.go
@@ -65,7 +65,11 @@
 // Call is one outbound call that needs a target.
 type Call struct {
 	Service  request.ServiceName
+	Kind     request.KindName
 	Priority request.Priority
+	// Anywhere weighs all tiers together, by expected time and distance, in
+	// place of the nearest tier that can take the call.
+	Anywhere bool
 	// Repeatable calls may probe an ejected target.
 	Repeatable bool
 	// Sparing marks a call that is refused sooner than sent over a full link.
@@ -170,7 +174,7 @@
 	}
 	choice.pool.mutex.Lock()
 	defer choice.pool.mutex.Unlock()
-	choice.pool.judge(now, choice.entry, call.Priority, answer)
+	choice.pool.judge(now, choice.entry, call, answer)
 }
 
 // Connected tells that a connection to the node stands. It may be called again
--- a/internal/core/choice/entry.go
+++ b/internal/core/choice/entry.go
@@ -20,6 +20,10 @@
 
 	load       Load
 	reportedAt time.Time
+	// inFlightThen is how many calls were in flight at the report.
+	inFlightThen int
+	// slowness is the latency relative to that of the kinds of calls.
+	slowness float64
 
 	refusedUntil    time.Time
 	refusedPriority request.Priority
@@ -78,16 +82,20 @@
 		latency += (e.latency - typical) * freshness(now.Sub(e.measuredAt), staleness)
 	}
 	queue := float64(e.inFlight+1) / float64(max(e.target.Slots, 1))
-	report := 1 + float64(e.load)*freshness(now.Sub(e.reportedAt), staleness)
+	report := 1 + float64(min(e.load, 1))*freshness(now.Sub(e.reportedAt), staleness)
 	return max(latency, 1) * queue * report * (1 + failureCost*e.failures)
 }
 
+// mostLoad bounds what a target may say of its load.
+const mostLoad = 10
+
 func (e *entry) report(now time.Time, load Load) {
 	if !(load >= 0) {
 		load = 0
 	}
-	e.load = min(load, 1)
+	e.load = min(load, mostLoad)
 	e.reportedAt = now
+	e.inFlightThen = e.inFlight
 }
 
 func (e *entry) measure(now time.Time, latency time.Duration) {
--- a/internal/core/choice/judge.go
+++ b/internal/core/choice/judge.go
@@ -7,7 +7,7 @@
 )
 
 // judge ends a call at the target and takes in what its answer tells.
-func (p *pool) judge(now time.Time, judged *entry, priority request.Priority, answer Answer) {
+func (p *pool) judge(now time.Time, judged *entry, call Call, answer Answer) {
 	if judged.inFlight > 0 {
 		judged.inFlight--
 	}
@@ -17,12 +17,13 @@
 	case Succeeded:
 		judged.report(now, answer.Load)
 		judged.measure(now, answer.Latency)
+		p.compare(call.Kind, judged, answer.Latency)
 		p.measure(answer.Latency)
 		judged.failures -= judged.failures * failureGain
 		p.readmit(now, judged)
 	case Refused:
 		judged.report(now, answer.Load)
-		judged.refuse(now.Add(p.chooser.RefusalHold), now, priority)
+		judged.refuse(now.Add(p.chooser.RefusalHold), now, call.Priority)
 		p.readmit(now, judged)
 	case Late:
 		if float64(answer.Latency) > lateFactor*p.typical {
--- a/internal/core/choice/pool.go
+++ b/internal/core/choice/pool.go
@@ -30,6 +30,8 @@
 	domains [tierCount][][]*entry
 	typical float64
 	ejected int
+	// kinds holds the typical latency of each kind of call.
+	kinds map[request.KindName]float64
 }
 
 func newPool(chooser *Chooser) *pool {
@@ -125,6 +127,9 @@
 		return p.choice(due), request.OK
 	}
 	distrusted := p.mostFail(now)
+	if call.Anywhere {
+		return p.pickAnywhere(now, random, call, distrusted)
+	}
 	code := request.NoTarget
 	for tier := range p.tiers {
 		found := p.best(now, random, call, tier, selection{distrusted: distrusted})
@@ -146,6 +151,22 @@
 	return Choice{}, request.NoTarget
 }
 
+// pickAnywhere takes the target of the least expected time, and one that is
+// thought to refuse, or to be down, only when there is no other.
+func (p *pool) pickAnywhere(now time.Time, random *rand.Rand, call *Call, distrusted bool) (Choice, request.Code) {
+	wide := [...]selection{
+		{distrusted: distrusted},
+		{distrusted: distrusted, full: true},
+		{distrusted: true, full: true, unreachable: true, avoided: true},
+	}
+	for _, chosen := range wide {
+		if found := p.anywhere(now, random, call, chosen); found != nil {
+			return p.choice(found), request.OK
+		}
+	}
+	return Choice{}, request.NoTarget
+}
+
 // lastResort takes the nearest target that is thought to refuse, or else one
 // that is thought to be down: what a target says itself comes first. Over a
 // link that is spared nothing is sent.
--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/core/spread"
+	"github.com/magnoliawall/magnoliawall/internal/decision"
 	"github.com/magnoliawall/magnoliawall/internal/node"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
@@ -102,6 +103,7 @@
 		Grace:         time.Duration(ho.Settings.Stop.Grace),
 		Guard:         st.guard,
 		Logger:        ho.Logger,
+		Decisions:     &decision.Log{Logger: ho.Logger},
 		OnDrain:       st.announceDrain,
 		OnReport:      st.sendReport,
 	}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -70,6 +70,7 @@
 
 // conclude tells the caller how the call ended.
 func (no *Node) conclude(ctx context.Context, writer http.ResponseWriter, og *outgoing, at *attempt) {
+	no.logEnd(og, at)
 	if at.refusal != nil {
 		no.refuse(writer, og.honest(at.refusal))
 		return
@@ -110,6 +111,7 @@
 		}
 		decision := no.mayRetry(og, at.refusal, used)
 		count(no.counters.retries, decision.Reason)
+		no.logRetry(og, at, used, decision)
 		if decision.Reason != retry.Allowed || !wait.For(ctx, decision.Backoff) {
 			og.root.resume(time.Now(), at.refusal)
 			return at
@@ -158,13 +160,15 @@
 // try sends the call to one target and holds a small answer.
 func (no *Node) try(ctx context.Context, og *outgoing, tried []request.NodeID) *attempt {
 	at := &attempt{started: time.Now()}
-	if no.traffic.refuses(at.started, og) {
+	if !og.kind.Routed && no.traffic.refuses(at.started, og) {
 		at.refusal = web.NewRefusal(request.OverloadedBelow, "")
 		at.refusal.RetryAfter = admission.RetryAfter(og.work.Priority)
 		return at
 	}
 	call := choice.Call{
 		Service:     og.kind.Service,
+		Kind:        og.kind.Name,
+		Anywhere:    og.kind.Routed,
 		Priority:    og.work.Priority,
 		Repeatable:  og.kind.Repeat == request.Repeatable,
 		Sparing:     og.sparing(no.Configuration.Current().Half),
@@ -262,9 +266,16 @@
 		Host:                 og.host,
 		CallerService:        string(no.Local().Service),
 		RequestId:            og.id,
+		PatienceUs:           og.patience().Microseconds(),
 	}
 }
 
+// patience is how long the call may wait for a slot and still be in time, or
+// zero where its kind has no objective.
+func (og *outgoing) patience() time.Duration {
+	return og.kind.Objective
+}
+
 // callFailure names what became of a call whose exchange broke.
 func callFailure(ctx context.Context, og *outgoing, err error) *web.Refusal {
 	switch {
--- /dev/null
+++ b/internal/node/decisions.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/core/retry"
+	"github.com/magnoliawall/magnoliawall/internal/decision"
+)
+
+// describe adds what a call is and which version matched it.
+func (og *outgoing) describe(line *log.Entry, now time.Time) *log.Entry {
+	return line.Str("request", og.id).Str("from", og.from).Str("kind", string(og.kind.Name)).Str("service", string(og.kind.Service)).
+		Uint64("version", uint64(og.version)).Uint16("priority", uint16(og.work.Priority)).
+		Dur("left", og.work.Deadline.Sub(now))
+}
+
+// logEnd writes how a call ended for its caller.
+func (no *Node) logEnd(og *outgoing, at *attempt) {
+	now := time.Now()
+	if at.refusal != nil {
+		if line := no.Decisions.Line(decision.CallRefused); line != nil {
+			og.describe(line, now).Str("target", string(at.choice.Target.Node)).Stringer("code", at.refusal.Code).
+				Stringer("outcome", at.refusal.Outcome).Bool("handed", at.refusal.Handed).Int("moves", og.moves).
+				Dur("retry-after", at.refusal.RetryAfter).Str("detail", at.refusal.Detail).Dur("took", now.Sub(at.started)).Msg("call: refused")
+		}
+		return
+	}
+	if line := no.Decisions.Line(decision.CallAnswered); line != nil {
+		og.describe(line, now).Str("target", string(at.choice.Target.Node)).Uint32("status", at.header.GetStatus()).
+			Int("moves", og.moves).Dur("took", now.Sub(at.started)).Msg("call: answered")
+	}
+}
+
+// logRetry writes whether an attempt that failed is followed by another.
+func (no *Node) logRetry(og *outgoing, at *attempt, used int, decided retry.Decision) {
+	if line := no.Decisions.Line(decision.CallRetried); line != nil {
+		og.describe(line, time.Now()).Str("target", string(at.choice.Target.Node)).Stringer("code", at.refusal.Code).
+			Stringer("outcome", at.refusal.Outcome).Int("used", used).Stringer("decision", decided.Reason).Msg("call: attempt failed")
+	}
+}
+
+// logRefusal writes why the node of a target turned a call away, with the state
+// of its gate.
+func (ar *arrival) logRefusal(refusal *web.Refusal) {
+	line := ar.node.Decisions.Line(decision.TargetRefused)
+	if line == nil {
+		return
+	}
+	now := time.Now()
+	gate := ar.node.traffic.gauge(now, ar.work.RootKind)
+	header := ar.inbound.Header
+	line.Str("request", header.GetRequestId()).Str("kind", header.GetKind()).Str("instance", string(ar.local.Instance)).
+		Stringer("code", refusal.Code).Stringer("outcome", refusal.Outcome).Bool("handed", refusal.Handed).
+		Str("detail", refusal.Detail).Uint16("priority", uint16(ar.work.Priority)).Dur("left", ar.work.Deadline.Sub(now)).
+		Int("limit", gate.limit).Int("running", gate.running).Int("waiting", gate.waiting).Uint16("level", uint16(gate.level.Level)).
+		Msg("target: refused")
+}
+
+// logAnswer writes that the target answered a call.
+func (ar *arrival) logAnswer(status int, took time.Duration) {
+	if line := ar.node.Decisions.Line(decision.TargetAnswered); line != nil {
+		line.Str("request", ar.inbound.Header.GetRequestId()).Str("kind", string(ar.kind.Name)).
+			Str("instance", string(ar.local.Instance)).Int("status", status).Dur("took", took).Msg("target: answered")
+	}
+}
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -88,6 +88,7 @@
 		Priority: request.Priority(min(header.GetPriority(), uint32(request.MaxPriority))),
 		Spent:    time.Duration(header.GetSpentUs()) * time.Microsecond,
 		Deadline: now.Add(time.Duration(header.GetRemainingUs()) * time.Microsecond),
+		Patience: time.Duration(header.GetPatienceUs()) * time.Microsecond,
 	}
 	copy(ar.work.Root[:], header.GetRoot())
 	ar.fingerprint = request.Fingerprint(header.GetFingerprint())
@@ -137,6 +138,7 @@
 
 func (ar *arrival) refuse(refusal *web.Refusal) {
 	count(ar.node.counters.below, refusal.Code)
+	ar.logRefusal(refusal)
 	header := &peerpb.AnswerHeader{
 		Status:       uint32(request.Describe(refusal.Code).Status),
 		Code:         uint32(refusal.Code),
@@ -229,6 +231,7 @@
 		visit.end(resultOf(response))
 		return ar.report()
 	}
+	ar.logAnswer(response.StatusCode, time.Since(visit.started))
 	err = ar.inbound.Answer(header, response.Body, report)
 	visit.end(admission.Failed)
 	return err == nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/drain"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
+	"github.com/magnoliawall/magnoliawall/internal/decision"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
@@ -77,6 +78,8 @@
 	Drain  *drain.Drain
 	Guard  *quarantine.Guard
 	Logger *log.Logger
+	// Decisions bounds the lines on single calls; nil writes none.
+	Decisions *decision.Log
 	// OnDrain is called when the node begins to drain, OnReport when its target
 	// died.
 	OnDrain  func()
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -35,8 +35,9 @@
 	method  string
 	path    string
 	host    string
-	// id is the caller's own name for the call.
+	// id is the caller's own name for the call, and from where it came from.
 	id      string
+	from    string
 	headers []*peerpb.Header
 	body    *callBody
 	work    request.Work
@@ -83,6 +84,7 @@
 		path:    pathOf(incoming),
 		host:    incoming.Host,
 		id:      terms.ID,
+		from:    incoming.RemoteAddr,
 		headers: web.EncodeHeaders(incoming.Header),
 	}
 	no.tie(og, incoming, from, now, current)
--- a/internal/request/terms.go
+++ b/internal/request/terms.go
@@ -105,4 +105,7 @@
 	Priority Priority
 	Spent    time.Duration
 	Deadline time.Time
+	// Patience is how long the call may wait for a slot; zero leaves that to
+	// the gate.
+	Patience time.Duration
 }
--- a/magnoliad/internal/command/factory/factory.go
+++ b/magnoliad/internal/command/factory/factory.go
@@ -13,6 +13,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/magnoliawall/magnoliawall/internal/decision"
 	"github.com/magnoliawall/magnoliawall/internal/program"
 	"github.com/magnoliawall/magnoliawall/internal/settings"
 	"github.com/magnoliawall/magnoliawall/internal/terminal"
@@ -47,6 +48,6 @@
 func (factory *Factory) Logger(level settings.LogLevel) *log.Logger {
 	return &log.Logger{
 		Level:  log.ParseLevel(string(level)),
-		Writer: &log.IOWriter{Writer: factory.Streams.Err},
+		Writer: decision.NewWriter(factory.Streams.Out),
 	}
 }
