Read the settings again on SIGHUP and when the file changes

Seeds and log level now take effect while the process runs; a changed file without a signal is seen within a second; a faulty one is logged and changes nothing.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -17,6 +17,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -55,13 +57,19 @@
 	operations  operator.Operate
 	replicas    *peer.Directory
 	drain       context.CancelFunc
+	// current holds the settings after a reload.
+	current   atomic.Pointer[settings.Settings]
+	reloading sync.Mutex
 }
 
 // Run serves until the context ends, then finishes what is in flight.
 func (ho *Host) Run(ctx context.Context) error {
+	ho.reloading.Lock()
 	ctx, ho.drain = context.WithCancel(ctx)
 	defer ho.drain()
-	if err := ho.prepare(); err != nil {
+	err := ho.prepare()
+	ho.reloading.Unlock()
+	if err != nil {
 		return err
 	}
 	defer func() { _ = ho.transport.Close() }()
@@ -92,7 +100,7 @@
 		add(background, &group, ho.watchCertificate)
 	}
 	ho.Logger.Info().Str("node", string(ho.Settings.Node)).Str("domain", string(ho.place.Domain)).Msg("host: started")
-	err := group.Run()
+	err = group.Run()
 	ho.Logger.Info().Str("node", string(ho.Settings.Node)).Msg("host: stopped")
 	return err
 }
@@ -145,16 +153,7 @@
 // replicas form by themselves, the list follows them.
 func (ho *Host) newDirectory() *peer.Directory {
 	directory := &peer.Directory{Self: ho.Settings.Node, Domain: ho.place.Domain, Spread: ho.Settings.OnPlatform()}
-	addresses := make([]peer.Address, 0, len(ho.Settings.Seeds)+1)
-	if ho.Settings.HoldsReplica() {
-		addresses = append(addresses, peer.Address(ho.Settings.Listen.Peers))
-	}
-	for _, seed := range ho.Settings.SeedAddresses() {
-		if seed != ho.Settings.Listen.Peers {
-			addresses = append(addresses, peer.Address(seed))
-		}
-	}
-	directory.SetSeeds(addresses)
+	directory.SetSeeds(ho.seedAddresses())
 	return directory
 }
 
@@ -192,6 +191,10 @@
 	return nil
 }
 
+func levelOf(level settings.LogLevel) log.Level {
+	return log.ParseLevel(string(level))
+}
+
 const (
 	headerTimeout   = 5 * time.Second
 	shutdownTimeout = 2 * time.Second
--- a/internal/host/seat.go
+++ b/internal/host/seat.go
@@ -110,8 +110,8 @@
 
 // seeds gives the peer addresses that the settings name, as they are now.
 func (se *seat) seeds() []string {
-	seeds := make([]string, 0, len(se.host.Settings.Seeds))
-	for _, seed := range se.host.Settings.SeedAddresses() {
+	var seeds []string
+	for _, seed := range se.host.settingsNow().SeedAddresses() {
 		seeds = append(seeds, string(seed))
 	}
 	return seeds
--- /dev/null
+++ b/internal/settings/watch_test.go
@@ -0,0 +1,58 @@
+package settings_test
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/settings"
+)
+
+// A change is taken up with a signal and without one; a file that cannot be
+// used changes nothing.
+func TestTheFileIsReadAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	path := filepath.Join(t.TempDir(), "node.jsonc")
+	write := func(text string) { g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(gomega.Succeed()) }
+	write("first")
+	signals, ticks := make(chan os.Signal), make(chan time.Time)
+	events := make(chan string)
+	watcher := &settings.Watcher{
+		Path:    path,
+		Signals: signals,
+		Ticks:   ticks,
+		Load: func(path string) (*settings.Settings, error) {
+			text, err := os.ReadFile(path)
+			if string(text) == "faulty" {
+				return nil, errors.New("faulty")
+			}
+			return &settings.Settings{DataFolder: string(text)}, err
+		},
+		Changed: func(next *settings.Settings) { events <- "changed to " + next.DataFolder },
+		Failed:  func(err error) { events <- "failed: " + err.Error() },
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		watcher.Run(ctx)
+	}()
+	ticks <- time.Time{}
+	write("second")
+	ticks <- time.Time{}
+	g.Expect(<-events).To(gomega.Equal("changed to second"))
+	write("faulty")
+	signals <- syscall.SIGHUP
+	g.Expect(<-events).To(gomega.Equal("failed: faulty"))
+	write("third")
+	signals <- syscall.SIGHUP
+	g.Expect(<-events).To(gomega.Equal("changed to third"))
+	stop()
+	<-ended
+}
--- a/magnoliad/internal/command/run/run.go
+++ b/magnoliad/internal/command/run/run.go
@@ -9,9 +9,13 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/magnoliawall/magnoliawall/internal/host"
 	"github.com/magnoliawall/magnoliawall/internal/memory"
+	"github.com/magnoliawall/magnoliawall/internal/settings"
 	"github.com/magnoliawall/magnoliawall/magnoliad/internal/command/factory"
 	"github.com/magnoliawall/magnoliawall/platform"
 )
@@ -31,7 +35,8 @@
 	return `Runs the node of this host, and the replica that its settings name, until
 SIGTERM or SIGINT. Then it tells its peers that its target leaves, takes no new
 work, finishes every request in flight, uploads included, and exits 0. A second
-signal ends the process at once.
+signal ends the process at once. On SIGHUP, and when the file changes without a
+signal, it reads its settings again: seeds and log-level take effect at once.
 
 Examples:
   magnoliad run /etc/magnoliad/node.jsonc`
@@ -39,6 +44,9 @@
 
 // Run runs the command.
 func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	loaded, err := tools.Settings(options.Settings)
 	if err != nil {
 		return err
@@ -48,5 +56,17 @@
 	if loaded.OnPlatform() {
 		process.Platform = platform.Adapter{}
 	}
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	watcher := &settings.Watcher{
+		Path:    options.Settings,
+		Signals: signals,
+		Load:    tools.Settings,
+		Changed: process.Reload,
+		Failed: func(err error) {
+			process.Logger.Error().Err(err).Msg("settings: the changed file cannot be used, those of before stay in use")
+		},
+	}
+	go watcher.Run(watching)
 	return process.Run(ctx)
 }
