--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -178,15 +179,18 @@
 	written <-chan struct{}
 	final   bool
 	ended   bool
+	// failed is why the body ended early; each further read says so again.
+	failed error
 }
 
 // Read reads the body.
 func (body *targetBody) Read(data []byte) (int, error) {
 	if body.ended {
-		return 0, io.EOF
+		return 0, cmp.Or(body.failed, io.EOF)
 	}
 	count, err := body.source.Read(data)
 	if err != nil {
+		body.failed = err
 		body.end(errors.Is(err, io.EOF))
 	}
 	return count, err
--- a/internal/host/platform.go
+++ b/internal/host/platform.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -61,6 +62,7 @@
 // follow brings the node and the registry to what is known of the target.
 func (an *announced) follow(ctx context.Context) {
 	current, serving := an.presence.Current()
+	current.Service = cmp.Or(current.Service, an.site.host.Settings.Service)
 	an.site.node.SetLocal(node.LocalTarget{
 		Instance: current.Instance,
 		Service:  current.Service,
@@ -85,6 +87,7 @@
 	an.lock.Lock()
 	defer an.lock.Unlock()
 	current, _ := an.presence.Current()
+	current.Service = cmp.Or(current.Service, an.site.host.Settings.Service)
 	an.site.node.SetLocal(node.LocalTarget{Instance: current.Instance, Service: current.Service, Slots: current.Slots})
 	if err := an.site.client.Change(ctx, membership.Down); err != nil {
 		an.site.problem("the target's death was not passed on", err)
--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -14,7 +14,17 @@
 func (og *outgoing) describe(line *log.Entry, now time.Time) *log.Entry {
 	return line.Str("request", og.id).Str("from", og.from).Str("kind", string(og.kind.Name)).Str("service", string(og.kind.Service)).
 		Uint64("version", uint64(og.version)).Uint16("priority", uint16(og.work.Priority)).
-		Dur("left", og.work.Deadline.Sub(now))
+		Dur("left", timeLeft(og.work.Deadline, now))
+}
+
+// timeLeft is the time until a deadline; zero where a call was refused before
+// its deadline was read. The logger cannot write the longest negative duration,
+// which the difference would be.
+func timeLeft(deadline, now time.Time) time.Duration {
+	if deadline.IsZero() {
+		return 0
+	}
+	return deadline.Sub(now)
 }
 
 // logEnd writes how a call ended for its caller.
@@ -54,7 +64,7 @@
 	header := ar.inbound.Header
 	line.Str("request", header.GetRequestId()).Str("kind", header.GetKind()).Str("instance", string(ar.local.Instance)).
 		Stringer("code", refusal.Code).Stringer("outcome", refusal.Outcome).Bool("handed", refusal.Handed).
-		Str("detail", refusal.Detail).Uint16("priority", uint16(ar.work.Priority)).Dur("left", ar.work.Deadline.Sub(now)).
+		Str("detail", refusal.Detail).Uint16("priority", uint16(ar.work.Priority)).Dur("left", timeLeft(ar.work.Deadline, now)).
 		Int("limit", gate.limit).Int("running", gate.running).Int("waiting", gate.waiting).Uint16("level", uint16(gate.level.Level)).
 		Msg("target: refused")
 }
