Shed whole trees where they enter, by how calls end at their targets

A target's node now judges the calls of each kind, and lowers the share that may enter while they fail for want of room below; the nodes where calls enter follow, the less important kinds first. Which kinds enter is told by the services beside which they come in.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -95,7 +95,11 @@
 // attempts tries targets until one answers or no retry is left.
 func (no *Node) attempts(ctx context.Context, og *outgoing) *attempt {
 	og.edge = no.edges.of(og.kind.Service)
-	og.root.wait(time.Now())
+	began := time.Now()
+	if refusal := no.shed(began, og); refusal != nil {
+		return &attempt{started: began, refusal: refusal}
+	}
+	og.root.wait(began)
 	tried := make([]request.NodeID, 0, 4)
 	for used := 0; ; used++ {
 		at := no.try(ctx, og, tried)
@@ -113,6 +117,7 @@
 		count(no.counters.retries, decision.Reason)
 		no.logRetry(og, at, used, decision)
 		if decision.Reason != retry.Allowed || !wait.For(ctx, decision.Backoff) {
+			no.ended(og, at.refusal)
 			og.root.resume(time.Now(), at.refusal)
 			return at
 		}
@@ -137,6 +142,24 @@
 	}, &og.root.account, &og.edge.budget)
 }
 
+// ended notes a call of the local target that found no room, and tells a caller
+// from outside when to come back.
+func (no *Node) ended(og *outgoing, refusal *web.Refusal) {
+	if !og.kind.Routed {
+		return
+	}
+	now := time.Now()
+	switch refusal.Code {
+	case request.Overloaded, request.WaitedTooLong, request.DeadlinePassed, request.DeadlineTooClose, request.NoTarget:
+		if !no.doors.entering(og.kind.Name) {
+			no.doors.starve(now)
+		}
+	}
+	if refusal.Outcome == request.NotRun {
+		refusal.RetryAfter = og.comeBack(now)
+	}
+}
+
 // honest is what the caller is told. That one attempt was not started does not
 // tell that an earlier one with the same key did not run.
 func (og *outgoing) honest(refusal *web.Refusal) *web.Refusal {
@@ -323,6 +346,9 @@
 	og.root.lock.Lock()
 	og.root.account.Return(at.share, retry.Allowance(report.GetUnspent()))
 	og.root.lock.Unlock()
+	if og.kind.Routed {
+		no.doors.follow(time.Now(), og, report)
+	}
 	no.traffic.learn(time.Now(), og, admission.LevelNotice{
 		Level: request.Level(report.GetLevel()),
 		Age:   time.Duration(report.GetLevelAgeUs()) * time.Microsecond,
--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -33,7 +33,7 @@
 	if at.refusal != nil {
 		if line := no.Decisions.Line(decision.CallRefused); line != nil {
 			og.describe(line, now).Str("target", string(at.choice.Target.Node)).Stringer("code", at.refusal.Code).
-				Stringer("outcome", at.refusal.Outcome).Bool("handed", at.refusal.Handed).Int("moves", og.moves).
+				Stringer("outcome", at.refusal.Outcome).Bool("handed", at.refusal.Handed).Int("moves", og.moves).Float64("share", og.share).
 				Dur("retry-after", at.refusal.RetryAfter).Str("detail", at.refusal.Detail).Dur("took", now.Sub(at.started)).Msg("call: refused")
 		}
 		return
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -81,6 +81,9 @@
 		return ar, web.NewRefusal(request.UnknownKind, header.GetKind())
 	}
 	ar.kind, ar.local = kind, local
+	if kind.Routed {
+		no.doors.arrive(kind.Name, request.ServiceName(header.GetCallerService()))
+	}
 	ar.work = request.Work{
 		Call:     no.nextCall(),
 		RootKind: request.KindName(header.GetRootKind()),
@@ -127,13 +130,17 @@
 func (ar *arrival) report() *peerpb.Report {
 	ar.leave()
 	current := ar.node.traffic.gauge(time.Now(), ar.work.RootKind)
-	return &peerpb.Report{
+	report := &peerpb.Report{
 		Level:      uint32(current.level.Level),
 		LevelAgeUs: current.level.Age.Microseconds(),
 		Load:       uint32((current.running + current.waiting) * loadUnit / max(current.limit, 1)),
 		Unspent:    uint32(ar.unspent),
 		Draining:   ar.node.draining(),
 	}
+	if ar.kind != nil && ar.kind.Routed {
+		ar.node.doors.tell(time.Now(), ar.kind.Name, report)
+	}
+	return report
 }
 
 func (ar *arrival) refuse(refusal *web.Refusal) {
@@ -231,7 +238,11 @@
 		visit.end(resultOf(response))
 		return ar.report()
 	}
-	ar.logAnswer(response.StatusCode, time.Since(visit.started))
+	took := time.Since(visit.started)
+	ar.logAnswer(response.StatusCode, took)
+	if ar.kind.Routed {
+		ar.node.doors.ended(time.Now(), ar.kind.Name, response.StatusCode, ar.work.Patience > 0 && took > ar.work.Patience)
+	}
 	err = ar.inbound.Answer(header, response.Body, report)
 	visit.end(admission.Failed)
 	return err == nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,7 @@
 	OnReport func(quarantine.Report)
 
 	roots       rootTable
+	doors       doors
 	edges       edgeTable
 	traffic     *traffic
 	counters    *counters
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -45,6 +45,8 @@
 	root    *root
 	tied    bool
 	edge    *edge
+	// share is the share of its kind that was let in when the call was shed.
+	share float64
 	// moves counts the targets whose node did not hand the call over.
 	moves int
 	// fingerprint names the request where it crashes targets; suspect says that
