--- a/internal/adapter/peer/accept.go
+++ b/internal/adapter/peer/accept.go
@@ -28,6 +28,7 @@
 }
 
 func (tr *Transport) serveConn(ctx context.Context, conn net.Conn) {
+	watchAccepted(conn)
 	if tr.ServerTLS != nil {
 		conn = tls.Server(conn, tr.ServerTLS)
 	}
--- a/internal/adapter/peer/dial.go
+++ b/internal/adapter/peer/dial.go
@@ -65,8 +65,7 @@
 	if tr.Dial != nil {
 		return tr.Dial(ctx, address)
 	}
-	dialer := net.Dialer{}
-	return dialer.DialContext(ctx, "tcp", string(address))
+	return dialTCP(ctx, address)
 }
 
 func (tr *Transport) greet(conn net.Conn) (Hello, error) {
--- a/internal/adapter/peer/session.go
+++ b/internal/adapter/peer/session.go
@@ -75,7 +75,7 @@
 func muxConfig() *yamux.Config {
 	settings := yamux.DefaultConfig()
 	settings.KeepAliveInterval = keepAliveInterval
-	settings.ConnectionWriteTimeout = 2 * keepAliveInterval
+	settings.ConnectionWriteTimeout = keepAliveInterval
 	settings.MaxStreamWindowSize = streamWindow
 	settings.StreamCloseTimeout = keepAliveInterval
 	settings.LogOutput = io.Discard
--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -32,8 +32,10 @@
 )
 
 const (
-	dialTimeout       = 2 * time.Second
-	keepAliveInterval = 5 * time.Second
+	// dialTimeout is short, so that a peer behind a cut is tried again soon after
+	// the cut heals.
+	dialTimeout       = time.Second
+	keepAliveInterval = 3 * time.Second
 	streamWindow      = 256 << 10
 	idleStreams       = 64
 )
--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -27,8 +27,9 @@
 }
 
 // behindTime is how long a replica may lack a version that is in force at a
-// peer.
-const behindTime = 3 * time.Second
+// peer: a few rounds between regions, and well within the seconds in which a
+// version must be in force everywhere.
+const behindTime = 600 * time.Millisecond
 
 // agent answers the messages of a replica for one node.
 type agent struct {
