--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -125,6 +125,8 @@
 	cut   map[[2]string]bool
 	ids   quorum.ReplicaID
 	seed  uint64
+	// prepare sets what differs from a group that is listed; nil sets nothing.
+	prepare func(started *host)
 }
 
 func newCluster(t *testing.T, size int) *cluster {
@@ -167,6 +169,9 @@
 			return made.ids
 		},
 	}
+	if made.prepare != nil {
+		made.prepare(started)
+	}
 	made.Expect(started.open()).To(gomega.Succeed())
 }
 
