Answer a replica that asked to join before it was known

Test: TestAnEarlyJoinIsAnsweredLater.

Also: bodies count in the distance of a target (uploads stay in their region), and targets that warm up are taken when there is no other.

--- a/internal/adapter/registry/desk.go
+++ b/internal/adapter/registry/desk.go
@@ -26,6 +26,8 @@
 	node    request.NodeID
 	place   request.Place
 	replica bool
+	// asked says that it asked to join before it was known as a replica.
+	asked bool
 	// flowing says that the node was told of others on its links.
 	flowing bool
 	// lease is the incarnation whose lease this session holds.
@@ -122,9 +124,10 @@
 // join lets another replica read what this one holds. Others have no use for it.
 func (d *desk) join(now time.Time, from *session) {
 	if !d.members[from.node] {
+		from.asked = true
 		return
 	}
-	from.replica = true
+	from.replica, from.asked = true, false
 	update := d.registry.SubscribeReplica(now, from.node)
 	from.send(&pb.Reply{Reports: d.recent(now), Updates: []*pb.Update{encodeUpdate(update)}})
 }
@@ -226,6 +229,20 @@
 	return again
 }
 
+// admit takes other replicas as the members of the log, and joins those that
+// asked before they were known here.
+func (d *desk) admit(now time.Time, others []Replica) {
+	d.members = map[request.NodeID]bool{}
+	for _, other := range others {
+		d.members[other.ID] = true
+	}
+	for waiting := range d.sessions {
+		if waiting.asked && d.members[waiting.node] {
+			d.join(now, waiting)
+		}
+	}
+}
+
 // relocate tells all nodes where the replicas listen.
 func (d *desk) relocate(places []*pb.ReplicaPlace) {
 	d.places = places
--- a/internal/adapter/registry/server.go
+++ b/internal/adapter/registry/server.go
@@ -134,10 +134,10 @@
 // and tells the nodes of it.
 func (server *Server) Follow(ctx context.Context, members []Replica) error {
 	server.Prepare()
-	return server.loop.do(ctx, func(time.Time) { server.follow(members) })
+	return server.loop.do(ctx, func(now time.Time) { server.follow(now, members) })
 }
 
-func (server *Server) follow(members []Replica) {
+func (server *Server) follow(now time.Time, members []Replica) {
 	var others []Replica
 	for _, member := range members {
 		if member.ID != server.Registry.Self {
@@ -152,9 +152,8 @@
 		return joined.gone
 	})
 	server.Others = others
-	server.desk.members = map[request.NodeID]bool{}
+	server.desk.admit(now, others)
 	for _, other := range others {
-		server.desk.members[other.ID] = true
 		if !slices.ContainsFunc(server.joins, func(joined *join) bool { return joined.replica == other }) {
 			server.joins = append(server.joins, &join{replica: other})
 		}
--- a/internal/core/choice/anywhere.go
+++ b/internal/core/choice/anywhere.go
@@ -8,11 +8,16 @@
 )
 
 // What the distance to a target costs, as time that a call would rather wait
-// nearby. Both are above the round trip itself, since bytes between failure
-// domains and far more those between regions are paid for.
+// nearby: somewhat above the round trip, and a time for each byte, since bytes
+// between failure domains are paid for, and those between regions eight to ten
+// times as much.
 const (
-	regionDistance = 12 * time.Millisecond
-	acrossDistance = 120 * time.Millisecond
+	regionDistance = 8 * time.Millisecond
+	acrossDistance = 60 * time.Millisecond
+	regionPerByte  = 2 * time.Microsecond
+	acrossPerByte  = 20 * time.Microsecond
+	// usualBytes stands for the answer of a kind that is not known yet.
+	usualBytes = 2000
 )
 
 const (
@@ -30,20 +35,38 @@
 	costNoise = 0.2
 )
 
-var distances = [tierCount]time.Duration{sameDomain: 0, sameRegion: regionDistance, otherRegion: acrossDistance}
+var (
+	distances    = [tierCount]time.Duration{sameDomain: 0, sameRegion: regionDistance, otherRegion: acrossDistance}
+	perByteCosts = [tierCount]time.Duration{sameDomain: 0, sameRegion: regionPerByte, otherRegion: acrossPerByte}
+)
+
+// kindUsage is what calls of one kind usually take.
+type kindUsage struct {
+	latency float64
+	bytes   float64
+}
+
+// bytes estimates what a call moves both ways.
+func (p *pool) bytes(call *Call) float64 {
+	if usage := p.kinds[call.Kind]; usage != nil {
+		return max(usage.bytes, float64(call.Bytes))
+	}
+	return float64(call.Bytes) + usualBytes
+}
 
 // anywhere takes the target with the least expected time over all tiers, with
 // distance as a part of it.
 func (p *pool) anywhere(now time.Time, random *rand.Rand, call *Call, chosen selection) *entry {
 	var found *entry
 	least := 0.0
+	bytes := p.bytes(call)
 	for tier := range p.tiers {
 		for _, candidate := range p.tiers[tier][:min(len(p.tiers[tier]), p.chooser.PerTier)] {
-			if !chosen.allows(now, call, candidate) || !candidate.warm(now, random) {
+			if !chosen.allows(now, call, candidate) || !chosen.full && !candidate.warm(now, random) {
 				continue
 			}
 			cost := p.expected(now, call.Kind, candidate) * (1 + costNoise*random.Float64())
-			cost += float64(distances[tier])
+			cost += float64(distances[tier]) + bytes*float64(perByteCosts[tier])
 			if found == nil || cost < least {
 				found, least = candidate, cost
 			}
@@ -55,9 +78,9 @@
 // expected estimates the time of another call of the kind at the target: its
 // own time there, and the wait for a slot.
 func (p *pool) expected(now time.Time, kind request.KindName, candidate *entry) float64 {
-	typical := p.kinds[kind]
-	if typical == 0 {
-		typical = max(p.typical, float64(time.Millisecond))
+	typical := max(p.typical, float64(time.Millisecond))
+	if usage := p.kinds[kind]; usage != nil {
+		typical = usage.latency
 	}
 	slowness := candidate.slownessAt(now, p.chooser.Staleness)
 	slots := float64(max(candidate.target.Slots, 1))
@@ -89,21 +112,24 @@
 
 // compare follows how long calls of a kind take, and how the target does
 // relative to that.
-func (p *pool) compare(kind request.KindName, judged *entry, latency time.Duration) {
-	if kind == "" || latency <= 0 {
+func (p *pool) compare(kind request.KindName, judged *entry, answer Answer) {
+	if kind == "" || answer.Latency <= 0 {
 		return
 	}
+	latency, bytes := float64(answer.Latency), float64(answer.Bytes)
 	if p.kinds == nil {
-		p.kinds = make(map[request.KindName]float64)
+		p.kinds = make(map[request.KindName]*kindUsage)
 	}
-	typical, known := p.kinds[kind]
-	if !known {
-		typical = float64(latency)
+	usage := p.kinds[kind]
+	if usage == nil {
+		usage = &kindUsage{latency: latency, bytes: bytes}
+		p.kinds[kind] = usage
 	}
-	ratio := min(float64(latency)/typical, mostSlowness)
+	ratio := min(latency/usage.latency, mostSlowness)
 	if judged.slowness == 0 {
 		judged.slowness = 1
 	}
 	judged.slowness += (ratio - judged.slowness) * slownessGain
-	p.kinds[kind] = typical + (float64(latency)-typical)*kindGain
+	usage.latency += (latency - usage.latency) * kindGain
+	usage.bytes += (bytes - usage.bytes) * kindGain
 }
--- /dev/null
+++ b/internal/core/choice/anywhere_test.go
@@ -0,0 +1,94 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+var (
+	here   = request.Place{Region: "norte", Domain: "salto"}
+	near   = request.Place{Region: "norte", Domain: "artigas"}
+	remote = request.Place{Region: "sur", Domain: "canelones"}
+)
+
+// lookups are calls that each instance of eleven slots takes 22 ms for.
+const (
+	lookupTime  = 22 * time.Millisecond
+	lookupSlots = 11
+)
+
+// deep is a pool with an instance in each of three places.
+func deep(now time.Time) *Chooser {
+	chooser := &Chooser{Self: "caller", Place: here}
+	chooser.Update(now, View{Service: "consumo", Targets: []Target{
+		{Node: "here", Address: "1", Place: here, Slots: lookupSlots},
+		{Node: "near", Address: "2", Place: near, Slots: lookupSlots},
+		{Node: "remote", Address: "3", Place: remote, Slots: lookupSlots},
+	}})
+	return chooser
+}
+
+// spread sends lookups that never end, and counts where they go.
+func spread(chooser *Chooser, calls int, body int64) map[request.NodeID]int {
+	random := rand.New(rand.NewPCG(3, 4))
+	now := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+	counts := map[request.NodeID]int{}
+	for range calls {
+		call := Call{Service: "consumo", Kind: "route/lookup", Anywhere: true, Bytes: body}
+		picked, code := chooser.Pick(now, random, call)
+		if code != request.OK {
+			break
+		}
+		chooser.Sent(picked)
+		counts[picked.Target.Node]++
+	}
+	return counts
+}
+
+// The pattern: a burst on a deep service. Calls stay near while slots are free
+// there, and go far before any of them has to wait for long.
+func TestLookupsGoFartherAsSlotsFill(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	now := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+	few := spread(deep(now), lookupSlots/2, 0)
+	expect(few["here"]).To(gomega.Equal(lookupSlots / 2))
+	most := spread(deep(now), 3*lookupSlots, 0)
+	expect(most).To(gomega.Equal(map[request.NodeID]int{"here": lookupSlots, "near": lookupSlots, "remote": lookupSlots}))
+}
+
+// A large body crosses no region while an instance of the region has a slot.
+func TestUploadsStayInTheirRegion(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	now := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+	counts := spread(deep(now), 2*lookupSlots, 60_000)
+	expect(counts["remote"]).To(gomega.BeZero())
+}
+
+// The pattern: instances of one service that differ threefold in speed. The fast
+// one gets more than the slow one.
+func TestTheFasterTargetGetsMore(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	now := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+	chooser := &Chooser{Self: "caller", Place: here}
+	chooser.Update(now, View{Service: "consumo", Targets: []Target{
+		{Node: "slow", Address: "1", Place: here, Slots: lookupSlots},
+		{Node: "fast", Address: "2", Place: here, Slots: lookupSlots},
+	}})
+	random := rand.New(rand.NewPCG(5, 6))
+	times := map[request.NodeID]time.Duration{"slow": 3 * lookupTime, "fast": lookupTime}
+	counts := map[request.NodeID]int{}
+	for range 400 {
+		call := Call{Service: "consumo", Kind: "route/lookup", Anywhere: true}
+		picked, _ := chooser.Pick(now, random, call)
+		chooser.Sent(picked)
+		counts[picked.Target.Node]++
+		now = now.Add(lookupTime)
+		chooser.Answered(now, picked, call, Answer{Result: Succeeded, Latency: times[picked.Target.Node]})
+	}
+	expect(counts["fast"]).To(gomega.BeNumerically(">", 3*counts["slow"]))
+}
--- a/internal/core/choice/chooser.go
+++ b/internal/core/choice/chooser.go
@@ -70,6 +70,8 @@
 	// Anywhere weighs all tiers together, by expected time and distance, in
 	// place of the nearest tier that can take the call.
 	Anywhere bool
+	// Bytes is the length of the call's body.
+	Bytes int64
 	// Repeatable calls may probe an ejected target.
 	Repeatable bool
 	// Sparing marks a call that is refused sooner than sent over a full link.
--- a/internal/core/choice/judge.go
+++ b/internal/core/choice/judge.go
@@ -17,7 +17,7 @@
 	case Succeeded:
 		judged.report(now, answer.Load)
 		judged.measure(now, answer.Latency)
-		p.compare(call.Kind, judged, answer.Latency)
+		p.compare(call.Kind, judged, answer)
 		p.measure(answer.Latency)
 		judged.failures -= judged.failures * failureGain
 		p.readmit(now, judged)
--- a/internal/core/choice/pool.go
+++ b/internal/core/choice/pool.go
@@ -30,8 +30,8 @@
 	domains [tierCount][][]*entry
 	typical float64
 	ejected int
-	// kinds holds the typical latency of each kind of call.
-	kinds map[request.KindName]float64
+	// kinds holds what calls of each kind usually take.
+	kinds map[request.KindName]*kindUsage
 }
 
 func newPool(chooser *Chooser) *pool {
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -31,7 +31,8 @@
 	CallRetried
 	TargetAnswered
 	TargetRefused
-	PeerLost
+	// NoTarget tells what is thought of the targets when none could be chosen.
+	NoTarget
 	kindCount
 )
 
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -192,6 +192,7 @@
 		Service:     og.kind.Service,
 		Kind:        og.kind.Name,
 		Anywhere:    og.kind.Routed,
+		Bytes:       max(og.body.length, 0),
 		Priority:    og.work.Priority,
 		Repeatable:  og.kind.Repeat == request.Repeatable,
 		Sparing:     og.sparing(no.Configuration.Current().Half),
@@ -208,6 +209,7 @@
 		code = request.NoTarget
 	}
 	if code != request.OK {
+		no.logTargets(at.started, og)
 		at.refusal = web.NewRefusal(code, "")
 		return at
 	}
--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -44,6 +44,19 @@
 	}
 }
 
+// logTargets writes what is thought of the targets of a service for which no
+// target was found.
+func (no *Node) logTargets(now time.Time, og *outgoing) {
+	line := no.Decisions.Line(decision.NoTarget)
+	if line == nil {
+		return
+	}
+	census := no.Chooser.Census(now, og.kind.Service, og.work.Priority)
+	og.describe(line, now).Int("known", census.Known).Int("connected", census.Connected).Int("leaving", census.Leaving).
+		Int("unreachable", census.Unreachable).Int("ejected", census.Ejected).Int("warming", census.Warming).
+		Int("refusing", census.Refusing).Int("moves", og.moves).Msg("call: no target")
+}
+
 // logRetry writes whether an attempt that failed is followed by another.
 func (no *Node) logRetry(og *outgoing, at *attempt, used int, decided retry.Decision) {
 	if line := no.Decisions.Line(decision.CallRetried); line != nil {
