--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -100,6 +100,10 @@
 		add(background, &group, ho.watchCertificate)
 	}
 	ho.Logger.Info().Str("node", string(ho.Settings.Node)).Str("domain", string(ho.place.Domain)).Msg("host: started")
+	stopping := context.AfterFunc(ctx, func() {
+		ho.Logger.Info().Str("node", string(ho.Settings.Node)).Msg("host: stopping, no new work is taken")
+	})
+	defer stopping()
 	err = group.Run()
 	ho.Logger.Info().Str("node", string(ho.Settings.Node)).Msg("host: stopped")
 	return err
