Leave a replica that answers nothing within a second

A renewal that is unanswered for 0.7 s now ends the stay, a connection to the next replica may take 0.5 s, and a version that a peer has in force is waited for 0.3 s. Ruled out: the election and the log, which took the changes throughout.

--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -29,7 +29,13 @@
 // behindTime is how long a replica may lack a version that is in force at a
 // peer: a few rounds between regions, and well within the seconds in which a
 // version must be in force everywhere.
-const behindTime = 600 * time.Millisecond
+const behindTime = 300 * time.Millisecond
+
+// answerTime is how long a replica may leave a renewal unanswered before the
+// node goes to the next one: several rounds between regions. A version must be
+// in force everywhere within seconds, also while the node's replica is gone
+// without a word.
+const answerTime = 700 * time.Millisecond
 
 // agent answers the messages of a replica for one node.
 type agent struct {
@@ -47,6 +53,8 @@
 	renewAt  time.Time
 	retryAt  time.Time
 	attached bool
+	// askedAt is when the first renewal that is unanswered was sent.
+	askedAt time.Time
 	// coldSince is when the target became what it is.
 	coldSince time.Time
 	// behindSince is since when a peer is known to have a newer version.
@@ -58,6 +66,7 @@
 // connected gives what the node sends first on a new stream.
 func (a *agent) connected(now time.Time) *pb.Request {
 	a.attached = true
+	a.askedAt = now
 	a.retryAt = time.Time{}
 	a.granted = now.Add(membership.DefaultLeaseTime)
 	a.renewAt = now.Add(membership.DefaultRenewal)
@@ -151,6 +160,9 @@
 		return nil
 	}
 	a.renewAt = now.Add(membership.DefaultRenewal)
+	if a.askedAt.IsZero() {
+		a.askedAt = now
+	}
 	return &pb.Request{Renew: a.renewal(now)}
 }
 
@@ -164,9 +176,11 @@
 	return &pb.Request{Announce: encodeAnnouncement(a.self)}
 }
 
-// silent says whether the replica has let the lease run out.
+// silent says whether the replica has let the lease run out, or a renewal
+// unanswered for too long.
 func (a *agent) silent(now time.Time) bool {
-	return a.attached && now.After(a.granted)
+	unanswered := !a.askedAt.IsZero() && now.Sub(a.askedAt) > answerTime
+	return a.attached && (unanswered || now.After(a.granted))
 }
 
 // outdated says whether the replica has long not given a version that a peer
@@ -181,6 +195,7 @@
 
 // receive takes in a message of the replica and gives the answer, if any.
 func (a *agent) receive(now time.Time, reply *pb.Reply) *pb.Request {
+	a.askedAt = time.Time{}
 	answer := &pb.Request{}
 	for _, report := range decodeReports(reply.GetReports()) {
 		if a.events.Reports != nil {
--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -45,6 +45,10 @@
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
+// openTimeout bounds the wait for a connection to one replica while others may
+// be in reach.
+const openTimeout = 500 * time.Millisecond
+
 // DefaultHomeInterval is what a zero HomeInterval stands for.
 const DefaultHomeInterval = 30 * time.Second
 
@@ -209,7 +213,9 @@
 func (client *Client) open(ctx context.Context, address peer.Address) {
 	client.line.opening = true
 	go func() {
-		link, err := client.Open(ctx, address)
+		opening, cancel := context.WithTimeout(ctx, openTimeout)
+		link, err := client.Open(opening, address)
+		cancel()
 		lost := client.loop.do(ctx, func(now time.Time) {
 			client.line.opening = false
 			if err != nil {
