Bound the memory of a node by its host's

The heap grew to five times its live size, and up to 64 idle streams a peer kept the buffers of their largest body. The runtime now collects from half of the host's memory on, eight streams are kept to a peer, and an idle stream lets large buffers go.

--- a/internal/adapter/peer/body.go
+++ b/internal/adapter/peer/body.go
@@ -133,6 +133,7 @@
 	if err := stream.Flush(); err != nil {
 		return err
 	}
+	stream.trimOutgoing()
 	if end.GetAborted() {
 		return fmt.Errorf("%w at its source", ErrBodyCut)
 	}
--- a/internal/adapter/peer/session.go
+++ b/internal/adapter/peer/session.go
@@ -68,6 +68,7 @@
 	if len(se.idle[stream.kind]) >= idleStreams || se.mux.IsClosed() {
 		return false
 	}
+	stream.trim()
 	se.idle[stream.kind] = append(se.idle[stream.kind], stream)
 	return true
 }
--- a/internal/adapter/peer/stream.go
+++ b/internal/adapter/peer/stream.go
@@ -110,6 +110,23 @@
 	return stream.conn.SetDeadline(at)
 }
 
+// keptBuffer is the largest buffer that a stream keeps between two exchanges.
+const keptBuffer = 8 << 10
+
+// trim lets go of what a large body left behind in an idle stream.
+func (stream *Stream) trim() {
+	stream.trimOutgoing()
+	if cap(stream.incoming) > keptBuffer {
+		stream.incoming = nil
+	}
+}
+
+func (stream *Stream) trimOutgoing() {
+	if cap(stream.outgoing) > keptBuffer {
+		stream.outgoing = nil
+	}
+}
+
 // Close ends the stream at once; the other end reads an error or end of file.
 func (stream *Stream) Close() error {
 	return stream.conn.Close()
--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -37,7 +37,9 @@
 	dialTimeout       = time.Second
 	keepAliveInterval = 3 * time.Second
 	streamWindow      = 256 << 10
-	idleStreams       = 64
+	// idleStreams bounds the streams of one kind that are kept to one peer; a new
+	// one costs a few bytes and no round trip, a kept one its buffers at both ends.
+	idleStreams = 8
 )
 
 // Handler serves one inbound stream. The stream is closed when it returns.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,8 @@
 	Security Security `json:"security"`
 	// Platform is given where a platform runs the host: its calls come in here.
 	Platform Platform `json:"platform"`
+	// Memory is what the process may use, sockets included; zero is no bound.
+	Memory configuration.Bytes `json:"memory"`
 	// Stop bounds a planned stop.
 	Stop Stop `json:"stop"`
 	// RetryBudget bounds the retries of all nodes together.
--- a/magnolia-load/internal/measure/added.go
+++ b/magnolia-load/internal/measure/added.go
@@ -78,7 +78,7 @@
 }
 
 func runAdded(ctx context.Context, run Run) ([]Figure, error) {
-	memory.Tune(false)
+	memory.Tune(false, 0)
 	ours := &mesh.Mesh{Design: addedDesign(), System: &mesh.Magnolia{}, Seed: run.Seed}
 	if err := ours.Start(ctx); err != nil {
 		return nil, err
--- a/magnoliad/internal/command/run/run.go
+++ b/magnoliad/internal/command/run/run.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	memory.Tune(loaded.HoldsReplica())
+	memory.Tune(loaded.HoldsReplica(), int64(loaded.Memory))
 	process := &host.Host{Settings: loaded, Logger: tools.Logger(loaded.LogLevel)}
 	if loaded.OnPlatform() {
 		process.Platform = platform.Adapter{}
