--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -45,8 +45,11 @@
 	// deepestCut bounds one step.
 	cut        = 0.3
 	deepestCut = 0.5
-	// raise is what a share grows in a step.
-	raise = 0.03
+	// raise is what a share grows in a step, and rebound by which part of itself
+	// it grows besides while no call starves: after an overload has ended, all
+	// calls must enter again within a few seconds.
+	raise   = 0.03
+	rebound = 0.15
 	// leastShare keeps some calls coming, which show when there is room again.
 	leastShare = 0.1
 	// followTime is the time constant with which a valve follows what targets
@@ -126,7 +129,11 @@
 	case ended >= leastSamples && failed > tolerated:
 		found.share = max(leastShare, found.share*max(deepestCut, 1-cut*failed))
 	default:
-		found.share = min(1, found.share+raise*float64(elapsed)/float64(step))
+		grown := raise
+		if found.starved == 0 {
+			grown += rebound * found.share
+		}
+		found.share = min(1, found.share+grown*float64(elapsed)/float64(step))
 	}
 	found.fine, found.starved, found.since = 0, 0, now
 }
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -74,8 +74,8 @@
 	after := ours.play(noon, perSecond, 4*time.Second, true)
 	expect(before[3]).To(gomega.BeNumerically("<", fits/4))
 	expect(after[3]).To(gomega.BeNumerically(">", fits/2))
-	calm := ours.play(noon.Add(4*time.Second), fits/2, 8*time.Second, true)
-	expect(calm[7]).To(gomega.BeNumerically(">", 0.95*fits/2))
+	calm := ours.play(noon.Add(4*time.Second), fits/2, 4*time.Second, true)
+	expect(calm[3]).To(gomega.BeNumerically(">", 0.95*fits/2))
 }
 
 // While an important kind suffers, a kind below it that suffers lets in less,
