--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -12,8 +12,9 @@
 const (
 	drainInterval = 20 * time.Millisecond
 	recordLimit   = 10 * time.Second
-	// stopMargin is left of the grace time to close what is still open.
-	stopMargin = 300 * time.Millisecond
+	// stopMargin is left of the grace time for what ends after the node: its lease,
+	// and connections that are still open.
+	stopMargin = 700 * time.Millisecond
 )
 
 // draining tells whether the node takes no new work any more.
