--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -31,6 +31,8 @@
 	CallRetried
 	TargetAnswered
 	TargetRefused
+	// AnswerCut tells why an answer that had begun broke off.
+	AnswerCut
 	// NoTarget tells what is thought of the targets when none could be chosen.
 	NoTarget
 	kindCount
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -249,6 +249,15 @@
 	no.settle(og, at)
 	if answer.GetCode() != 0 {
 		at.refusal = refusalOf(answer)
+		nameDeadline(og, at.refusal)
+	}
+}
+
+// nameDeadline tells a call that ended at its deadline from one whose caller
+// left: to the target's node both are a stream that closed.
+func nameDeadline(og *outgoing, refusal *web.Refusal) {
+	if refusal.Code == request.CallerLeft && !time.Now().Before(og.work.Deadline) {
+		refusal.Code = request.DeadlinePassed
 	}
 }
 
@@ -291,13 +300,22 @@
 		Host:                 og.host,
 		CallerService:        string(no.Local().Service),
 		RequestId:            og.id,
-		PatienceUs:           og.patience().Microseconds(),
+		ObjectiveUs:          og.kind.Objective.Microseconds(),
+		PatienceUs:           no.patience(og).Microseconds(),
 	}
 }
 
-// patience is how long the call may wait for a slot and still be in time, or
-// zero where its kind has no objective.
-func (og *outgoing) patience() time.Duration {
+// enteringPatience is the part of its objective that a call from outside may
+// wait for a slot, so that its own time is left. A call of a target may wait
+// for all of it: the tree above it has begun, and is lost without it.
+const enteringPatience = 0.6
+
+// patience is how long the call may wait for a slot, or zero where its kind has
+// no objective.
+func (no *Node) patience(og *outgoing) time.Duration {
+	if no.doors.entering(og.kind.Name) {
+		return time.Duration(enteringPatience * float64(og.kind.Objective))
+	}
 	return og.kind.Objective
 }
 
--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -82,6 +82,14 @@
 		Msg("target: refused")
 }
 
+// logCut writes why an answer that had begun did not reach the caller's node.
+func (ar *arrival) logCut(reason error) {
+	if line := ar.node.Decisions.Line(decision.AnswerCut); line != nil {
+		line.Str("request", ar.inbound.Header.GetRequestId()).Str("kind", string(ar.kind.Name)).
+			Str("instance", string(ar.local.Instance)).Err(reason).Msg("target: answer cut")
+	}
+}
+
 // logAnswer writes that the target answered a call.
 func (ar *arrival) logAnswer(status int, took time.Duration) {
 	if line := ar.node.Decisions.Line(decision.TargetAnswered); line != nil {
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -26,8 +26,10 @@
 	inbound *peer.Inbound
 	kind    *configuration.CompiledKind
 	local   LocalTarget
-	work    request.Work
-	root    *root
+	// objective is the time within which the answer is worth most, or zero.
+	objective time.Duration
+	work      request.Work
+	root      *root
 	// fingerprint names the request where it crashes targets.
 	fingerprint request.Fingerprint
 	unspent     retry.Allowance
@@ -81,6 +83,7 @@
 		return ar, web.NewRefusal(request.UnknownKind, header.GetKind())
 	}
 	ar.kind, ar.local = kind, local
+	ar.objective = time.Duration(header.GetObjectiveUs()) * time.Microsecond
 	if kind.Routed {
 		no.doors.arrive(kind.Name, request.ServiceName(header.GetCallerService()))
 	}
@@ -241,10 +244,13 @@
 	took := time.Since(visit.started)
 	ar.logAnswer(response.StatusCode, took)
 	if ar.kind.Routed {
-		ar.node.doors.ended(time.Now(), ar.kind.Name, response.StatusCode, ar.work.Patience > 0 && took > ar.work.Patience)
+		ar.node.doors.ended(time.Now(), ar.kind.Name, response.StatusCode, ar.objective > 0 && took > ar.objective)
 	}
 	err = ar.inbound.Answer(header, response.Body, report)
 	visit.end(admission.Failed)
+	if err != nil {
+		ar.logCut(err)
+	}
 	return err == nil
 }
 
