--- a/internal/adapter/peer/inbound.go
+++ b/internal/adapter/peer/inbound.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -20,12 +21,17 @@
 	Header *peerpb.CallHeader
 	Call   request.CallID
 
-	stream    *Stream
-	body      io.Reader
-	pipe      *io.PipeWriter
-	pipeEnd   *io.PipeReader
+	stream   *Stream
+	body     io.Reader
+	pipe     *io.PipeWriter
+	pipeEnd  *io.PipeReader
+	answered error
+
+	// lock keeps the consent to the body, which a reader of the body gives, apart
+	// from the answer: both are written to the stream.
+	lock      sync.Mutex
 	continued bool
-	answered  error
+	answering bool
 }
 
 // Remote tells which peer sent the call.
@@ -43,19 +49,33 @@
 
 // Read asks for the body where the peer awaits that, and reads it.
 func (ib inboundBody) Read(data []byte) (int, error) {
-	in := ib.inbound
-	if in.Header.GetAwaitContinue() && !in.continued {
-		in.continued = true
-		in.stream.Add(Frame{Kind: FrameContinue, Call: in.Call})
-		if err := in.stream.Flush(); err != nil {
-			return 0, err
-		}
+	if err := ib.inbound.consent(); err != nil {
+		return 0, err
+	}
+	return ib.inbound.body.Read(data)
+}
+
+// consent asks the peer for the body, once. After the answer has begun the body
+// is not wanted any more.
+func (in *Inbound) consent() error {
+	in.lock.Lock()
+	defer in.lock.Unlock()
+	if !in.Header.GetAwaitContinue() || in.continued {
+		return nil
+	}
+	if in.answering {
+		return io.ErrClosedPipe
 	}
-	return in.body.Read(data)
+	in.continued = true
+	in.stream.Add(Frame{Kind: FrameContinue, Call: in.Call})
+	return in.stream.Flush()
 }
 
 // Answer sends the answer. The report is taken when the body is through.
 func (in *Inbound) Answer(header *peerpb.AnswerHeader, body io.Reader, report func() *peerpb.Report) error {
+	in.lock.Lock()
+	in.answering = true
+	in.lock.Unlock()
 	if err := in.stream.AddMessage(FrameMessage, in.Call, header); err != nil {
 		in.answered = err
 		return err
--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,7 +34,7 @@
 	client *TargetClient
 	reader *bufio.Reader
 	// wrote says that at least one byte of the present call went out.
-	wrote     bool
+	wrote     atomic.Bool
 	idleUntil time.Time
 	closed    bool
 }
@@ -47,7 +48,9 @@
 // Write notes that bytes of the call went out.
 func (conn *targetConn) Write(data []byte) (int, error) {
 	count, err := conn.Conn.Write(data)
-	conn.wrote = conn.wrote || count > 0
+	if count > 0 {
+		conn.wrote.Store(true)
+	}
 	return count, err
 }
 
--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -115,7 +115,7 @@
 			return response, nil
 		}
 		conn.discard()
-		if conn.wrote {
+		if conn.wrote.Load() {
 			return nil, &SentError{Reason: err}
 		}
 		if !kept || ctx.Err() != nil {
@@ -145,7 +145,7 @@
 			return conn, false, err
 		}
 		if conn.usable(time.Now()) {
-			conn.wrote = false
+			conn.wrote.Store(false)
 			return conn, true, nil
 		}
 		conn.discard()
--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -55,6 +55,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startConfigured(t, id, service, target, claims, text)
+}
+
+// startConfigured starts a host at version 1 with a text.
+func startConfigured(t testing.TB, id request.NodeID, service request.ServiceName, target http.Handler, claims node.Proposer, text []byte) *host {
+	t.Helper()
 	active, err := node.NewActive(1, text)
 	if err != nil {
 		t.Fatal(err)
