Divide the slack of the retry budget by the nodes that there are

A 24th of the slack for each node, two at least, was right for 24 nodes; 81 of them could have made 378 retries where 112 are allowed. Each node now divides by the nodes that it knows.

--- a/internal/core/choice/census.go
+++ b/internal/core/choice/census.go
@@ -40,6 +40,18 @@
 	return census
 }
 
+// Known counts the targets of all services, of which each has a node.
+func (chooser *Chooser) Known() int {
+	chooser.once.Do(chooser.prepare)
+	known := 0
+	for _, services := range *chooser.pools.Load() {
+		services.mutex.Lock()
+		known += len(services.entries)
+		services.mutex.Unlock()
+	}
+	return known
+}
+
 func one(holds bool) int {
 	if holds {
 		return 1
--- a/internal/host/tend.go
+++ b/internal/host/tend.go
@@ -27,6 +27,9 @@
 		_ = st.client.Report(ctx, reports...)
 	}
 	st.guard.Expire(now)
+	if slack := st.host.Settings.RetryBudget.Slack; slack > 0 {
+		st.node.SetRetryBurst(nodeBurst(slack, st.chooser.Known()))
+	}
 	if heard := st.node.Heard(); heard > st.host.holder.Current().Version {
 		_ = st.client.Heard(ctx, heard)
 	}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -134,7 +134,7 @@
 		Rule:      og.kind.Repeat,
 		Retries:   og.retries(),
 		Used:      used,
-		Important: og.work.Priority.Importance() >= no.Configuration.Current().Half,
+		Important: og.kind.Routed || og.work.Priority.Importance() >= no.Configuration.Current().Half,
 		Code:      refusal.Code,
 		Outcome:   refusal.Outcome,
 		BodyLost:  og.body.lost(),
--- a/internal/node/edge.go
+++ b/internal/node/edge.go
@@ -25,6 +25,20 @@
 	ed.budget.Success()
 }
 
+// SetRetryBurst sets how many retries to each service this node may make on top
+// of its share of successes.
+func (no *Node) SetRetryBurst(burst float64) {
+	table := &no.edges
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	table.budget.Burst = burst
+	for _, ed := range table.edges {
+		ed.lock.Lock()
+		ed.budget.Burst = burst
+		ed.lock.Unlock()
+	}
+}
+
 type edgeTable struct {
 	lock  sync.Mutex
 	edges map[request.ServiceName]*edge
