Take out what nothing uses

A field of the call's header, a hook for new connections, and the reading of the load that targets report: the gate counts what its target works on itself.

--- a/internal/adapter/web/dialect.go
+++ b/internal/adapter/web/dialect.go
@@ -22,9 +22,6 @@
 	// Declined gives the reason where the target states that it did not run the
 	// call, and [request.OK] for any other answer.
 	Declined(response *http.Response) request.Code
-	// Load reads how many calls the target says that it works on and has
-	// waiting, and whether it says so.
-	Load(answer http.Header) (running, waiting int, told bool)
 }
 
 // Terms is what a caller asks of one call.
@@ -78,6 +75,3 @@
 
 // Declined knows no answer that says so.
 func (Native) Declined(*http.Response) request.Code { return request.OK }
-
-// Load knows no such header.
-func (Native) Load(http.Header) (running, waiting int, told bool) { return 0, 0, false }
--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -38,8 +38,6 @@
 	Connections int
 	// Dialect tells which answer belongs to which call; nil is [Native].
 	Dialect Dialect
-	// OnDial is told of each new connection; it may be nil.
-	OnDial func()
 
 	lock  sync.Mutex
 	limit int
@@ -179,9 +177,6 @@
 		targetClient.forget()
 		return nil, fmt.Errorf("connect to the target: %w", err)
 	}
-	if targetClient.OnDial != nil {
-		targetClient.OnDial()
-	}
 	return newTargetConn(targetClient, opened), nil
 }
 
--- a/internal/node/path_bench_test.go
+++ b/internal/node/path_bench_test.go
@@ -10,12 +10,12 @@
 	_, _ = writer.Write([]byte("checklist"))
 }
 
-func benchmarkCalls(b *testing.B, base string) {
+func benchmarkCalls(b *testing.B, base, host string) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	b.ReportAllocs()
 	for b.Loop() {
 		outgoing, _ := http.NewRequestWithContext(b.Context(), http.MethodGet, base+"/visits/7/checklist", nil)
-		outgoing.Host = "agenda"
+		outgoing.Host = host
 		answer, err := client.Do(outgoing)
 		if err != nil {
 			b.Fatal(err)
@@ -30,12 +30,12 @@
 
 func BenchmarkDirect(b *testing.B) {
 	server := startHost(b, "one", "agenda", http.HandlerFunc(answerSmall))
-	benchmarkCalls(b, "http://"+server.node.Target.Address)
+	benchmarkCalls(b, "http://"+server.node.Target.Address, "agenda")
 }
 
 func BenchmarkThroughTwoNodes(b *testing.B) {
 	entry := startHost(b, "one", "consumo", http.NotFoundHandler())
 	target := startHost(b, "two", "agenda", http.HandlerFunc(answerSmall))
 	connect(entry, target)
-	benchmarkCalls(b, entry.callers)
+	benchmarkCalls(b, entry.callers, "agenda")
 }
--- a/internal/node/routed_test.go
+++ b/internal/node/routed_test.go
@@ -180,19 +180,5 @@
 	entry := startRouted(b, "one", "subsidios", http.NotFoundHandler())
 	target := startRouted(b, "two", "agenda", http.HandlerFunc(answerSmall))
 	connect(entry, target)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
-	b.ReportAllocs()
-	for b.Loop() {
-		outgoing, _ := http.NewRequestWithContext(b.Context(), http.MethodGet, entry.callers+"/visits/7", nil)
-		outgoing.Host = "visits.example"
-		answer, err := client.Do(outgoing)
-		if err != nil {
-			b.Fatal(err)
-		}
-		_, _ = io.Copy(io.Discard, answer.Body)
-		_ = answer.Body.Close()
-		if answer.StatusCode != http.StatusOK {
-			b.Fatal(answer.Status)
-		}
-	}
+	benchmarkCalls(b, entry.callers, "visits.example")
 }
