--- a/magnolia-load/internal/mesh/magnolia.go
+++ b/magnolia-load/internal/mesh/magnolia.go
@@ -22,9 +22,11 @@
 
 const (
 	mostReplicas = 5
-	folderMode   = 0o700
-	fileMode     = 0o600
-	restartPoll  = 10 * time.Millisecond
+	// seedCount is how many replicas form the log; the others join it.
+	seedCount   = 3
+	folderMode  = 0o700
+	fileMode    = 0o600
+	restartPoll = 10 * time.Millisecond
 )
 
 // Magnolia runs a mesh on magnoliawall's own hosts: a node for each instance,
@@ -151,11 +153,12 @@
 	magnolia.hosts = nil
 	for _, made := range magnolia.settings {
 		made.Seeds = nil
-		for _, member := range magnolia.members {
+		for _, member := range magnolia.members[:min(len(magnolia.members), seedCount)] {
 			made.Seeds = append(made.Seeds, member.Address)
 		}
 		if made.DataFolder != "" {
-			made.Replica.Members = magnolia.members
+			made.Replica.FormsFromSeeds, made.Replica.FirstStart = true, true
+			made.Replica.LostDisks = (len(magnolia.members) - 1) / 2
 		}
 		magnolia.hosts = append(magnolia.hosts, magnolia.newHost(made))
 	}
