Apply the limits of the configuration in force to callers' connections

Cause: http.Server takes its limits once. A front now hands each new connection to a server with the limits in force; connections that are open keep theirs, since closing them for a change could cut a call. Limits that a platform leaves out are the product's defaults, and no longer nothing; limits are checked.

--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -21,6 +21,9 @@
 	maxBody          = 256 * MiB
 	maxOnceBody      = 1 * MiB
 	maxKeptAnswer    = 1 * MiB
+	maxHeader        = 16 * MiB
+	maxStreamedBody  = 1 << 40
+	maxTimeLimit     = 24 * time.Hour
 	minRetention     = 10 * time.Minute
 	maxRetention     = 30 * 24 * time.Hour
 	maxQuarantine    = 24 * time.Hour
@@ -103,6 +106,10 @@
 	between(c, "claims.record-retention", time.Duration(document.Claims.RecordRetention), time.Duration(document.Claims.Retention), maxRetention)
 	between(c, "claims.kept-answer", document.Claims.KeptAnswer, 0, maxKeptAnswer)
 	between(c, "quarantine.hold", time.Duration(document.Quarantine.Hold), time.Second, maxQuarantine)
+	between(c, "limits.max-header", document.Limits.MaxHeader, 1, maxHeader)
+	between(c, "limits.max-body", document.Limits.MaxBody, 0, maxStreamedBody)
+	between(c, "limits.header-timeout", time.Duration(document.Limits.HeaderTimeout), time.Millisecond, maxTimeLimit)
+	between(c, "limits.idle-timeout", time.Duration(document.Limits.IdleTimeout), time.Millisecond, maxTimeLimit)
 	between(c, "links.bytes-per-second", document.Links.BytesPerSecond, 1, 1<<40)
 	between(c, "links.share-for-unimportant", document.Links.ShareForUnimportant, 0, 1)
 }
--- a/internal/host/platform_test.go
+++ b/internal/host/platform_test.go
@@ -168,9 +168,12 @@
 	for index, stub := range ps.platforms[:2] {
 		stub.targets.Announce(context.Background(), announcement(index, 1, false))
 	}
-	ps.Eventually(func() int { status, _ := ps.get(3); return status }).WithTimeout(patience).Should(gomega.Equal(http.StatusOK))
-	_, body := ps.get(4)
-	ps.Expect(body).To(gomega.Equal("visits.example/visits/7?full=1"))
+	// Each host hears of the targets by itself, so one that serves says nothing of
+	// another.
+	for index := range ps.platforms {
+		ps.Eventually(func() string { _, body := ps.get(index); return body }).WithTimeout(patience).
+			Should(gomega.Equal("visits.example/visits/7?full=1"), "host %d", index)
+	}
 
 	for index, stub := range ps.platforms[:2] {
 		stub.targets.Announce(context.Background(), announcement(index, 2, true))
--- a/internal/node/active.go
+++ b/internal/node/active.go
@@ -22,6 +22,7 @@
 // Unconfigured is what is in force before the first version came.
 func Unconfigured() *Active {
 	document := &configuration.Document{}
+	document.Limits.SetDefaults()
 	return &Active{Document: document, Matcher: configuration.Compile(document)}
 }
 
--- /dev/null
+++ b/internal/node/front.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+)
+
+// front serves the connections of a listener within the limits in force when
+// they were opened. An open connection keeps its limits: to close it because of
+// a change could cut a call that is on its way.
+type front struct {
+	handler http.Handler
+	// limits gives the limits in force.
+	limits func() configuration.Limits
+
+	mutex   sync.Mutex
+	servers map[configuration.Limits]*limitedServer
+	closed  bool
+}
+
+// limitedServer serves the connections that one set of limits holds for.
+type limitedServer struct {
+	http     http.Server
+	accepted handover
+}
+
+// Serve accepts connections until the listener is closed.
+func (fr *front) Serve(listener net.Listener) error {
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		server := fr.serverFor(listener.Addr())
+		if server == nil {
+			_ = connection.Close()
+			return net.ErrClosed
+		}
+		server.accepted.give(connection)
+	}
+}
+
+// serverFor gives the server for the limits in force, or nil after a shutdown.
+func (fr *front) serverFor(address net.Addr) *limitedServer {
+	fr.mutex.Lock()
+	defer fr.mutex.Unlock()
+	if fr.closed {
+		return nil
+	}
+	limits := fr.limits()
+	// The size of a body is checked where the route of a call is known.
+	limits.MaxBody = 0
+	if server, ok := fr.servers[limits]; ok {
+		return server
+	}
+	server := &limitedServer{
+		http: http.Server{
+			Handler:           fr.handler,
+			ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
+			IdleTimeout:       time.Duration(limits.IdleTimeout),
+			MaxHeaderBytes:    int(limits.MaxHeader),
+		},
+		accepted: handover{address: address, connections: make(chan net.Conn), done: make(chan struct{})},
+	}
+	if fr.servers == nil {
+		fr.servers = make(map[configuration.Limits]*limitedServer)
+	}
+	fr.servers[limits] = server
+	// It ends by its shutdown alone, which is no failure.
+	go func() { _ = server.http.Serve(&server.accepted) }()
+	return server
+}
+
+// Shutdown lets the calls in flight end, and closes what is still open when the
+// context ends.
+func (fr *front) Shutdown(ctx context.Context) {
+	fr.mutex.Lock()
+	fr.closed = true
+	fr.mutex.Unlock()
+	ending := sync.WaitGroup{}
+	for _, server := range fr.servers {
+		ending.Go(func() {
+			if server.http.Shutdown(ctx) != nil {
+				_ = server.http.Close()
+			}
+		})
+	}
+	ending.Wait()
+}
+
+// handover is a listener whose connections another one has accepted.
+type handover struct {
+	address     net.Addr
+	connections chan net.Conn
+	done        chan struct{}
+	once        sync.Once
+}
+
+// give hands a connection over, or closes it when nobody takes it any more.
+func (ho *handover) give(connection net.Conn) {
+	select {
+	case ho.connections <- connection:
+	case <-ho.done:
+		_ = connection.Close()
+	}
+}
+
+// Accept gives the next connection.
+func (ho *handover) Accept() (net.Conn, error) {
+	select {
+	case connection := <-ho.connections:
+		return connection, nil
+	case <-ho.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends Accept.
+func (ho *handover) Close() error {
+	ho.once.Do(func() { close(ho.done) })
+	return nil
+}
+
+// Addr gives the address of the listener that accepts.
+func (ho *handover) Addr() net.Addr { return ho.address }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	"github.com/magnoliawall/magnoliawall/internal/core/drain"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
@@ -45,12 +46,6 @@
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
-const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
-)
-
 // Node is one node. The exported fields are set before Run.
 type Node struct {
 	ID            request.NodeID
@@ -179,30 +174,29 @@
 	if listener == nil {
 		return
 	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	served := &front{handler: handler, limits: no.limits}
 	group.Add(func() error {
-		return server.Serve(listener)
+		return served.Serve(listener)
 	}, func(error) {
-		no.shutDown(server)
+		_ = listener.Close()
+		no.shutDown(served)
 	})
 }
 
+// limits gives what callers may send.
+func (no *Node) limits() configuration.Limits {
+	return no.Configuration.Current().Document.Limits
+}
+
 // shutDown lets the requests in flight end, for as long as the stop may take.
-func (no *Node) shutDown(server *http.Server) {
+func (no *Node) shutDown(served *front) {
 	ctx := context.Background()
 	if by := no.stopBy.Load(); by != 0 {
 		bounded, cancel := context.WithDeadline(ctx, time.Unix(0, by))
 		defer cancel()
 		ctx = bounded
 	}
-	if server.Shutdown(ctx) != nil {
-		_ = server.Close()
-	}
+	served.Shutdown(ctx)
 }
 
 func (no *Node) addPeers(ctx context.Context, group *run.Group, listener net.Listener) {
