Wait for room when the disk of a replica is full

A write that found no room was never synced and is cut off again, so unlike a failed sync it may be repeated. The replica now waits in the write, as on a disk that stalls: it acknowledges nothing and another one leads. Both ends are logged.

--- a/internal/adapter/disk/disk.go
+++ b/internal/adapter/disk/disk.go
@@ -9,7 +9,8 @@
 //	}
 //	defer folder.Close()
 //
-// A [Folder] is used by one goroutine.
+// A [Folder] is used by one goroutine. While the disk has no room, that goroutine
+// waits in Append for as long as Full allows.
 package disk
 
 import (
@@ -17,6 +18,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"syscall"
 
 	"github.com/gofrs/flock"
 	"github.com/samber/oops"
@@ -32,9 +34,17 @@
 type Folder struct {
 	// Directory is the path of the data folder; it is made if it is missing.
 	Directory string
+	// Full is called each time that the disk has no room for a write. It waits
+	// until the write may be tried again, or tells that it is given up. Nil gives
+	// up at once.
+	Full func(err error) bool
+	// Room is called when a write that had to wait was done; it may be nil.
+	Room func()
 
 	lock *flock.Flock
 	open map[string]*os.File
+	// write replaces the write to a file in tests.
+	write func(file *os.File, data []byte) (int, error)
 }
 
 // Open makes and locks the folder.
@@ -89,16 +99,53 @@
 	return os.ReadFile(folder.Path(name))
 }
 
-// Append adds data at the end of a file.
+// Append adds data at the end of a file. What a disk without room took of it is
+// cut off again before another try, so that the file never holds a part twice.
 func (folder *Folder) Append(name string, data []byte) error {
 	file, err := folder.file(name)
 	if err != nil {
 		return err
 	}
-	_, err = file.Write(data)
+	err = folder.appendOnce(file, data)
+	waited := false
+	for isFull(err) && folder.Full != nil && folder.Full(err) {
+		waited = true
+		err = folder.appendOnce(file, data)
+	}
+	if waited && err == nil && folder.Room != nil {
+		folder.Room()
+	}
 	return err
 }
 
+func (folder *Folder) appendOnce(file *os.File, data []byte) error {
+	before, err := file.Stat()
+	if err != nil {
+		return err
+	}
+	written, err := folder.writeTo(file, data)
+	if isFull(err) && written > 0 {
+		if failed := file.Truncate(before.Size()); failed != nil {
+			// The file holds a torn record now, which only a start can repair.
+			return failed
+		}
+	}
+	return err
+}
+
+func (folder *Folder) writeTo(file *os.File, data []byte) (int, error) {
+	if folder.write != nil {
+		return folder.write(file, data)
+	}
+	return file.Write(data)
+}
+
+// isFull tells whether a write failed only for want of room. A failed sync is
+// never that: what it lost cannot be written again.
+func isFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // Truncate cuts a file to a size.
 func (folder *Folder) Truncate(name string, size int64) error {
 	file, err := folder.file(name)
--- a/internal/host/seat.go
+++ b/internal/host/seat.go
@@ -31,6 +31,11 @@
 	keeper    *keeper
 	// enough says that enough replicas vote for anything to be recorded.
 	enough atomic.Bool
+	// full says that a write waits for room on the disk; it belongs to the
+	// replica's goroutine.
+	full bool
+	// ending is closed when the replica stops.
+	ending chan struct{}
 }
 
 // buildReplica makes a replica, where the settings name one.
@@ -38,7 +43,7 @@
 	if !ho.Settings.HoldsReplica() {
 		return nil
 	}
-	se := &seat{host: ho, machine: newWatchedMachine()}
+	se := &seat{host: ho, machine: newWatchedMachine(), ending: make(chan struct{})}
 	if err := se.build(); err != nil {
 		return err
 	}
@@ -70,7 +75,7 @@
 
 func (se *seat) build() error {
 	ho := se.host
-	se.folder = &disk.Folder{Directory: ho.Settings.DataFolder}
+	se.folder = &disk.Folder{Directory: ho.Settings.DataFolder, Full: se.awaitRoom, Room: se.hasRoom}
 	if err := se.folder.Open(); err != nil {
 		return err
 	}
@@ -108,6 +113,31 @@
 	return nil
 }
 
+// roomInterval is the time between two tries to write to a disk without room;
+// a group that lost its leader to one has another within a second.
+const roomInterval = 250 * time.Millisecond
+
+// awaitRoom waits while the disk is full, unless the process stops. Meanwhile the
+// replica acknowledges nothing, and another one leads: a full disk mostly gets
+// room again, and an end of the process would take the node with it.
+func (se *seat) awaitRoom(err error) bool {
+	if !se.full {
+		se.full = true
+		se.host.Logger.Error().Err(err).Msg("replica: the disk is full, nothing is recorded here until it has room: free some")
+	}
+	select {
+	case <-time.After(roomInterval):
+		return true
+	case <-se.ending:
+		return false
+	}
+}
+
+func (se *seat) hasRoom() {
+	se.full = false
+	se.host.Logger.Info().Msg("replica: the disk has room again")
+}
+
 // seeds gives the peer addresses that the settings name, as they are now.
 func (se *seat) seeds() []string {
 	var seeds []string
@@ -134,6 +164,8 @@
 	sending, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go func() { _ = se.messenger.Run(sending) }()
+	ending := context.AfterFunc(ctx, func() { close(se.ending) })
+	defer ending()
 	err := se.replica.Run(ctx)
 	return errors.Join(err, se.folder.Close())
 }
--- a/internal/port/disk.go
+++ b/internal/port/disk.go
@@ -11,7 +11,8 @@
 	List() ([]string, error)
 	// Read gives the whole content of a file.
 	Read(name string) ([]byte, error)
-	// Append adds data at the end of a file, which it makes if it is missing.
+	// Append adds data at the end of a file, which it makes if it is missing. It
+	// may wait for as long as the disk has no room.
 	Append(name string, data []byte) error
 	// Truncate cuts a file to a size.
 	Truncate(name string, size int64) error
