Let shares of entries rise faster while no call starves

Each step in a row without a starved call now adds more.

Ruled out: a low first share at cold targets, with and without the faster rise (docs/measurements/platform.md).

TestSharesAreWholeSoonAfterAnOverload failed before.

--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -46,8 +46,9 @@
 	cut        = 0.3
 	deepestCut = 0.5
 	// raise is what a share grows in a step, and rebound by which part of itself
-	// it grows besides while no call starves: after an overload has ended, all
-	// calls must enter again within a few seconds.
+	// it grows besides for each step in a row in which no call starved: after an
+	// overload has ended, all calls must enter again within a second or two, and
+	// while it lasts such rows are short.
 	raise   = 0.03
 	rebound = 0.15
 	// leastShare keeps some calls coming, which show when there is room again.
@@ -84,7 +85,9 @@
 	share   float64
 	fine    int
 	starved int
-	since   time.Time
+	// calm is the number of steps in a row in which no call starved.
+	calm  float64
+	since time.Time
 }
 
 // Ended notes the end of a call.
@@ -128,12 +131,14 @@
 	switch {
 	case ended >= leastSamples && failed > tolerated:
 		found.share = max(leastShare, found.share*max(deepestCut, 1-cut*failed))
+		found.calm = 0
 	default:
-		grown := raise
-		if found.starved == 0 {
-			grown += rebound * found.share
+		steps := float64(elapsed) / float64(step)
+		found.calm += steps
+		if found.starved > 0 {
+			found.calm = 0
 		}
-		found.share = min(1, found.share+grown*float64(elapsed)/float64(step))
+		found.share = min(1, found.share+(raise+rebound*found.share*found.calm)*steps)
 	}
 	found.fine, found.starved, found.since = 0, 0, now
 }
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -109,3 +109,21 @@
 	expect(roles.Enters(visit)).To(gomega.BeTrue())
 	expect(roles.Enters("route/check")).To(gomega.BeFalse())
 }
+
+// The pattern: recovery after the load ends. At a target that few calls reach,
+// all calls may enter again two seconds after the last one starved.
+func TestSharesAreWholeSoonAfterAnOverload(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	const between = 40 * time.Millisecond
+	meter, at := &intake.Meter{}, noon
+	for range 200 {
+		at = at.Add(between)
+		meter.Ended(at, visit, intake.Starved)
+	}
+	expect(meter.Share(at, visit)).To(gomega.BeNumerically("<", 0.2))
+	for range int(2 * time.Second / between) {
+		at = at.Add(between)
+		meter.Ended(at, visit, intake.Fine)
+	}
+	expect(meter.Share(at, visit)).To(gomega.BeNumerically(">", 0.95))
+}
