--- /dev/null
+++ b/internal/core/retry/window_test.go
@@ -0,0 +1,74 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/retry"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+	"github.com/magnoliawall/magnoliawall/internal/suite"
+)
+
+// However calls and failures fall, each retry leaves
+// those of the window that ends with it within the share of its calls and the
+// burst.
+func TestAWindowIsNeverOverspent(t *testing.T) {
+	const (
+		window       = 10 * time.Second
+		slot         = window / 10
+		share, burst = 0.1, 2.0
+	)
+	suite.Check(t, 300, func(t *rapid.T) {
+		edge := &retry.Edge{Share: share, Burst: burst, Window: window}
+		now := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+		var calls, retries []time.Time
+		within := func(times []time.Time, youngest, oldest time.Duration) float64 {
+			count := 0.0
+			for _, at := range times {
+				if age := now.Sub(at); age >= youngest && age < oldest {
+					count++
+				}
+			}
+			return count
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2500).Draw(t, "pause in ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 30).Draw(t, "calls") {
+				edge.Called(now)
+				calls = append(calls, now)
+				attempt := retry.Attempt{Retries: 1, Code: request.Overloaded, Important: true, Deadline: now.Add(time.Minute)}
+				if (&retry.Policy{}).Decide(now, attempt, &retry.Account{Left: 1}, edge).Reason != retry.Allowed {
+					continue
+				}
+				retries = append(retries, now)
+				most := 0.0
+				for _, before := range []time.Duration{0, window / 2, window} {
+					// The age of a call is known to one slot.
+					most = max(most, within(calls, before-slot, before+window))
+				}
+				gomega.NewWithT(t).Expect(within(retries, 0, window)).To(gomega.BeNumerically("<=", share*most+burst))
+			}
+		}
+	})
+}
+
+// A clock that goes back earns no second budget.
+func TestAWindowUnderAClockThatGoesBack(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	edge := &retry.Edge{Share: 0.1, Burst: 2, Window: 10 * time.Second}
+	noon := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+	retries := 0
+	for _, now := range []time.Time{noon, noon.Add(-time.Hour), noon.Add(time.Second), noon.Add(-time.Minute)} {
+		for range 5 {
+			edge.Called(now)
+			attempt := retry.Attempt{Retries: 1, Code: request.Overloaded, Important: true, Deadline: now.Add(time.Minute)}
+			if (&retry.Policy{}).Decide(now, attempt, &retry.Account{Left: 1}, edge).Reason == retry.Allowed {
+				retries++
+			}
+		}
+	}
+	expect(retries).To(gomega.Equal(4), "a tenth of twenty calls and the burst")
+}
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -101,6 +101,9 @@
 		return
 	}
 	copied := proto.Clone(message).(*quorumpb.Message)
+	if end.cluster.mischief.take(address, copied) {
+		return
+	}
 	select {
 	case target.wire.received <- copied:
 	default:
@@ -127,6 +130,8 @@
 	seed  uint64
 	// prepare sets what differs from a group that is listed; nil sets nothing.
 	prepare func(started *host)
+	// mischief holds back and doubles messages; nil delivers each once.
+	mischief *mischief
 }
 
 func newCluster(t *testing.T, size int) *cluster {
--- a/internal/replica/grow.go
+++ b/internal/replica/grow.go
@@ -169,13 +169,22 @@
 		switch {
 		case before:
 			back = append(back, asked.member)
-		case membership.Voters() < mostVoters:
+		case membership.Voters() < mostVoters, replica.standsIn(membership, asked.member):
 			fresh = append(fresh, asked.member)
 		}
 	}
 	return append(back, fresh...)
 }
 
+// standsIn tells whether a host that asks to join comes in the place of a member
+// of its failure domain that fell silent. The full group takes it in, since the
+// silent one leaves once it votes.
+func (replica *Replica[M]) standsIn(membership quorum.Membership, asked quorum.Member) bool {
+	return membership.Voters() == mostVoters && slices.ContainsFunc(membership.Members, func(member quorum.Member) bool {
+		return member.FailureDomain == asked.FailureDomain && replica.silence(member.ID) >= silentTicks
+	})
+}
+
 // meet notes the replicas that an answer names, and asks those that are new.
 func (replica *Replica[M]) meet(members []*quorumpb.Member) {
 	for _, member := range members {
