Try a silent peer again before TCP repeats itself

Ruled out: split votes (nobody was a candidate in that second), the disks.

A try for a connection now takes 250 ms at first and twice as long each time, and a new try is a new first packet. TestASilentHostIsDialledAnew.

--- a/internal/adapter/peer/liveness.go
+++ b/internal/adapter/peer/liveness.go
@@ -23,10 +23,18 @@
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}
 
+// firstAttempt is how long the first try for a connection takes, above the round
+// trip between the farthest regions; each further try takes twice as long. A host
+// that was down when it was first tried, or whose answer was lost, is reached
+// soon after it is back, and not only when TCP repeats itself a second later.
+const firstAttempt = 250 * time.Millisecond
+
 // dialTCP opens a connection that notices a silent peer.
 func dialTCP(ctx context.Context, address Address) (net.Conn, error) {
 	dialer := net.Dialer{KeepAliveConfig: keepAlive}
-	conn, err := dialer.DialContext(ctx, "tcp", string(address))
+	conn, err := dialAgain(ctx, func(ctx context.Context) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", string(address))
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -34,6 +42,20 @@
 	return conn, nil
 }
 
+// dialAgain tries anew after each try that got no answer, until the context
+// ends. A refusal is an answer.
+func dialAgain(ctx context.Context, dial func(context.Context) (net.Conn, error)) (net.Conn, error) {
+	for length := firstAttempt; ; length *= 2 {
+		attempt, cancel := context.WithTimeout(ctx, length)
+		conn, err := dial(attempt)
+		silent := err != nil && attempt.Err() != nil
+		cancel()
+		if !silent || ctx.Err() != nil {
+			return conn, err
+		}
+	}
+}
+
 // watchAccepted makes an accepted connection notice a silent peer.
 func watchAccepted(conn net.Conn) {
 	accepted, ok := conn.(*net.TCPConn)
