Go on accepting connections after a want of descriptors

Found in reading: since limits are applied by a listener of the node's own, an Accept that failed for want of descriptors ended the server, and with it the process; net/http's own loop tries again. The front does too now, and logs it.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
@@ -17,6 +19,8 @@
 	handler http.Handler
 	// limits gives the limits in force.
 	limits func() configuration.Limits
+	// log notes a problem.
+	log func(problem string, err error)
 
 	mutex   sync.Mutex
 	servers map[configuration.Limits]*limitedServer
@@ -29,10 +33,19 @@
 	accepted handover
 }
 
+// acceptPause is the time before another try where no connection could be
+// accepted, as for want of descriptors, which calls that end give back.
+const acceptPause = 50 * time.Millisecond
+
 // Serve accepts connections until the listener is closed.
 func (fr *front) Serve(listener net.Listener) error {
 	for {
 		connection, err := listener.Accept()
+		if isShort(err) {
+			fr.log("no connection can be accepted, trying again", err)
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -45,6 +58,16 @@
 	}
 }
 
+// isShort tells whether a connection was not accepted for a cause that passes.
+func isShort(err error) bool {
+	for _, passing := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, passing) {
+			return true
+		}
+	}
+	return false
+}
+
 // serverFor gives the server for the limits in force, or nil after a shutdown.
 func (fr *front) serverFor(address net.Addr) *limitedServer {
 	fr.mutex.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -177,7 +177,7 @@
 	if listener == nil {
 		return
 	}
-	served := &front{handler: handler, limits: no.limits}
+	served := &front{handler: handler, limits: no.limits, log: no.problem}
 	group.Add(func() error {
 		return served.Serve(listener)
 	}, func(error) {
@@ -186,6 +186,13 @@
 	})
 }
 
+// problem logs what went wrong where no call can be told.
+func (no *Node) problem(problem string, err error) {
+	if no.Logger != nil {
+		no.Logger.Error().Err(err).Msg("node: " + problem)
+	}
+}
+
 // limits gives what callers may send.
 func (no *Node) limits() configuration.Limits {
 	return no.Configuration.Current().Document.Limits
