Leave no stream behind that still expects a body

Cause: a call whose body awaits the peer's consent, and that is answered before the consent, kept its stream, while the peer went on waiting for the body and took the next call for it; that call ended as 'answer cut, may have run', though it had reached nobody. It happened after each large call that was refused or answered early. Ruled out: the kept connections to the target (the next call never left the peers' stream).

Such a stream is closed now.

--- a/internal/adapter/peer/exchange.go
+++ b/internal/adapter/peer/exchange.go
@@ -20,8 +20,9 @@
 	call      request.CallID
 	stop      func() bool
 	answer    *bodyReader
-	// sent is closed when the body has gone out as a whole; nil means that it
-	// went out before the answer was awaited.
+	// sent is closed when the body has gone out as a whole, which never happens
+	// where the answer came before the peer's consent; nil means that it went out
+	// before the answer was awaited.
 	sent chan struct{}
 }
 
@@ -77,6 +78,9 @@
 		return nil, err
 	}
 	if frame.Kind == FrameMessage {
+		// The peer still expects the body, which will not be sent: the next call
+		// on this stream would be taken for it.
+		exchange.sent = make(chan struct{})
 		return exchange.decodeAnswer(frame)
 	}
 	if frame.Kind != FrameContinue {
