Remove the lost id at an address, not the one that took its place

Cause of both: hosts that ask to join, and commands that wait, were walked in the order of a map, so one seed gave several histories; and of two ids at one address the leader removed the one that it had heard less lately. A message of the lost disk that came late, just after a new leader began to count, made that the new id, whose host then had to be emptied by an operator.

TestALateMessageOfALostDiskRemovesNobody and TestAHistoryFollowsItsSeed; the histories follow the house's variables and are part of script/measure histories.

--- a/internal/replica/grow.go
+++ b/internal/replica/grow.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
@@ -134,7 +135,9 @@
 
 // replaced tells whether another voter stands in the place of a member: one at
 // the same address, which shows that the member's disk is gone, or one of the
-// same failure domain while the member is silent.
+// same failure domain while the member is silent. Of two ids at one address the
+// one that was not heard for a while goes, and not the one that was heard a
+// little earlier: a message of a lost disk may come late.
 func (replica *Replica[M]) replaced(membership quorum.Membership, member quorum.Member) bool {
 	if member.ID == replica.core.ID {
 		return false
@@ -143,8 +146,8 @@
 		if other.ID == member.ID || other.Learner {
 			continue
 		}
-		lively := replica.silence(other.ID) < replica.silence(member.ID)
-		if other.Address == member.Address && lively {
+		lively := replica.silence(other.ID) < joinerTicks
+		if other.Address == member.Address && lively && replica.silence(member.ID) >= joinerTicks {
 			return true
 		}
 		silent := lively && replica.silence(member.ID) >= silentTicks
@@ -156,10 +159,11 @@
 }
 
 // waitingJoiners gives the hosts that asked lately and are not in the group,
-// those that lost a member's disk first.
+// those that lost a member's disk first, in the order of their ids.
 func (replica *Replica[M]) waitingJoiners(membership quorum.Membership) []quorum.Member {
 	var back, fresh []quorum.Member
-	for id, asked := range replica.growth.joiners {
+	for _, id := range slices.Sorted(maps.Keys(replica.growth.joiners)) {
+		asked := replica.growth.joiners[id]
 		_, known := membership.Find(id)
 		if known || membership.IsRemoved(id) || replica.growth.ticks-asked.at > joinerTicks {
 			delete(replica.growth.joiners, id)
--- a/internal/replica/grow_test.go
+++ b/internal/replica/grow_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
 )
 
 // lostDisks is how many disks the growing groups of these tests may lose.
@@ -216,3 +218,26 @@
 		gr.begin(gr.order[index], false)
 	}
 }
+
+// A message of a lost disk that comes late, just after a new leader began to
+// count, does not make the new id at its address look like the lost one.
+func TestALateMessageOfALostDiskRemovesNobody(t *testing.T) {
+	gr := newGrowing(t, 6)
+	gr.untilVoters(gr.order...)
+	leader := gr.leader()
+	lost := gr.order[(slices.Index(gr.order, leader.Address)+1)%len(gr.order)]
+	old := gr.hosts[lost].core.ID
+	gr.loseDisk(lost)
+	gr.begin(lost, false)
+	gr.until("both ids vote", func() bool { return leader.core.Status().Membership.Voters() == len(gr.order)+1 })
+	fresh := gr.hosts[lost].core.ID
+	leader.growth.ledSince = leader.growth.ticks - 1
+	leader.growth.heard[fresh], leader.growth.heard[old] = leader.growth.ticks-1, leader.growth.ticks
+	membership := leader.core.Status().Membership
+	for _, id := range []quorum.ReplicaID{old, fresh} {
+		member, _ := membership.Find(id)
+		gr.Expect(leader.replaced(membership, member)).To(gomega.BeFalse(), "id %d, old %d", id, old)
+	}
+	gr.until("the lost id has left", func() bool { return !leader.core.Status().Committed.IsVoter(old) })
+	gr.Expect(leader.core.Status().Committed.IsVoter(fresh)).To(gomega.BeTrue())
+}
--- a/internal/replica/history_test.go
+++ b/internal/replica/history_test.go
@@ -1,26 +1,21 @@
 package replica
 
 import (
-	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"runtime"
+	"os"
 	"slices"
+	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum/quorumpb"
-)
-
-var (
-	seedsWanted = flag.Uint64("histories", defaultHistories, "seeded histories of the replica group")
-	firstSeed   = flag.Uint64("first-history", 0, "the seed of the first one")
+	"github.com/magnoliawall/magnoliawall/internal/suite"
 )
 
 // mischief holds back, doubles and tears what the hosts of a history send and
@@ -28,6 +23,8 @@
 type mischief struct {
 	random *rand.Rand
 	late   []delayed
+	// trace sums up all messages in their order.
+	trace xxhash.Digest
 }
 
 type delayed struct {
@@ -47,6 +44,9 @@
 	if mi == nil {
 		return false
 	}
+	content, _ := proto.MarshalOptions{Deterministic: true}.Marshal(message)
+	_, _ = mi.trace.WriteString(address)
+	_, _ = mi.trace.Write(content)
 	if mi.random.IntN(doubleOdds) == 0 {
 		mi.late = append(mi.late, delayed{address, proto.Clone(message).(*quorumpb.Message)})
 	}
@@ -263,7 +263,9 @@
 	}
 }
 
-func playHistory(t *testing.T, seed uint64) error {
+// playHistory gives the first broken promise of a history, and the sum of all
+// that its hosts said.
+func playHistory(t *testing.T, seed uint64) (uint64, error) {
 	random := rand.New(rand.NewPCG(seed, 11))
 	hi := &history{
 		growing: newGrowing(t, 6+3*random.IntN(2)), random: random,
@@ -279,29 +281,44 @@
 	if hi.fault == nil {
 		hi.compare()
 	}
-	return hi.fault
+	return hi.mischief.trace.Sum64(), hi.fault
 }
 
+// historyParts are played side by side.
+const historyParts = 8
+
 // Whatever happens to a group within what it tolerates, with late, doubled and
 // lost messages and torn files, it becomes whole again, and what it acknowledged
-// stays, in its order.
+// stays, in its order. A failure names the seed of its history.
 func TestHistoriesOfAGroup(t *testing.T) {
-	if testing.Short() {
-		t.Skip("the histories are many")
-	}
-	next, end := atomic.Uint64{}, *firstSeed+*seedsWanted
-	next.Store(*firstSeed)
-	workers := sync.WaitGroup{}
-	for range runtime.GOMAXPROCS(0) {
-		workers.Go(func() {
-			for seed := next.Add(1) - 1; seed < end && !t.Failed(); seed = next.Add(1) - 1 {
-				if err := playHistory(t, seed); err != nil {
-					t.Errorf("seed %d: %v", seed, err)
+	for part := range historyParts {
+		t.Run(fmt.Sprint("part ", part), func(t *testing.T) {
+			t.Parallel()
+			for number := part; number < histories(); number += historyParts {
+				seed := uint64(suite.Seed()) + uint64(number)
+				if _, err := playHistory(t, seed); err != nil {
+					t.Fatalf("history with seed %d: %v", seed, err)
 				}
 			}
 		})
 	}
-	workers.Wait()
+}
+
+// histories is how many are played, or MAGNOLIAWALL_HISTORIES.
+func histories() int {
+	if count, err := strconv.Atoi(os.Getenv("MAGNOLIAWALL_HISTORIES")); err == nil {
+		return count
+	}
+	return defaultHistories
+}
+
+// One seed gives one history, so that a failure can be played again.
+func TestAHistoryFollowsItsSeed(t *testing.T) {
+	for seed := range uint64(40) {
+		once, _ := playHistory(t, seed)
+		again, _ := playHistory(t, seed)
+		gomega.NewWithT(t).Expect(again).To(gomega.Equal(once), "seed %d", seed)
+	}
 }
 
 // A model that cannot fail proves nothing: a group of which more disks are lost
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync/atomic"
 
@@ -185,7 +186,8 @@
 	for _, waiting := range unsent {
 		replica.try(waiting)
 	}
-	for _, waiting := range replica.commands {
+	for _, number := range slices.Sorted(maps.Keys(replica.commands)) {
+		waiting := replica.commands[number]
 		waiting.waited++
 		lost := status.Role != quorum.Leader && waiting.waited >= 2*replica.ElectionTicks
 		if waiting.term < status.Term || lost {
--- a/magnolia-load/internal/measure/histories.go
+++ b/magnolia-load/internal/measure/histories.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	historiesAbout = "Seeded histories of the replicated log, with crashes, lost disks, cuts and messages that are lost, doubled, delayed and reordered, against a naive model of the accepted versions; and histories of claims. It runs the property tests with another seed for each run, from the root of a checkout."
+	historiesAbout = "Seeded histories of the replicated log, with crashes, lost disks, cuts and messages that are lost, doubled, delayed and reordered, against a naive model of the accepted versions; histories of a group that forms and mends itself; and histories of claims. It runs the property tests with another seed for each run, from the root of a checkout."
 	historiesCount = 20_000
 	historiesSpan  = 1_000_000
 )
@@ -26,9 +26,14 @@
 	if err != nil {
 		return nil, err
 	}
+	brokenGroup, err := testFails(ctx, run, seed, "^TestHistoriesOfAGroup$", "./internal/replica")
+	if err != nil {
+		return nil, err
+	}
 	return []Figure{
 		{Name: "log", Unit: "histories a run", Target: "20000 at least", Value: historiesCount},
 		{Name: "log-broken", Unit: "runs with a broken promise", Target: "0", Value: brokenLog},
+		{Name: "group-broken", Unit: "runs with a broken promise", Target: "0", Value: brokenGroup},
 		{Name: "claims-broken", Unit: "runs with a broken promise", Target: "0", Value: brokenClaims},
 	}, nil
 }
