--- a/internal/host/once_test.go
+++ b/internal/host/once_test.go
@@ -20,6 +20,13 @@
 	si := newSite(t, 5, "norte-a", "norte-b", "litoral-a", "litoral-b", "sur-a", "sur-b")
 	running := make(chan reply, 1)
 	go func() { running <- si.in("norte-a").book("held") }()
+	t.Cleanup(func() {
+		select {
+		case told := <-running:
+			t.Logf("the booking that was to be held was answered %+v", told)
+		default:
+		}
+	})
 	holder := si.awaitHeld()
 	const bookings, before, sends = 36, 9, 3
 	senders := sync.WaitGroup{}
