Mend a test that wrote a file while the watcher read it

Cause: the test wrote its second text right after it had sent a tick, while the watcher still looked at the file for that tick; the look then saw the new or an empty text and waited to send an event that nobody took, as the test waited to send the next tick. Now the test writes only after the event of the look before, asks with a signal for that, and its events are buffered, so that an event too many fails the comparison and does not hang.

Ruled out: the watcher itself, which reads the file once for a look.

--- a/internal/settings/watch_test.go
+++ b/internal/settings/watch_test.go
@@ -22,7 +22,8 @@
 	write := func(text string) { g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(gomega.Succeed()) }
 	write("first")
 	signals, ticks := make(chan os.Signal), make(chan time.Time)
-	events := make(chan string)
+	// Buffered, so an event too many is a wrong one and no deadlock.
+	events := make(chan string, 8)
 	watcher := &settings.Watcher{
 		Path:    path,
 		Signals: signals,
@@ -44,6 +45,9 @@
 		watcher.Run(ctx)
 	}()
 	ticks <- time.Time{}
+	// The file is written only after the event of the look before: a look under way would see half of it.
+	signals <- syscall.SIGHUP
+	g.Expect(<-events).To(gomega.Equal("changed to first"))
 	write("second")
 	ticks <- time.Time{}
 	g.Expect(<-events).To(gomega.Equal("changed to second"))
