Tie the calls that a target makes to the request they are made for

Now the node beside a target ties a call that names no trace to the request that ends when the call does, and gives it that request's bucket, rank where it is higher, and work spent; and a call with its own bound on the wait does not go first by age. Only order depends on a tie.

Ruled out: levels from below for routed calls, which would need ties that are certain.

--- a/internal/core/admission/line.go
+++ b/internal/core/admission/line.go
@@ -110,7 +110,9 @@
 	aged := false
 	for index := range l.waiters {
 		waiting := &l.waiters[index]
-		if waiting.since.After(before) || waiting.rank == waiting.rank.aged() {
+		// A call that has its own bound is refused by it; served by age, the calls of
+		// all trees would wait alike, and most trees end too late.
+		if !waiting.until.IsZero() || waiting.since.After(before) || waiting.rank == waiting.rank.aged() {
 			continue
 		}
 		waiting.rank = waiting.rank.aged()
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -100,12 +100,12 @@
 	if refusal := no.shed(began, og); refusal != nil {
 		return &attempt{started: began, refusal: refusal}
 	}
-	og.root.wait(began)
+	og.wait(began)
 	tried := make([]request.NodeID, 0, 4)
 	for used := 0; ; used++ {
 		at := no.try(ctx, og, tried)
 		if at.refusal == nil {
-			og.root.resume(time.Now(), nil)
+			og.resume(time.Now(), nil)
 			return at
 		}
 		if og.mayMove(at) && ctx.Err() == nil {
@@ -119,7 +119,7 @@
 		no.logRetry(og, at, used, decision)
 		if decision.Reason != retry.Allowed || !wait.For(ctx, decision.Backoff) {
 			no.ended(og, at.refusal)
-			og.root.resume(time.Now(), at.refusal)
+			og.resume(time.Now(), at.refusal)
 			return at
 		}
 		tried = append(tried, at.choice.Target.Node)
--- a/internal/node/decisions.go
+++ b/internal/node/decisions.go
@@ -12,7 +12,11 @@
 
 // describe adds what a call is and which version matched it.
 func (og *outgoing) describe(line *log.Entry, now time.Time) *log.Entry {
-	return line.Str("request", og.id).Str("from", og.from).Str("kind", string(og.kind.Name)).Str("service", string(og.kind.Service)).
+	parent := ""
+	if og.parent != nil {
+		parent = og.parent.id
+	}
+	return line.Str("request", og.id).Str("parent", parent).Str("from", og.from).Str("kind", string(og.kind.Name)).Str("service", string(og.kind.Service)).
 		Uint64("version", uint64(og.version)).Uint16("priority", uint16(og.work.Priority)).
 		Dur("left", timeLeft(og.work.Deadline, now))
 }
@@ -77,8 +81,8 @@
 	header := ar.inbound.Header
 	line.Str("request", header.GetRequestId()).Str("kind", header.GetKind()).Str("instance", string(ar.local.Instance)).
 		Stringer("code", refusal.Code).Stringer("outcome", refusal.Outcome).Bool("handed", refusal.Handed).
-		Str("detail", refusal.Detail).Uint16("priority", uint16(ar.work.Priority)).Dur("left", timeLeft(ar.work.Deadline, now)).
-		Int("limit", gate.limit).Int("running", gate.running).Int("waiting", gate.waiting).Uint16("level", uint16(gate.level.Level)).
+		Str("detail", refusal.Detail).Uint16("priority", uint16(ar.work.Priority)).Dur("spent", ar.work.Spent).
+		Dur("left", timeLeft(ar.work.Deadline, now)).Int("limit", gate.limit).Int("places", gate.places).Int("running", gate.running).Int("waiting", gate.waiting).Uint16("level", uint16(gate.level.Level)).
 		Msg("target: refused")
 }
 
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -120,6 +120,14 @@
 	return kind, true
 }
 
+// served is a request that the local target works on.
+type served struct {
+	id    string
+	work  request.Work
+	root  *root
+	begun time.Time
+}
+
 // leave ends the root's call here, once.
 func (ar *arrival) leave() {
 	if ar.left || ar.root == nil {
@@ -215,6 +223,8 @@
 // whether the target answered as a whole.
 func (ar *arrival) run(ctx context.Context) bool {
 	visit := ar.begin(ar.root)
+	entry := ar.node.served.Enter(ar.work.Deadline, &served{id: ar.inbound.Header.GetRequestId(), work: ar.work, root: ar.root, begun: visit.started})
+	defer ar.node.served.Leave(entry)
 	response, err := ar.node.Target.Send(ctx, ar.targetCall())
 	if err != nil {
 		visit.end(admission.Failed)
@@ -309,12 +319,13 @@
 	if result != admission.Succeeded && refused {
 		result = admission.RefusedBelow
 	}
-	vi.arrival.node.traffic.finish(now, vi.arrival.work.Call, admission.Sample{
+	sample := admission.Sample{
 		Kind:    vi.arrival.work.Kind,
 		Latency: now.Sub(vi.started),
 		Below:   below - vi.belowBefore,
 		Result:  result,
-	})
+	}
+	vi.arrival.node.traffic.finish(now, vi.arrival.work.Call, sample)
 }
 
 func (ar *arrival) targetCall() web.TargetCall {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	"github.com/magnoliawall/magnoliawall/internal/core/drain"
+	"github.com/magnoliawall/magnoliawall/internal/core/lineage"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/decision"
@@ -80,8 +81,10 @@
 	OnDrain  func()
 	OnReport func(quarantine.Report)
 
-	roots       rootTable
-	doors       doors
+	roots rootTable
+	doors doors
+	// served holds what the local target works on.
+	served      lineage.Open[*served]
 	edges       edgeTable
 	traffic     *traffic
 	counters    *counters
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -44,7 +44,9 @@
 	depth   uint32
 	root    *root
 	tied    bool
-	edge    *edge
+	// parent is the request that a call which names none is likely made for.
+	parent *served
+	edge   *edge
 	// share is the share of its kind that was let in when the call was shed.
 	share float64
 	// moves counts the targets whose node did not hand the call over.
@@ -94,8 +96,10 @@
 		return nil, web.NewRefusal(request.BadRequest, "calls are nested too deep")
 	}
 	if terms.Remaining > 0 {
+		until := now.Add(terms.Remaining)
+		no.inherit(og, until, now)
 		// The caller's own deadline counts where it is sooner.
-		og.work.Deadline = earlier(og.work.Deadline, now.Add(terms.Remaining))
+		og.work.Deadline = earlier(og.work.Deadline, until)
 	}
 	return og, og.readBody(incoming)
 }
@@ -172,6 +176,39 @@
 	og.work.Deadline = earlier(parent.work.Deadline, now.Add(og.kind.Deadline))
 }
 
+// inherit gives a call of the local target that names no root the place of the
+// request that it is likely made for: its bucket, so that the calls of one tree are
+// all taken or none, its importance where that is higher, and the work that was
+// spent on it. Only the order of calls depends on it.
+func (no *Node) inherit(og *outgoing, until, now time.Time) {
+	if og.tied || !og.kind.Routed || no.doors.entering(og.kind.Name) {
+		return
+	}
+	parent, ok := no.served.Parent(until)
+	if !ok {
+		return
+	}
+	og.parent = parent
+	importance := max(parent.work.Priority.Importance(), og.kind.Importance)
+	og.work.Priority = request.NewPriority(importance, parent.work.Priority.Bucket())
+	og.work.Spent = parent.work.Spent + now.Sub(parent.begun)
+}
+
+// wait and resume frame the time in which the local target waits for the call.
+func (og *outgoing) wait(now time.Time) {
+	og.root.wait(now)
+	if og.parent != nil {
+		og.parent.root.wait(now)
+	}
+}
+
+func (og *outgoing) resume(now time.Time, refused *web.Refusal) {
+	og.root.resume(now, refused)
+	if og.parent != nil {
+		og.parent.root.resume(now, refused)
+	}
+}
+
 func earlier(one, other time.Time) time.Time {
 	if one.Before(other) {
 		return one
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -109,6 +109,7 @@
 type gauge struct {
 	level   admission.LevelNotice
 	limit   int
+	places  int
 	running int
 	waiting int
 }
@@ -119,6 +120,7 @@
 	return gauge{
 		level:   tr.gate.Report(rootKind, now),
 		limit:   tr.gate.Limit(),
+		places:  tr.gate.Places(),
 		running: tr.gate.Running(),
 		waiting: tr.gate.Waiting(),
 	}
