Judge a target by its own time, without its waits for others

The latency of such a call is mostly its target's wait for lookups further down; its differences (a fifth of 300 ms) and the noise on the estimate (another fifth) were as large as the distance to another region.

Now the node of a target reports the target's own time with the answer, and the choice compares targets by that; a call that is tied to a request counts as a wait of that request's target. The noise is bounded to 15 ms.

--- a/internal/core/choice/anywhere.go
+++ b/internal/core/choice/anywhere.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -33,6 +34,9 @@
 	// costNoise is the relative spread of estimates, so that nodes with the same
 	// reports do not all choose the same target.
 	costNoise = 0.2
+	// mostNoise bounds it well below the distance to another region, also for calls
+	// that take long.
+	mostNoise = 15 * time.Millisecond
 )
 
 var (
@@ -68,7 +72,8 @@
 		if !chosen.full && !candidate.warm(now, random, warmest) {
 			return
 		}
-		cost := p.expected(now, call.Kind, candidate) * (1 + costNoise*random.Float64())
+		cost := p.expected(now, call.Kind, candidate)
+		cost += min(costNoise*cost, float64(mostNoise)) * random.Float64()
 		cost += float64(distances[tier]) + bytes*float64(perByteCosts[tier])
 		if found == nil || cost < least {
 			found, least = candidate, cost
@@ -123,13 +128,14 @@
 // load.
 const slownessMemory = 10
 
-// compare follows how long calls of a kind take, and how the target does
-// relative to that.
+// compare follows how long calls of a kind take at targets, and how the target does
+// relative to that. What a target waits for others would take as long beside any
+// other target, and varies by more than targets differ.
 func (p *pool) compare(kind request.KindName, judged *entry, answer Answer) {
 	if kind == "" || answer.Latency <= 0 {
 		return
 	}
-	latency, bytes := float64(answer.Latency), float64(answer.Bytes)
+	latency, bytes := float64(cmp.Or(answer.Own, answer.Latency)), float64(answer.Bytes)
 	if p.kinds == nil {
 		p.kinds = make(map[request.KindName]*kindUsage)
 	}
--- a/internal/core/choice/anywhere_test.go
+++ b/internal/core/choice/anywhere_test.go
@@ -122,3 +122,34 @@
 	counts := spread(chooser, lookupSlots, 0)
 	expect(counts["cold"]).To(gomega.BeNumerically("<", lookupSlots/2))
 }
+
+// waitingCalls plays calls, one after the other, whose targets mostly wait for
+// others, from 100 to 700 ms, and counts how many go to the other region.
+func waitingCalls(calls int, own time.Duration) (far int) {
+	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	chooser, random := deep(now), rand.New(rand.NewPCG(5, 6))
+	for range calls {
+		now = now.Add(10 * time.Millisecond)
+		call := Call{Service: "consumo", Kind: "route/check", Anywhere: true}
+		picked, _ := chooser.Pick(now, random, call)
+		chooser.Sent(picked)
+		if picked.Across {
+			far++
+		}
+		latency := 100*time.Millisecond + time.Duration(random.Int64N(int64(600*time.Millisecond)))
+		chooser.Answered(now, picked, call, Answer{Result: Succeeded, Latency: latency, Own: own, Bytes: 1000})
+	}
+	return far
+}
+
+// The pattern: a burst with repeats. The calls that targets wait for take long and
+// vary; that makes none of the targets slower than the others, and the bytes of
+// their own calls stay in the region.
+func TestWhatTargetsWaitForSendsNoCallsFar(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	const calls = 4000
+	byLatency, byOwn := waitingCalls(calls, 0), waitingCalls(calls, 15*time.Millisecond)
+	t.Logf("to the other region: %d of %d by latency, %d by the targets' own time", byLatency, calls, byOwn)
+	expect(byOwn).To(gomega.BeNumerically("<", calls/100))
+	expect(byLatency).To(gomega.BeNumerically(">", 4*byOwn))
+}
--- a/internal/core/choice/target.go
+++ b/internal/core/choice/target.go
@@ -97,6 +97,9 @@
 type Answer struct {
 	Result  Result
 	Latency time.Duration
+	// Own is the target's own time, without its waits for other services; zero is
+	// not known.
+	Own time.Duration
 	// Load is the load that the target reported with the answer.
 	Load Load
 	// Bytes is what the call moved both ways.
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -389,6 +389,7 @@
 	if at.exchange != nil {
 		if report := at.exchange.Report(); report != nil {
 			answer.Load = choice.Load(report.GetLoad()) / loadUnit
+			answer.Own = time.Duration(report.GetOwnUs()) * time.Microsecond
 		}
 	}
 	no.Chooser.Answered(now, at.choice, call, answer)
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -249,7 +249,9 @@
 	}
 	report := func() *peerpb.Report {
 		visit.end(resultOf(response))
-		return ar.report()
+		report := ar.report()
+		report.OwnUs = visit.own.Microseconds()
+		return report
 	}
 	took := time.Since(visit.started)
 	ar.logAnswer(response.StatusCode, took)
@@ -301,6 +303,8 @@
 	started     time.Time
 	belowBefore time.Duration
 	ended       bool
+	// own is the target's time for the call without its waits, once it has ended.
+	own time.Duration
 }
 
 func (ar *arrival) begin(root *root) *visit {
@@ -325,6 +329,7 @@
 		Below:   below - vi.belowBefore,
 		Result:  result,
 	}
+	vi.own = max(sample.Latency-sample.Below, time.Microsecond)
 	vi.arrival.node.traffic.finish(now, vi.arrival.work.Call, sample)
 }
 
