--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -18,6 +18,7 @@
 	inbound  *metrics.Counter
 	deaths   *metrics.Counter
 	joins    *metrics.Counter
+	tied     *metrics.Counter
 	duration *metrics.Histogram
 	refusals map[request.Code]*metrics.Counter
 	below    map[request.Code]*metrics.Counter
@@ -31,6 +32,7 @@
 		calls:    set.NewCounter("magnoliawall_calls_total"),
 		answers:  set.NewCounter("magnoliawall_answers_total"),
 		joins:    set.NewCounter("magnoliawall_joined_calls_total"),
+		tied:     set.NewCounter("magnoliawall_tied_calls_total"),
 		deaths:   set.NewCounter("magnoliawall_target_deaths_total"),
 		inbound:  set.NewCounter("magnoliawall_inbound_calls_total"),
 		duration: set.NewHistogram("magnoliawall_call_duration_seconds"),
--- a/internal/node/inherit_test.go
+++ b/internal/node/inherit_test.go
@@ -43,13 +43,14 @@
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			no := &Node{}
+			no := &Node{counters: newCounters()}
 			no.served.Enter(until, parent)
 			no.doors.enters = map[request.KindName]bool{lookup.Name: each.entering}
 			og := &outgoing{kind: &each.kind, work: request.Work{Priority: request.NewPriority(min(each.kind.Importance, 1), 5)}}
 			no.inherit(og, each.deadline, now)
 			g.Expect(og.work.Priority).To(gomega.Equal(each.priority))
 			g.Expect(og.work.Spent).To(gomega.Equal(each.spent))
+			g.Expect(no.counters.tied.Get() == 1).To(gomega.Equal(each.spent > 0))
 		})
 	}
 }
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -189,6 +189,7 @@
 		return
 	}
 	og.parent = parent
+	no.counters.tied.Inc()
 	importance := max(parent.work.Priority.Importance(), og.kind.Importance)
 	og.work.Priority = request.NewPriority(importance, parent.work.Priority.Bucket())
 	og.work.Spent = parent.work.Spent + now.Sub(parent.begun)
