Repeat a call where its target broke the answer off and is still there

The node beside a target already asks whether it is still there. Where it is, a repeatable call now ends with its own code, 3008 answer-broken, which a retry may follow within the budget. A call that may not be repeated, and one whose target is gone, end as before; the callers above learn target-died, as another target of their own does not help.

The test fails without the change (502 in place of 200). Ruled out: retries after target-died and answer-cut as well, which could carry a request that kills targets on.

--- a/internal/core/choice/target.go
+++ b/internal/core/choice/target.go
@@ -83,7 +83,7 @@
 		return Left
 	case request.DeadlinePassed:
 		return Late
-	case request.AnswerCut, request.BrokenFrame, request.Internal:
+	case request.AnswerCut, request.AnswerBroken, request.BrokenFrame, request.Internal:
 		return Failed
 	case request.TargetDied:
 		return Died
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -374,6 +374,9 @@
 		refusal.Outcome = request.Unknown
 		return refusal
 	}
-	ar.node.checkTarget(ar.work.Call)
+	there := ar.node.checkTarget(ar.work.Call)
+	if there && ar.kind.Repeat == request.Repeatable {
+		return web.NewRefusal(request.AnswerBroken, "")
+	}
 	return web.NewRefusal(request.TargetDied, "")
 }
--- a/internal/node/roots.go
+++ b/internal/node/roots.go
@@ -135,6 +135,8 @@
 	switch {
 	case !request.Describe(code).Elsewhere:
 		return code
+	case code == request.AnswerBroken:
+		return request.TargetDied
 	case code == request.TargetUnreachable, code == request.PeerIncompatible, code == request.NotReady:
 		return request.NoTarget
 	}
--- a/internal/node/routed_test.go
+++ b/internal/node/routed_test.go
@@ -84,6 +84,22 @@
 	expect(string(body)).To(gomega.ContainSubstring(`"outcome":"unknown"`))
 }
 
+// A call that may be repeated is, where a target breaks its answer off and is still
+// there: the trees above it are lost without it.
+func TestARepeatableCallIsRepeatedWhereItsAnswerBrokeOff(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	broken, whole := &visits{serve: breakOff}, &visits{}
+	one, two := startRouted(t, "one", "agenda", broken), startRouted(t, "two", "agenda", whole)
+	connect(one, two)
+	const calls = 20
+	for range calls {
+		answer, _ := call(t, two.callers, "visits.example", http.MethodGet, "/visits/7", nil)
+		expect(answer.StatusCode).To(gomega.Equal(http.StatusOK))
+	}
+	expect(broken.arrived.Load()).To(gomega.BeNumerically(">", 0))
+	expect(whole.arrived.Load()).To(gomega.BeEquivalentTo(calls))
+}
+
 // A target that has not announced itself gets nothing, and the call goes to
 // another one without a retry.
 func TestACallMovesOnFromATargetThatTakesNothing(t *testing.T) {
--- a/internal/node/suspect.go
+++ b/internal/node/suspect.go
@@ -78,22 +78,23 @@
 	ar.node.suspects.wake(ar.node.Guard.Finish(time.Now(), ticket, completed))
 }
 
-// checkTarget makes suspects of all calls in flight when the target's process
-// is gone. A target that only broke one connection is still there. The call is
-// one that the target had.
-func (no *Node) checkTarget(call request.CallID) {
+// checkTarget tells whether the target's process is still there, as one that only
+// broke one connection is, and makes suspects of all calls in flight when it is
+// gone. The call is one that the target had.
+func (no *Node) checkTarget(call request.CallID) (there bool) {
 	conn, err := net.DialTimeout("tcp", no.Target.Address, probeTimeout)
 	if err == nil {
 		_ = conn.Close()
-		return
+		return true
 	}
 	report, first := no.Guard.TargetDied(time.Now(), quarantine.Ticket(call))
 	if !first {
-		return
+		return false
 	}
 	no.counters.deaths.Inc()
 	no.suspects.wake(no.Guard.Waiting())
 	if no.OnReport != nil && len(report.Fingerprints) > 0 {
 		no.OnReport(report)
 	}
+	return false
 }
