Send no call to a target after its deadline, by the clock

Between the gate's consent, which looks at the deadline, and the hand-over nothing asked the clock again: a context ends only when its timer runs, which is late on a host without free processor time.

The test fails without the change, on a kept connection. A call given up so ends as deadline-too-close, which says truly that it was not run.

--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -108,6 +108,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := ended(ctx); err != nil {
+			targetClient.keep(conn)
+			return nil, err
+		}
 		response, err := conn.exchange(ctx, call)
 		if err == nil {
 			return response, nil
@@ -123,6 +127,18 @@
 	}
 }
 
+// ended tells whether nobody waits for the call any more. The clock is asked as well,
+// since on a host without free processor time a context ends late.
+func ended(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if deadline, bounded := ctx.Deadline(); bounded && !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
 // take gives a kept connection, or a new one.
 func (targetClient *TargetClient) take(ctx context.Context) (conn *targetConn, kept bool, err error) {
 	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GetConn != nil {
--- a/internal/adapter/web/target_test.go
+++ b/internal/adapter/web/target_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -78,3 +79,34 @@
 	g.Expect(<-results).NotTo(gomega.HaveOccurred())
 	g.Expect(target.most.Load()).To(gomega.BeEquivalentTo(2))
 }
+
+// lateContext is past its deadline and has not ended yet, as on a host without free
+// processor time.
+type lateContext struct{ context.Context }
+
+// Deadline is over.
+func (lateContext) Deadline() (time.Time, bool) { return time.Unix(1, 0), true }
+
+// A call that nobody waits for any more does not reach the target, and its connection
+// is kept for the next one.
+func TestACallPastItsDeadlineIsNotSent(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	arrived := make(chan struct{}, 3)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived <- struct{}{} }))
+	defer server.Close()
+	client := &web.TargetClient{Address: server.Listener.Addr().String(), Connections: 1}
+	client.Start()
+	defer client.Close()
+	call := web.TargetCall{Method: http.MethodGet, Path: "/", Headers: http.Header{}}
+	send := func(ctx context.Context) error {
+		answer, err := client.Send(ctx, call)
+		if err == nil {
+			err = answer.Body.Close()
+		}
+		return err
+	}
+	expect(send(context.Background())).To(gomega.Succeed())
+	expect(send(lateContext{context.Background()})).To(gomega.MatchError(context.DeadlineExceeded))
+	expect(send(context.Background())).To(gomega.Succeed())
+	expect(arrived).To(gomega.HaveLen(2))
+}
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -361,6 +361,9 @@
 func (ar *arrival) targetFailure(ctx context.Context, err error) *web.Refusal {
 	sent := &web.SentError{}
 	if !errors.As(err, &sent) {
+		if !time.Now().Before(ar.work.Deadline) {
+			return web.NewRefusal(request.DeadlineTooClose, "")
+		}
 		if ctx.Err() != nil {
 			return leftRefusal(ctx)
 		}
