Press the gates of the headroom's tests as the limit's tests do

The new tests had brought a second copy of a load that keeps all places of a gate taken. The one that the limit's tests had now tells the time with each call, and serves both; the bounds are as before.

--- a/internal/core/admission/headroom_test.go
+++ b/internal/core/admission/headroom_test.go
@@ -22,59 +22,30 @@
 	// slowFrom to slowTo is the time in which all calls take five times as long.
 	slowFrom time.Duration
 	slowTo   time.Duration
-	now      func() time.Duration
+	// done is the work of the calls that began in each second, in seconds at the
+	// target's usual speed.
+	done []float64
 }
 
-// sample draws a lookup of 22 ms, or one time in ten a read of 360 ms, and gives
-// the seconds that it takes at the target's usual speed besides.
-func (sl *slowing) sample(running int) (admission.Sample, float64) {
+// sample draws a lookup of 22 ms, or one time in ten a read of 360 ms.
+func (sl *slowing) sample(at time.Time, running int) admission.Sample {
 	kind, mean := request.KindName("consumo/tariff"), 0.022
 	if sl.random.Float64() < 0.1 {
 		kind, mean = "consumo/history", 0.360
 	}
-	usual := mean * (0.5 + sl.random.Float64())
-	seconds := usual
+	seconds := mean * (0.5 + sl.random.Float64())
+	since := at.Sub(epoch)
+	for len(sl.done) <= int(since.Seconds()) {
+		sl.done = append(sl.done, 0)
+	}
+	sl.done[int(since.Seconds())] += seconds
 	if float64(running) >= sl.knee*float64(sl.slots) {
 		seconds *= sl.factor
 	}
-	if at := sl.now(); at >= sl.slowFrom && at < sl.slowTo {
+	if since >= sl.slowFrom && since < sl.slowTo {
 		seconds *= 5
 	}
-	return admission.Sample{Kind: kind, Latency: time.Duration(seconds * float64(time.Second)), Result: admission.Succeeded}, usual
-}
-
-// saturated keeps a gate's places taken and some calls waiting, and gives the work
-// that was done in each second, in seconds at the target's usual speed.
-func saturated(gate *admission.Gate, target *slowing, length time.Duration) []float64 {
-	model := &chain{now: epoch}
-	target.now = func() time.Duration { return model.now.Sub(epoch) }
-	done := make([]float64, int(length.Seconds())+2)
-	next := request.CallID(0)
-	var begin func(call request.CallID)
-	arrive := func() {
-		next++
-		decision, _ := gate.Arrive(model.now, request.Work{Call: next, Deadline: model.now.Add(time.Minute)}, nil)
-		if decision.Verdict == admission.Admit {
-			begin(next)
-		}
-	}
-	begin = func(call request.CallID) {
-		measured, work := target.sample(gate.Running())
-		model.after(measured.Latency, func() {
-			for _, notice := range gate.Finish(model.now, call, measured, nil) {
-				begin(notice.Call)
-			}
-			done[int(target.now().Seconds())] += work
-			for gate.Waiting() < 3 && target.now() < length {
-				arrive()
-			}
-		})
-	}
-	for range target.slots + 3 {
-		arrive()
-	}
-	model.runUntil(epoch.Add(length))
-	return done[:int(length.Seconds())]
+	return admission.Sample{Kind: kind, Latency: time.Duration(seconds * float64(time.Second)), Result: admission.Succeeded}
 }
 
 func total(seconds []float64) float64 {
@@ -102,8 +73,8 @@
 			g := gomega.NewWithT(t)
 			gate := &admission.Gate{Slots: slots, Warm: true}
 			target := &slowing{random: rand.New(rand.NewPCG(1, uint64(slots))), slots: slots, knee: each.knee, factor: each.factor}
-			done := total(saturated(gate, target, 20*time.Second))
-			share := done * each.factor / (20 * float64(slots))
+			pressed(gate, 0, 20*time.Second, target.sample)
+			share := total(target.done[:20]) * each.factor / (20 * float64(slots))
 			t.Logf("%s, %d slots: %.2f of what all slots get done", each.name, slots, share)
 			g.Expect(share).To(gomega.BeNumerically(">", each.least), "%s, %d slots", each.name, slots)
 		}
@@ -117,12 +88,12 @@
 		g := gomega.NewWithT(t)
 		gate := &admission.Gate{Slots: 28, Warm: true}
 		target := &slowing{random: rand.New(rand.NewPCG(3, 1)), slots: 28, knee: knee, factor: 1.3, slowFrom: 8 * time.Second, slowTo: 16 * time.Second}
-		done := saturated(gate, target, 26*time.Second)
+		pressed(gate, 0, 26*time.Second, target.sample)
 		least := 0.9 * 28
 		if knee < 1 {
 			least = 1.08 * 28 / 1.3
 		}
-		slow, after := total(done[8:16])/8, total(done[18:26])/8
+		slow, after := total(target.done[8:16])/8, total(target.done[18:26])/8
 		t.Logf("knee %.2f: %.2f of the least while slow, %.2f after", knee, 5*slow/least, after/least)
 		g.Expect(slow).To(gomega.BeNumerically(">", 0.9*least/5))
 		g.Expect(after).To(gomega.BeNumerically(">", least))
@@ -140,16 +111,15 @@
 func TestATrialEndsWhenTheTargetIsNotFull(t *testing.T) {
 	g := gomega.NewWithT(t)
 	gate := &admission.Gate{Slots: 20, Warm: true}
-	target := &slowing{random: rand.New(rand.NewPCG(4, 1)), slots: 20, knee: 2, factor: 1}
+	gate.Tick(epoch, nil)
 	g.Expect(gate.Headroom()).To(gomega.Equal(1))
-	length := time.Duration(0)
-	for gate.Places() == 19 {
-		length += 10 * time.Millisecond
-		gate = &admission.Gate{Slots: 20, Warm: true}
-		target.random = rand.New(rand.NewPCG(4, 1))
-		saturated(gate, target, length)
+	// The first stretch ends with the third round of calls.
+	at := time.Duration(0)
+	for ; gate.Places() == 19; at += 20 * time.Millisecond {
+		pressed(gate, at, at+20*time.Millisecond, steadySample(10*time.Millisecond, 0))
 	}
-	gate.Tick(epoch.Add(length+2*time.Second), nil)
+	g.Expect(gate.Places()).To(gomega.Equal(20))
+	gate.Tick(epoch.Add(at+time.Minute), nil)
 	g.Expect(gate.Places()).To(gomega.Equal(19))
 	g.Expect(gate.Headroom()).To(gomega.Equal(1))
 }
--- a/internal/core/admission/limit_test.go
+++ b/internal/core/admission/limit_test.go
@@ -11,16 +11,19 @@
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
-// pressed keeps a gate's places all taken for a time and gives the gate. The
-// calls end before it returns, and the lowest limit is given back. The sample of each call depends on the number of calls that run beside it.
-func pressed(gate *admission.Gate, from, to time.Duration, sample func(running int) admission.Sample) int {
+// answers gives the sample of a call that begins at a time, with so many running.
+type answers func(at time.Time, running int) admission.Sample
+
+// pressed keeps a gate's places all taken for a time, with some calls waiting, and
+// gives the lowest limit. The calls end before it returns.
+func pressed(gate *admission.Gate, from, to time.Duration, sample answers) int {
 	lowest := gate.Slots
 	model := &chain{now: epoch.Add(from)}
 	next := request.CallID(from)
 	var begin func(call request.CallID)
 	var fill func()
 	begin = func(call request.CallID) {
-		measured := sample(gate.Running())
+		measured := sample(model.now, gate.Running())
 		model.after(measured.Latency, func() {
 			for _, notice := range gate.Finish(model.now, call, measured, nil) {
 				begin(notice.Call)
@@ -47,14 +50,14 @@
 	return lowest
 }
 
-func steadySample(latency, below time.Duration) func(int) admission.Sample {
-	return func(int) admission.Sample {
+func steadySample(latency, below time.Duration) answers {
+	return func(time.Time, int) admission.Sample {
 		return admission.Sample{Latency: latency, Below: below, Result: admission.Succeeded}
 	}
 }
 
 // queueing is a target that really works on five calls at a time.
-func queueing(running int) admission.Sample {
+func queueing(_ time.Time, running int) admission.Sample {
 	return admission.Sample{Latency: time.Duration(max(running, 5)) * 4 * time.Millisecond, Result: admission.Succeeded}
 }
 
@@ -99,7 +102,7 @@
 func TestLimitFallsWhenTargetSheds(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	gate := newGate()
-	pressed(gate, time.Second, 2*time.Second, func(running int) admission.Sample {
+	pressed(gate, time.Second, 2*time.Second, func(_ time.Time, running int) admission.Sample {
 		sample := admission.Sample{Latency: 20 * time.Millisecond, Result: admission.Succeeded}
 		if running > 10 {
 			sample.Result = admission.Shed
@@ -116,7 +119,7 @@
 	gate := newGate()
 	random := rand.New(rand.NewPCG(1, 2))
 	served, turnedAway := 0, 0
-	pressed(gate, time.Second, 9*time.Second, func(int) admission.Sample {
+	pressed(gate, time.Second, 9*time.Second, func(time.Time, int) admission.Sample {
 		if random.Float64() < 0.55 {
 			turnedAway++
 			return admission.Sample{Latency: time.Millisecond, Result: admission.Shed}
