Tell the version in force with each answer, and send no call that is over

Answers now carry the version too, and a node that hears of a newer one goes on to the next replica as before.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/core/admission"
 	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
@@ -184,6 +185,11 @@
 // try sends the call to one target and holds a small answer.
 func (no *Node) try(ctx context.Context, og *outgoing, tried []request.NodeID) *attempt {
 	at := &attempt{started: time.Now()}
+	if !at.started.Before(og.work.Deadline) {
+		// On a host without free processor time calls are read late, and contexts end late.
+		at.refusal = web.NewRefusal(request.DeadlineTooClose, "")
+		return at
+	}
 	if !og.kind.Routed && no.traffic.refuses(at.started, og) {
 		at.refusal = web.NewRefusal(request.OverloadedBelow, "")
 		at.refusal.RetryAfter = admission.RetryAfter(og.work.Priority)
@@ -364,6 +370,7 @@
 	if report == nil {
 		return
 	}
+	no.hear(configuration.Version(report.GetConfigurationVersion()))
 	og.root.lock.Lock()
 	og.root.account.Return(at.share, retry.Allowance(report.GetUnspent()))
 	og.root.lock.Unlock()
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -139,6 +139,8 @@
 		Load:       uint32((current.running + current.waiting) * loadUnit / max(current.limit, 1)),
 		Unspent:    uint32(ar.unspent),
 		Draining:   ar.node.draining(),
+
+		ConfigurationVersion: uint64(ar.node.Configuration.Current().Version),
 	}
 	if ar.kind != nil && ar.kind.Routed {
 		ar.node.doors.tell(time.Now(), ar.kind.Name, report)
--- a/internal/node/routed_test.go
+++ b/internal/node/routed_test.go
@@ -84,6 +84,22 @@
 	expect(string(body)).To(gomega.ContainSubstring(`"outcome":"unknown"`))
 }
 
+// A node that nobody calls learns from the answers to its own calls that a newer
+// version is in force.
+func TestANewerVersionIsHeardFromAnswers(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	text, err := os.ReadFile("testdata/routes.jsonc")
+	expect(err).NotTo(gomega.HaveOccurred())
+	newer, err := node.NewActive(7, text)
+	expect(err).NotTo(gomega.HaveOccurred())
+	behind := startRouted(t, "one", "subsidios", http.NotFoundHandler())
+	ahead := startRouted(t, "two", "agenda", &visits{}, func(no *node.Node) { no.Configuration = node.NewHolder(newer) })
+	connect(behind, ahead)
+	answer, _ := call(t, behind.callers, "visits.example", http.MethodGet, "/visits/7", nil)
+	expect(answer.StatusCode).To(gomega.Equal(http.StatusOK))
+	expect(behind.node.Heard()).To(gomega.BeEquivalentTo(7))
+}
+
 // A call that may be repeated is, where a target breaks its answer off and is still
 // there: the trees above it are lost without it.
 func TestARepeatableCallIsRepeatedWhereItsAnswerBrokeOff(t *testing.T) {
