--- a/internal/adapter/web/target_test.go
+++ b/internal/adapter/web/target_test.go
@@ -31,20 +31,25 @@
 	<-crowd.release
 }
 
-// A bound of one keeps a second call waiting for the connection of the first; a
-// wider bound lets both in.
-func TestConnectionsFollowTheirBound(t *testing.T) {
-	g := gomega.NewWithT(t)
-	target := &crowd{entered: make(chan struct{}, 4), release: make(chan struct{})}
-	server := httptest.NewUnstartedServer(target)
-	opened := atomic.Int64{}
+// counting is a target that counts the connections that were made to it.
+func counting(t *testing.T, target http.Handler) (server *httptest.Server, opened *atomic.Int64) {
+	server, opened = httptest.NewUnstartedServer(target), &atomic.Int64{}
 	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
 			opened.Add(1)
 		}
 	}
 	server.Start()
-	defer server.Close()
+	t.Cleanup(server.Close)
+	return server, opened
+}
+
+// A bound of one keeps a second call waiting for the connection of the first; a
+// wider bound lets both in.
+func TestConnectionsFollowTheirBound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target := &crowd{entered: make(chan struct{}, 4), release: make(chan struct{})}
+	server, opened := counting(t, target)
 	client := &web.TargetClient{Address: server.Listener.Addr().String(), Connections: 1}
 	client.Start()
 	results, asking := make(chan error, 4), make(chan struct{}, 4)
@@ -114,15 +119,7 @@
 // A connection that was made for a call whose caller left meanwhile serves the next.
 func TestAConnectionOutlivesACallerThatLeft(t *testing.T) {
 	expect := gomega.NewWithT(t).Expect
-	opened := atomic.Int64{}
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
-		if state == http.StateNew {
-			opened.Add(1)
-		}
-	}
-	server.Start()
-	defer server.Close()
+	server, opened := counting(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	client := &web.TargetClient{Address: server.Listener.Addr().String(), Connections: 1}
 	client.Start()
 	defer client.Close()
