--- a/internal/replica/history_test.go
+++ b/internal/replica/history_test.go
@@ -318,4 +318,3 @@
 	hi.compare()
 	expect(hi.fault).To(gomega.MatchError(gomega.ContainSubstring("is gone")))
 }
-
--- a/magnolia-load/internal/command/demo/demo.go
+++ b/magnolia-load/internal/command/demo/demo.go
@@ -80,7 +80,7 @@
 	return render(tools.Streams, document)
 }
 
-func (options *Options) try(ctx context.Context, tools *factory.Factory, name string, system mesh.System) (experiment.Summary, error) {
+func (options *Options) try(ctx context.Context, tools *factory.Factory, name string, system mesh.Patcher) (experiment.Summary, error) {
 	streams := tools.Streams
 	streams.Progressf("%s: starting the mesh", name)
 	trial := experiment.Trial{
--- a/magnolia-load/internal/command/factory/factory.go
+++ b/magnolia-load/internal/command/factory/factory.go
@@ -22,8 +22,8 @@
 
 // Systems gives new nodes of each version.
 type Systems struct {
-	Magnolia func() mesh.System
-	Naive    func() mesh.System
+	Magnolia func() mesh.Patcher
+	Naive    func() mesh.Patcher
 }
 
 // New gives the factory of the program.
@@ -32,8 +32,8 @@
 		Streams: terminal.System(),
 		Design:  mesh.GotaJusta,
 		Systems: Systems{
-			Magnolia: func() mesh.System { return &mesh.Magnolia{} },
-			Naive:    func() mesh.System { return &mesh.Naive{} },
+			Magnolia: func() mesh.Patcher { return &mesh.Magnolia{} },
+			Naive:    func() mesh.Patcher { return &mesh.Naive{} },
 		},
 	}
 }
--- a/magnolia-load/internal/command/root/root.go
+++ b/magnolia-load/internal/command/root/root.go
@@ -12,12 +12,14 @@
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/demo"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/factory"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/measure"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/command/soak"
 )
 
 // commands is the grammar of the command line.
 type commands struct {
 	Demo    demo.Options    `cmd:"" help:"Show magnoliawall and the naive version under the same load."`
 	Measure measure.Options `cmd:"" help:"Run a measurement by name."`
+	Soak    soak.Options    `cmd:"" help:"Run real processes under seeded faults and check promises."`
 }
 
 // Main runs the command that the arguments name.
--- a/magnolia-load/internal/experiment/experiment.go
+++ b/magnolia-load/internal/experiment/experiment.go
@@ -65,7 +65,7 @@
 // Trial is one run. Its fields are set before Run.
 type Trial struct {
 	Design    mesh.Design
-	System    mesh.System
+	System    mesh.Patcher
 	Load      Load
 	Latencies link.Latencies
 	// Patch tells whether the configuration is patched in the middle.
--- a/magnolia-load/internal/measure/overload.go
+++ b/magnolia-load/internal/measure/overload.go
@@ -45,7 +45,7 @@
 	return found, group.Wait()
 }
 
-func overloadTrial(ctx context.Context, run Run, system mesh.System) (experiment.Outcome, error) {
+func overloadTrial(ctx context.Context, run Run, system mesh.Patcher) (experiment.Outcome, error) {
 	trial := experiment.Trial{
 		Design: mesh.GotaJusta(),
 		System: system,
--- a/magnolia-load/internal/measure/patch.go
+++ b/magnolia-load/internal/measure/patch.go
@@ -39,7 +39,7 @@
 	}, err
 }
 
-func longestPatch(ctx context.Context, system mesh.System) (mesh.PatchTimes, error) {
+func longestPatch(ctx context.Context, system mesh.Patcher) (mesh.PatchTimes, error) {
 	ctx, cancel := context.WithTimeout(ctx, patchWithin)
 	defer cancel()
 	longest := mesh.PatchTimes{}
--- a/magnolia-load/internal/mesh/mesh.go
+++ b/magnolia-load/internal/mesh/mesh.go
@@ -47,6 +47,11 @@
 	Add(host Host) (Endpoints, error)
 	// Run runs all nodes until the context ends.
 	Run(ctx context.Context) error
+}
+
+// Patcher is a system whose configuration a measurement changes.
+type Patcher interface {
+	System
 	// Patch sets the deadline of a kind in the configuration and waits until it
 	// is in force on all nodes.
 	Patch(ctx context.Context, kind request.KindName, deadline time.Duration) (PatchTimes, error)
