Harm the links between the processes of a soak, through an advertised address

Change: a process may advertise another peer address (`advertise.peers`), as behind a translation of addresses, and its settings are checked by it. The soak puts a proxy before each process, which holds back one way or both, delays, resets or half-closes the connections to it; these are kinds of fault like the others and overlap with them.

Ruled out: a switch in magnoliad that harms its own links, which would be code of the soak in the product, and rules of the system's firewall, which need privileges.

--- a/internal/host/reload.go
+++ b/internal/host/reload.go
@@ -41,10 +41,10 @@
 	now := ho.settingsNow()
 	addresses := make([]peer.Address, 0, len(now.Seeds)+1)
 	if now.HoldsReplica() {
-		addresses = append(addresses, peer.Address(now.Listen.Peers))
+		addresses = append(addresses, peer.Address(now.PeerAddress()))
 	}
 	for _, seed := range now.SeedAddresses() {
-		if seed != now.Listen.Peers {
+		if seed != now.PeerAddress() {
 			addresses = append(addresses, peer.Address(seed))
 		}
 	}
--- a/internal/host/seat.go
+++ b/internal/host/seat.go
@@ -84,7 +84,7 @@
 		Machine:       se.machine,
 		Disk:          se.folder,
 		Messenger:     se.messenger,
-		Address:       string(ho.Settings.Listen.Peers),
+		Address:       string(ho.Settings.PeerAddress()),
 		FailureDomain: string(ho.Settings.FailureDomain),
 		Logger:        ho.Logger,
 
--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -124,7 +124,7 @@
 		Self: membership.Announcement{
 			Node:        ho.Settings.Node,
 			Incarnation: membership.Incarnation(ho.incarnation),
-			Address:     string(ho.Settings.Listen.Peers),
+			Address:     string(ho.Settings.PeerAddress()),
 			Place:       ho.place,
 			Service:     ho.Settings.Service,
 			State:       st.firstState(),
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -50,6 +50,7 @@
 	c.target()
 	c.address("listen.peers", loaded.Listen.Peers, true)
 	c.address("listen.admin", loaded.Listen.Admin, true)
+	c.address("advertise.peers", loaded.Advertise.Peers, false)
 	c.listenTwice()
 	c.seeds()
 	c.replica()
@@ -209,8 +210,8 @@
 			c.fault(field+".address", "give each host its own address", "%s is listed twice", member.Address)
 		}
 	}
-	if member.Node == c.settings.Node && member.Address != c.settings.Listen.Peers {
-		c.fault(field+".address", "give the address of listen.peers", "%s is not where this host listens", member.Address)
+	if member.Node == c.settings.Node && member.Address != c.settings.PeerAddress() {
+		c.fault(field+".address", "give the address of listen.peers, or of advertise.peers where that is given", "%s is not where this host listens", member.Address)
 	}
 }
 
@@ -232,6 +233,7 @@
 	if security.PlaintextOnLoopback && !security.PlaintextOnClosedNetwork {
 		c.loopbackOnly("listen.peers", c.settings.Listen.Peers)
 		c.loopbackOnly("listen.admin", c.settings.Listen.Admin)
+		c.loopbackOnly("advertise.peers", c.settings.Advertise.Peers)
 		for i, seed := range c.settings.Seeds {
 			c.loopbackOnly(fmt.Sprintf("seeds[%d]", i), seed)
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 package settings
 
 import (
+	"cmp"
 	"net/netip"
 	"path/filepath"
 
@@ -44,6 +45,8 @@
 	// Target is where the local target listens.
 	Target Address `json:"target"`
 	Listen Listen  `json:"listen"`
+	// Advertise tells others where to reach this process instead.
+	Advertise Advertise `json:"advertise"`
 	// Seeds are the peer addresses of replicas; one that answers is enough.
 	Seeds []Address `json:"seeds"`
 	// SeedPort replaces the port of each seed, for lists that name another
@@ -104,12 +107,20 @@
 	Callers Address `json:"callers"`
 	// Outbound takes the calls of the local target to other services.
 	Outbound Address `json:"outbound"`
-	// Peers takes the other processes of the system, who learn it from here.
+	// Peers takes the other processes of the system, who are told this address unless
+	// another one is advertised.
 	Peers Address `json:"peers"`
 	// Admin takes operators, metrics and health checks.
 	Admin Address `json:"admin"`
 }
 
+// Advertise holds the addresses at which other processes reach this one, where these
+// are not the ones that it listens at, as behind a proxy or a translation of addresses.
+type Advertise struct {
+	// Peers stands in place of listen.peers.
+	Peers Address `json:"peers"`
+}
+
 // Replica is the replica of the control state that a host holds.
 type Replica struct {
 	// Members are the hosts that hold replicas, this one included. The log is
@@ -170,6 +181,11 @@
 	return settings.Platform.Control != ""
 }
 
+// PeerAddress is where other processes reach this one.
+func (settings *Settings) PeerAddress() Address {
+	return cmp.Or(settings.Advertise.Peers, settings.Listen.Peers)
+}
+
 // SeedAddresses gives the peer addresses of the seeds.
 func (settings *Settings) SeedAddresses() []Address {
 	addresses := make([]Address, 0, len(settings.Seeds))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -63,3 +63,12 @@
 		}
 	}
 }
+
+// Others are told what is advertised, and otherwise where the process listens.
+func TestTheAddressThatOthersAreTold(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	loaded := &settings.Settings{Listen: settings.Listen{Peers: "127.0.0.1:7402"}}
+	expect(loaded.PeerAddress()).To(gomega.BeEquivalentTo("127.0.0.1:7402"))
+	loaded.Advertise.Peers = "127.0.0.1:9402"
+	expect(loaded.PeerAddress()).To(gomega.BeEquivalentTo("127.0.0.1:9402"))
+}
--- a/magnolia-load/internal/mesh/processes.go
+++ b/magnolia-load/internal/mesh/processes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -42,7 +43,10 @@
 	// Replica says that the process holds a replica.
 	Replica bool
 	Admin   string
+	// Link is what other processes reach this one through.
+	Link *link.Proxy
 
+	link     string
 	mesh     *Processes
 	folder   string
 	settings map[string]any
@@ -66,27 +70,28 @@
 
 // Add prepares the process of a host.
 func (pr *Processes) Add(added Host) (Endpoints, error) {
-	addresses := make([]string, 0, 4)
-	for range 4 {
+	addresses := make([]string, 0, 5)
+	for range 5 {
 		taken, err := pr.ports.take()
 		if err != nil {
 			return Endpoints{}, err
 		}
 		addresses = append(addresses, string(taken))
 	}
-	made := &Process{Node: added.Node, mesh: pr, folder: filepath.Join(pr.Folder, string(added.Node)), Admin: addresses[3]}
+	made := &Process{Node: added.Node, mesh: pr, folder: filepath.Join(pr.Folder, string(added.Node)), Admin: addresses[3], Link: &link.Proxy{Target: addresses[2]}, link: addresses[4]}
 	made.settings = map[string]any{
 		"node": added.Node, "region": added.Place.Region, "failure-domain": added.Place.Domain,
 		"service": added.Service.Name, "target": added.Target,
-		"listen":   map[string]string{"callers": addresses[0], "outbound": addresses[1], "peers": addresses[2], "admin": addresses[3]},
-		"security": map[string]bool{"plaintext-on-loopback": true},
+		"listen":    map[string]string{"callers": addresses[0], "outbound": addresses[1], "peers": addresses[2], "admin": addresses[3]},
+		"advertise": map[string]string{"peers": made.link},
+		"security":  map[string]bool{"plaintext-on-loopback": true},
 	}
 	if !pr.replica[added.Place.Domain] && len(pr.replica) < mostReplicas {
 		pr.replica[added.Place.Domain] = true
 		made.Replica = true
 		made.settings["data-folder"] = "data"
 		if len(pr.seeds) < seedCount {
-			pr.seeds = append(pr.seeds, addresses[2])
+			pr.seeds = append(pr.seeds, made.link)
 		}
 	}
 	pr.hosts = append(pr.hosts, made)
@@ -99,7 +104,17 @@
 // Run starts all processes and ends those that are left when the context ends.
 func (pr *Processes) Run(ctx context.Context) error {
 	pr.ports.release()
+	serving := sync.WaitGroup{}
+	defer serving.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	for _, host := range pr.hosts {
+		listener, err := net.Listen("tcp", host.link)
+		if err != nil {
+			pr.endAll()
+			return oops.Wrapf(err, "no link to %s", host.Node)
+		}
+		serving.Go(func() { host.passOn(ctx, listener) })
 		if err := host.Start(true); err != nil {
 			pr.endAll()
 			return err
@@ -110,6 +125,15 @@
 	return nil
 }
 
+// passOn serves the link to a process. Its end counts as one that nobody asked for.
+func (process *Process) passOn(ctx context.Context, listener net.Listener) {
+	if err := process.Link.Serve(ctx, listener); err != nil {
+		process.lock.Lock()
+		defer process.lock.Unlock()
+		process.exits = append(process.exits, oops.Wrapf(err, "the link to %s ended", process.Node).Error())
+	}
+}
+
 func (pr *Processes) endAll() {
 	ending := sync.WaitGroup{}
 	for _, host := range pr.hosts {
--- a/magnolia-load/internal/soak/plan.go
+++ b/magnolia-load/internal/soak/plan.go
@@ -37,6 +37,16 @@
 	LoseDisk Kind = "lose-disk"
 	// KillAll kills all processes at once, and starts them again.
 	KillAll Kind = "kill-all"
+	// CutTo holds back what other processes send to one, CutFrom what they get of it
+	// over the connections that they opened, Silence both.
+	CutTo   Kind = "cut-to"
+	CutFrom Kind = "cut-from"
+	Silence Kind = "silence"
+	// Slow delays what passes between the others and a process.
+	Slow Kind = "slow-link"
+	// Reset breaks the connections to a process, HalfClose ends one half of them.
+	Reset     Kind = "reset"
+	HalfClose Kind = "half-close"
 )
 
 // What a plan holds.
@@ -94,7 +104,7 @@
 var weights = []struct {
 	kind  Kind
 	parts int
-}{{Kill, 6}, {Stop, 6}, {Freeze, 5}, {Reload, 3}, {LoseDisk, 2}, {KillAll, 1}}
+}{{Kill, 6}, {Stop, 6}, {Freeze, 5}, {Reload, 3}, {LoseDisk, 2}, {KillAll, 1}, {CutTo, 2}, {CutFrom, 2}, {Silence, 3}, {Slow, 2}, {Reset, 2}, {HalfClose, 1}}
 
 func drawKind(random *rand.Rand) Kind {
 	sum := 0
--- a/magnolia-load/internal/soak/run.go
+++ b/magnolia-load/internal/soak/run.go
@@ -19,6 +19,7 @@
 	"github.com/samber/oops"
 
 	"github.com/magnoliawall/magnoliawall/internal/wait"
+	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/link"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/load"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/mesh"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/target"
@@ -197,6 +198,8 @@
 		host.Signal(syscall.SIGCONT)
 	case Reload:
 		host.Signal(syscall.SIGHUP)
+	case CutTo, CutFrom, Silence, Slow, Reset, HalfClose:
+		pl.harm(ctx, fault, host.Link)
 	case LoseDisk:
 		replica := pl.replicas()[fault.Host]
 		pl.noteFailure(replica.LoseData())
@@ -209,6 +212,35 @@
 	}
 }
 
+// linkDelay is what a slow link adds: some times the round trip between the farthest
+// regions, and less than the time after which a peer is given up.
+const linkDelay = 200 * time.Millisecond
+
+// harm carries out a fault of the link to a process.
+func (pl *playing) harm(ctx context.Context, fault Fault, harmed *link.Proxy) {
+	switch fault.Kind {
+	case Reset:
+		harmed.Reset()
+	case HalfClose:
+		harmed.HalfClose()
+	case Slow:
+		harmed.Slow(linkDelay)
+		wait.For(ctx, fault.For)
+		harmed.Slow(-linkDelay)
+	default:
+		for _, way := range heldWays[fault.Kind] {
+			harmed.Hold(way)
+		}
+		wait.For(ctx, fault.For)
+		for _, way := range heldWays[fault.Kind] {
+			harmed.Release(way)
+		}
+	}
+}
+
+// heldWays are the ways that a cut holds back.
+var heldWays = map[Kind][]link.Way{CutTo: {link.Inward}, CutFrom: {link.Outward}, Silence: {link.Inward, link.Outward}}
+
 func (pl *playing) startAfter(ctx context.Context, pause time.Duration, hosts ...*mesh.Process) {
 	wait.For(ctx, pause)
 	for _, host := range hosts {
