--- a/internal/node/deliver.go
+++ b/internal/node/deliver.go
@@ -19,7 +19,10 @@
 func (no *Node) deliver(ctx context.Context, writer http.ResponseWriter, og *outgoing, at *attempt) {
 	answer := &answerWriter{writer: writer, header: at.header, length: at.header.GetBodyLength()}
 	if at.whole {
-		answer.length = int64(len(at.held))
+		// The answer to HEAD tells the length of a body that it does not have.
+		if og.method != http.MethodHead {
+			answer.length = int64(len(at.held))
+		}
 		answer.start()
 		_, _ = writer.Write(at.held)
 		no.counters.answers.Inc()
@@ -62,6 +65,10 @@
 	aw.started = true
 	headers := aw.writer.Header()
 	web.DecodeHeaders(headers, aw.header.GetHeaders())
+	if _, typed := headers["Content-Type"]; !typed {
+		// Keeps net/http from guessing what the target did not say.
+		headers["Content-Type"] = nil
+	}
 	if aw.length >= 0 {
 		headers.Set("Content-Length", strconv.FormatInt(aw.length, 10))
 	}
--- a/internal/node/routed_test.go
+++ b/internal/node/routed_test.go
@@ -84,6 +84,39 @@
 	expect(string(body)).To(gomega.ContainSubstring(`"outcome":"unknown"`))
 }
 
+// An answer reaches its caller with the headers that its target gave, and no others
+// that describe its body.
+func TestAnAnswerIsDescribedAsItsTargetDid(t *testing.T) {
+	target := startRouted(t, "one", "agenda", http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+		writer.Header()["Content-Type"] = nil
+		if incoming.URL.Path == "/visits/typed" {
+			writer.Header().Set("Content-Type", "application/x-visit")
+		}
+		writer.Header().Set("Content-Length", "7")
+		_, _ = io.WriteString(writer, "<html>7")
+	}))
+	connect(target)
+	cases := []struct {
+		method, path string
+		typed        []string
+		body         string
+	}{
+		{http.MethodGet, "/visits/typed", []string{"application/x-visit"}, "<html>7"},
+		{http.MethodGet, "/visits/7", nil, "<html>7"},
+		{http.MethodHead, "/visits/7", nil, ""},
+	}
+	for _, each := range cases {
+		t.Run(each.method+" "+each.path, func(t *testing.T) {
+			expect := gomega.NewWithT(t).Expect
+			answer, body := call(t, target.callers, "visits.example", each.method, each.path, nil)
+			expect(answer.StatusCode).To(gomega.Equal(http.StatusOK))
+			expect(answer.Header["Content-Type"]).To(gomega.Equal(each.typed))
+			expect(answer.Header.Get("Content-Length")).To(gomega.Equal("7"))
+			expect(string(body)).To(gomega.Equal(each.body))
+		})
+	}
+}
+
 // A node that nobody calls learns from the answers to its own calls that a newer
 // version is in force.
 func TestANewerVersionIsHeardFromAnswers(t *testing.T) {
