End a shortage when the services below have room again

Cause: after a loss of power the targets are cold for three seconds, and the shares of entering calls fall to a tenth.

Change: a core of its own, intake.Shortage, in place of one time in the node. A refusal below explains failures for a second, as before, but no longer than until the targets of the services below say, with their answers, that they are at three quarters or less.

--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -15,9 +15,6 @@
 const (
 	// shareUnit is a whole share, as peers report it.
 	shareUnit = 1000
-	// starvedTime is how long a refusal of a service below explains failures of
-	// the local target: the longest usual wait of a call for its next one.
-	starvedTime = time.Second
 	// retryShare is the part of its remaining time within which a caller comes
 	// back, and longestRetry keeps it from outlasting a short overload.
 	retryShare   = 3
@@ -34,8 +31,8 @@
 	valve intake.Valve
 	// enters holds the kinds that are known to come from outside.
 	enters map[request.KindName]bool
-	// starvedAt is when a call of the local target last found no room.
-	starvedAt time.Time
+	// shortage is of the services that the local target calls.
+	shortage intake.Shortage
 }
 
 // sheds tells whether a call is refused before anything is done for it, with the
@@ -58,6 +55,9 @@
 		do.enters = make(map[request.KindName]bool)
 	}
 	do.enters[og.kind.Name] = report.GetEnters()
+	if !report.GetEnters() {
+		do.shortage.Heard(og.kind.Service, float64(report.GetLoad())/loadUnit)
+	}
 	if report.GetShare() > 0 {
 		do.valve.Hear(now, og.kind.Name, og.kind.Importance, float64(report.GetShare())/shareUnit)
 	}
@@ -74,7 +74,7 @@
 func (do *doors) starve(now time.Time) {
 	do.lock.Lock()
 	defer do.lock.Unlock()
-	do.starvedAt = now
+	do.shortage.Found(now)
 }
 
 // arrive notes beside which service a call came in.
@@ -89,7 +89,7 @@
 	do.lock.Lock()
 	defer do.lock.Unlock()
 	end := intake.Fine
-	if (status >= http.StatusInternalServerError || late) && now.Sub(do.starvedAt) < starvedTime {
+	if (status >= http.StatusInternalServerError || late) && do.shortage.Lasts(now) {
 		end = intake.Starved
 	}
 	do.meter.Ended(now, kind, end)
