Read what a soak's operators were promised after they have ended

The check is as strict as before: what is read must hold all that was acknowledged, and now all of it was acknowledged before.

--- a/magnolia-load/internal/soak/run.go
+++ b/magnolia-load/internal/soak/run.go
@@ -144,12 +144,13 @@
 	}
 	samples := runner.Run(ctx)
 	striking.Wait()
+	// What is read at the end must hold all that was acknowledged before.
+	cease()
+	together.Wait()
 	all := seen{
 		kinds: pl.design.Kinds, samples: samples, records: pl.mesh.Records, finally: pl.read(ctx), sizes: pl.sizes(),
 		recovered: recovered,
 	}
-	cease()
-	together.Wait()
 	all.changes, all.back, all.overdue = pl.operators.changes, pl.back, pl.overdue
 	for _, host := range hosts {
 		all.exits = append(all.exits, host.Exits()...)
