Tell peers how long work waits for a node's processor, and bound that wait

What waits for its processor shows in no count of calls, and the end of a call is read after it.

Change: a core of its own measures how late a beat of 10 ms comes (internal/core/pulse). Answers carry it, and choosers add it to the time that they expect at a target. On a platform a node that lags by over a quarter of a second turns calls of peers away at once, as not run: they go elsewhere, or end the work above them early. It is a metric too.

--- a/internal/core/choice/anywhere.go
+++ b/internal/core/choice/anywhere.go
@@ -96,7 +96,7 @@
 }
 
 // expected estimates the time of another call of the kind at the target: its
-// own time there, and the wait for a slot.
+// own time there, the wait for a slot, and that for the processor of its node.
 func (p *pool) expected(now time.Time, kind request.KindName, candidate *entry) float64 {
 	typical := max(p.typical, float64(time.Millisecond))
 	if usage := p.kinds[kind]; usage != nil {
@@ -107,7 +107,8 @@
 	used := candidate.used(now, p.chooser.Staleness) + 1
 	own := typical * slowness * (1 + crowding*min(used/slots, 1)*min(used/slots, 1))
 	wait := max(0, used-slots) / slots * max(p.typical, typical) * slowness
-	return (own + wait) * (1 + failureCost*candidate.failures)
+	lag := float64(candidate.lag) * freshness(now.Sub(candidate.reportedAt), p.chooser.Staleness)
+	return (own + wait + lag) * (1 + failureCost*candidate.failures)
 }
 
 // used estimates how many calls the target works on or has waiting: what it
--- a/internal/core/choice/anywhere_test.go
+++ b/internal/core/choice/anywhere_test.go
@@ -175,3 +175,39 @@
 	expect(failedSlowness).To(gomega.Equal(slowness))
 	expect(failedUsual).To(gomega.Equal(usual))
 }
+
+// The pattern: a node whose processor is taken beside a target with many free slots.
+// What waits there shows in no count of calls; the node tells it, and calls go
+// elsewhere until it has passed.
+func TestCallsAvoidANodeWithoutProcessorTime(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	now := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+	random := rand.New(rand.NewPCG(3, 4))
+	chooser := deep(now)
+	call := Call{Service: "consumo", Kind: "route/lookup", Anywhere: true}
+	answered := func(lag time.Duration) {
+		for range 200 {
+			picked, _ := chooser.Pick(now, random, call)
+			chooser.Sent(picked)
+			told := Answer{Result: Succeeded, Latency: lookupTime, Own: lookupTime}
+			if picked.Target.Node == "here" {
+				told.Lag = lag
+			}
+			chooser.Answered(now, picked, call, told)
+		}
+	}
+	goes := func() map[request.NodeID]int {
+		counts := map[request.NodeID]int{}
+		for range 100 {
+			picked, _ := chooser.Pick(now, random, call)
+			counts[picked.Target.Node]++
+		}
+		return counts
+	}
+	answered(0)
+	expect(goes()["here"]).To(gomega.BeNumerically(">", 50))
+	answered(300 * time.Millisecond)
+	expect(goes()["here"]).To(gomega.BeZero())
+	now = now.Add(30 * time.Second)
+	expect(goes()["here"]).To(gomega.BeNumerically(">", 0), "what was told long ago does not count for ever")
+}
--- a/internal/core/choice/entry.go
+++ b/internal/core/choice/entry.go
@@ -18,7 +18,9 @@
 	measuredAt time.Time
 	failures   float64
 
-	load       Load
+	load Load
+	// lag is how long work waits for the processor of the target's node.
+	lag        time.Duration
 	reportedAt time.Time
 	// inFlightThen is how many calls were in flight at the report.
 	inFlightThen int
@@ -96,7 +98,8 @@
 // mostLoad bounds what a target may say of its load.
 const mostLoad = 10
 
-func (e *entry) report(now time.Time, load Load) {
+func (e *entry) report(now time.Time, load Load, lag time.Duration) {
+	e.lag = max(lag, 0)
 	if !(load >= 0) {
 		load = 0
 	}
--- a/internal/core/choice/judge.go
+++ b/internal/core/choice/judge.go
@@ -15,14 +15,14 @@
 	judged.probing = false
 	switch answer.Result {
 	case Succeeded:
-		judged.report(now, answer.Load)
+		judged.report(now, answer.Load, answer.Lag)
 		judged.measure(now, answer.Latency)
 		p.compare(call.Kind, judged, answer)
 		p.measure(answer.Latency)
 		judged.failures -= judged.failures * failureGain
 		p.readmit(now, judged)
 	case Refused:
-		judged.report(now, answer.Load)
+		judged.report(now, answer.Load, answer.Lag)
 		judged.refuse(now.Add(p.chooser.RefusalHold), now, call.Priority)
 		p.readmit(now, judged)
 	case Late:
--- a/internal/core/choice/target.go
+++ b/internal/core/choice/target.go
@@ -102,6 +102,8 @@
 	Own time.Duration
 	// Load is the load that the target reported with the answer.
 	Load Load
+	// Lag is how long work waits for the processor at the target's node.
+	Lag time.Duration
 	// Bytes is what the call moved both ways.
 	Bytes int64
 }
--- a/internal/host/site.go
+++ b/internal/host/site.go
@@ -108,6 +108,7 @@
 	}
 	if ho.Platform != nil {
 		st.node.Dialect = ho.Platform.Dialect()
+		st.node.MostLag = mostLag
 	}
 	st.node.Prepare()
 	if ho.seat == nil {
@@ -115,6 +116,11 @@
 	}
 }
 
+// mostLag is half of the time within which a platform's callers that left are to be
+// noticed. Where work waits longer for the processor, a call is handed over before its
+// caller's leaving is read.
+const mostLag = 250 * time.Millisecond
+
 // firstConnections bounds the connections until the first version is in force.
 const firstConnections = 512
 
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -396,6 +396,7 @@
 		if report := at.exchange.Report(); report != nil {
 			answer.Load = choice.Load(report.GetLoad()) / loadUnit
 			answer.Own = time.Duration(report.GetOwnUs()) * time.Microsecond
+			answer.Lag = time.Duration(report.GetLagUs()) * time.Microsecond
 		}
 	}
 	no.Chooser.Answered(now, at.choice, call, answer)
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -78,6 +78,9 @@
 	if !local.Serving {
 		return ar, web.NewRefusal(request.Draining, "the target has not announced itself, or leaves")
 	}
+	if no.lags(now) {
+		return ar, web.NewRefusal(request.Overloaded, "work at this node waits too long for the processor")
+	}
 	kind, ok := kindOf(current.Matcher, header)
 	if !ok {
 		return ar, web.NewRefusal(request.UnknownKind, header.GetKind())
@@ -139,6 +142,7 @@
 		Load:       uint32((current.running + current.waiting) * loadUnit / max(current.limit, 1)),
 		Unspent:    uint32(ar.unspent),
 		Draining:   ar.node.draining(),
+		LagUs:      ar.node.pulse.Lag(time.Now()).Microseconds(),
 
 		ConfigurationVersion: uint64(ar.node.Configuration.Current().Version),
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/choice"
 	"github.com/magnoliawall/magnoliawall/internal/core/drain"
 	"github.com/magnoliawall/magnoliawall/internal/core/lineage"
+	"github.com/magnoliawall/magnoliawall/internal/core/pulse"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/decision"
@@ -69,6 +70,9 @@
 	// Grace how long the stop may take; zero does not bound it.
 	Linger time.Duration
 	Grace  time.Duration
+	// MostLag is how long work may wait for the processor before calls of peers are
+	// turned away; zero turns none away for that.
+	MostLag time.Duration
 	// Drain, Guard and Logger may be left nil.
 	Drain  *drain.Drain
 	Guard  *quarantine.Guard
@@ -82,6 +86,8 @@
 
 	roots rootTable
 	doors doors
+	// pulse tells how long work waits for the processor.
+	pulse pulse.Pulse
 	// served holds what the local target works on.
 	served      lineage.Open[*served]
 	edges       edgeTable
@@ -128,6 +134,8 @@
 	if no.Guard == nil {
 		no.Guard = &quarantine.Guard{Crash: quarantine.Crash{Node: no.ID, Domain: no.Place.Domain, Incarnation: 1}}
 	}
+	no.pulse.Interval = gateInterval
+	no.counters.set.NewGauge("magnoliawall_processor_lag_seconds", func() float64 { return no.pulse.Lag(time.Now()).Seconds() })
 	no.traffic = newTraffic(no.slots())
 	// A target that announces itself says for how long it is slow after its
 	// start: that is a time, which fewer calls at once would not shorten.
@@ -251,6 +259,7 @@
 	for {
 		select {
 		case now := <-ticker.C:
+			no.pulse.Beat(time.Now())
 			no.follow()
 			no.tend(now)
 		case <-ctx.Done():
@@ -259,6 +268,12 @@
 	}
 }
 
+// lags tells whether work waits so long for the processor that more would be late. A
+// call that is turned away at once is sent elsewhere, or ends the work above it early.
+func (no *Node) lags(now time.Time) bool {
+	return no.MostLag > 0 && no.pulse.Lag(now) > no.MostLag
+}
+
 // tend moves the gate on, and tells of a change of its headroom.
 func (no *Node) tend(now time.Time) {
 	if before, after := no.traffic.tick(now); before.free != after.free {
