Look for a caller that left before a late call is sent

In the log of sidecar-montevideo-12 lines of many peers come in one moment, 0.1 to 0.7 s after the one before, with calls that `took` up to 1.8 s and `left` of -1.1 s: the process gets no processor in between and then reads all that has come. Of a call whose caller left meanwhile it reads the call first, sends it, and reads the end of the connection after it.

Change: at a lag over 50 ms the connection of the caller is looked at, unread, before each attempt; a call whose caller has closed it is not sent. The look is the one that kept connections to targets get. Tests: what the look shows for a caller that waits, sends more, closes or resets, and that a call is not sent then.

--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -70,22 +70,52 @@
 	if now.After(conn.idleUntil) || conn.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := conn.Conn.(syscall.Conn)
+	return look(conn.Conn) == nothingYet
+}
+
+// seen is what a look at a connection shows, without reading from it.
+type seen uint8
+
+const (
+	// nothingYet is an open connection on which no byte waits.
+	nothingYet seen = iota
+	bytesWait
+	// peerClosed is a connection that its peer closed or broke.
+	peerClosed
+)
+
+// look shows what waits on a connection. One that cannot be looked at, as a pipe of a
+// test, is thought to be open.
+func look(conn net.Conn) seen {
+	raw, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return nothingYet
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return peerClosed
 	}
-	silent := false
+	shown := peerClosed
 	err = control.Read(func(descriptor uintptr) bool {
 		var probe [1]byte
-		_, _, err := unix.Recvfrom(int(descriptor), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		silent = errors.Is(err, unix.EAGAIN)
+		count, _, err := unix.Recvfrom(int(descriptor), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EAGAIN):
+			shown = nothingYet
+		case err == nil && count > 0:
+			shown = bytesWait
+		}
 		return true
 	})
-	return err == nil && silent
+	if err != nil {
+		return peerClosed
+	}
+	return shown
+}
+
+// Closed tells whether the peer has closed a connection, before that is read from it.
+func Closed(conn net.Conn) bool {
+	return look(conn) == peerClosed
 }
 
 // exchange writes the call and reads the header of its answer.
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -181,6 +181,12 @@
 	return og.kind.Retries
 }
 
+// lookLag is the lag from which it is looked, before a call is sent, whether its caller
+// has left: the call, or the answer to its last attempt, was read late, and what the
+// caller did since is read later still. Below it the look would cost each call a system
+// call for nothing.
+const lookLag = 50 * time.Millisecond
+
 // try sends the call to one target and holds a small answer.
 func (no *Node) try(ctx context.Context, og *outgoing, tried []request.NodeID) *attempt {
 	at := &attempt{started: time.Now()}
@@ -189,6 +195,10 @@
 		at.refusal = web.NewRefusal(request.DeadlineTooClose, "")
 		return at
 	}
+	if no.pulse.Lag(at.started) > lookLag && hasLeft(ctx) {
+		at.refusal = web.NewRefusal(request.CallerLeft, "")
+		return at
+	}
 	if !og.kind.Routed && no.traffic.refuses(at.started, og) {
 		at.refusal = web.NewRefusal(request.OverloadedBelow, "")
 		at.refusal.RetryAfter = admission.RetryAfter(og.work.Priority)
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 )
 
@@ -92,6 +93,7 @@
 			ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
 			IdleTimeout:       time.Duration(limits.IdleTimeout),
 			MaxHeaderBytes:    int(limits.MaxHeader),
+			ConnContext:       withConnection,
 		},
 		accepted: handover{address: address, connections: make(chan net.Conn), done: make(chan struct{})},
 	}
@@ -104,6 +106,23 @@
 	return server
 }
 
+// connectionKey finds the connection of a call in its context.
+type connectionKey struct{}
+
+func withConnection(ctx context.Context, connection net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, connection)
+}
+
+// hasLeft tells whether the caller has closed the connection of its call, also where
+// the end of it has not been read yet.
+func hasLeft(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	connection, ok := ctx.Value(connectionKey{}).(net.Conn)
+	return ok && web.Closed(connection)
+}
+
 // Shutdown lets the calls in flight end, and closes what is still open when the
 // context ends.
 func (fr *front) Shutdown(ctx context.Context) {
