Send no call in part after a kept connection proved dead

A target that answers early and reads on gets other bytes than the caller sent.

Change: only a call without a body is sent again so; any other is refused as not run.

--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -121,7 +121,8 @@
 		if conn.wrote.Load() {
 			return nil, &SentError{Reason: err}
 		}
-		if !kept || ctx.Err() != nil {
+		if !kept || ctx.Err() != nil || call.BodyLength != 0 {
+			// Of a body a part has been read, which would be missing at another try.
 			return nil, err
 		}
 		// No byte left on a kept connection, so another one may be tried.
