Look for a caller that left without waiting for a reader of its connection

Ruled out: the look under processor lag itself, which only decides how often it is made. Change: the look goes through RawConn.Control, which takes no lock, and a call that is interrupted by a signal is repeated in place of read as a closed connection. Result: TestHasLeftDoesNotWaitForReader timed out before and passes now.

--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -98,25 +98,34 @@
 		return socketClosed
 	}
 	state := socketClosed
-	err = control.Read(func(descriptor uintptr) bool {
-		var probe [1]byte
-		count, _, err := unix.Recvfrom(int(descriptor), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	// Control rather than Read: Read waits while another goroutine reads from the
+	// connection, as net/http does while a call is served.
+	err = control.Control(func(descriptor uintptr) { state = peekDescriptor(int(descriptor)) })
+	if err != nil {
+		return socketClosed
+	}
+	return state
+}
+
+// peekDescriptor returns the state of a non-blocking socket.
+func peekDescriptor(descriptor int) socketState {
+	var probe [1]byte
+	for {
+		count, _, err := unix.Recvfrom(descriptor, probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch {
+		case errors.Is(err, unix.EINTR):
+			continue
 		case errors.Is(err, unix.EAGAIN):
-			state = socketIdle
+			return socketIdle
 		case err == nil && count > 0:
-			state = socketReadable
+			return socketReadable
 		}
-		return true
-	})
-	if err != nil {
 		return socketClosed
 	}
-	return state
 }
 
-// ClosedByPeer reports whether the peer has closed a connection. It does not read from
-// the connection.
+// ClosedByPeer reports whether the peer has closed a connection. It neither reads from
+// the connection nor waits for a goroutine that does.
 func ClosedByPeer(conn net.Conn) bool {
 	return peekSocket(conn) == socketClosed
 }
--- a/internal/node/departed_caller_test.go
+++ b/internal/node/departed_caller_test.go
@@ -52,6 +52,37 @@
 	gomega.NewWithT(t).Expect(hasLeft(context.Background())).To(gomega.BeFalse())
 }
 
+// While a call is served, net/http reads ahead on its connection. hasLeft must not
+// wait for that read to end, or the call outlasts its deadline.
+func TestHasLeftDoesNotWaitForReader(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = caller.Close() }()
+	accepted, err := listener.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = accepted.Close() }()
+
+	reading, readEnds := make(chan struct{}), make(chan struct{})
+	defer close(readEnds)
+	raw, err := accepted.(*net.TCPConn).SyscallConn()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	go func() {
+		_ = raw.Read(func(uintptr) bool {
+			close(reading)
+			<-readEnds
+			return true
+		})
+	}()
+	<-reading
+	looked := make(chan bool, 1)
+	go func() { looked <- hasLeft(withConnection(context.Background(), accepted)) }()
+	g.Eventually(looked).WithTimeout(time.Minute).Should(gomega.Receive(gomega.BeFalse()))
+}
+
 // A call that was read late is not sent if its caller has left in the meantime.
 func TestLateCallOfDepartedCallerIsNotSent(t *testing.T) {
 	g := gomega.NewWithT(t)
