Set the time left when a call is written, and know late answers by the call's id

Cause: the headers for the target were made before the call waited for a connection to it, so the target was told more time than was left. In the native dialect a late second copy of a response on a kept connection was taken for the response to the next call, and on the platform one without an id was. Change: TargetCall.Stamp sets the headers that depend on the time right before the call is written. Calls carry Magnoliawall-Call, which a target may repeat; a response with another id is skipped.

--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -36,7 +36,9 @@
 	// hasSentBytes reports whether at least one byte of the current call was sent.
 	hasSentBytes atomic.Bool
 	idleUntil    time.Time
-	closed       bool
+	// reused says that the connection has carried an earlier call.
+	reused bool
+	closed bool
 }
 
 func newTargetConn(client *TargetClient, netConn net.Conn) *targetConn {
@@ -191,7 +193,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if conn.client.Dialect.IsResponseTo(request.Header, response.Header) {
+		if conn.client.Dialect.IsResponseTo(request.Header, response.Header, conn.reused) {
 			return response, nil
 		}
 		if response.Close {
--- a/internal/adapter/web/dialect.go
+++ b/internal/adapter/web/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/request"
@@ -17,8 +18,9 @@
 	// SetTargetHeaders sets the headers that a target expects.
 	SetTargetHeaders(headers http.Header, call TargetMetadata)
 	// IsResponseTo reports whether a response with the headers answer belongs to the
-	// call that was sent with the headers sent.
-	IsResponseTo(sent, answer http.Header) bool
+	// call that was sent with the headers sent. With reused set, the connection has
+	// carried other calls before, to which the response may belong.
+	IsResponseTo(sent, answer http.Header, reused bool) bool
 	// NotExecutedCode returns the result code if the response states that the target did
 	// not execute the call, and [request.OK] for any other response.
 	NotExecutedCode(response *http.Response) request.Code
@@ -67,14 +69,19 @@
 	WriteRefusal(writer, refusal)
 }
 
-// SetTargetHeaders sets the trace context and the remaining time.
+// SetTargetHeaders sets the trace context, the id of the call and the remaining time.
 func (NativeDialect) SetTargetHeaders(headers http.Header, call TargetMetadata) {
+	headers.Set(HeaderCall, strconv.FormatUint(uint64(call.Call), 16))
 	headers.Set(HeaderTraceparent, FormatTraceparent(call.Root, call.Call))
 	headers.Set(HeaderDeadline, call.Remaining.Round(time.Microsecond).String())
 }
 
-// IsResponseTo is always true: in this dialect responses carry no id of the call.
-func (NativeDialect) IsResponseTo(_, _ http.Header) bool { return true }
+// IsResponseTo compares the id of the call, if the target repeats it. Of a response
+// without one nothing is known: targets need not repeat it.
+func (NativeDialect) IsResponseTo(sent, answer http.Header, _ bool) bool {
+	echoed := answer.Get(HeaderCall)
+	return echoed == "" || echoed == sent.Get(HeaderCall)
+}
 
 // NotExecutedCode always returns [request.OK]: in this dialect no response states that
 // the target did not execute the call.
--- a/internal/adapter/web/headers.go
+++ b/internal/adapter/web/headers.go
@@ -15,6 +15,9 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderTraceparent    = "Traceparent"
 	HeaderCode           = "Magnoliawall-Code"
+	// HeaderCall is the id of a call at a target, in hexadecimal. A target that repeats
+	// it in its response protects the next call on the connection from a late one.
+	HeaderCall = "Magnoliawall-Call"
 )
 
 // hopByHop lists the headers that are not forwarded: those of one connection, and
@@ -34,6 +37,7 @@
 	HeaderService:         true,
 	HeaderDeadline:        true,
 	HeaderCode:            true,
+	HeaderCall:            true,
 }
 
 // EncodeHeaders encodes the end-to-end headers for the transport between nodes.
--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -90,7 +90,10 @@
 	Path    string
 	Host    string
 	Headers http.Header
-	Body    io.Reader
+	// Stamp, if set, sets the headers that depend on the time, such as the time left.
+	// It is called right before the call is written.
+	Stamp func(headers http.Header)
+	Body  io.Reader
 	// BodyLength is the length in bytes; a negative number means that it is
 	// unknown.
 	BodyLength int64
@@ -172,6 +175,7 @@
 		}
 		if conn.reusable(time.Now()) {
 			conn.hasSentBytes.Store(false)
+			conn.reused = true
 			return conn, true, nil
 		}
 		conn.discard()
@@ -235,6 +239,9 @@
 // newRequest builds the HTTP request. Its path and query are those of the call,
 // byte for byte.
 func (call TargetCall) newRequest(address string) *http.Request {
+	if call.Stamp != nil {
+		call.Stamp(call.Headers)
+	}
 	request := &http.Request{
 		Method:        call.Method,
 		URL:           targetURL(address, call.Path),
--- a/internal/adapter/web/wire_test.go
+++ b/internal/adapter/web/wire_test.go
@@ -7,9 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -20,7 +23,7 @@
 // echoDialect is a dialect in which responses repeat the id of the call.
 type echoDialect struct{ web.NativeDialect }
 
-func (echoDialect) IsResponseTo(sent, response http.Header) bool {
+func (echoDialect) IsResponseTo(sent, response http.Header, _ bool) bool {
 	return sent.Get("Call") == response.Get("Call")
 }
 
@@ -134,6 +137,62 @@
 	g.Expect(body).To(gomega.Equal("ok"))
 }
 
+// A target sends a second copy of a response when the connection already carries the
+// next call. The caller of that call gets its own response.
+func TestSecondCopyOfResponseIsNotTakenForTheNext(t *testing.T) {
+	g := gomega.NewWithT(t)
+	first, second := okHeader+"Magnoliawall-Call: 1\r\n\r\nno", okHeader+"Magnoliawall-Call: 2\r\n\r\nok"
+	target := startScriptedTarget(t, first, first+second)
+	client := target.client(nil)
+	for index, expected := range []string{"no", "ok"} {
+		sent := newCall(http.MethodGet, "/a", "")
+		sent.Headers.Set(web.HeaderCall, strconv.Itoa(index+1))
+		body, err := sendAndReadBody(client, sent)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal(expected))
+	}
+	g.Expect(target.connections.Load()).To(gomega.BeEquivalentTo(1))
+}
+
+// A call that waits for a connection tells the target the time that is left when it is
+// written, not when it began to wait.
+func TestTimeLeftIsSetWhenCallIsWritten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target := startScriptedTarget(t)
+	client := &web.TargetClient{Address: target.Addr().String(), Connections: 1}
+	client.Start()
+	done := make(chan error, 2)
+	go func() {
+		_, err := sendAndReadBody(client, newCall(http.MethodGet, "/first", ""))
+		done <- err
+	}()
+	g.Eventually(target.requests).WithTimeout(time.Minute).Should(gomega.Receive())
+
+	timeLeft, waits := atomic.Int64{}, make(chan struct{})
+	timeLeft.Store(900)
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{GetConn: func(string) { close(waits) }})
+	stamped := make(chan string, 1)
+	go func() {
+		call := newCall(http.MethodGet, "/second", "")
+		call.Stamp = func(headers http.Header) {
+			headers.Set(web.HeaderDeadline, strconv.FormatInt(timeLeft.Load(), 10))
+			stamped <- headers.Get(web.HeaderDeadline)
+		}
+		response, err := client.Send(ctx, call)
+		if err == nil {
+			err = response.Body.Close()
+		}
+		done <- err
+	}()
+	<-waits
+	timeLeft.Store(100)
+	target.responses <- okHeader + "\r\nok"
+	target.responses <- okHeader + "\r\nok"
+	g.Expect(<-stamped).To(gomega.Equal("100"))
+	g.Expect(<-done).To(gomega.Succeed())
+	g.Expect(<-done).To(gomega.Succeed())
+}
+
 // Bytes after a response belong to no call, so the connection is not reused.
 func TestExtraBytesAfterResponseCloseConnection(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -341,13 +341,6 @@
 	header := inbound.peerCall.Header
 	headers := make(http.Header, len(header.GetHeaders())+2)
 	web.DecodeHeaders(headers, header.GetHeaders())
-	inbound.node.Dialect.SetTargetHeaders(headers, web.TargetMetadata{
-		Root:      inbound.work.Root,
-		Call:      inbound.work.Call,
-		Remaining: time.Until(inbound.work.Deadline),
-		Caller:    request.ServiceName(header.GetCallerService()),
-		Instance:  inbound.local.Instance,
-	})
 	host := string(inbound.local.Service)
 	if inbound.kind.Routed {
 		host = header.GetHost()
@@ -357,11 +350,24 @@
 		Path:       header.GetPath(),
 		Host:       host,
 		Headers:    headers,
+		Stamp:      inbound.setTargetHeaders,
 		Body:       inbound.bodyReader(),
 		BodyLength: header.GetBodyLength(),
 	}
 }
 
+// setTargetHeaders sets the headers that the target expects. The time left is that of
+// the moment at which the call is written: it may have waited for a connection.
+func (inbound *inboundCall) setTargetHeaders(headers http.Header) {
+	inbound.node.Dialect.SetTargetHeaders(headers, web.TargetMetadata{
+		Root:      inbound.work.Root,
+		Call:      inbound.work.Call,
+		Remaining: time.Until(inbound.work.Deadline),
+		Caller:    request.ServiceName(inbound.peerCall.Header.GetCallerService()),
+		Instance:  inbound.local.Instance,
+	})
+}
+
 func (inbound *inboundCall) targetFailure(ctx context.Context, err error) *web.Refusal {
 	sentErr := &web.SentError{}
 	if !errors.As(err, &sentErr) {
