Keep the calls at a paused peer, and state the time left when a call is sent

Cause: the keep-alive of yamux closed a connection whose peer had not answered for 3 to 6 s, and with it the calls that the peer, paused but alive, worked on: they were given up and their answers were lost. A header stated the time left from before a connection was waited for, up to a second earlier, and a call was sent though its deadline had passed in that wait. A stream of a connection that had broken was kept for the next connection to the address, where its first use failed as a call that may have run. Change: a dialled connection is pinged; a silent peer gets no new call and no other stream on it, and calls under way go on until they end or TCP finds the peer dead. Transport.Call sets the time left from its context once it has a stream, and sends nothing past the deadline. A stream knows its connection.

--- a/internal/adapter/peer/accept.go
+++ b/internal/adapter/peer/accept.go
@@ -38,7 +38,7 @@
 		_ = conn.Close()
 		return
 	}
-	mux, err := yamux.Server(&frameBatcher{Conn: conn}, muxConfig())
+	mux, err := yamux.Server(&frameBatcher{Conn: conn}, transport.muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
--- a/internal/adapter/peer/dial.go
+++ b/internal/adapter/peer/dial.go
@@ -1,10 +1,13 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/hashicorp/yamux"
 )
@@ -27,7 +30,7 @@
 	if closed {
 		_ = mux.Close()
 	}
-	go transport.removeSessionWhenClosed(address, peerSession)
+	go transport.watch(address, peerSession)
 }
 
 func (transport *Transport) dialSession(ctx context.Context, address Address) (*yamux.Session, Hello, error) {
@@ -40,7 +43,7 @@
 		_ = conn.Close()
 		return nil, Hello{}, err
 	}
-	mux, err := yamux.Client(&frameBatcher{Conn: conn}, muxConfig())
+	mux, err := yamux.Client(&frameBatcher{Conn: conn}, transport.muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, Hello{}, err
@@ -80,9 +83,43 @@
 	return remote, transport.Identify(tlsConn.ConnectionState(), remote)
 }
 
-func (transport *Transport) removeSessionWhenClosed(address Address, peerSession *session) {
-	<-peerSession.mux.CloseChan()
-	transport.removeSession(address, peerSession)
+// watch removes a session once it is closed, or once its peer is silent. A session
+// with a silent peer is closed when its last call has ended.
+func (transport *Transport) watch(address Address, peerSession *session) {
+	ticker := time.NewTicker(transport.pingInterval())
+	defer ticker.Stop()
+	silent := false
+	for {
+		select {
+		case <-peerSession.mux.CloseChan():
+			transport.removeSession(address, peerSession)
+			return
+		case <-ticker.C:
+		}
+		if silent {
+			if peerSession.mux.NumStreams() == 0 {
+				_ = peerSession.mux.Close()
+			}
+			continue
+		}
+		_, err := peerSession.mux.Ping()
+		if errors.Is(err, yamux.ErrTimeout) || errors.Is(err, yamux.ErrConnectionWriteTimeout) {
+			silent = true
+			transport.removeSession(address, peerSession)
+			peerSession.setSilent()
+			transport.logSilent(address)
+		}
+	}
+}
+
+func (transport *Transport) logSilent(address Address) {
+	if transport.Logger != nil {
+		transport.Logger.Warn().Str("peer", string(address)).Msg("peer: no answer to a ping; new calls get a new connection")
+	}
+}
+
+func (transport *Transport) pingInterval() time.Duration {
+	return cmp.Or(transport.PingInterval, defaultPingInterval)
 }
 
 func (transport *Transport) removeSession(address Address, peerSession *session) {
--- a/internal/adapter/peer/exchange.go
+++ b/internal/adapter/peer/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -29,7 +30,8 @@
 
 // Call sends the header and the body and reads the header of the answer. If the
 // header sets AwaitContinue, the body is read from its source only after the peer
-// has sent its consent (a [FrameContinue]). If the call failed before anything
+// has sent its consent (a [FrameContinue]). If ctx has a deadline, the time left of the
+// header is set to it when the call is sent. If the call failed before anything
 // was sent, the error is a [*NotSentError]. When ctx ends, the stream is closed,
 // which cancels the call at the peer.
 func (transport *Transport) Call(ctx context.Context, address Address, call request.CallID, header *peerpb.CallHeader, body io.Reader) (*Exchange, *peerpb.AnswerHeader, error) {
@@ -37,6 +39,10 @@
 	if err != nil {
 		return nil, nil, &NotSentError{Reason: err}
 	}
+	if err := setRemaining(ctx, header); err != nil {
+		transport.Release(address, stream)
+		return nil, nil, &NotSentError{Reason: err}
+	}
 	exchange := &Exchange{transport: transport, address: address, stream: stream, call: call}
 	exchange.stopWatch = context.AfterFunc(ctx, func() { _ = stream.Close() })
 	answer, err := exchange.start(header, body)
@@ -47,6 +53,21 @@
 	return exchange, answer, nil
 }
 
+// setRemaining sets the time left of a call to that of the context, since it may have
+// waited for a connection. It returns an error if none is left.
+func setRemaining(ctx context.Context, header *peerpb.CallHeader) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return nil
+	}
+	remaining := time.Until(deadline)
+	if remaining <= 0 {
+		return context.DeadlineExceeded
+	}
+	header.RemainingUs = max(remaining.Microseconds(), 1)
+	return nil
+}
+
 // NotSentError is the error of a call of which no byte left this process.
 type NotSentError struct{ Reason error }
 
--- a/internal/adapter/peer/session.go
+++ b/internal/adapter/peer/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 
@@ -16,9 +17,57 @@
 	mux    *yamux.Session
 	remote Hello
 
-	// lock guards idleStreams, by kind.
+	// lock guards the fields below.
 	lock        sync.Mutex
 	idleStreams [kindCount][]*Stream
+	// openStreams holds the streams of kinds other than KindCall.
+	openStreams map[*Stream]struct{}
+	// silent says that the peer did not answer a ping.
+	silent bool
+}
+
+var errSilent = errors.New("the peer does not answer")
+
+// register records an open stream. It returns false if the peer has become silent.
+func (session *session) register(stream *Stream) bool {
+	stream.session = session
+	session.lock.Lock()
+	defer session.lock.Unlock()
+	if session.silent {
+		return false
+	}
+	if stream.kind != KindCall {
+		if session.openStreams == nil {
+			session.openStreams = make(map[*Stream]struct{})
+		}
+		session.openStreams[stream] = struct{}{}
+	}
+	return true
+}
+
+func (session *session) forget(stream *Stream) {
+	session.lock.Lock()
+	defer session.lock.Unlock()
+	delete(session.openStreams, stream)
+}
+
+// setSilent closes the idle streams, and those of other kinds than calls: their users
+// reconnect by themselves.
+func (session *session) setSilent() {
+	session.lock.Lock()
+	session.silent = true
+	var closing []*Stream
+	for kind, idle := range session.idleStreams {
+		closing = append(closing, idle...)
+		session.idleStreams[kind] = nil
+	}
+	for stream := range session.openStreams {
+		closing = append(closing, stream)
+	}
+	session.lock.Unlock()
+	for _, stream := range closing {
+		_ = stream.Close()
+	}
 }
 
 func awaitSession(ctx context.Context, peerSession *session) (*session, error) {
@@ -68,7 +117,7 @@
 func (session *session) putIdle(stream *Stream) bool {
 	session.lock.Lock()
 	defer session.lock.Unlock()
-	if len(session.idleStreams[stream.kind]) >= maxIdleStreams || session.mux.IsClosed() {
+	if session.silent || len(session.idleStreams[stream.kind]) >= maxIdleStreams || session.mux.IsClosed() {
 		return false
 	}
 	stream.trimBuffers()
@@ -76,12 +125,14 @@
 	return true
 }
 
-func muxConfig() *yamux.Config {
+// muxConfig returns the settings of a connection. The keep-alive of yamux is off: it
+// would close the connection, with the calls under way, of a peer that is only paused.
+func (transport *Transport) muxConfig() *yamux.Config {
 	settings := yamux.DefaultConfig()
-	settings.KeepAliveInterval = muxKeepAliveInterval
-	settings.ConnectionWriteTimeout = muxKeepAliveInterval
+	settings.EnableKeepAlive = false
+	settings.ConnectionWriteTimeout = transport.pingInterval()
 	settings.MaxStreamWindowSize = maxStreamWindowBytes
-	settings.StreamCloseTimeout = muxKeepAliveInterval
+	settings.StreamCloseTimeout = transport.pingInterval()
 	settings.LogOutput = io.Discard
 	return settings
 }
--- a/internal/adapter/peer/stream.go
+++ b/internal/adapter/peer/stream.go
@@ -35,6 +35,9 @@
 	conn   net.Conn
 	remote Hello
 	kind   StreamKind
+	// session is the connection that the stream was opened on, or nil for an accepted
+	// stream.
+	session *session
 	// openSent is set once the frame that starts the stream was buffered; always on
 	// the accepting side.
 	openSent bool
@@ -210,5 +213,8 @@
 // Close closes the stream at once. The peer's Receive returns an error or
 // [io.EOF].
 func (stream *Stream) Close() error {
+	if stream.session != nil {
+		stream.session.forget(stream)
+	}
 	return stream.conn.Close()
 }
--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -8,6 +8,11 @@
 //
 // A [Transport] keeps one outgoing connection per address and reuses idle streams
 // by kind. A stream whose exchange did not complete is closed, never reused.
+//
+// A peer that answers no ping may be paused rather than dead. It gets no new calls on
+// that connection, but the calls under way go on until they end or TCP reports the
+// connection dead, because their answers may still come.
+//
 // Calls with headers, bodies and cancellation are built on streams of [KindCall]:
 // [Transport.Call] makes one, [ServeCalls] serves them.
 //
@@ -41,8 +46,8 @@
 const (
 	// dialTimeout is short, so that a peer is tried again soon after a network
 	// outage ends.
-	dialTimeout          = time.Second
-	muxKeepAliveInterval = 3 * time.Second
+	dialTimeout         = time.Second
+	defaultPingInterval = 3 * time.Second
 	maxStreamWindowBytes = 256 << 10
 	// maxIdleStreams bounds the idle streams of one kind to one peer. A new stream
 	// costs a few bytes and no round trip; an idle one costs its buffers at both ends.
@@ -69,7 +74,10 @@
 	// Identify checks that the certificate of a TLS connection belongs to the node
 	// named in its hello; nil disables the check.
 	Identify func(state tls.ConnectionState, hello Hello) error
-	Logger   *log.Logger
+	// PingInterval is how often a connection is checked, and how long the peer may take
+	// to answer before it counts as silent; zero means 3 s.
+	PingInterval time.Duration
+	Logger       *log.Logger
 
 	lock     sync.Mutex
 	sessions map[Address]*session
@@ -92,7 +100,12 @@
 		transport.removeSession(address, peerSession)
 		return nil, fmt.Errorf("open stream to %s: %w", address, err)
 	}
-	return newStream(conn, peerSession.remote, kind), nil
+	stream := newStream(conn, peerSession.remote, kind)
+	if !peerSession.register(stream) {
+		_ = stream.Close()
+		return nil, fmt.Errorf("open stream to %s: %w", address, errSilent)
+	}
+	return stream, nil
 }
 
 // Connect dials the address if there is no connection to it, so that the next
@@ -111,12 +124,12 @@
 }
 
 // Release returns a stream after a complete exchange, for reuse by the next one of
-// its kind. Surplus streams are closed.
+// its kind. Surplus streams, and those of an earlier connection, are closed.
 func (transport *Transport) Release(address Address, stream *Stream) {
 	transport.lock.Lock()
 	peerSession := transport.sessions[address]
 	transport.lock.Unlock()
-	if peerSession == nil || !peerSession.putIdle(stream) {
+	if peerSession == nil || peerSession != stream.session || !peerSession.putIdle(stream) {
 		_ = stream.Close()
 	}
 }
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -354,6 +354,8 @@
 		return withSentOutcome(web.NewRefusal(request.CallerLeft, ""), err)
 	case errors.Is(err, peer.ErrIncompatible):
 		return web.NewRefusal(request.PeerIncompatible, "")
+	case !peer.MayHaveBeenSent(err) && errors.Is(err, context.DeadlineExceeded):
+		return web.NewRefusal(request.DeadlineTooClose, "")
 	case !peer.MayHaveBeenSent(err):
 		return web.NewRefusal(request.TargetUnreachable, "")
 	case errors.Is(err, peer.ErrFrameChecksum), errors.Is(err, peer.ErrFrameKind),
