Answer the requests that have arrived when a planned stop closes connections

Cause: a stop closed the listener with connections in its accept queue, which the kernel then reset, and the shutdown of net/http closed kept connections on which a request had arrived but was not read yet, as happens on a host with a busy processor. Callers were not told before that their connections would close. Change: a stopping acceptor accepts what waits in the queue until none has come for 20 ms, at most for a second; the shutdown begins once no kept connection has unread bytes; answers during a drain carry Connection: close.

--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -132,6 +132,31 @@
 	return peekSocket(conn) == socketClosed
 }
 
+// HasQueued reports whether a connection waits to be accepted by a listener. A listener
+// without a socket, such as one of a test, has none.
+func HasQueued(listener net.Listener) bool {
+	raw, ok := listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := false
+	err = control.Control(func(descriptor uintptr) {
+		poll := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
+		count, err := unix.Poll(poll, 0)
+		queued = err == nil && count > 0
+	})
+	return err == nil && queued
+}
+
+// HasUnread reports whether bytes of the peer wait to be read from a connection.
+func HasUnread(conn net.Conn) bool {
+	return peekSocket(conn) == socketReadable
+}
+
 // roundTrip writes the call and reads the header of its response. When ctx ends,
 // it closes the connection.
 func (conn *targetConn) roundTrip(ctx context.Context, call TargetCall) (*http.Response, error) {
--- a/internal/node/connection_acceptor.go
+++ b/internal/node/connection_acceptor.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,24 +25,46 @@
 	// logProblem reports a problem that no caller can be told.
 	logProblem func(problem string, err error)
 
+	// served is closed when Serve has returned.
+	served chan struct{}
+
 	mutex   sync.Mutex
 	servers map[configuration.Limits]*limitedServer
 	closed  bool
+	// acceptUntil is when a stopping acceptor closes its listener at the latest, in Unix
+	// nanoseconds; zero while it is not stopping.
+	acceptUntil atomic.Int64
+}
+
+func newConnectionAcceptor(handler http.Handler, limits func() configuration.Limits, logProblem func(string, error)) *connectionAcceptor {
+	return &connectionAcceptor{handler: handler, limits: limits, logProblem: logProblem, served: make(chan struct{})}
 }
 
 // limitedServer serves the connections that share one set of limits.
 type limitedServer struct {
 	http     http.Server
 	listener handoffListener
+	waiting  waitingConnections
 }
 
 // acceptRetryDelay is the time before the next try after a temporary failure to
 // accept, such as a lack of file descriptors; calls that end release some.
 const acceptRetryDelay = 50 * time.Millisecond
 
-// Serve accepts connections until the listener is closed.
+// A stopping acceptor closes its listener once no connection has come for
+// acceptQuietTime, or after acceptMaxTime.
+const (
+	acceptQuietTime = 20 * time.Millisecond
+	acceptMaxTime   = time.Second
+)
+
+// Serve accepts connections until the listener is closed or StopAccepting is called.
 func (acceptor *connectionAcceptor) Serve(listener net.Listener) error {
+	defer close(acceptor.served)
 	for failing := false; ; {
+		if acceptor.stopping() {
+			acceptor.extendAccept(listener)
+		}
 		connection, err := listener.Accept()
 		if isTemporary(err) {
 			// Logged once for each shortage, not for each try.
@@ -52,7 +76,12 @@
 			continue
 		}
 		failing = false
+		if errors.Is(err, os.ErrDeadlineExceeded) && !acceptor.acceptTimeOver() && web.HasQueued(listener) {
+			// This goroutine got no processor time before the deadline.
+			continue
+		}
 		if err != nil {
+			_ = listener.Close()
 			return err
 		}
 		server := acceptor.serverFor(listener.Addr())
@@ -64,6 +93,31 @@
 	}
 }
 
+// StopAccepting closes the listener after the connections that wait in its queue were
+// accepted. The kernel would reset them, with the requests that their callers have
+// sent. It returns when Serve has ended.
+func (acceptor *connectionAcceptor) StopAccepting(listener net.Listener) {
+	acceptor.acceptUntil.Store(time.Now().Add(acceptMaxTime).UnixNano())
+	acceptor.extendAccept(listener)
+	<-acceptor.served
+}
+
+func (acceptor *connectionAcceptor) stopping() bool { return acceptor.acceptUntil.Load() != 0 }
+
+// acceptTimeOver reports whether a stopping acceptor closes its listener now.
+func (acceptor *connectionAcceptor) acceptTimeOver() bool {
+	return time.Now().UnixNano() >= acceptor.acceptUntil.Load()
+}
+
+// extendAccept lets the next Accept of a stopping acceptor fail after acceptQuietTime,
+// and closes the listener after acceptMaxTime.
+func (acceptor *connectionAcceptor) extendAccept(listener net.Listener) {
+	bounded, ok := listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || acceptor.acceptTimeOver() || bounded.SetDeadline(time.Now().Add(acceptQuietTime)) != nil {
+		_ = listener.Close()
+	}
+}
+
 // isTemporary reports whether accepting failed for a reason that passes by itself.
 func isTemporary(err error) bool {
 	for _, temporary := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
@@ -97,6 +151,7 @@
 		},
 		listener: handoffListener{address: address, connections: make(chan net.Conn), done: make(chan struct{})},
 	}
+	server.http.ConnState = server.waiting.update
 	if acceptor.servers == nil {
 		acceptor.servers = make(map[configuration.Limits]*limitedServer)
 	}
@@ -124,7 +179,7 @@
 }
 
 // Shutdown waits for the calls in flight, and closes what is still open when the
-// context ends.
+// context ends. It is called after StopAccepting.
 func (acceptor *connectionAcceptor) Shutdown(ctx context.Context) {
 	acceptor.mutex.Lock()
 	acceptor.closed = true
@@ -132,6 +187,7 @@
 	shutdowns := sync.WaitGroup{}
 	for _, server := range acceptor.servers {
 		shutdowns.Go(func() {
+			server.waiting.awaitRead(ctx)
 			if server.http.Shutdown(ctx) != nil {
 				_ = server.http.Close()
 			}
--- a/internal/node/connection_acceptor_test.go
+++ b/internal/node/connection_acceptor_test.go
@@ -34,11 +34,11 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	expect(err).NotTo(gomega.HaveOccurred())
 	logged := 0
-	acceptor := &connectionAcceptor{
-		handler:    http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
-		limits:     func() configuration.Limits { return configuration.Limits{MaxHeader: configuration.KiB} },
-		logProblem: func(string, error) { logged++ },
-	}
+	acceptor := newConnectionAcceptor(
+		http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		func() configuration.Limits { return configuration.Limits{MaxHeader: configuration.KiB} },
+		func(string, error) { logged++ },
+	)
 	ended := make(chan error, 1)
 	go func() { ended <- acceptor.Serve(&exhaustedListener{Listener: listener, failures: 2}) }()
 	answer, err := http.Get("http://" + listener.Addr().String())
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/oklog/run"
@@ -23,6 +24,17 @@
 	return state != drain.Running
 }
 
+// closeWhileDraining ends the connection of each call that is answered during a drain,
+// so that its caller does not send the next call while the connection is closed.
+func (node *Node) closeWhileDraining(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+		if node.draining() {
+			writer.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(writer, incoming)
+	})
+}
+
 // addDrain starts the drain when the context ends. The drain is over when no request
 // is in flight and all claims are recorded, or when the time for that is up.
 func (node *Node) addDrain(ctx context.Context, group *run.Group) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -196,11 +196,11 @@
 	if listener == nil {
 		return
 	}
-	acceptor := &connectionAcceptor{handler: handler, limits: node.limits, logProblem: node.logProblem}
+	acceptor := newConnectionAcceptor(node.closeWhileDraining(handler), node.limits, node.logProblem)
 	group.Add(func() error {
 		return acceptor.Serve(listener)
 	}, func(error) {
-		_ = listener.Close()
+		acceptor.StopAccepting(listener)
 		node.shutDown(acceptor)
 	})
 }
