Let the target confirm what may be a late announcement from before a restart

Cause: a node knows only in memory which runs of its target drained or were withdrawn. After a restart of the node alone, an announcement of such a run that was under way before put the target to work again. Change: an announcement of a run that is older than the process counts at once if the run drains, and otherwise once the target's health check names the instance as healthy, or once it arrives so long after the start (5 s) that it cannot be late. Without a health path in the configuration there is nothing to ask, and it counts at once. Ruled out: asking a replica for the last state, as all of them may have started anew too.

--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -46,8 +46,8 @@
 const (
 	// dialTimeout is short, so that a peer is tried again soon after a network
 	// outage ends.
-	dialTimeout         = time.Second
-	defaultPingInterval = 3 * time.Second
+	dialTimeout          = time.Second
+	defaultPingInterval  = 3 * time.Second
 	maxStreamWindowBytes = 256 << 10
 	// maxIdleStreams bounds the idle streams of one kind to one peer. A new stream
 	// costs a few bytes and no round trip; an idle one costs its buffers at both ends.
--- a/internal/adapter/web/dialect.go
+++ b/internal/adapter/web/dialect.go
@@ -24,6 +24,9 @@
 	// NotExecutedCode returns the result code if the response states that the target did
 	// not execute the call, and [request.OK] for any other response.
 	NotExecutedCode(response *http.Response) request.Code
+	// HealthyInstance returns the instance that answered a health check, and whether it
+	// is healthy and not leaving.
+	HealthyInstance(response *http.Response) (request.InstanceID, bool)
 }
 
 // CallerMetadata are the parameters of a call that the caller sends.
@@ -86,3 +89,8 @@
 // NotExecutedCode always returns [request.OK]: in this dialect no response states that
 // the target did not execute the call.
 func (NativeDialect) NotExecutedCode(*http.Response) request.Code { return request.OK }
+
+// HealthyInstance goes by the status: in this dialect responses name no instance.
+func (NativeDialect) HealthyInstance(response *http.Response) (request.InstanceID, bool) {
+	return "", response.StatusCode == http.StatusOK
+}
--- a/internal/core/presence/presence.go
+++ b/internal/core/presence/presence.go
@@ -7,10 +7,18 @@
 // within a run the announcement with the highest sequence number. A withdrawn run
 // does not become current again.
 //
+// A process that has just started does not know which runs drained or were withdrawn
+// before. An announcement of a run that is older than the process may be a late one of
+// such a run. It is confirmed by the target itself, or by arriving so long after the
+// start that it cannot be late.
+//
 // # Usage
 //
-//	local := &presence.Presence{}
+//	local := &presence.Presence{StartedAt: now}
 //	verdict := local.Announce(now, presence.Announcement{Instance: "i-1", Sequence: 1, ...})
+//	if unconfirmed, ok := local.Unconfirmed(); ok && isHealthy(unconfirmed.Instance) {
+//		local.Confirm(unconfirmed)
+//	}
 //	current, serving := local.Current()
 //	local.Withdraw(now, "i-1")
 //
@@ -28,6 +36,9 @@
 // announcement that is still in transit.
 const withdrawalRetention = time.Minute
 
+// maxAnnouncementDelay is how late an announcement may arrive.
+const maxAnnouncementDelay = 5 * time.Second
+
 // StartMillis is the start time of a run of the target, in Unix milliseconds by the
 // target's own clock.
 type StartMillis int64
@@ -70,10 +81,17 @@
 // Presence is the announced state of the local target. The zero value is ready
 // for use.
 type Presence struct {
+	// StartedAt is when this process started; zero means that it knows all earlier
+	// announcements. It is set before the first use.
+	StartedAt time.Time
+
 	current          Announcement
 	known            bool
 	currentWithdrawn bool
-	withdrawn        map[request.InstanceID]withdrawal
+	// unconfirmed says that the current announcement may be a late one from before the
+	// start of this process.
+	unconfirmed bool
+	withdrawn   map[request.InstanceID]withdrawal
 }
 
 type withdrawal struct {
@@ -97,10 +115,34 @@
 		// A run that drains takes no work again.
 		announcement.Draining = true
 	}
+	presence.unconfirmed = presence.mayBeLate(now, announcement) && (!sameRun || presence.unconfirmed)
 	presence.current, presence.known, presence.currentWithdrawn = announcement, true, false
 	return Accepted
 }
 
+// mayBeLate reports whether an announcement may have been sent before this process
+// started.
+func (presence *Presence) mayBeLate(now time.Time, announcement Announcement) bool {
+	if presence.StartedAt.IsZero() || now.Sub(presence.StartedAt) >= maxAnnouncementDelay {
+		return false
+	}
+	return int64(announcement.StartMillis) < presence.StartedAt.UnixMilli()
+}
+
+// Unconfirmed returns the current announcement if the target would take work by it, but
+// it needs to be confirmed.
+func (presence *Presence) Unconfirmed() (Announcement, bool) {
+	return presence.current, presence.wouldServe() && presence.unconfirmed
+}
+
+// Confirm records that the target itself has confirmed an announcement. One that is not
+// current any more is ignored.
+func (presence *Presence) Confirm(announcement Announcement) {
+	if presence.current.Instance == announcement.Instance && presence.current.StartMillis == announcement.StartMillis {
+		presence.unconfirmed = false
+	}
+}
+
 // isNewer reports whether an announcement replaces the current one.
 func (presence *Presence) isNewer(announcement Announcement) bool {
 	current := presence.current
@@ -137,7 +179,11 @@
 // Current returns the current announcement, and whether the target takes work. An
 // announcement stays current after its run was withdrawn.
 func (presence *Presence) Current() (Announcement, bool) {
-	return presence.current, presence.known && !presence.currentWithdrawn && !presence.current.Draining
+	return presence.current, presence.wouldServe() && !presence.unconfirmed
+}
+
+func (presence *Presence) wouldServe() bool {
+	return presence.known && !presence.currentWithdrawn && !presence.current.Draining
 }
 
 func (presence *Presence) dropOldWithdrawals(now time.Time) {
--- a/internal/host/dataplane.go
+++ b/internal/host/dataplane.go
@@ -16,6 +16,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/distribution"
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
 	"github.com/magnoliawall/magnoliawall/internal/core/membership"
+	"github.com/magnoliawall/magnoliawall/internal/core/presence"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
 	"github.com/magnoliawall/magnoliawall/internal/decision"
 	"github.com/magnoliawall/magnoliawall/internal/node"
@@ -49,7 +50,7 @@
 		return nil
 	}
 	plane := &dataPlane{host: host, versions: make(chan configuration.Version, 1)}
-	plane.announcedTarget = &announcedTarget{plane: plane}
+	plane.announcedTarget = &announcedTarget{plane: plane, presence: presence.Presence{StartedAt: time.UnixMilli(int64(host.incarnation))}}
 	plane.build()
 	host.dataPlane = plane
 	listeners, err := host.openListeners()
@@ -220,6 +221,7 @@
 		select {
 		case <-plane.versions:
 			plane.applyVersion(ctx)
+			plane.announcedTarget.recheck()
 		case now := <-ticker.C:
 			plane.runMaintenance(ctx, now)
 		case <-ctx.Done():
--- a/internal/host/maintenance.go
+++ b/internal/host/maintenance.go
@@ -38,6 +38,7 @@
 		plane.targetDown.Store(false)
 		_ = plane.registryClient.SetState(ctx, membership.Cold)
 	}
+	plane.announcedTarget.recheck()
 	plane.connections.services = plane.connectedServices()
 	plane.connections.refresh(ctx, now)
 }
--- a/internal/host/platform.go
+++ b/internal/host/platform.go
@@ -23,6 +23,10 @@
 
 	lock     sync.Mutex
 	presence presence.Presence
+	// checking says that the target is being asked to confirm its announcement, and
+	// checkedAt when it was last asked.
+	checking  bool
+	checkedAt time.Time
 }
 
 // Announce implements [port.TargetAnnouncements]. The node applies the announcement before it
@@ -41,9 +45,58 @@
 		target.logAnnouncement("target changed", announcement, serving)
 	}
 	target.applyPresence(ctx)
+	target.startCheck()
 	return verdict
 }
 
+// confirmTimeout bounds the health check that confirms an announcement, and
+// confirmInterval the time between two of them.
+const (
+	confirmTimeout  = time.Second
+	confirmInterval = time.Second
+)
+
+// recheck asks the target again to confirm its announcement, if that is still needed.
+func (target *announcedTarget) recheck() {
+	target.lock.Lock()
+	defer target.lock.Unlock()
+	target.startCheck()
+}
+
+// startCheck asks the target in the background to confirm its announcement, if that is
+// needed and the configuration tells how. The lock is held.
+func (target *announcedTarget) startCheck() {
+	announcement, ok := target.presence.Unconfirmed()
+	if !ok || target.checking || time.Since(target.checkedAt) < confirmInterval {
+		return
+	}
+	document := target.plane.host.configuration.Current().Document
+	service, known := document.Services[announcement.Service]
+	if !known {
+		return
+	}
+	target.checking, target.checkedAt = true, time.Now()
+	go func() {
+		confirmed := service.HealthPath == "" || target.plane.node.ConfirmTarget(announcement.Instance, service.HealthPath, confirmTimeout)
+		target.finishCheck(announcement, confirmed)
+	}()
+}
+
+func (target *announcedTarget) finishCheck(announcement presence.Announcement, confirmed bool) {
+	target.lock.Lock()
+	defer target.lock.Unlock()
+	target.checking = false
+	if !confirmed {
+		target.logAnnouncement("announcement from before the start of this process is not confirmed yet", announcement, false)
+		return
+	}
+	target.presence.Confirm(announcement)
+	target.logAnnouncement("announcement from before the start of this process is confirmed", announcement, true)
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	target.applyPresence(ctx)
+}
+
 // Withdraw implements [port.TargetAnnouncements].
 func (target *announcedTarget) Withdraw(ctx context.Context, instance request.InstanceID) {
 	target.lock.Lock()
--- a/internal/node/local_target.go
+++ b/internal/node/local_target.go
@@ -1,6 +1,11 @@
 package node
 
 import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
@@ -28,3 +33,18 @@
 	}
 	return LocalTarget{Service: node.Service, Serving: !node.TargetAnnouncesItself}
 }
+
+// ConfirmTarget asks the local target, by its health check, whether it is the instance
+// and takes work. Any failure counts as no.
+func (node *Node) ConfirmTarget(instance request.InstanceID, healthPath string, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	response, err := node.Target.Send(ctx, web.TargetCall{Method: http.MethodGet, Path: healthPath, Host: string(node.LocalTarget().Service), Headers: http.Header{}})
+	if err != nil {
+		node.logProblem("the target's health check failed, so its announcement is not confirmed", err)
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	answered, healthy := node.Dialect.HealthyInstance(response)
+	return healthy && (answered == "" || answered == instance)
+}
