--- a/internal/adapter/certificate/certificate_test.go
+++ b/internal/adapter/certificate/certificate_test.go
@@ -117,3 +117,64 @@
 	g.Expect(clientErr).NotTo(gomega.HaveOccurred())
 	g.Expect(certificate.Issue(folder, request, now)).To(gomega.MatchError(gomega.ContainSubstring("if the file exists, move it away first")))
 }
+
+// replaceAuthority puts the authority of another site in the place of a site's own.
+func replaceAuthority(g gomega.Gomega, folder, other string) {
+	text, err := os.ReadFile(filepath.Join(other, certificate.AuthorityCertificate))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(os.WriteFile(filepath.Join(folder, certificate.AuthorityCertificate), text, 0o600)).To(gomega.Succeed())
+}
+
+// An authority that was withdrawn while a process was down is not trusted after its
+// start, and neither on a running process once the file was replaced.
+func TestWithdrawnAuthorityIsNotTrustedAgain(t *testing.T) {
+	for _, restarts := range []bool{true, false} {
+		g := gomega.NewWithT(t)
+		now := issuedAt
+		folder, next := newSite(t), newSite(t)
+		server := loadFiles(t, folder, next, "norte-a-1", &now)
+		client := loadFiles(t, next, folder, "norte-a-1", &now)
+		clientConfig := client.ClientConfig(certificate.RoleNode)
+		serverConfig := server.ServerConfig(certificate.RoleNode)
+		serverErr, clientErr := handshake(serverConfig, clientConfig)
+		g.Expect(serverErr).NotTo(gomega.HaveOccurred())
+		g.Expect(clientErr).NotTo(gomega.HaveOccurred())
+
+		replaceAuthority(g, folder, next)
+		later := time.Now().Add(time.Hour)
+		g.Expect(os.Chtimes(filepath.Join(folder, certificate.AuthorityCertificate), later, later)).To(gomega.Succeed())
+		now = now.Add(2 * time.Second)
+		if restarts {
+			serverConfig = loadFiles(t, folder, next, "norte-a-1", &now).ServerConfig(certificate.RoleNode)
+		}
+		serverErr, _ = handshake(serverConfig, clientConfig)
+		g.Expect(serverErr).To(gomega.MatchError(gomega.ContainSubstring("another authority")), "restarts: %v", restarts)
+	}
+}
+
+// The error of a damaged file is over once the file that is in use is back, with the
+// time that it had.
+func TestReloadErrorEndsWhenFileIsRestored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := issuedAt
+	folder := newSite(t)
+	files := loadFiles(t, folder, folder, "norte-a-1", &now)
+	name := filepath.Join(folder, "norte-a-1.pem")
+	info, err := os.Stat(name)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	text, err := os.ReadFile(name)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+
+	later := info.ModTime().Add(time.Hour)
+	g.Expect(os.WriteFile(name, []byte("damaged"), 0o600)).To(gomega.Succeed())
+	g.Expect(os.Chtimes(name, later, later)).To(gomega.Succeed())
+	now = now.Add(2 * time.Second)
+	files.Expiry()
+	g.Expect(files.ReloadError()).To(gomega.HaveOccurred())
+
+	g.Expect(os.WriteFile(name, text, 0o600)).To(gomega.Succeed())
+	g.Expect(os.Chtimes(name, info.ModTime(), info.ModTime())).To(gomega.Succeed())
+	now = now.Add(2 * time.Second)
+	files.Expiry()
+	g.Expect(files.ReloadError()).NotTo(gomega.HaveOccurred())
+}
--- a/internal/adapter/certificate/files.go
+++ b/internal/adapter/certificate/files.go
@@ -211,6 +211,8 @@
 		return files.loaded
 	}
 	if modTimes == files.modTimes {
+		// The files in use are back, so an error of others is over.
+		files.reloadErr = nil
 		return files.loaded
 	}
 	files.reload(modTimes)
