Spend the fleet's whole retry budget, by counting what repeated requests repeat

Nodes spent half of the operator's retry budget on retries of their own; the other half was kept for the calls that a retried call makes, of which there were none: from the third second on nine of ten retries were refused as edge-spent. Change: a call says whether it is a repeat, or was made for one; the node of a target counts the calls made for repeats against its own budget, and reports what is spent of it, with a decay against circles. A caller retries a service only within what its targets have left further down. Nodes share out 0.9 of the budget and spend 0.9 of that on their own retries.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	defaultRetryShare   = 0.1
@@ -27,6 +30,10 @@
 	Burst float64
 	// Window is the length of the sliding window. Zero selects the token bucket.
 	Window time.Duration
+	// DirectShare is the part of a Window's budget that retries may spend; what the
+	// calls of repeated requests spend counts as well, but is not bounded. Zero means
+	// all of it.
+	DirectShare float64
 
 	spentRetries float64
 	recent       slidingWindow
@@ -39,6 +46,23 @@
 	}
 }
 
+// RecordInherited counts a call that is made for a repeated request, which repeats the
+// calls of that request at this service.
+func (budget *Budget) RecordInherited(now time.Time) {
+	if budget.Window > 0 {
+		budget.recent.advanceTo(now, budget.Window).retries++
+	}
+}
+
+// Spent returns the part of a Window's budget that is spent, up to 1.
+func (budget *Budget) Spent(now time.Time) float64 {
+	if budget.Window == 0 {
+		return 0
+	}
+	budget.recent.advanceTo(now, budget.Window)
+	return min(1, budget.recent.recentRetries()/max(budget.allowed(), 1))
+}
+
 // RecordSuccess adds the share of a successful call to the bucket.
 func (budget *Budget) RecordSuccess() {
 	budget.spentRetries = max(0, budget.spentRetries-budget.share())
@@ -56,12 +80,13 @@
 	return budget.burst() - budget.spentRetries
 }
 
-// take spends one retry and reports whether the budget had it. The last half of
-// the budget is reserved for important calls, so that retries of other calls
+// take spends one retry of an attempt and reports whether the budget had it. The last
+// half of the budget is reserved for important calls, so that retries of other calls
 // cannot use it up.
-func (budget *Budget) take(now time.Time, important bool) bool {
+func (budget *Budget) take(now time.Time, attempt Attempt) bool {
+	important := attempt.Important
 	if budget.Window > 0 {
-		return budget.takeFromWindow(now, important)
+		return budget.takeFromWindow(now, attempt)
 	}
 	reserved := 0.0
 	if !important {
@@ -74,10 +99,10 @@
 	return true
 }
 
-func (budget *Budget) takeFromWindow(now time.Time, important bool) bool {
+func (budget *Budget) takeFromWindow(now time.Time, attempt Attempt) bool {
 	slot := budget.recent.advanceTo(now, budget.Window)
-	allowed := budget.share()*budget.recent.budgetCalls() + budget.burst()
-	if !important {
+	allowed := budget.allowed() * min(cmp.Or(budget.DirectShare, 1), 1-attempt.SpentBelow)
+	if !attempt.Important {
 		allowed *= reservedShare
 	}
 	if budget.recent.recentRetries()+1 > allowed {
@@ -87,6 +112,11 @@
 	return true
 }
 
+// allowed returns the number of repeats that the window allows.
+func (budget *Budget) allowed() float64 {
+	return budget.share()*budget.recent.budgetCalls() + budget.burst()
+}
+
 func (budget *Budget) burst() float64 {
 	if budget.Burst == 0 {
 		return defaultBurstRetries
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -61,6 +61,9 @@
 	Outcome request.Outcome
 	// Important lets the call use the reserved part of the retry budget.
 	Important bool
+	// SpentBelow is the part of the retry budget that is spent at a service which the
+	// targets of the call use. A retry makes its calls there again.
+	SpentBelow float64
 	// BodyLost means that the request body is no longer available.
 	BodyLost bool
 	// MinDuration is the least time that another attempt takes.
@@ -100,7 +103,7 @@
 	if account == nil || account.Remaining == 0 {
 		return Decision{Reason: AllowanceSpent}
 	}
-	if !budget.take(now, attempt.Important) {
+	if !budget.take(now, attempt) {
 		return Decision{Reason: BudgetSpent}
 	}
 	account.Remaining--
--- a/internal/host/budget.go
+++ b/internal/host/budget.go
@@ -8,9 +8,14 @@
 )
 
 const (
-	// directRetryShare is the part of the retry budget that nodes spend on retries
-	// of their own calls; the rest covers the calls that a retried call makes.
-	directRetryShare = 0.5
+	// nodesRetryShare is the part of the retry budget that nodes share out. The rest
+	// covers what the sum over nodes exceeds the sum of their windows by, since each
+	// counts the calls of its own best window.
+	nodesRetryShare = 0.9
+	// directRetryShare is the part of it that nodes spend on retries of their own calls.
+	// The rest is for the calls that a retried call makes, while retries of their
+	// callers are still adapting to what is spent.
+	directRetryShare = 0.9
 	// knownNodesSlackShare is the part of the slack that is divided by the number of
 	// nodes that a node knows of; the rest covers the nodes that it does not know.
 	knownNodesSlackShare = 0.8
@@ -22,9 +27,10 @@
 // known nodes.
 func nodeBudget(total settings.RetryBudget, nodes int) retry.Budget {
 	return retry.Budget{
-		Share:  total.Share * directRetryShare,
-		Burst:  nodeBurst(total.Slack, nodes),
-		Window: time.Duration(total.Window),
+		Share:       total.Share * nodesRetryShare,
+		Burst:       nodeBurst(total.Slack, nodes),
+		Window:      time.Duration(total.Window),
+		DirectShare: directRetryShare,
 	}
 }
 
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -99,13 +99,14 @@
 func (node *Node) tryTargets(ctx context.Context, outbound *outboundCall) *attempt {
 	outbound.serviceRetries = node.retryTable.forService(outbound.kind.Service)
 	began := time.Now()
-	outbound.serviceRetries.noteCall(began)
+	node.noteCall(outbound, began)
 	if refusal := node.shedAtEntry(began, outbound); refusal != nil {
 		return &attempt{started: began, refusal: refusal}
 	}
 	outbound.beginWait(began)
 	tried := make([]request.NodeID, 0, 4)
 	for retriesUsed := 0; ; retriesUsed++ {
+		outbound.retried = retriesUsed > 0
 		attempt := node.tryTarget(ctx, outbound, tried)
 		if attempt.refusal == nil {
 			outbound.endWait(time.Now(), nil)
@@ -129,12 +130,29 @@
 	}
 }
 
+// noteCall counts a call in the retry budget of its service. The call of a repeated
+// request repeats that request's call there.
+func (node *Node) noteCall(outbound *outboundCall, now time.Time) {
+	if !outbound.kind.Routed || !node.entry.fromTargets(outbound.kind.Name) {
+		outbound.serviceRetries.noteCall(now)
+		return
+	}
+	outbound.serviceRetries.noteUse(now)
+	outbound.inherited = node.inheritsRepeat(outbound)
+	if outbound.inherited {
+		outbound.serviceRetries.noteInherited(now)
+		return
+	}
+	outbound.serviceRetries.noteCall(now)
+}
+
 func (node *Node) mayRetry(outbound *outboundCall, refusal *web.Refusal, retriesUsed int) retry.Decision {
 	outbound.serviceRetries.lock.Lock()
 	defer outbound.serviceRetries.lock.Unlock()
 	outbound.root.lock.Lock()
 	defer outbound.root.lock.Unlock()
-	return node.retryPolicy.Decide(time.Now(), retry.Attempt{
+	now := time.Now()
+	return node.retryPolicy.Decide(now, retry.Attempt{
 		RepeatRule:  outbound.kind.Repeat,
 		MaxRetries:  outbound.maxRetries(),
 		UsedRetries: retriesUsed,
@@ -142,6 +160,7 @@
 		Code:        refusal.Code,
 		Outcome:     refusal.Outcome,
 		BodyLost:    outbound.body.cannotResend(),
+		SpentBelow:  outbound.serviceRetries.currentSpentBelow(now),
 		Deadline:    outbound.work.Deadline,
 	}, &outbound.root.allowance, &outbound.serviceRetries.budget)
 }
@@ -323,6 +342,7 @@
 		RequestId:            outbound.requestID,
 		ObjectiveUs:          outbound.kind.Objective.Microseconds(),
 		PatienceUs:           node.patience(outbound).Microseconds(),
+		Repeat:               outbound.retried || outbound.inherited,
 	}
 }
 
@@ -395,6 +415,7 @@
 	outbound.root.lock.Unlock()
 	if outbound.kind.Routed {
 		node.entry.learn(time.Now(), outbound, report)
+		outbound.serviceRetries.noteSpentBelow(time.Now(), float64(report.GetRepeatsSpent())/spentUnit)
 	}
 	node.admissionControl.learnLevel(time.Now(), outbound, admission.LevelReport{
 		Level: request.Level(report.GetLevel()),
--- a/internal/node/entry_control.go
+++ b/internal/node/entry_control.go
@@ -72,6 +72,14 @@
 	return entry.reportedEntryKinds[kind]
 }
 
+// fromTargets reports whether calls of the kind are known to come from targets only.
+func (entry *entryControl) fromTargets(kind request.KindName) bool {
+	entry.lock.Lock()
+	defer entry.lock.Unlock()
+	enters, known := entry.reportedEntryKinds[kind]
+	return known && !enters
+}
+
 // noteShortage records that a call of the local target found no capacity.
 func (entry *entryControl) noteShortage(now time.Time) {
 	entry.lock.Lock()
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -147,6 +147,7 @@
 	}
 	if inbound.kind != nil && inbound.kind.Routed {
 		inbound.node.entry.fillReport(time.Now(), inbound.kind.Name, report)
+		report.RepeatsSpent = uint32(inbound.node.retryTable.spentByTarget(time.Now()) * spentUnit)
 	}
 	return report
 }
@@ -221,8 +222,9 @@
 // reports whether the target answered completely.
 func (inbound *inboundCall) runAtTarget(ctx context.Context) bool {
 	run := inbound.beginRun(inbound.root)
-	entry := inbound.node.activeRequests.Enter(inbound.work.Deadline, &activeRequest{id: inbound.peerCall.Header.GetRequestId(), work: inbound.work, root: inbound.root, started: run.started})
+	entry := inbound.node.activeRequests.Enter(inbound.work.Deadline, &activeRequest{id: inbound.peerCall.Header.GetRequestId(), work: inbound.work, root: inbound.root, started: run.started, repeat: inbound.peerCall.Header.GetRepeat()})
 	defer inbound.node.activeRequests.Leave(entry)
+	defer inbound.node.repeats.enter(inbound.peerCall.Header.GetRepeat())()
 	response, err := inbound.node.Target.Send(ctx, inbound.targetCall())
 	if err != nil {
 		run.end(admission.Failed)
--- a/internal/node/inherit.go
+++ b/internal/node/inherit.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
@@ -13,6 +15,42 @@
 	work    request.Work
 	root    *root
 	started time.Time
+	// repeat says that the request is a retry, or was made for one.
+	repeat bool
+}
+
+// repeatCounter counts the requests that the local target works on, and those of them
+// that are retries or were made for one.
+type repeatCounter struct{ requests, repeats atomic.Int64 }
+
+// enter counts a request until the function that it returns is called.
+func (counter *repeatCounter) enter(repeat bool) (leave func()) {
+	count := int64(0)
+	if repeat {
+		count = 1
+	}
+	counter.requests.Add(1)
+	counter.repeats.Add(count)
+	return func() {
+		counter.requests.Add(-1)
+		counter.repeats.Add(-count)
+	}
+}
+
+// share returns the share of repeats.
+func (counter *repeatCounter) share() float64 {
+	return float64(counter.repeats.Load()) / float64(max(counter.requests.Load(), 1))
+}
+
+// inheritsRepeat reports whether a call of the local target is made for a repeated
+// request. Without a likely parent it is drawn by the share of repeats among the
+// requests, so that the sum is right.
+func (node *Node) inheritsRepeat(outbound *outboundCall) bool {
+	if outbound.likelyParent != nil {
+		return outbound.likelyParent.repeat
+	}
+	share := node.repeats.share()
+	return share > 0 && rand.Float64() < share
 }
 
 // inheritFromParent gives a call of the local target that names no root the priority
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,6 +98,7 @@
 	lagMonitor schedlag.Monitor
 	// activeRequests holds what the local target works on.
 	activeRequests    correlation.OpenRequests[*activeRequest]
+	repeats           repeatCounter
 	retryTable        retryTable
 	admissionControl  *admissionControl
 	counters          *counters
--- a/internal/node/outbound.go
+++ b/internal/node/outbound.go
@@ -54,6 +54,9 @@
 	entryShare float64
 	// moves counts the targets whose node refused the call before handing it over.
 	moves int
+	// retried says that the present attempt is a retry, and inherited that the call is
+	// made for a request that is one, as far as is known.
+	retried, inherited bool
 	// fingerprint identifies the request if it crashes targets. suspect says that the
 	// request was in flight at a crash.
 	fingerprint request.Fingerprint
--- a/internal/node/retry_budget.go
+++ b/internal/node/retry_budget.go
@@ -15,6 +15,53 @@
 	// fixedShare says that the share comes from Node.RetryBudget and not from the
 	// configuration.
 	fixedShare bool
+	// usedByTargetAt is when the local target last called the service.
+	usedByTargetAt time.Time
+	// spentBelow is the part of the budget that the service's own nodes last reported as
+	// spent further down, and spentBelowAt when.
+	spentBelow   float64
+	spentBelowAt time.Time
+}
+
+// spentUnit is all of a retry budget as peers report it.
+const spentUnit = 1000
+
+// spentBelowLifetime is how long a report of spent budget counts, and how long a service
+// counts as used by the target after a call. Without calls no newer report comes.
+const spentBelowLifetime = 2 * time.Second
+
+// spentBelowDecay is the part of a reported value that is passed on. Services that call
+// each other would otherwise keep a value alive by reporting it in a circle.
+const spentBelowDecay = 0.9
+
+// noteSpentBelow takes over what a node of the service reports.
+func (retries *serviceRetries) noteSpentBelow(now time.Time, spent float64) {
+	retries.lock.Lock()
+	defer retries.lock.Unlock()
+	retries.spentBelow, retries.spentBelowAt = spent, now
+}
+
+// currentSpentBelow returns the part of the budget that is spent below the service. The
+// lock is held.
+func (retries *serviceRetries) currentSpentBelow(now time.Time) float64 {
+	if now.Sub(retries.spentBelowAt) > spentBelowLifetime {
+		return 0
+	}
+	return retries.spentBelow
+}
+
+// noteInherited counts a call that is made for a repeated request.
+func (retries *serviceRetries) noteInherited(now time.Time) {
+	retries.lock.Lock()
+	defer retries.lock.Unlock()
+	retries.budget.RecordInherited(now)
+}
+
+// noteUse records that the local target calls the service.
+func (retries *serviceRetries) noteUse(now time.Time) {
+	retries.lock.Lock()
+	defer retries.lock.Unlock()
+	retries.usedByTargetAt = now
 }
 
 // noteCall counts a call to the service.
@@ -68,6 +115,22 @@
 	return names
 }
 
+// spentByTarget returns the part of the retry budget that is spent at the service that
+// the local target uses and that has least left, or further down.
+func (table *retryTable) spentByTarget(now time.Time) float64 {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	most := 0.0
+	for _, retries := range table.byService {
+		retries.lock.Lock()
+		if now.Sub(retries.usedByTargetAt) <= spentBelowLifetime {
+			most = max(most, retries.budget.Spent(now), spentBelowDecay*retries.currentSpentBelow(now))
+		}
+		retries.lock.Unlock()
+	}
+	return most
+}
+
 func (table *retryTable) forService(service request.ServiceName) *serviceRetries {
 	table.lock.Lock()
 	defer table.lock.Unlock()
