--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -36,7 +36,9 @@
 	// hasSentBytes reports whether at least one byte of the current call was sent.
 	hasSentBytes atomic.Bool
 	idleUntil    time.Time
-	closed       bool
+	// reused says that the connection has carried an earlier call.
+	reused bool
+	closed bool
 }
 
 func newTargetConn(client *TargetClient, netConn net.Conn) *targetConn {
@@ -130,6 +132,31 @@
 	return peekSocket(conn) == socketClosed
 }
 
+// HasQueued reports whether a connection waits to be accepted by a listener. A listener
+// without a socket, such as one of a test, has none.
+func HasQueued(listener net.Listener) bool {
+	raw, ok := listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := false
+	err = control.Control(func(descriptor uintptr) {
+		poll := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
+		count, err := unix.Poll(poll, 0)
+		queued = err == nil && count > 0
+	})
+	return err == nil && queued
+}
+
+// HasUnread reports whether bytes of the peer wait to be read from a connection.
+func HasUnread(conn net.Conn) bool {
+	return peekSocket(conn) == socketReadable
+}
+
 // roundTrip writes the call and reads the header of its response. When ctx ends,
 // it closes the connection.
 func (conn *targetConn) roundTrip(ctx context.Context, call TargetCall) (*http.Response, error) {
@@ -191,7 +218,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if conn.client.Dialect.IsResponseTo(request.Header, response.Header) {
+		if conn.client.Dialect.IsResponseTo(request.Header, response.Header, conn.reused) {
 			return response, nil
 		}
 		if response.Close {
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -147,6 +147,7 @@
 	}
 	if inbound.kind != nil && inbound.kind.Routed {
 		inbound.node.entry.fillReport(time.Now(), inbound.kind.Name, report)
+		report.RepeatsSpent = uint32(inbound.node.retryTable.spentByTarget(time.Now()) * spentUnit)
 	}
 	return report
 }
@@ -221,8 +222,9 @@
 // reports whether the target answered completely.
 func (inbound *inboundCall) runAtTarget(ctx context.Context) bool {
 	run := inbound.beginRun(inbound.root)
-	entry := inbound.node.activeRequests.Enter(inbound.work.Deadline, &activeRequest{id: inbound.peerCall.Header.GetRequestId(), work: inbound.work, root: inbound.root, started: run.started})
+	entry := inbound.node.activeRequests.Enter(inbound.work.Deadline, &activeRequest{id: inbound.peerCall.Header.GetRequestId(), work: inbound.work, root: inbound.root, started: run.started, repeat: inbound.peerCall.Header.GetRepeat()})
 	defer inbound.node.activeRequests.Leave(entry)
+	defer inbound.node.repeats.enter(inbound.peerCall.Header.GetRepeat())()
 	response, err := inbound.node.Target.Send(ctx, inbound.targetCall())
 	if err != nil {
 		run.end(admission.Failed)
@@ -341,13 +343,6 @@
 	header := inbound.peerCall.Header
 	headers := make(http.Header, len(header.GetHeaders())+2)
 	web.DecodeHeaders(headers, header.GetHeaders())
-	inbound.node.Dialect.SetTargetHeaders(headers, web.TargetMetadata{
-		Root:      inbound.work.Root,
-		Call:      inbound.work.Call,
-		Remaining: time.Until(inbound.work.Deadline),
-		Caller:    request.ServiceName(header.GetCallerService()),
-		Instance:  inbound.local.Instance,
-	})
 	host := string(inbound.local.Service)
 	if inbound.kind.Routed {
 		host = header.GetHost()
@@ -357,11 +352,24 @@
 		Path:       header.GetPath(),
 		Host:       host,
 		Headers:    headers,
+		Stamp:      inbound.setTargetHeaders,
 		Body:       inbound.bodyReader(),
 		BodyLength: header.GetBodyLength(),
 	}
 }
 
+// setTargetHeaders sets the headers that the target expects. The time left is that of
+// the moment at which the call is written: it may have waited for a connection.
+func (inbound *inboundCall) setTargetHeaders(headers http.Header) {
+	inbound.node.Dialect.SetTargetHeaders(headers, web.TargetMetadata{
+		Root:      inbound.work.Root,
+		Call:      inbound.work.Call,
+		Remaining: time.Until(inbound.work.Deadline),
+		Caller:    request.ServiceName(inbound.peerCall.Header.GetCallerService()),
+		Instance:  inbound.local.Instance,
+	})
+}
+
 func (inbound *inboundCall) targetFailure(ctx context.Context, err error) *web.Refusal {
 	sentErr := &web.SentError{}
 	if !errors.As(err, &sentErr) {
