Keep a SIGHUP that comes while the settings file cannot be read

Cause: a failure to read the file was neither reported nor repeated, so the signal was lost and the operator was told nothing. Change: the failure is reported once for each signal, and the reload stays due until the file can be read. Result: TestSignalIsKeptWhileFileIsUnreadable, which had no event before.

--- a/internal/settings/watch.go
+++ b/internal/settings/watch.go
@@ -25,6 +25,11 @@
 	// cannot be loaded; the previous settings then stay in use.
 	OnChange func(next *Settings)
 	OnError  func(err error)
+
+	lastText []byte
+	// signalled says that a signal has arrived whose reload is still due, and unreadable
+	// that a failure to read the file was reported.
+	signalled, unreadable bool
 }
 
 // Run watches the file until the context ends.
@@ -37,32 +42,40 @@
 	}
 	// The process has loaded the file before. If this read fails, the next poll
 	// reads the file again.
-	lastText, _ := os.ReadFile(watcher.Path)
+	watcher.lastText, _ = os.ReadFile(watcher.Path)
 	for {
-		signalled := false
 		select {
 		case <-watcher.Signals:
-			signalled = true
+			watcher.signalled, watcher.unreadable = true, false
 		case <-ticks:
 		case <-ctx.Done():
 			return
 		}
-		lastText = watcher.reloadIfChanged(lastText, signalled)
+		watcher.reloadIfChanged()
 	}
 }
 
 // reloadIfChanged loads the file if it differs from the last text or if a signal
-// arrived, and returns the new last text.
-func (watcher *Watcher) reloadIfChanged(lastText []byte, signalled bool) []byte {
+// arrived. While the file cannot be read, the reload stays due.
+func (watcher *Watcher) reloadIfChanged() {
 	text, err := os.ReadFile(watcher.Path)
-	if err != nil || bytes.Equal(text, lastText) && !signalled {
-		return lastText
+	if err != nil {
+		// Reported once for each signal, not at each poll.
+		if !watcher.unreadable {
+			watcher.OnError(err)
+		}
+		watcher.unreadable = true
+		return
+	}
+	watcher.unreadable = false
+	if bytes.Equal(text, watcher.lastText) && !watcher.signalled {
+		return
 	}
+	watcher.lastText, watcher.signalled = text, false
 	next, err := watcher.Load(watcher.Path)
 	if err != nil {
 		watcher.OnError(err)
-		return text
+		return
 	}
 	watcher.OnChange(next)
-	return text
 }
--- a/internal/settings/watch_test.go
+++ b/internal/settings/watch_test.go
@@ -61,3 +61,41 @@
 	cancel()
 	<-ended
 }
+
+// A signal that comes while the file cannot be read is reported, and the reload follows
+// once the file is back. Without a signal the failure is reported once.
+func TestSignalIsKeptWhileFileIsUnreadable(t *testing.T) {
+	g := gomega.NewWithT(t)
+	path := filepath.Join(t.TempDir(), "node.jsonc")
+	write := func() { g.Expect(os.WriteFile(path, []byte("same"), 0o600)).To(gomega.Succeed()) }
+	write()
+	signals, ticks := make(chan os.Signal), make(chan time.Time)
+	events := make(chan string, 8)
+	watcher := &settings.Watcher{
+		Path: path, Signals: signals, Ticks: ticks,
+		Load:     func(string) (*settings.Settings, error) { return &settings.Settings{}, nil },
+		OnChange: func(*settings.Settings) { events <- "changed" },
+		OnError:  func(error) { events <- "failed" },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		watcher.Run(ctx)
+	}()
+	ticks <- time.Time{}
+	g.Expect(os.Remove(path)).To(gomega.Succeed())
+	ticks <- time.Time{}
+	g.Expect(<-events).To(gomega.Equal("failed"))
+	ticks <- time.Time{}
+	signals <- syscall.SIGHUP
+	g.Expect(<-events).To(gomega.Equal("failed"))
+	ticks <- time.Time{}
+	write()
+	ticks <- time.Time{}
+	g.Expect(<-events).To(gomega.Equal("changed"))
+	ticks <- time.Time{}
+	cancel()
+	<-ended
+	g.Expect(events).To(gomega.BeEmpty())
+}
