Ask each replica in turn while they answer that they have no quorum

Cause: an answer of 503 made its replica the preferred one, from which the next attempt counted on, so that the attempts went to and fro between two replicas of three. Change: the attempts of a request go round from where the first one began, and only a replica that answers otherwise is preferred. Result: TestOperationAsksEachReplica got 503 until its end before, and 200 now.

--- a/internal/adapter/control/client.go
+++ b/internal/adapter/control/client.go
@@ -40,8 +40,9 @@
 // [port.ErrUnavailable] or [port.ErrInDoubt].
 func (client *Client) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	inDoubt := false
+	first := int(client.preferredIndex.Load())
 	for attempt := 0; ; attempt++ {
-		answer, err := client.tryReplica(ctx, attempt, &controlpb.Request{Body: &controlpb.Request_Command{Command: command}})
+		answer, err := client.tryReplica(ctx, first+attempt, &controlpb.Request{Body: &controlpb.Request_Command{Command: command}})
 		if err == nil && answer.GetFailure() == controlpb.Failure_FAILURE_NONE {
 			return answer.GetResult(), nil
 		}
@@ -58,8 +59,9 @@
 func (client *Client) Operate(ctx context.Context, verb string, body []byte) (int, []byte, error) {
 	operation := &controlpb.Operation{Verb: verb, Body: body}
 	var last *controlpb.Answer
+	first := int(client.preferredIndex.Load())
 	for attempt := 0; ; attempt++ {
-		answer, err := client.tryReplica(ctx, attempt, &controlpb.Request{Body: &controlpb.Request_Operation{Operation: operation}})
+		answer, err := client.tryReplica(ctx, first+attempt, &controlpb.Request{Body: &controlpb.Request_Operation{Operation: operation}})
 		if err == nil && answer.GetStatus() != http.StatusServiceUnavailable {
 			return int(answer.GetStatus()), answer.GetResult(), nil
 		}
@@ -109,21 +111,22 @@
 	return client.AttemptTimeout
 }
 
-// tryReplica sends a request to the replica of this attempt: the attempts go round
-// the list, beginning at the preferred replica.
-func (client *Client) tryReplica(ctx context.Context, attempt int, message *controlpb.Request) (*controlpb.Answer, error) {
+// tryReplica sends a request to the replica at a position of the list, which goes round.
+// A replica that answers the request becomes the preferred one, with which the next
+// request begins.
+func (client *Client) tryReplica(ctx context.Context, position int, message *controlpb.Request) (*controlpb.Answer, error) {
 	replicas := client.Replicas.List()
 	if len(replicas) == 0 {
 		return nil, &peer.NotSentError{Reason: errors.New("no replica is known")}
 	}
-	index := (int(client.preferredIndex.Load()) + attempt) % len(replicas)
+	index := position % len(replicas)
 	if len(replicas) > 1 {
 		bounded, cancel := context.WithTimeout(ctx, client.attemptTimeout())
 		defer cancel()
 		ctx = bounded
 	}
 	answer, err := client.exchange(ctx, replicas[index], message)
-	if err == nil && answer.GetFailure() == controlpb.Failure_FAILURE_NONE {
+	if err == nil && answer.GetFailure() == controlpb.Failure_FAILURE_NONE && answer.GetStatus() != http.StatusServiceUnavailable {
 		client.preferredIndex.Store(int64(index))
 	}
 	return answer, err
