Move a node to the nearest replica as soon as the replicas are known

Cause: a node that starts knows three seeds, mostly in other regions, and tried the nearest replica again only after 15 to 45 s. Change: when a node learns of the replicas, or of other ones, it tries the nearest within a second.

--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -50,6 +50,9 @@
 	// replicas is updated with the replica addresses that the replica sends.
 	replicas *peer.Directory
 
+	// replicasChanged says that replicas has changed since the client last looked.
+	replicasChanged bool
+
 	// leaseEnd is when the lease expires, by this node's clock.
 	leaseEnd   time.Time
 	renewAt    time.Time
@@ -211,7 +214,7 @@
 		agent.links.SetOthersRate(now, flow.To, flow.Rate)
 	}
 	if places := decodePlaces(reply.GetReplicas()); len(places) > 0 && agent.replicas != nil {
-		agent.replicas.Learn(places)
+		agent.replicasChanged = agent.replicas.Learn(places) || agent.replicasChanged
 	}
 	resync := agent.applyUpdates(now, reply.GetUpdates())
 	if reply.GetLease() != nil {
--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -54,6 +54,9 @@
 // be reachable.
 const openTimeout = 500 * time.Millisecond
 
+// maxMoveDelay spreads the moves of all nodes that learn of the replicas at the same time.
+const maxMoveDelay = time.Second
+
 // DefaultNearestRetryInterval is used if NearestRetryInterval is zero.
 const DefaultNearestRetryInterval = 30 * time.Second
 
@@ -280,6 +283,7 @@
 		err := client.loop.do(ctx, func(now time.Time) {
 			if client.stream.writer == output {
 				client.send(client.agent.receive(now, reply))
+				client.moveToNearest(now)
 			}
 		})
 		if err != nil {
@@ -297,6 +301,20 @@
 	})
 }
 
+// moveToNearest tries the nearest replica soon once the replicas have become known, or
+// others are members. A node that has just started is at one of the few seeds, which may
+// be in another region and would send the target lists of all nodes there.
+func (client *Client) moveToNearest(now time.Time) {
+	if !client.agent.replicasChanged {
+		return
+	}
+	client.agent.replicasChanged = false
+	soon := now.Add(time.Duration(client.Random.Int64N(int64(maxMoveDelay))))
+	if soon.Before(client.stream.nearestRetryAt) {
+		client.stream.nearestRetryAt = soon
+	}
+}
+
 func (client *Client) detach() {
 	client.stream.writer = nil
 	client.agent.attached = false
--- a/internal/adapter/registry/client_test.go
+++ b/internal/adapter/registry/client_test.go
@@ -157,11 +157,16 @@
 }
 
 func (cluster *testCluster) startClient(node request.NodeID, replicas ...peer.Address) *testClient {
+	return cluster.startClientIn("", node, replicas...)
+}
+
+// startClientIn starts a client that prefers the replicas of a failure domain.
+func (cluster *testCluster) startClientIn(domain request.DomainName, node request.NodeID, replicas ...peer.Address) *testClient {
 	client := &testClient{targets: make(chan balancer.View, 64), versions: make(chan configuration.Version, 64), reports: make(chan quarantine.Report, 64)}
 	client.Client = &Client{
 		Self:                 membership.Announcement{Node: node, Incarnation: 1, Address: "127.0.0.1:1", Place: placeAt(0), Service: service, Slots: 5},
 		Services:             []request.ServiceName{service},
-		Replicas:             &peer.Directory{Seeds: replicas},
+		Replicas:             &peer.Directory{Domain: domain, Seeds: replicas},
 		Open:                 cluster.open(node),
 		Follower:             &distribution.Follower{Patch: configuration.Patch},
 		NearestRetryInterval: cluster.nearestRetryInterval,
@@ -235,6 +240,25 @@
 	advanceUntil(cluster, holdsLeases("one"))
 }
 
+// A node that knows only a seed is told of all replicas there, and moves to the one of
+// its own failure domain without waiting for its next regular try.
+func TestClientMovesFromSeedToNearestReplica(t *testing.T) {
+	g := gomega.NewWithT(t)
+	cluster := newTestCluster(t, "near", "seed")
+	cluster.nearestRetryInterval = time.Hour
+	members := []Replica{{ID: "near", Address: "near", Domain: placeAt(0).Domain}, {ID: "seed", Address: "seed", Domain: "elsewhere"}}
+	for _, server := range cluster.servers {
+		g.Expect(server.SetMembers(cluster.ctx, members)).To(gomega.Succeed())
+	}
+	client := cluster.startClientIn(placeAt(0).Domain, "a", "seed")
+	client.awaitView(hasTargets(1))
+	advanceUntil(cluster, func() bool {
+		count, err := cluster.servers["near"].LeaseCount(cluster.ctx)
+		return err == nil && count == 1
+	})
+	g.Expect(cluster.clock().Sub(startTime)).To(gomega.BeNumerically("<", time.Minute))
+}
+
 func TestClientSwitchesFromOutdatedReplica(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	cluster := newTestCluster(t, "one", "two")
