--- a/internal/adapter/peer/exchange.go
+++ b/internal/adapter/peer/exchange.go
@@ -53,6 +53,10 @@
 	return exchange, answer, nil
 }
 
+// ErrNoTimeLeft is the reason of a call that was not sent because its deadline had
+// passed. A connection that could not be opened in time has other errors.
+var ErrNoTimeLeft = errors.New("the call's deadline has passed")
+
 // setRemaining sets the time left of a call to that of the context, since it may have
 // waited for a connection. It returns an error if none is left.
 func setRemaining(ctx context.Context, header *peerpb.CallHeader) error {
@@ -62,7 +66,7 @@
 	}
 	remaining := time.Until(deadline)
 	if remaining <= 0 {
-		return context.DeadlineExceeded
+		return ErrNoTimeLeft
 	}
 	header.RemainingUs = max(remaining.Microseconds(), 1)
 	return nil
--- a/internal/adapter/peer/silence_test.go
+++ b/internal/adapter/peer/silence_test.go
@@ -162,7 +162,7 @@
 	g := gomega.NewWithT(t)
 	fixture := startSilenceFixture(t)
 	_, _, err := fixture.client.Call(lateTimerContext{context.Background()}, fixture.address, 2, &peerpb.CallHeader{RemainingUs: 5_000_000}, http.NoBody)
-	g.Expect(err).To(gomega.MatchError(context.DeadlineExceeded))
+	g.Expect(err).To(gomega.MatchError(ErrNoTimeLeft))
 	g.Expect(MayHaveBeenSent(err)).To(gomega.BeFalse())
 	g.Expect(fixture.runs.Load()).To(gomega.BeZero())
 
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -374,7 +374,7 @@
 		return withSentOutcome(web.NewRefusal(request.CallerLeft, ""), err)
 	case errors.Is(err, peer.ErrIncompatible):
 		return web.NewRefusal(request.PeerIncompatible, "")
-	case !peer.MayHaveBeenSent(err) && errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, peer.ErrNoTimeLeft):
 		return web.NewRefusal(request.DeadlineTooClose, "")
 	case !peer.MayHaveBeenSent(err):
 		return web.NewRefusal(request.TargetUnreachable, "")
