Learn nothing of a call's kind from a node that refused it before it knew the kind

Cause: a node that refuses a call early, as one that drains or lacks processor time does, reports no kind. The caller's node read the absent fields as zeros: the kind no longer came from outside, and no retry budget was spent further down. Change: the report says whether its fields of a routed kind are set.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -413,16 +413,23 @@
 	outbound.root.lock.Lock()
 	outbound.root.allowance.Return(attempt.allowance, retry.Allowance(report.GetUnspent()))
 	outbound.root.lock.Unlock()
-	if outbound.kind.Routed {
-		node.entry.learn(time.Now(), outbound, report)
-		outbound.serviceRetries.noteSpentBelow(time.Now(), float64(report.GetRepeatsSpent())/spentUnit)
-	}
+	node.learnReport(time.Now(), outbound, report)
 	node.admissionControl.learnLevel(time.Now(), outbound, admission.LevelReport{
 		Level: request.Level(report.GetLevel()),
 		Age:   time.Duration(report.GetLevelAgeUs()) * time.Microsecond,
 	})
 }
 
+// learnReport takes over what a report says of the kind of a routed call. The report of a
+// node that refused the call before it knew the kind says nothing of it.
+func (node *Node) learnReport(now time.Time, outbound *outboundCall, report *peerpb.Report) {
+	if !outbound.kind.Routed || !report.GetRouted() {
+		return
+	}
+	node.entry.learn(now, outbound, report)
+	outbound.serviceRetries.noteSpentBelow(now, float64(report.GetRepeatsSpent())/spentUnit)
+}
+
 // reportToBalancer tells the balancer how the attempt ended and the load that its
 // target reported.
 func (node *Node) reportToBalancer(ctx context.Context, outbound *outboundCall, attempt *attempt, call balancer.Call) {
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -147,6 +147,7 @@
 	}
 	if inbound.kind != nil && inbound.kind.Routed {
 		inbound.node.entry.fillReport(time.Now(), inbound.kind.Name, report)
+		report.Routed = true
 		report.RepeatsSpent = uint32(inbound.node.retryTable.spentByTarget(time.Now()) * spentUnit)
 	}
 	return report
--- a/internal/node/retry_budget_test.go
+++ b/internal/node/retry_budget_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/request"
@@ -112,3 +113,18 @@
 	}
 	g.Expect(spent).To(gomega.BeNumerically("<", 0.001))
 }
+
+// A node that refuses a call before it knows its kind reports nothing of that kind. What
+// the caller's node has learned of the kind stays.
+func TestReportOfEarlyRefusalTeachesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	node := &Node{retryTable: *windowedTable()}
+	visit := &configuration.CompiledKind{Name: "route/visit", Service: "agenda", Routed: true}
+	outbound := &outboundCall{kind: visit, serviceRetries: node.retryTable.forService("agenda")}
+	node.learnReport(now, outbound, &peerpb.Report{Routed: true, Enters: true, RepeatsSpent: 600})
+	node.learnReport(now, outbound, &peerpb.Report{Draining: true})
+	g.Expect(node.entry.fromOutside(visit.Name)).To(gomega.BeTrue())
+	g.Expect(node.entry.fromTargets(visit.Name)).To(gomega.BeFalse())
+	g.Expect(outbound.serviceRetries.currentSpentBelow(now)).To(gomega.Equal(0.6))
+}
