Close the connections of silent peers with their transport, and log which peer it is

Cause: a connection to a silent peer was in no list any more, so Transport.Close left it open with its calls. The log line named an address only, and none told when it ended. Change: silent sessions are kept in a set of their own until they close; the lines name the peer's node and the streams that are left.

--- a/internal/adapter/peer/dial.go
+++ b/internal/adapter/peer/dial.go
@@ -93,6 +93,9 @@
 		select {
 		case <-peerSession.mux.CloseChan():
 			transport.removeSession(address, peerSession)
+			if silent {
+				transport.logPeer(address, peerSession, "peer: the connection to the silent peer is closed")
+			}
 			return
 		case <-ticker.C:
 		}
@@ -105,16 +108,30 @@
 		_, err := peerSession.mux.Ping()
 		if errors.Is(err, yamux.ErrTimeout) || errors.Is(err, yamux.ErrConnectionWriteTimeout) {
 			silent = true
-			transport.removeSession(address, peerSession)
-			peerSession.setSilent()
-			transport.logSilent(address)
+			transport.setSilent(address, peerSession)
+			transport.logPeer(address, peerSession, "peer: no answer to a ping; new calls get a new connection")
 		}
 	}
 }
 
-func (transport *Transport) logSilent(address Address) {
+// setSilent takes a session out of use for new streams.
+func (transport *Transport) setSilent(address Address, peerSession *session) {
+	transport.lock.Lock()
+	if transport.sessions[address] == peerSession {
+		delete(transport.sessions, address)
+	}
+	if transport.silent == nil {
+		transport.silent = make(map[*session]struct{})
+	}
+	transport.silent[peerSession] = struct{}{}
+	transport.lock.Unlock()
+	peerSession.setSilent()
+}
+
+func (transport *Transport) logPeer(address Address, peerSession *session, event string) {
 	if transport.Logger != nil {
-		transport.Logger.Warn().Str("peer", string(address)).Msg("peer: no answer to a ping; new calls get a new connection")
+		transport.Logger.Warn().Str("peer", string(peerSession.remote.Node)).Str("address", string(address)).
+			Int("streams", peerSession.mux.NumStreams()).Msg(event)
 	}
 }
 
@@ -125,6 +142,7 @@
 func (transport *Transport) removeSession(address Address, peerSession *session) {
 	transport.lock.Lock()
 	defer transport.lock.Unlock()
+	delete(transport.silent, peerSession)
 	if transport.sessions[address] == peerSession {
 		delete(transport.sessions, address)
 	}
--- a/internal/adapter/peer/silence_test.go
+++ b/internal/adapter/peer/silence_test.go
@@ -134,6 +134,25 @@
 	g.Eventually(paused.closed.Load).WithTimeout(time.Minute).Should(gomega.BeTrue(), "the old connection closes after its last call")
 }
 
+// Closing a transport also closes a connection to a silent peer that still carries a call.
+func TestCloseEndsCallsAtSilentPeer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fixture := startSilenceFixture(t)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := fixture.call(1)
+		ended <- err
+	}()
+	<-fixture.started
+	paused := <-fixture.conns
+	paused.paused.Lock()
+	g.Eventually(func() bool { return fixture.client.Connected(fixture.address) }).WithTimeout(time.Minute).Should(gomega.BeFalse())
+	paused.paused.Unlock()
+	g.Expect(fixture.client.Close()).To(gomega.Succeed())
+	g.Eventually(ended).WithTimeout(time.Minute).Should(gomega.Receive(gomega.HaveOccurred()))
+	close(fixture.finish)
+}
+
 // A stream of an earlier connection is not kept for calls on the next one.
 func TestStreamOfEarlierConnectionIsNotReused(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -82,7 +82,9 @@
 	lock     sync.Mutex
 	sessions map[Address]*session
 	accepted map[*yamux.Session]struct{}
-	closed   bool
+	// silent holds the sessions whose peer answers no ping and that still carry calls.
+	silent map[*session]struct{}
+	closed bool
 }
 
 // Open returns a stream of the kind to the address: an idle one, or a new one over
@@ -143,6 +145,9 @@
 	for mux := range transport.accepted {
 		muxes = append(muxes, mux)
 	}
+	for peerSession := range transport.silent {
+		muxes = append(muxes, peerSession.mux)
+	}
 	for _, peerSession := range transport.sessions {
 		if peerSession.mux != nil {
 			muxes = append(muxes, peerSession.mux)
