Confirm an announcement only while it is current, and log why one is not confirmed

Cause: a health check that ended after its run was withdrawn or replaced was logged as a confirmation, and the state of the target was applied once more, also after the target's death had been noted. A check that failed said neither the status nor the instance. Change: Presence.Confirm reports whether it applies; CheckTarget returns the reason. Result: TestLateConfirmationIsIgnored and TestTargetConfirmsItsAnnouncement check both.

--- a/internal/core/presence/presence.go
+++ b/internal/core/presence/presence.go
@@ -135,12 +135,15 @@
 	return presence.current, presence.wouldServe() && presence.unconfirmed
 }
 
-// Confirm records that the target itself has confirmed an announcement. One that is not
-// current any more is ignored.
-func (presence *Presence) Confirm(announcement Announcement) {
-	if presence.current.Instance == announcement.Instance && presence.current.StartMillis == announcement.StartMillis {
-		presence.unconfirmed = false
+// Confirm records that the target itself has confirmed an announcement, and reports
+// whether that changed anything: the run may not be current any more.
+func (presence *Presence) Confirm(announcement Announcement) bool {
+	sameRun := presence.current.Instance == announcement.Instance && presence.current.StartMillis == announcement.StartMillis
+	if !sameRun || !presence.unconfirmed || presence.currentWithdrawn {
+		return false
 	}
+	presence.unconfirmed = false
+	return true
 }
 
 // isNewer reports whether an announcement replaces the current one.
--- a/internal/core/presence/restart_test.go
+++ b/internal/core/presence/restart_test.go
@@ -40,7 +40,7 @@
 			for _, arrival := range test.arrivals {
 				local.Announce(noon.Add(arrival.at), arrival.announcement)
 				if unconfirmed, ok := local.Unconfirmed(); ok && test.confirms {
-					local.Confirm(unconfirmed)
+					expect(local.Confirm(unconfirmed)).To(gomega.BeTrue())
 				}
 			}
 			_, serving := local.Current()
@@ -57,14 +57,14 @@
 	older := announcement("a", 1, 7)
 	local.Announce(noon, older)
 	local.Withdraw(noon, "a")
-	local.Confirm(older)
+	expect(local.Confirm(older)).To(gomega.BeFalse())
 	_, serving := local.Current()
 	expect(serving).To(gomega.BeFalse())
 
 	local = &presence.Presence{StartedAt: noon}
 	local.Announce(noon, older)
 	local.Announce(noon, announcement("b", 2, 1))
-	local.Confirm(older)
+	expect(local.Confirm(older)).To(gomega.BeFalse())
 	_, serving = local.Current()
 	expect(serving).To(gomega.BeFalse())
 }
--- a/internal/host/platform.go
+++ b/internal/host/platform.go
@@ -77,20 +77,28 @@
 	}
 	target.checking, target.checkedAt = true, time.Now()
 	go func() {
-		confirmed := service.HealthPath == "" || target.plane.node.ConfirmTarget(announcement.Instance, service.HealthPath, confirmTimeout)
-		target.finishCheck(announcement, confirmed)
+		var err error
+		if service.HealthPath != "" {
+			err = target.plane.node.CheckTarget(announcement.Instance, service.HealthPath, confirmTimeout)
+		}
+		target.finishCheck(announcement, err)
 	}()
 }
 
-func (target *announcedTarget) finishCheck(announcement presence.Announcement, confirmed bool) {
+// finishCheck takes over the result of the target's health check, which is nil if the
+// target is healthy.
+func (target *announcedTarget) finishCheck(announcement presence.Announcement, err error) {
 	target.lock.Lock()
 	defer target.lock.Unlock()
 	target.checking = false
-	if !confirmed {
-		target.logAnnouncement("announcement from before the start of this process is not confirmed yet", announcement, false)
+	if err != nil {
+		target.plane.host.Logger.Warn().Str("instance", string(announcement.Instance)).Err(err).
+			Msg("target: announcement from before the start of this process is not confirmed; the target gets no calls yet")
+		return
+	}
+	if !target.presence.Confirm(announcement) {
 		return
 	}
-	target.presence.Confirm(announcement)
 	target.logAnnouncement("announcement from before the start of this process is confirmed", announcement, true)
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
--- a/internal/node/confirm_target_test.go
+++ b/internal/node/confirm_target_test.go
@@ -20,18 +20,19 @@
 	return request.InstanceID(response.Header.Get("Instance")), response.StatusCode == http.StatusOK
 }
 
-// Only a healthy answer of the announced instance confirms its announcement.
+// Only a healthy answer of the announced instance confirms its announcement; otherwise
+// the error says what the target answered.
 func TestTargetConfirmsItsAnnouncement(t *testing.T) {
 	tests := []struct {
-		name      string
-		status    int
-		instance  string
-		confirmed bool
+		name     string
+		status   int
+		instance string
+		problem  string
 	}{
-		{"healthy", http.StatusOK, "i-1", true},
-		{"healthy without a name", http.StatusOK, "", true},
-		{"leaving", http.StatusServiceUnavailable, "i-1", false},
-		{"another instance", http.StatusOK, "i-2", false},
+		{"healthy", http.StatusOK, "i-1", ""},
+		{"healthy without a name", http.StatusOK, "", ""},
+		{"leaving", http.StatusServiceUnavailable, "i-1", "503"},
+		{"another instance", http.StatusOK, "i-2", "i-2"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -45,7 +46,12 @@
 			node := &Node{Dialect: namingDialect{}, Target: &web.TargetClient{Address: server.Listener.Addr().String(), Connections: 1}}
 			node.Target.Start()
 			defer node.Target.Close()
-			g.Expect(node.ConfirmTarget("i-1", "/health", time.Minute)).To(gomega.Equal(test.confirmed))
+			err := node.CheckTarget("i-1", "/health", time.Minute)
+			if test.problem == "" {
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				return
+			}
+			g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(test.problem)))
 		})
 	}
 }
--- a/internal/node/local_target.go
+++ b/internal/node/local_target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -34,17 +35,22 @@
 	return LocalTarget{Service: node.Service, Serving: !node.TargetAnnouncesItself}
 }
 
-// ConfirmTarget asks the local target, by its health check, whether it is the instance
-// and takes work. Any failure counts as no.
-func (node *Node) ConfirmTarget(instance request.InstanceID, healthPath string, timeout time.Duration) bool {
+// CheckTarget asks the local target, by its health check, whether it is the instance and
+// takes work. The error says why it is not, or why that is unknown.
+func (node *Node) CheckTarget(instance request.InstanceID, healthPath string, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	response, err := node.Target.Send(ctx, web.TargetCall{Method: http.MethodGet, Path: healthPath, Host: string(node.LocalTarget().Service), Headers: http.Header{}})
 	if err != nil {
-		node.logProblem("the target's health check failed, so its announcement is not confirmed", err)
-		return false
+		return fmt.Errorf("health check of the target: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	answered, healthy := node.Dialect.HealthyInstance(response)
-	return healthy && (answered == "" || answered == instance)
+	switch {
+	case !healthy:
+		return fmt.Errorf("the target answered its health check with %d", response.StatusCode)
+	case answered != "" && answered != instance:
+		return fmt.Errorf("instance %s answered the health check", answered)
+	}
+	return nil
 }
