Decide in the product, not in the adapter, which responses without an id are taken

Whether connections wait to be accepted was taken as no if it could not be told, without a line. The access to a socket's descriptor stood twice. Change: a dialect tells which call a response names; the connection decides. HasQueued returns its error, which is logged.

--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -91,22 +91,28 @@
 // peekSocket returns the state of a connection. A connection without a socket,
 // such as a pipe in a test, counts as idle.
 func peekSocket(conn net.Conn) socketState {
-	raw, ok := conn.(syscall.Conn)
+	state := socketIdle
+	if withDescriptor(conn, func(descriptor int) { state = peekDescriptor(descriptor) }) != nil {
+		return socketClosed
+	}
+	return state
+}
+
+// withDescriptor calls use with the descriptor of a connection or listener. It returns an
+// error if that is closed, and does nothing for one without a socket, as tests have it.
+//
+// It takes RawConn.Control rather than Read, which would wait while another goroutine
+// reads from the connection, as net/http does while a call is served.
+func withDescriptor(socket any, use func(descriptor int)) error {
+	raw, ok := socket.(syscall.Conn)
 	if !ok {
-		return socketIdle
+		return nil
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return socketClosed
+		return err
 	}
-	state := socketClosed
-	// Control rather than Read: Read waits while another goroutine reads from the
-	// connection, as net/http does while a call is served.
-	err = control.Control(func(descriptor uintptr) { state = peekDescriptor(int(descriptor)) })
-	if err != nil {
-		return socketClosed
-	}
-	return state
+	return control.Control(func(descriptor uintptr) { use(int(descriptor)) })
 }
 
 // peekDescriptor returns the state of a non-blocking socket.
@@ -132,24 +138,14 @@
 	return peekSocket(conn) == socketClosed
 }
 
-// HasQueued reports whether a connection waits to be accepted by a listener. A listener
-// without a socket, such as one of a test, has none.
-func HasQueued(listener net.Listener) bool {
-	raw, ok := listener.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	queued := false
-	err = control.Control(func(descriptor uintptr) {
-		poll := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
-		count, err := unix.Poll(poll, 0)
-		queued = err == nil && count > 0
+// HasQueued reports whether a connection waits to be accepted by a listener. It returns an
+// error if that is unknown.
+func HasQueued(listener net.Listener) (bool, error) {
+	count, pollErr := 0, error(nil)
+	err := withDescriptor(listener, func(descriptor int) {
+		count, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
 	})
-	return err == nil && queued
+	return count > 0, errors.Join(err, pollErr)
 }
 
 // HasUnread reports whether bytes of the peer wait to be read from a connection.
@@ -218,7 +214,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if conn.client.Dialect.IsResponseTo(request.Header, response.Header, conn.reused) {
+		if conn.accepts(conn.client.Dialect.NamedCall(request.Header, response.Header)) {
 			return response, nil
 		}
 		if response.Close {
@@ -232,6 +228,19 @@
 	return nil, errMismatchedResponse
 }
 
+// accepts reports whether a response that names a call is taken for the response to the
+// current one. Where targets always name the call, a response without a name may belong
+// to any call that the connection has carried.
+func (conn *targetConn) accepts(named NamedCall) bool {
+	switch named {
+	case OtherCall:
+		return false
+	case NameMissing:
+		return !conn.reused
+	}
+	return true
+}
+
 // idleTimeout returns how long the connection may be kept idle according to the
 // Keep-Alive header of a response.
 func idleTimeout(headers http.Header) time.Duration {
--- a/internal/adapter/web/dialect.go
+++ b/internal/adapter/web/dialect.go
@@ -17,10 +17,9 @@
 	Refuse(writer http.ResponseWriter, refusal *Refusal)
 	// SetTargetHeaders sets the headers that a target expects.
 	SetTargetHeaders(headers http.Header, call TargetMetadata)
-	// IsResponseTo reports whether a response with the headers answer belongs to the
-	// call that was sent with the headers sent. With reused set, the connection has
-	// carried other calls before, to which the response may belong.
-	IsResponseTo(sent, answer http.Header, reused bool) bool
+	// NamedCall tells which call a response with the headers answer names, given the
+	// headers of the call that was sent.
+	NamedCall(sent, answer http.Header) NamedCall
 	// NotExecutedCode returns the result code if the response states that the target did
 	// not execute the call, and [request.OK] for any other response.
 	NotExecutedCode(response *http.Response) request.Code
@@ -29,6 +28,20 @@
 	HealthyInstance(response *http.Response) (request.InstanceID, bool)
 }
 
+// NamedCall is the call that a response names, compared with the one that was sent.
+type NamedCall uint8
+
+const (
+	// NoName is a response without a name, where targets need not give one.
+	NoName NamedCall = iota
+	// OwnCall is the call that was sent.
+	OwnCall
+	// OtherCall is another call.
+	OtherCall
+	// NameMissing is a response without a name, where targets always give one.
+	NameMissing
+)
+
 // CallerMetadata are the parameters of a call that the caller sends.
 type CallerMetadata struct {
 	// ID is the caller's id of the call; it may be empty.
@@ -79,11 +92,15 @@
 	headers.Set(HeaderDeadline, call.Remaining.Round(time.Microsecond).String())
 }
 
-// IsResponseTo compares the id of the call, if the target repeats it. Of a response
-// without one nothing is known: targets need not repeat it.
-func (NativeDialect) IsResponseTo(sent, answer http.Header, _ bool) bool {
-	echoed := answer.Get(HeaderCall)
-	return echoed == "" || echoed == sent.Get(HeaderCall)
+// NamedCall compares the id of the call, which targets need not repeat.
+func (NativeDialect) NamedCall(sent, answer http.Header) NamedCall {
+	switch answer.Get(HeaderCall) {
+	case "":
+		return NoName
+	case sent.Get(HeaderCall):
+		return OwnCall
+	}
+	return OtherCall
 }
 
 // NotExecutedCode always returns [request.OK]: in this dialect no response states that
--- a/internal/adapter/web/wire_test.go
+++ b/internal/adapter/web/wire_test.go
@@ -23,8 +23,14 @@
 // echoDialect is a dialect in which responses repeat the id of the call.
 type echoDialect struct{ web.NativeDialect }
 
-func (echoDialect) IsResponseTo(sent, response http.Header, _ bool) bool {
-	return sent.Get("Call") == response.Get("Call")
+func (echoDialect) NamedCall(sent, response http.Header) web.NamedCall {
+	switch response.Get("Call") {
+	case "":
+		return web.NameMissing
+	case sent.Get("Call"):
+		return web.OwnCall
+	}
+	return web.OtherCall
 }
 
 // scriptedTarget answers each request with the next scripted text. A text that
@@ -193,6 +199,21 @@
 	g.Expect(<-done).To(gomega.Succeed())
 }
 
+// Where targets always name the call, a response without a name is taken only on a
+// connection that has carried no other call.
+func TestResponseWithoutNameIsTakenOnNewConnectionOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	unnamed, named := okHeader+"\r\nno", okHeader+"Call: 2\r\n\r\nok"
+	target := startScriptedTarget(t, unnamed, unnamed+named)
+	client := target.client(echoDialect{})
+	for index, expected := range []string{"no", "ok"} {
+		body, err := sendAndReadBody(client, newCall(http.MethodGet, "/a", strconv.Itoa(index+1)))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal(expected))
+	}
+	g.Expect(target.connections.Load()).To(gomega.BeEquivalentTo(1))
+}
+
 // Bytes after a response belong to no call, so the connection is not reused.
 func TestExtraBytesAfterResponseCloseConnection(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/node/connection_acceptor.go
+++ b/internal/node/connection_acceptor.go
@@ -76,8 +76,7 @@
 			continue
 		}
 		failing = false
-		if errors.Is(err, os.ErrDeadlineExceeded) && !acceptor.acceptTimeOver() && web.HasQueued(listener) {
-			// This goroutine got no processor time before the deadline.
+		if errors.Is(err, os.ErrDeadlineExceeded) && acceptor.mustAcceptMore(listener) {
 			continue
 		}
 		if err != nil {
@@ -109,6 +108,19 @@
 	return time.Now().UnixNano() >= acceptor.acceptUntil.Load()
 }
 
+// mustAcceptMore reports whether connections still wait after the deadline of an Accept:
+// the goroutine may have got no processor time before it.
+func (acceptor *connectionAcceptor) mustAcceptMore(listener net.Listener) bool {
+	if acceptor.acceptTimeOver() {
+		return false
+	}
+	queued, err := web.HasQueued(listener)
+	if err != nil {
+		acceptor.logProblem("cannot tell whether connections wait to be accepted; closing the listener", err)
+	}
+	return queued && err == nil
+}
+
 // extendAccept lets the next Accept of a stopping acceptor fail after acceptQuietTime,
 // and closes the listener after acceptMaxTime.
 func (acceptor *connectionAcceptor) extendAccept(listener net.Listener) {
