Keep a monotonic start time, find changes before the watcher runs, and name a few things better

Cause: the age of a process was taken from the wall clock, which may jump, to tell late announcements. A settings file that changed between its first load and the watcher's first read was not loaded until its next change. No line said at which replica a node registers. Change: the host keeps its start with the monotonic reading; Watcher.Remember is called before the first load; the line is there. TargetCall.Stamp is BeforeWrite. Result: TestChangeBeforeRunIsFound; tests of settings, registry and web pass.

--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -270,6 +270,9 @@
 	client.stream.nextIndex = max(slices.Index(client.Replicas.List(), address), 0)
 	client.stream.nearestRetryAt = client.nextNearestRetry(now)
 	client.stream.backoff.reset()
+	if client.Logger != nil {
+		client.Logger.Info().Str("node", string(client.Self.Node)).Str("replica", string(address)).Msg("registry: registers with a replica")
+	}
 	client.send(client.agent.attach(now))
 	go client.read(ctx, link, output)
 }
--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -90,10 +90,10 @@
 	Path    string
 	Host    string
 	Headers http.Header
-	// Stamp, if set, sets the headers that depend on the time, such as the time left.
-	// It is called right before the call is written.
-	Stamp func(headers http.Header)
-	Body  io.Reader
+	// BeforeWrite, if set, is called right before the call is written. It sets the headers
+	// that depend on the time, such as the time left.
+	BeforeWrite func(headers http.Header)
+	Body        io.Reader
 	// BodyLength is the length in bytes; a negative number means that it is
 	// unknown.
 	BodyLength int64
@@ -239,8 +239,8 @@
 // newRequest builds the HTTP request. Its path and query are those of the call,
 // byte for byte.
 func (call TargetCall) newRequest(address string) *http.Request {
-	if call.Stamp != nil {
-		call.Stamp(call.Headers)
+	if call.BeforeWrite != nil {
+		call.BeforeWrite(call.Headers)
 	}
 	request := &http.Request{
 		Method:        call.Method,
--- a/internal/adapter/web/wire_test.go
+++ b/internal/adapter/web/wire_test.go
@@ -180,7 +180,7 @@
 	stamped := make(chan string, 1)
 	go func() {
 		call := newCall(http.MethodGet, "/second", "")
-		call.Stamp = func(headers http.Header) {
+		call.BeforeWrite = func(headers http.Header) {
 			headers.Set(web.HeaderDeadline, strconv.FormatInt(timeLeft.Load(), 10))
 			stamped <- headers.Get(web.HeaderDeadline)
 		}
--- a/internal/host/dataplane.go
+++ b/internal/host/dataplane.go
@@ -50,7 +50,7 @@
 		return nil
 	}
 	plane := &dataPlane{host: host, versions: make(chan configuration.Version, 1)}
-	plane.announcedTarget = &announcedTarget{plane: plane, presence: presence.Presence{StartedAt: time.UnixMilli(int64(host.incarnation))}}
+	plane.announcedTarget = &announcedTarget{plane: plane, presence: presence.Presence{StartedAt: host.startedAt}}
 	plane.build()
 	host.dataPlane = plane
 	listeners, err := host.openListeners()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -52,7 +52,10 @@
 	// node of a host with a target; it may be nil.
 	OnVersionActivated func(version configuration.Version)
 
-	place            request.Place
+	place request.Place
+	// startedAt has a monotonic clock reading; incarnation is the same time in Unix
+	// milliseconds.
+	startedAt        time.Time
 	incarnation      uint64
 	certificates     *certificate.Files
 	transport        *peer.Transport
@@ -117,7 +120,8 @@
 
 func (host *Host) prepare() error {
 	host.place = request.Place{Region: host.Settings.Region, Domain: host.Settings.FailureDomain}
-	host.incarnation = uint64(time.Now().UnixMilli())
+	host.startedAt = time.Now()
+	host.incarnation = uint64(host.startedAt.UnixMilli())
 	host.configuration = node.NewConfigurationHolder(node.NoConfiguration())
 	host.executeOperation = host.forwardOperation
 	host.replicaDirectory = host.newReplicaDirectory()
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -349,13 +349,13 @@
 		host = header.GetHost()
 	}
 	return web.TargetCall{
-		Method:     header.GetMethod(),
-		Path:       header.GetPath(),
-		Host:       host,
-		Headers:    headers,
-		Stamp:      inbound.setTargetHeaders,
-		Body:       inbound.bodyReader(),
-		BodyLength: header.GetBodyLength(),
+		Method:      header.GetMethod(),
+		Path:        header.GetPath(),
+		Host:        host,
+		Headers:     headers,
+		BeforeWrite: inbound.setTargetHeaders,
+		Body:        inbound.bodyReader(),
+		BodyLength:  header.GetBodyLength(),
 	}
 }
 
--- a/internal/node/retry_budget.go
+++ b/internal/node/retry_budget.go
@@ -31,7 +31,7 @@
 const spentBelowLifetime = 2 * time.Second
 
 // spentBelowDecay is the part of a reported value that is passed on. Services that call
-// each other would otherwise keep a value alive by reporting it in a circle.
+// each other would otherwise keep a value alive by reporting it in a cycle.
 const spentBelowDecay = 0.9
 
 // noteSpentBelow takes over what a node of the service reports.
--- a/internal/node/retry_budget_test.go
+++ b/internal/node/retry_budget_test.go
@@ -98,8 +98,8 @@
 }
 
 // Two services whose targets call each other pass on what the other reports. Once their
-// own budgets have recovered, the value must die out.
-func TestSpentBudgetDiesOutInCircle(t *testing.T) {
+// own budgets have recovered, the value must decay.
+func TestReportedBudgetDecaysInCycle(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Unix(1_000, 0)
 	tables := [2]*retryTable{windowedTable(), windowedTable()}
@@ -116,7 +116,7 @@
 
 // A node that refuses a call before it knows its kind reports nothing of that kind. What
 // the caller's node has learned of the kind stays.
-func TestReportOfEarlyRefusalTeachesNothing(t *testing.T) {
+func TestReportOfEarlyRefusalIsIgnored(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Now()
 	node := &Node{retryTable: *windowedTable()}
--- a/internal/settings/watch.go
+++ b/internal/settings/watch.go
@@ -26,12 +26,21 @@
 	OnChange func(next *Settings)
 	OnError  func(err error)
 
+	// lastText is the text that was loaded last, and known says that there is one.
 	lastText []byte
+	known    bool
 	// signalled says that a signal has arrived whose reload is still due, and unreadable
 	// that a failure to read the file was reported.
 	signalled, unreadable bool
 }
 
+// Remember records the present text of the file. It is called before the process loads
+// the file, so that Run reloads what changes from then on.
+func (watcher *Watcher) Remember() {
+	text, err := os.ReadFile(watcher.Path)
+	watcher.lastText, watcher.known = text, err == nil
+}
+
 // Run watches the file until the context ends.
 func (watcher *Watcher) Run(ctx context.Context) {
 	ticks := watcher.Ticks
@@ -40,9 +49,9 @@
 		defer ticker.Stop()
 		ticks = ticker.C
 	}
-	// The process has loaded the file before. If this read fails, the next poll
-	// reads the file again.
-	watcher.lastText, _ = os.ReadFile(watcher.Path)
+	if !watcher.known {
+		watcher.Remember()
+	}
 	for {
 		select {
 		case <-watcher.Signals:
--- a/internal/settings/watch_test.go
+++ b/internal/settings/watch_test.go
@@ -101,3 +101,26 @@
 	stop()
 	g.Expect(events).To(gomega.BeEmpty())
 }
+
+// A change between the first load of the file and Run is found by the first poll.
+func TestChangeBeforeRunIsFound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	path := filepath.Join(t.TempDir(), "node.jsonc")
+	write := func(text string) { g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(gomega.Succeed()) }
+	write("first")
+	ticks, events := make(chan time.Time), make(chan string, 8)
+	watcher := &settings.Watcher{
+		Path: path, Ticks: ticks,
+		Load:     func(string) (*settings.Settings, error) { return &settings.Settings{}, nil },
+		OnChange: func(*settings.Settings) { events <- "changed" },
+		OnError:  func(error) { events <- "failed" },
+	}
+	watcher.Remember()
+	write("second")
+	stop := runWatcher(watcher)
+	ticks <- time.Time{}
+	ticks <- time.Time{}
+	stop()
+	g.Expect(events).To(gomega.HaveLen(1))
+	g.Expect(<-events).To(gomega.Equal("changed"))
+}
--- a/magnoliad/internal/command/run/run.go
+++ b/magnoliad/internal/command/run/run.go
@@ -48,6 +48,8 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	defer signal.Stop(signals)
+	watcher := &settings.Watcher{Path: options.Settings, Signals: signals, Load: tools.Settings}
+	watcher.Remember()
 	loaded, err := tools.Settings(options.Settings)
 	if err != nil {
 		return err
@@ -59,14 +61,9 @@
 	}
 	watchContext, stop := context.WithCancel(ctx)
 	defer stop()
-	watcher := &settings.Watcher{
-		Path:     options.Settings,
-		Signals:  signals,
-		Load:     tools.Settings,
-		OnChange: process.Reload,
-		OnError: func(err error) {
-			process.Logger.Error().Err(err).Msg("settings: reload failed; the previous settings stay in use")
-		},
+	watcher.OnChange = process.Reload
+	watcher.OnError = func(err error) {
+		process.Logger.Error().Err(err).Msg("settings: reload failed; the previous settings stay in use")
 	}
 	go watcher.Run(watchContext)
 	return process.Run(ctx)
