--- a/internal/node/decision_log.go
+++ b/internal/node/decision_log.go
@@ -69,7 +69,7 @@
 		spent, spentBelow := outbound.serviceRetries.spent(now)
 		outbound.addCallFields(line, now).Str("target", string(attempt.choice.Target.Node)).Stringer("code", attempt.refusal.Code).
 			Stringer("outcome", attempt.refusal.Outcome).Int("used", retriesUsed).Bool("repeat", outbound.inherited).
-			Float64("spent", spent).Float64("spent-below", spentBelow).
+			Float64("budget-spent", spent).Float64("budget-spent-below", spentBelow).
 			Stringer("decision", retryDecision.Reason).Msg("call: attempt failed")
 	}
 }
--- a/internal/node/decision_log_test.go
+++ b/internal/node/decision_log_test.go
@@ -13,6 +13,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/decision"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
@@ -58,3 +59,16 @@
 	node.logCallEnd(outbound, failed)
 	g.Expect(output.String()).To(gomega.ContainSubstring(`"parent":"r-1"`))
 }
+
+// A failed attempt is logged with what is spent of the retry budget, at the service and
+// below it, since both decide whether it is repeated.
+func TestFailedAttemptIsLoggedWithSpentBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	output := &bytes.Buffer{}
+	node := &Node{Decisions: &decision.Log{Logger: &log.Logger{Writer: &log.IOWriter{Writer: output}}}, retryTable: *windowedTable()}
+	outbound := &outboundCall{kind: &configuration.CompiledKind{Name: "route/lookup"}, serviceRetries: node.retryTable.forService("consumo")}
+	outbound.serviceRetries.noteSpentBelow(time.Now(), 0.25)
+	failed := &attempt{refusal: web.NewRefusal(request.Overloaded, "")}
+	node.logRetry(outbound, failed, 0, retry.Decision{Reason: retry.BudgetSpent})
+	g.Expect(output.String()).To(gomega.ContainSubstring(`"budget-spent":0,"budget-spent-below":0.25,"decision":"edge-spent"`))
+}
