Log and count what targets report about themselves in their answers

The dialect now reads the rate limit and the leaving header, and the node beside the target logs each change, the calls handed over in each second under a limit with the state of the gate, and, once a name, headers of the platform that nothing reads. Counters: target_calls_total and target_reports_total. No decision depends on them yet.

--- a/internal/adapter/web/headers.go
+++ b/internal/adapter/web/headers.go
@@ -18,6 +18,11 @@
 	// HeaderCall is the id of a call at a target, in hexadecimal. A target that repeats
 	// it in its response protects the next call on the connection from a late one.
 	HeaderCall = "Magnoliawall-Call"
+	// HeaderRateLimit is the number of calls per second that a target takes from all
+	// callers together, in its responses. HeaderLeaving with the value 1 says that the
+	// target is about to stop.
+	HeaderRateLimit = "Magnoliawall-Rate-Limit"
+	HeaderLeaving   = "Magnoliawall-Leaving"
 )
 
 // hopByHop lists the headers that are not forwarded: those of one connection, and
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -38,6 +38,10 @@
 	NoTarget
 	// HeadroomChanged gives a new number of a target's slots that are kept free.
 	HeadroomChanged
+	// TargetStatusChanged gives what the target reports about itself in its answers.
+	TargetStatusChanged
+	// CallsUnderLimit gives the calls of one second while the target states a rate limit.
+	CallsUnderLimit
 	kindCount
 )
 
--- a/internal/node/claimed_call.go
+++ b/internal/node/claimed_call.go
@@ -181,7 +181,7 @@
 // runBuffered hands the call to the target and buffers its whole answer.
 func (inbound *inboundCall) runBuffered(ctx context.Context, root *root) (*claim.Answer, *web.Refusal) {
 	run := inbound.beginRun(root)
-	response, err := inbound.node.Target.Send(ctx, inbound.targetCall())
+	response, err := inbound.node.sendToTarget(ctx, inbound.local, inbound.targetCall())
 	if err != nil {
 		run.end(admission.Failed)
 		return nil, inbound.targetFailure(ctx, err)
--- a/internal/node/confirm_target_test.go
+++ b/internal/node/confirm_target_test.go
@@ -44,6 +44,7 @@
 			}))
 			defer server.Close()
 			node := &Node{Dialect: namingDialect{}, Target: &web.TargetClient{Address: server.Listener.Addr().String(), Connections: 1}}
+			node.counters = newCounters()
 			node.Target.Start()
 			defer node.Target.Close()
 			err := node.CheckTarget("i-1", "/health", time.Minute)
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -21,9 +21,15 @@
 	inheritedCalls *metrics.Counter
 	repeatedCalls  *metrics.Counter
 	callDuration   *metrics.Histogram
-	refusals       map[request.Code]*metrics.Counter
-	targetRefusals map[request.Code]*metrics.Counter
-	retryDecisions map[retry.Reason]*metrics.Counter
+	// targetCalls counts the calls that were handed to the target, and the others the
+	// answers in which it reported about itself.
+	targetCalls      *metrics.Counter
+	limitedAnswers   *metrics.Counter
+	leavingAnswers   *metrics.Counter
+	unreadableLimits *metrics.Counter
+	refusals         map[request.Code]*metrics.Counter
+	targetRefusals   map[request.Code]*metrics.Counter
+	retryDecisions   map[retry.Reason]*metrics.Counter
 }
 
 func newCounters() *counters {
@@ -38,6 +44,12 @@
 		targetDeaths:   set.NewCounter("magnoliawall_target_deaths_total"),
 		inboundCalls:   set.NewCounter("magnoliawall_inbound_calls_total"),
 		callDuration:   set.NewHistogram("magnoliawall_call_duration_seconds"),
+
+		targetCalls:      set.NewCounter("magnoliawall_target_calls_total"),
+		limitedAnswers:   set.NewCounter(`magnoliawall_target_reports_total{report="limited"}`),
+		leavingAnswers:   set.NewCounter(`magnoliawall_target_reports_total{report="leaving"}`),
+		unreadableLimits: set.NewCounter(`magnoliawall_target_reports_total{report="unreadable"}`),
+
 		refusals:       make(map[request.Code]*metrics.Counter),
 		targetRefusals: make(map[request.Code]*metrics.Counter),
 		retryDecisions: make(map[retry.Reason]*metrics.Counter),
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -226,7 +226,7 @@
 	entry := inbound.node.activeRequests.Enter(inbound.work.Deadline, &activeRequest{id: inbound.peerCall.Header.GetRequestId(), work: inbound.work, root: inbound.root, started: run.started, repeat: inbound.peerCall.Header.GetRepeat()})
 	defer inbound.node.activeRequests.Leave(entry)
 	defer inbound.node.repeats.enter(inbound.peerCall.Header.GetRepeat())()
-	response, err := inbound.node.Target.Send(ctx, inbound.targetCall())
+	response, err := inbound.node.sendToTarget(ctx, inbound.local, inbound.targetCall())
 	if err != nil {
 		run.end(admission.Failed)
 		inbound.refuse(inbound.targetFailure(ctx, err))
--- a/internal/node/local_target.go
+++ b/internal/node/local_target.go
@@ -40,7 +40,9 @@
 func (node *Node) CheckTarget(instance request.InstanceID, healthPath string, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	response, err := node.Target.Send(ctx, web.TargetCall{Method: http.MethodGet, Path: healthPath, Host: string(node.LocalTarget().Service), Headers: http.Header{}})
+	local := node.LocalTarget()
+	call := web.TargetCall{Method: http.MethodGet, Path: healthPath, Host: string(local.Service), Headers: http.Header{}}
+	response, err := node.sendToTarget(ctx, local, call)
 	if err != nil {
 		return fmt.Errorf("health check of the target: %w", err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,6 +102,7 @@
 	retryTable        retryTable
 	admissionControl  *admissionControl
 	counters          *counters
+	statusLog         targetStatusLog
 	retryPolicy       retry.Policy
 	suspects          suspectQueue
 	sharedCalls       sharedCalls
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -61,6 +61,9 @@
 // Fingerprint is a hash over kind, path, idempotency key and body of a request.
 type Fingerprint uint64
 
+// Rate is a number of calls per second.
+type Rate float64
+
 // IdempotencyKey is the caller's name for one action, from the Idempotency-Key
 // header.
 type IdempotencyKey string
