Keep to the rate limit that a target states in its answers

All calls to a target pass through the node beside it, so the limit is kept there: a token bucket in the admission gate, which holds for all callers together without any agreement. Calls wait in the gate's queue, by their rank, if they have the patience; calls that can go elsewhere are refused at once with the new code 2013, rate-limited, and a Retry-After by the rate. The balancer adds the wait to the expected time, and holds calls back from a target that refused by its rate for a time that doubles with each refusal.

A limit holds for the run that states it. A higher limit or none counts only in the answer to a call that was handed over after the limit in force was stated, since answers are read out of order. Callers' nodes remember the limit and give it back with their calls, for a node that starts anew.

TestCallsStayWithinStatedRate, scripts rate-limit*.txt.

--- a/internal/adapter/web/dialect.go
+++ b/internal/adapter/web/dialect.go
@@ -23,8 +23,8 @@
 	// NotExecutedCode returns the result code if the response states that the target did
 	// not execute the call, and [request.OK] for any other response.
 	NotExecutedCode(response *http.Response) request.Code
-	// TargetStatus returns what the headers of a response say about the target.
-	TargetStatus(headers http.Header) TargetStatus
+	// TargetStatus returns what a response says about the target.
+	TargetStatus(response *http.Response) TargetStatus
 	// HealthyInstance returns the instance that answered a health check, and whether it
 	// is healthy and not leaving.
 	HealthyInstance(response *http.Response) (request.InstanceID, bool)
@@ -110,8 +110,8 @@
 func (NativeDialect) NotExecutedCode(*http.Response) request.Code { return request.OK }
 
 // TargetStatus reads the target's rate limit and whether it is leaving.
-func (NativeDialect) TargetStatus(headers http.Header) TargetStatus {
-	return ReadTargetStatus(headers[HeaderRateLimit], headers[HeaderLeaving])
+func (NativeDialect) TargetStatus(response *http.Response) TargetStatus {
+	return ReadTargetStatus(response.Header[HeaderRateLimit], response.Header[HeaderLeaving])
 }
 
 // HealthyInstance goes by the status: in this dialect responses name no instance.
--- a/internal/adapter/web/target_status.go
+++ b/internal/adapter/web/target_status.go
@@ -11,6 +11,10 @@
 // TargetStatus is what a response says about its target, apart from the call that it
 // answers.
 type TargetStatus struct {
+	// Instance is the instance that responded, or empty where the response does not name
+	// it. OtherInstance says that it is not the one that the call was meant for.
+	Instance      request.InstanceID
+	OtherInstance bool
 	// Leaving says that the target is about to stop.
 	Leaving bool
 	// Limited says that the target states a rate limit, which is Limit: the calls per
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -58,6 +58,7 @@
 	running         runningCalls
 	demand          demandEstimator
 	latency         latencyEstimate
+	rate            rateLimiter
 	level           request.Level
 	levelAdjustedAt time.Time
 }
@@ -73,7 +74,7 @@
 		return gate.refuseWithRetry(request.OverloadedBelow, work.Priority), notices
 	}
 	gate.demand.recordArrival(work.Priority)
-	if gate.queue.size() == 0 && gate.running.size() < gate.EffectiveLimit() {
+	if gate.queue.size() == 0 && gate.running.size() < gate.EffectiveLimit() && gate.rate.allows(now) {
 		gate.startCall(now, work.Call)
 		return Decision{Verdict: Admit}, notices
 	}
@@ -97,15 +98,50 @@
 	return gate.startQueued(now, notices)
 }
 
-// Cancel ends a queued or running call whose caller no longer wants the answer.
+// Cancel ends a queued call, or an admitted one that was not handed to the target.
 func (gate *Gate) Cancel(now time.Time, call request.CallID, notices []Notice) []Notice {
 	if _, ok := gate.running.remove(now, call); !ok {
 		gate.queue.remove(call)
 		return notices
 	}
+	gate.rate.restore()
 	return gate.startQueued(now, notices)
 }
 
+// RecordRate applies what an answer of the target says about its rate limit.
+func (gate *Gate) RecordRate(now time.Time, stated RateStatement, notices []Notice) []Notice {
+	gate.rate.record(now, stated)
+	return gate.startQueued(now, notices)
+}
+
+// AdoptRate applies a limit that the target stated before this gate was there, as its
+// callers remember it. It has no effect once the target has answered.
+func (gate *Gate) AdoptRate(now time.Time, limit request.Rate) {
+	if !gate.rate.heard && !gate.rate.limited {
+		gate.rate.apply(now, limit)
+	}
+}
+
+// ResetRate drops the limit, for another run of the target.
+func (gate *Gate) ResetRate() {
+	gate.rate = rateLimiter{}
+}
+
+// SpendRate counts a call that goes to the target without the gate, such as a health
+// check.
+func (gate *Gate) SpendRate(now time.Time) {
+	gate.rate.spend(now)
+}
+
+// Rate is the rate limit in force.
+func (gate *Gate) Rate(now time.Time) RateState {
+	state := RateState{Limited: gate.rate.limited, Heard: gate.rate.heard}
+	if state.Limited {
+		state.Limit, state.Age, state.Wait = gate.rate.limit, now.Sub(gate.rate.statedAt), gate.rate.wait(now, gate.queue.size())
+	}
+	return state
+}
+
 // Tick refuses queued calls that waited too long, and adjusts the level.
 func (gate *Gate) Tick(now time.Time, notices []Notice) []Notice {
 	gate.start(now)
@@ -191,7 +227,10 @@
 	}
 	rate := gate.serviceRate(now)
 	callRank := rankOf(work)
-	if gate.wouldTimeOut(now, work, callRank, rate) {
+	if gate.rateRefuses(now, work, callRank) {
+		return gate.refuseByRate(now, work.Priority), notices
+	}
+	if gate.wouldTimeOut(now, work, callRank) {
 		return refusal(request.DeadlineTooClose, 0), notices
 	}
 	if work.Priority < gate.level && gate.queue.size() >= gate.queueCapacity(rate, gate.sojournTarget()) {
@@ -213,7 +252,10 @@
 // patience, and refuses it at once otherwise.
 func (gate *Gate) enqueueWithPatience(now time.Time, work request.Work, notices []Notice) (Decision, []Notice) {
 	callRank := rankOf(work)
-	if gate.wouldTimeOut(now, work, callRank, gate.serviceRate(now)) {
+	if gate.rateRefuses(now, work, callRank) {
+		return gate.refuseByRate(now, work.Priority), notices
+	}
+	if gate.wouldTimeOut(now, work, callRank) {
 		return gate.refuseWithRetry(request.Overloaded, work.Priority), notices
 	}
 	gate.queue.insert(queuedCall{rank: callRank, call: work.Call, enqueuedAt: now, deadline: work.Deadline, waitUntil: now.Add(work.Patience)})
@@ -222,17 +264,43 @@
 
 // wouldTimeOut tells whether the calls ahead take so long that the call would
 // exceed its patience or its deadline.
-func (gate *Gate) wouldTimeOut(now time.Time, work request.Work, callRank rank, rate float64) bool {
+func (gate *Gate) wouldTimeOut(now time.Time, work request.Work, callRank rank) bool {
+	rate := gate.slotRate(now)
 	if rate <= 0 {
 		return false
 	}
 	wait := time.Duration(float64(gate.queue.ahead(callRank)) / rate * float64(time.Second))
+	return gate.exceedsWait(now, work, wait)
+}
+
+// rateRefuses tells whether the rate limit of the target makes the call wait for too
+// long. A call that can be sent to another target waits no longer than the sojourn
+// target.
+func (gate *Gate) rateRefuses(now time.Time, work request.Work, callRank rank) bool {
+	wait := gate.rate.wait(now, gate.queue.ahead(callRank))
+	if wait == 0 {
+		return false
+	}
+	return gate.exceedsWait(now, work, wait) || work.Movable && wait > gate.sojournTarget()
+}
+
+// exceedsWait tells whether a wait is longer than the patience of a call or leaves no time
+// to run it.
+func (gate *Gate) exceedsWait(now time.Time, work request.Work, wait time.Duration) bool {
 	if work.Patience > 0 && wait > work.Patience {
 		return true
 	}
 	return now.Add(wait + gate.latency.shortest).After(work.Deadline)
 }
 
+// refuseByRate refuses a call until the rate limit has room for it behind the queued
+// calls. The time is spread, up to twofold, by the bucket.
+func (gate *Gate) refuseByRate(now time.Time, priority request.Priority) Decision {
+	wait := gate.rate.wait(now, gate.queue.size())
+	wait += wait * time.Duration(priority.Bucket()) / request.BucketCount
+	return refusal(request.RateLimited, min(wait, maxRetryAfter))
+}
+
 // startCall admits a call. Its sample counts for the headroom only where the
 // headroom, and not the limit, bounds the number of calls.
 func (gate *Gate) startCall(now time.Time, call request.CallID) {
@@ -240,12 +308,13 @@
 	if concurrency := gate.headroom.concurrency(max(gate.Slots, 1)); concurrency <= gate.limiter.concurrency() {
 		fullPeriod = gate.headroom.fullPeriod(gate.running.size()+1, concurrency)
 	}
+	gate.rate.spend(now)
 	gate.running.add(now, call, fullPeriod)
 }
 
 // startQueued admits queued calls while the target has room.
 func (gate *Gate) startQueued(now time.Time, notices []Notice) []Notice {
-	for gate.queue.size() > 0 && gate.running.size() < gate.EffectiveLimit() {
+	for gate.queue.size() > 0 && gate.running.size() < gate.EffectiveLimit() && gate.rate.allows(now) {
 		next := gate.queue.pop()
 		if now.Add(gate.latency.shortest).After(next.deadline) {
 			notices = append(notices, Notice{Call: next.call, Decision: refusal(request.DeadlineTooClose, 0)})
@@ -267,6 +336,9 @@
 	}
 	gate.levelAdjustedAt = now
 	excess := gate.queue.size() + gate.running.size() - gate.EffectiveLimit()
+	if gate.rate.limited {
+		excess = max(excess, gate.queue.size()-int(gate.rate.available(now)))
+	}
 	rate := gate.serviceRate(now)
 	gate.demand.closeInterval(now, interval, gate.level, rate, excess < 0)
 	if rate <= 0 {
@@ -288,9 +360,19 @@
 	return max(gate.latency.mean, gate.running.meanAge(now))
 }
 
-// serviceRate is the number of calls per second that a full target completes,
-// zero while that is unknown.
+// serviceRate is the number of calls per second that a full target completes within its
+// rate limit, zero while that is unknown.
 func (gate *Gate) serviceRate(now time.Time) float64 {
+	rate := gate.slotRate(now)
+	if gate.rate.limited && (rate == 0 || gate.rate.perSecond() < rate) {
+		return gate.rate.perSecond()
+	}
+	return rate
+}
+
+// slotRate is the number of calls per second that a target completes with all its slots
+// in use, zero while that is unknown.
+func (gate *Gate) slotRate(now time.Time) float64 {
 	latency := gate.expectedLatency(now)
 	if latency == 0 {
 		return 0
@@ -301,7 +383,11 @@
 // queueCapacity is the number of queued calls that the target serves within the
 // wait.
 func (gate *Gate) queueCapacity(rate float64, wait time.Duration) int {
-	return max(minQueueCapacity, int(rate*wait.Seconds()))
+	least := minQueueCapacity
+	if gate.rate.limited {
+		least = 1
+	}
+	return max(least, int(rate*wait.Seconds()))
 }
 
 func (gate *Gate) sojournTarget() time.Duration {
--- a/internal/core/admission/script_test.go
+++ b/internal/core/admission/script_test.go
@@ -64,6 +64,7 @@
 		runner.gate.Slots, runner.gate.Warm = args.number("slots"), args.has("warm")
 	case "arrive":
 		work := request.Work{Call: call, RootKind: "agenda/checklist", Spent: args.duration("spent"), Deadline: runner.now.Add(args.duration("within"))}
+		work.Patience, work.Movable = args.duration("patience"), args.has("movable")
 		work.Priority = request.NewPriority(request.Importance(args.number("importance")), request.Bucket(args.number("bucket")))
 		var decision admission.Decision
 		decision, runner.notices = runner.gate.Arrive(runner.now, work, runner.notices)
@@ -76,6 +77,18 @@
 		runner.notices = runner.gate.Tick(runner.now, runner.notices)
 	case "learn":
 		runner.gate.Downstream.RecordLevel("consumo", "agenda/checklist", request.Level(args.number("level")), runner.now)
+	case "stated":
+		limit, limited := args.find("limit")
+		rate, _ := strconv.ParseFloat(limit, 64)
+		stated := admission.RateStatement{Limited: limited, Limit: request.Rate(rate), HandedAt: epoch.Add(args.duration("handed"))}
+		runner.notices = runner.gate.RecordRate(runner.now, stated, runner.notices)
+	case "adopt":
+		runner.gate.AdoptRate(runner.now, request.Rate(args.number("limit")))
+	case "reset":
+		runner.gate.ResetRate()
+	case "rate":
+		rate := runner.gate.Rate(runner.now)
+		results = append(results, fmt.Sprintf("limited=%t limit=%g wait=%s", rate.Limited, rate.Limit, rate.Wait.Round(time.Millisecond)))
 	case "show":
 		results = append(results, fmt.Sprintf("limit=%d running=%d waiting=%d level=%d", runner.gate.Limit(), runner.gate.Running(), runner.gate.Waiting(), runner.gate.Level("agenda/checklist", runner.now)))
 	default:
--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -83,6 +83,9 @@
 	// unreachableLeaseTime is how long a target may be unreachable before its lease
 	// must have expired.
 	unreachableLeaseTime = 5 * time.Second
+	// maxRateHold bounds how long a target that refused a call by its rate limit gets no
+	// others from this node. By then the limit may have ended.
+	maxRateHold = 3 * time.Second
 	// drainingHold outlasts the 2 s within which the list of targets shows that a
 	// target is draining.
 	drainingHold = 3 * time.Second
@@ -151,8 +154,10 @@
 	Target Target
 	// CrossRegion is set if the target is in another region.
 	CrossRegion bool
-	pool        *servicePool
-	endpoint    *endpoint
+	// HasAlternative is set if another target was likely to take the call.
+	HasAlternative bool
+	pool           *servicePool
+	endpoint       *endpoint
 }
 
 // Picked reports whether the choice names a target.
--- a/internal/core/balancer/endpoint.go
+++ b/internal/core/balancer/endpoint.go
@@ -26,13 +26,19 @@
 	load Load
 	// processorLag is how long work waits for the processor of the target's node.
 	processorLag time.Duration
-	reportedAt   time.Time
+	// rateWait is how long a call would have waited for the target's rate limit at
+	// reportedAt.
+	rateWait   time.Duration
+	reportedAt time.Time
 	// inFlightAtReport is the number of calls in flight when the report arrived.
 	inFlightAtReport int
 	// slowness is the moving average of the latency relative to that of the kind of
 	// each call; zero before the first sample.
 	slowness float64
 
+	// rateHold is how long the target gets no calls after it refused one by its rate
+	// limit. It adapts the calls of this node to its part of the limit.
+	rateHold        time.Duration
 	refusedUntil    time.Time
 	refusedPriority request.Priority
 
@@ -105,8 +111,10 @@
 // maxLoad bounds the load that a target reports.
 const maxLoad = 10
 
-func (endpoint *endpoint) recordReport(now time.Time, load Load, lag time.Duration) {
-	endpoint.processorLag = max(lag, 0)
+func (endpoint *endpoint) recordReport(now time.Time, answer Answer) {
+	endpoint.processorLag = max(answer.ProcessorLag, 0)
+	endpoint.rateWait = max(answer.RateWait, 0)
+	load := answer.Load
 	if !(load >= 0) {
 		load = 0
 	}
--- a/internal/core/balancer/expected_time.go
+++ b/internal/core/balancer/expected_time.go
@@ -65,17 +65,17 @@
 }
 
 // leastExpectedTime returns the eligible target with the least expected time over
-// all tiers, distance penalty included, or nil. Warming targets get a smaller share
+// all tiers, distance penalty included, or nil, and the number of eligible targets. Warming targets get a smaller share
 // of the calls only if warmer ones are eligible: after a restart of the whole site,
 // when all targets are cold, none gets less.
-func (pool *servicePool) leastExpectedTime(now time.Time, random *rand.Rand, call *Call, eligible eligibility) *endpoint {
-	var best *endpoint
+func (pool *servicePool) leastExpectedTime(now time.Time, random *rand.Rand, call *Call, eligible eligibility) (best *endpoint, count int) {
 	lowestCost, warmest := 0.0, 0.0
 	bytes := pool.expectedBytes(call)
 	if !eligible.refusing {
 		pool.forEachEligible(now, call, eligible, func(_ int, candidate *endpoint) { warmest = max(warmest, candidate.trafficShare(now)) })
 	}
 	pool.forEachEligible(now, call, eligible, func(tier int, candidate *endpoint) {
+		count++
 		if !eligible.refusing && !candidate.drawWarm(now, random, warmest) {
 			return
 		}
@@ -86,7 +86,7 @@
 			best, lowestCost = candidate, cost
 		}
 	})
-	return best
+	return best, count
 }
 
 // forEachEligible visits the eligible targets of the node's subset.
@@ -114,7 +114,8 @@
 	ownTime := typical * slowness * (1 + contentionShare*min(calls/slots, 1)*min(calls/slots, 1))
 	wait := max(0, calls-slots) / slots * max(pool.typicalLatency, typical) * slowness
 	lag := float64(candidate.processorLag) * ageWeight(now.Sub(candidate.reportedAt), pool.balancer.Staleness)
-	return (ownTime + wait + lag) * (1 + failureCostFactor*candidate.failureShare)
+	rateWait := float64(max(0, candidate.rateWait-now.Sub(candidate.reportedAt)))
+	return (ownTime + wait + lag + rateWait) * (1 + failureCostFactor*candidate.failureShare)
 }
 
 // callsAtTarget estimates how many calls run or wait at the target: its last
--- a/internal/core/balancer/health.go
+++ b/internal/core/balancer/health.go
@@ -15,15 +15,16 @@
 	responder.probing = false
 	switch answer.Result {
 	case Succeeded:
-		responder.recordReport(now, answer.Load, answer.ProcessorLag)
+		responder.recordReport(now, answer)
+		responder.rateHold /= 2
 		responder.recordLatency(now, answer.Latency)
 		pool.updateKindStats(call.Kind, responder, answer)
 		pool.recordLatency(answer.Latency)
 		responder.failureShare -= responder.failureShare * failureAverageGain
 		pool.readmit(now, responder)
 	case Refused:
-		responder.recordReport(now, answer.Load, answer.ProcessorLag)
-		responder.recordRefusal(now.Add(pool.balancer.RefusalHold), now, call.Priority)
+		responder.recordReport(now, answer)
+		responder.recordRefusal(now.Add(responder.refusalHold(now, pool.balancer.RefusalHold)), now, call.Priority)
 		pool.readmit(now, responder)
 	case DeadlineExceeded:
 		if float64(answer.Latency) > lateLatencyFactor*pool.typicalLatency {
@@ -51,6 +52,21 @@
 	}
 }
 
+// refusalHold is how long a target that has just refused a call gets no others. Where the
+// reason is its rate limit, the time doubles with each refusal and halves with each
+// success, so that the nodes that call the target share its limit.
+func (endpoint *endpoint) refusalHold(now time.Time, usual time.Duration) time.Duration {
+	if endpoint.rateWait == 0 {
+		return usual
+	}
+	if now.Before(endpoint.refusedUntil) {
+		// The call was sent before the last refusal arrived.
+		return max(endpoint.rateHold, usual)
+	}
+	endpoint.rateHold = min(max(2*endpoint.rateHold, endpoint.rateWait, usual), maxRateHold)
+	return endpoint.rateHold
+}
+
 // recordRefusal holds back calls up to the refused priority until the given time.
 // During an earlier hold the higher of the two priorities counts.
 func (endpoint *endpoint) recordRefusal(until, now time.Time, priority request.Priority) {
--- a/internal/core/balancer/pool.go
+++ b/internal/core/balancer/pool.go
@@ -164,10 +164,14 @@
 		{ejected: ignoreEjected, refusing: true},
 		{ejected: true, refusing: true, unreachable: true, avoided: true},
 	}
-	for _, eligible := range steps {
-		if found := pool.leastExpectedTime(now, random, call, eligible); found != nil {
-			return pool.newChoice(found), request.OK
+	for index, eligible := range steps {
+		found, eligibleCount := pool.leastExpectedTime(now, random, call, eligible)
+		if found == nil {
+			continue
 		}
+		choice := pool.newChoice(found)
+		choice.HasAlternative = index == 0 && eligibleCount > 1
+		return choice, request.OK
 	}
 	return Choice{}, request.NoTarget
 }
--- a/internal/core/balancer/target.go
+++ b/internal/core/balancer/target.go
@@ -78,7 +78,7 @@
 	switch code {
 	case request.OK:
 		return Succeeded
-	case request.Overloaded, request.ColdTarget, request.ConnectionsFull, request.WaitedTooLong:
+	case request.Overloaded, request.ColdTarget, request.ConnectionsFull, request.WaitedTooLong, request.RateLimited:
 		return Refused
 	case request.Draining:
 		return ShuttingDown
@@ -106,6 +106,8 @@
 	Load Load
 	// ProcessorLag is how long work waits for the processor at the target's node.
 	ProcessorLag time.Duration
+	// RateWait is how long one more call would wait for the target's rate limit.
+	RateWait time.Duration
 	// Bytes is the number of bytes of the call in both directions.
 	Bytes int64
 }
--- a/internal/host/platform.go
+++ b/internal/host/platform.go
@@ -125,10 +125,11 @@
 	current, serving := target.presence.Current()
 	current.Service = cmp.Or(current.Service, target.plane.host.Settings.Service)
 	target.plane.node.SetLocalTarget(node.LocalTarget{
-		Instance: current.Instance,
-		Service:  current.Service,
-		Slots:    current.Slots,
-		Serving:  serving,
+		Instance:    current.Instance,
+		StartMillis: current.StartMillis,
+		Service:     current.Service,
+		Slots:       current.Slots,
+		Serving:     serving,
 	})
 	state := membership.Down
 	switch {
@@ -149,7 +150,7 @@
 	defer target.lock.Unlock()
 	current, _ := target.presence.Current()
 	current.Service = cmp.Or(current.Service, target.plane.host.Settings.Service)
-	target.plane.node.SetLocalTarget(node.LocalTarget{Instance: current.Instance, Service: current.Service, Slots: current.Slots})
+	target.plane.node.SetLocalTarget(node.LocalTarget{Instance: current.Instance, StartMillis: current.StartMillis, Service: current.Service, Slots: current.Slots})
 	if err := target.plane.registryClient.SetState(ctx, membership.Down); err != nil {
 		target.plane.logProblem("the target's death was not sent to a replica", err)
 	}
--- a/internal/node/admission_control.go
+++ b/internal/node/admission_control.go
@@ -68,6 +68,34 @@
 	control.deliver(control.gate.Cancel(now, call, control.notices[:0]))
 }
 
+// recordRate applies what an answer of the target says about its rate limit.
+func (control *admissionControl) recordRate(now time.Time, stated admission.RateStatement) {
+	control.lock.Lock()
+	defer control.lock.Unlock()
+	control.deliver(control.gate.RecordRate(now, stated, control.notices[:0]))
+}
+
+// adoptRate applies a limit that the target stated before this node started.
+func (control *admissionControl) adoptRate(now time.Time, limit request.Rate) {
+	control.lock.Lock()
+	defer control.lock.Unlock()
+	control.gate.AdoptRate(now, limit)
+}
+
+// resetRate drops the rate limit.
+func (control *admissionControl) resetRate() {
+	control.lock.Lock()
+	defer control.lock.Unlock()
+	control.gate.ResetRate()
+}
+
+// spendRate counts a call that goes to the target without the gate.
+func (control *admissionControl) spendRate(now time.Time) {
+	control.lock.Lock()
+	defer control.lock.Unlock()
+	control.gate.SpendRate(now)
+}
+
 // tick advances the gate and returns the headroom before and after.
 func (control *admissionControl) tick(now time.Time) (before, after headroom) {
 	control.lock.Lock()
@@ -125,6 +153,17 @@
 	effectiveLimit int
 	running        int
 	waiting        int
+	rate           admission.RateState
+}
+
+// load is the share of the target's limits that is in use: of its slots, or all of it
+// while its rate limit lets calls wait.
+func (state gateState) load() float64 {
+	load := float64(state.running+state.waiting) / float64(max(state.limit, 1))
+	if state.rate.Wait > 0 {
+		return max(load, 1)
+	}
+	return load
 }
 
 func (control *admissionControl) state(now time.Time, rootKind request.KindName) gateState {
@@ -136,5 +175,6 @@
 		effectiveLimit: control.gate.EffectiveLimit(),
 		running:        control.gate.Running(),
 		waiting:        control.gate.Waiting(),
+		rate:           control.gate.Rate(now),
 	}
 }
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -91,6 +91,10 @@
 	if !outbound.kind.Routed || refusal.SentToTarget || refusal.Outcome != request.NotRun || outbound.moves >= maxMoves {
 		return false
 	}
+	if refusal.Code == request.RateLimited && !attempt.choice.HasAlternative {
+		// All targets are limited, and the others would refuse the call as well.
+		return false
+	}
 	return attempt.choice.Picked() && request.Describe(refusal.Code).RetryElsewhere && !outbound.body.cannotResend()
 }
 
@@ -174,14 +178,20 @@
 	}
 	now := time.Now()
 	switch refusal.Code {
-	case request.Overloaded, request.WaitedTooLong, request.DeadlinePassed, request.DeadlineTooClose, request.NoTarget:
+	case request.Overloaded, request.WaitedTooLong, request.DeadlinePassed, request.DeadlineTooClose, request.NoTarget, request.RateLimited:
 		if !node.entry.fromOutside(outbound.kind.Name) {
 			node.entry.noteShortage(now)
 		}
 	}
-	if refusal.Outcome == request.NotRun {
-		refusal.RetryAfter = outbound.retryAfter(now)
+	if refusal.Outcome != request.NotRun {
+		return
+	}
+	drawn := outbound.retryAfter(now)
+	if refusal.Code == request.RateLimited {
+		// There is no room sooner than that.
+		drawn = max(drawn, refusal.RetryAfter)
 	}
+	refusal.RetryAfter = drawn
 }
 
 // refusalForCaller returns the refusal as the caller may see it. That this attempt
@@ -344,6 +354,8 @@
 		ObjectiveUs:          outbound.kind.Objective.Microseconds(),
 		PatienceUs:           node.patience(outbound).Microseconds(),
 		Repeat:               outbound.retried || outbound.inherited,
+		KnownTarget:          node.peerTargets.find(attempt.choice.Target.Node),
+		Movable:              outbound.kind.Routed && outbound.moves < maxMoves && attempt.choice.HasAlternative && !outbound.body.cannotResend(),
 	}
 }
 
@@ -411,6 +423,7 @@
 		return
 	}
 	node.notePeerVersion(configuration.Version(report.GetConfigurationVersion()))
+	node.peerTargets.record(attempt.choice.Target.Node, report.GetTarget())
 	outbound.root.lock.Lock()
 	outbound.root.allowance.Return(attempt.allowance, retry.Allowance(report.GetUnspent()))
 	outbound.root.lock.Unlock()
@@ -447,6 +460,7 @@
 			answer.Load = balancer.Load(report.GetLoad()) / loadUnit
 			answer.OwnTime = time.Duration(report.GetOwnUs()) * time.Microsecond
 			answer.ProcessorLag = time.Duration(report.GetLagUs()) * time.Microsecond
+			answer.RateWait = time.Duration(report.GetRateWaitUs()) * time.Microsecond
 		}
 	}
 	node.Balancer.Answered(now, attempt.choice, call, answer)
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
@@ -64,6 +65,19 @@
 	return counters
 }
 
+// countReport counts what a target reported about itself in an answer.
+func (counters *counters) countReport(reported web.TargetStatus) {
+	if reported.Limited {
+		counters.limitedAnswers.Inc()
+	}
+	if reported.Leaving {
+		counters.leavingAnswers.Inc()
+	}
+	if reported.Unreadable != "" {
+		counters.unreadableLimits.Inc()
+	}
+}
+
 func refusalMetric(metric string, row request.CodeDescription) string {
 	return metric + `{code="` + strconv.Itoa(int(row.Code)) + `",reason="` + row.Name + `"}`
 }
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -66,6 +66,7 @@
 func (node *Node) acceptCall(peerCall *peer.Inbound, now time.Time) (*inboundCall, *web.Refusal) {
 	header := peerCall.Header
 	node.notePeerVersion(configuration.Version(header.GetConfigurationVersion()))
+	node.adoptKnownStatus(header.GetKnownTarget())
 	inbound := &inboundCall{node: node, peerCall: peerCall, unspent: retry.Allowance(header.GetAllowance())}
 	local := node.LocalTarget()
 	if request.ServiceName(header.GetService()) != local.Service {
@@ -98,6 +99,7 @@
 		Spent:    time.Duration(header.GetSpentUs()) * time.Microsecond,
 		Deadline: now.Add(time.Duration(header.GetRemainingUs()) * time.Microsecond),
 		Patience: time.Duration(header.GetPatienceUs()) * time.Microsecond,
+		Movable:  header.GetMovable(),
 	}
 	copy(inbound.work.Root[:], header.GetRoot())
 	inbound.fingerprint = request.Fingerprint(header.GetFingerprint())
@@ -138,12 +140,15 @@
 	report := &peerpb.Report{
 		Level:      uint32(gate.level.Level),
 		LevelAgeUs: gate.level.Age.Microseconds(),
-		Load:       uint32((gate.running + gate.waiting) * loadUnit / max(gate.limit, 1)),
+		Load:       uint32(gate.load() * loadUnit),
 		Unspent:    uint32(inbound.unspent),
 		Draining:   inbound.node.draining(),
 		LagUs:      inbound.node.lagMonitor.Lag(time.Now()).Microseconds(),
 
 		ConfigurationVersion: uint64(inbound.node.Configuration.Current().Version),
+
+		Target:     inbound.node.knownStatus(inbound.peerCall.Header.GetKnownTarget(), gate.rate),
+		RateWaitUs: gate.rate.Wait.Microseconds(),
 	}
 	if inbound.kind != nil && inbound.kind.Routed {
 		inbound.node.entry.fillReport(time.Now(), inbound.kind.Name, report)
--- a/internal/node/local_target.go
+++ b/internal/node/local_target.go
@@ -7,22 +7,41 @@
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/core/presence"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
-// LocalTarget is what the target beside this node announced about itself, on
-// platforms where targets announce themselves.
+// LocalTarget is what is known of the run of the target beside this node: what it
+// announced, on platforms where targets announce themselves.
 type LocalTarget struct {
 	Instance request.InstanceID
-	Service  request.ServiceName
-	Slots    int
+	// StartMillis tells runs of one instance apart; it may be zero.
+	StartMillis presence.StartMillis
+	Service     request.ServiceName
+	Slots       int
 	// Serving says that the target takes work.
 	Serving bool
 }
 
+// sameRun reports whether both are the same run of the target.
+func (local LocalTarget) sameRun(other LocalTarget) bool {
+	return local.Instance == other.Instance && local.StartMillis == other.StartMillis
+}
+
 // SetLocalTarget replaces what is known of the local target. Calls in flight are not
-// affected.
+// affected. What an earlier
+// run said of itself does not hold for another one.
 func (node *Node) SetLocalTarget(local LocalTarget) {
+	node.localTargetLock.Lock()
+	defer node.localTargetLock.Unlock()
+	previous := node.LocalTarget()
+	if node.admissionControl == nil {
+		node.localTarget.Store(&local)
+		return
+	}
+	if !previous.sameRun(local) {
+		node.admissionControl.resetRate()
+	}
 	node.localTarget.Store(&local)
 }
 
@@ -41,8 +60,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	local := node.LocalTarget()
-	call := web.TargetCall{Method: http.MethodGet, Path: healthPath, Host: string(local.Service), Headers: http.Header{}}
-	response, err := node.sendToTarget(ctx, local, call)
+	node.admissionControl.spendRate(time.Now())
+	response, err := node.sendToTarget(ctx, local, web.TargetCall{Method: http.MethodGet, Path: healthPath, Host: string(local.Service), Headers: http.Header{}})
 	if err != nil {
 		return fmt.Errorf("health check of the target: %w", err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,20 +97,23 @@
 	// lagMonitor measures how long work waits for a processor.
 	lagMonitor schedlag.Monitor
 	// activeRequests holds what the local target works on.
-	activeRequests    correlation.OpenRequests[*activeRequest]
-	repeats           repeatCounter
-	retryTable        retryTable
-	admissionControl  *admissionControl
-	counters          *counters
-	statusLog         targetStatusLog
-	retryPolicy       retry.Policy
-	suspects          suspectQueue
-	sharedCalls       sharedCalls
-	claimDriver       *claimDriver
-	claimedAttempts   attemptTable
-	claimedRuns       sync.WaitGroup
-	lastCallID        atomic.Uint64
+	activeRequests   correlation.OpenRequests[*activeRequest]
+	repeats          repeatCounter
+	retryTable       retryTable
+	admissionControl *admissionControl
+	counters         *counters
+	statusLog        targetStatusLog
+	retryPolicy      retry.Policy
+	suspects         suspectQueue
+	sharedCalls      sharedCalls
+	claimDriver      *claimDriver
+	claimedAttempts  attemptTable
+	claimedRuns      sync.WaitGroup
+	lastCallID       atomic.Uint64
+	// localTargetLock guards changes of localTarget.
+	localTargetLock   sync.Mutex
 	localTarget       atomic.Pointer[LocalTarget]
+	peerTargets       peerTargets
 	stopDeadline      atomic.Int64
 	newestPeerVersion atomic.Uint64
 }
--- a/internal/node/target_status.go
+++ b/internal/node/target_status.go
@@ -7,7 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/core/admission"
+	"github.com/magnoliawall/magnoliawall/internal/core/presence"
 	"github.com/magnoliawall/magnoliawall/internal/decision"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
@@ -28,17 +31,64 @@
 	unknownHeaders []string
 }
 
-// sendToTarget sends a call to the local target and records what the response says about
+// sendToTarget sends a call to the local target and applies what the response says about
 // the target.
 func (node *Node) sendToTarget(ctx context.Context, local LocalTarget, call web.TargetCall) (*http.Response, error) {
 	node.countSent(time.Now(), local)
+	// A call may wait for a connection before it is written.
+	handedAt, setHeaders := time.Time{}, call.BeforeWrite
+	call.BeforeWrite = func(headers http.Header) {
+		handedAt = time.Now()
+		if setHeaders != nil {
+			setHeaders(headers)
+		}
+	}
 	response, err := node.Target.Send(ctx, call)
 	if err == nil {
-		node.recordTargetStatus(local, node.Dialect.TargetStatus(response.Header))
+		node.applyTargetStatus(local, handedAt, node.Dialect.TargetStatus(response))
 	}
 	return response, err
 }
 
+// applyTargetStatus applies what the answer to a call says about a run of the target.
+// What another run says is ignored.
+func (node *Node) applyTargetStatus(local LocalTarget, handedAt time.Time, reported web.TargetStatus) {
+	otherInstance := reported.OtherInstance || reported.Instance != "" && reported.Instance != local.Instance
+	if otherInstance || !node.LocalTarget().sameRun(local) {
+		return
+	}
+	node.logTargetStatus(local, reported)
+	if reported.Limited || reported.Unreadable == "" {
+		node.admissionControl.recordRate(time.Now(), admission.RateStatement{Limited: reported.Limited, Limit: reported.Limit, HandedAt: handedAt})
+	}
+}
+
+// adoptKnownStatus applies what the target told a caller's node before this node started.
+func (node *Node) adoptKnownStatus(known *peerpb.TargetStatus) {
+	local := LocalTarget{Instance: request.InstanceID(known.GetInstance()), StartMillis: presence.StartMillis(known.GetStartMs())}
+	if known == nil || !node.LocalTarget().sameRun(local) {
+		return
+	}
+	if known.GetLimited() && known.GetLimit() >= 0 {
+		node.admissionControl.adoptRate(time.Now(), request.Rate(known.GetLimit()))
+	}
+}
+
+// knownStatus is the status of the local target for a caller's node that believes another
+// one, or nil where there is nothing to tell.
+func (node *Node) knownStatus(believed *peerpb.TargetStatus, rate admission.RateState) *peerpb.TargetStatus {
+	local := node.LocalTarget()
+	if !rate.Limited && (believed == nil || !rate.Heard) {
+		return nil
+	}
+	return &peerpb.TargetStatus{
+		Instance: string(local.Instance),
+		StartMs:  int64(local.StartMillis),
+		Limited:  rate.Limited,
+		Limit:    float64(rate.Limit),
+	}
+}
+
 // countSent counts a call to the target. While the target states a rate limit, it logs
 // the number of calls in each second.
 func (node *Node) countSent(now time.Time, local LocalTarget) {
@@ -47,35 +97,27 @@
 	status.lock.Lock()
 	defer status.lock.Unlock()
 	if second := now.Unix(); second != status.second {
-		node.logCallsUnderLimit(local, status)
+		node.logCallsUnderLimit(now, local, status)
 		status.second, status.sent = second, 0
 	}
 	status.sent++
 }
 
-func (node *Node) logCallsUnderLimit(local LocalTarget, status *targetStatusLog) {
+func (node *Node) logCallsUnderLimit(now time.Time, local LocalTarget, status *targetStatusLog) {
 	if !status.last.Limited {
 		return
 	}
 	if line := node.Decisions.Line(decision.CallsUnderLimit); line != nil {
-		gate := node.admissionControl.state(time.Now(), "")
+		gate := node.admissionControl.state(now, "")
 		line.Str("instance", string(local.Instance)).Float64("limit", float64(status.last.Limit)).Int("sent", status.sent).
-			Int("places", gate.effectiveLimit).Int("running", gate.running).Int("waiting", gate.waiting).
+			Int("places", gate.effectiveLimit).Int("running", gate.running).Int("waiting", gate.waiting).Dur("wait", gate.rate.Wait).
 			Msg("target: calls of one second under a rate limit")
 	}
 }
 
-// recordTargetStatus counts and logs what a response says about the target.
-func (node *Node) recordTargetStatus(local LocalTarget, reported web.TargetStatus) {
-	if reported.Limited {
-		node.counters.limitedAnswers.Inc()
-	}
-	if reported.Leaving {
-		node.counters.leavingAnswers.Inc()
-	}
-	if reported.Unreadable != "" {
-		node.counters.unreadableLimits.Inc()
-	}
+// logTargetStatus counts and logs what a response says about the target.
+func (node *Node) logTargetStatus(local LocalTarget, reported web.TargetStatus) {
+	node.counters.countReport(reported)
 	status := &node.statusLog
 	status.lock.Lock()
 	defer status.lock.Unlock()
--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -32,6 +32,7 @@
 	Quarantined      Code = 2009
 	CallerLeft       Code = 2010
 	NotReady         Code = 2012
+	RateLimited      Code = 2013
 
 	NoTarget          Code = 3001
 	TargetUnreachable Code = 3002
@@ -92,6 +93,7 @@
 	{CallerLeft, "caller-left", StatusCallerLeft, NotRun, false, false, 0, "the caller went away before the call was handed to a target"},
 
 	{NotReady, "not-ready", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the node has just started and has no configuration yet"},
+	{RateLimited, "rate-limited", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the target takes only as many calls per second as it states in its answers"},
 
 	{NoTarget, "no-target", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "no target of the service is known in reach"},
 	{TargetUnreachable, "target-unreachable", http.StatusBadGateway, NotRun, true, true, time.Second, "the chosen target could not be reached"},
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -113,4 +113,6 @@
 	// Patience is how long the call may wait for a slot; zero leaves it to the
 	// admission gate.
 	Patience time.Duration
+	// Movable says that the call can go to another target if this one refuses it.
+	Movable bool
 }
