Send no calls to a target that says in its answers that it is leaving

The answer is now as good as an announcement. The node beside the target refuses further calls and the queued ones, which go elsewhere without a retry, and tells the registry. It holds for the run of the target, also against its own later announcements, in a health check after a restart of the node, and by the memory of callers' nodes, which need no replica for it.

Where targets do not announce themselves, it ends when the target's address refuses connections.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -142,6 +142,14 @@
 	return state
 }
 
+// RefuseQueued refuses all queued calls, for a target that takes no more.
+func (gate *Gate) RefuseQueued(code request.Code, notices []Notice) []Notice {
+	for gate.queue.size() > 0 {
+		notices = append(notices, Notice{Call: gate.queue.pop().call, Decision: refusal(code, 0)})
+	}
+	return notices
+}
+
 // Tick refuses queued calls that waited too long, and adjusts the level.
 func (gate *Gate) Tick(now time.Time, notices []Notice) []Notice {
 	gate.start(now)
--- a/internal/core/admission/script_test.go
+++ b/internal/core/admission/script_test.go
@@ -86,6 +86,8 @@
 		runner.gate.AdoptRate(runner.now, request.Rate(args.number("limit")))
 	case "reset":
 		runner.gate.ResetRate()
+	case "close":
+		runner.notices = runner.gate.RefuseQueued(request.Draining, runner.notices)
 	case "rate":
 		rate := runner.gate.Rate(runner.now)
 		results = append(results, fmt.Sprintf("limited=%t limit=%g wait=%s", rate.Limited, rate.Limit, rate.Wait.Round(time.Millisecond)))
--- a/internal/core/presence/presence.go
+++ b/internal/core/presence/presence.go
@@ -179,6 +179,14 @@
 	return isCurrent
 }
 
+// Leave records that a run has said in an answer that it is leaving, and reports whether
+// it is the current one. From then on it counts as draining.
+func (presence *Presence) Leave(instance request.InstanceID, start StartMillis) bool {
+	isCurrent := presence.known && presence.current.Instance == instance && presence.current.StartMillis == start
+	presence.current.Draining = presence.current.Draining || isCurrent
+	return isCurrent
+}
+
 // Current returns the current announcement, and whether the target takes work. An
 // announcement stays current after its run was withdrawn.
 func (presence *Presence) Current() (Announcement, bool) {
--- a/internal/core/presence/presence_test.go
+++ b/internal/core/presence/presence_test.go
@@ -65,3 +65,25 @@
 		})
 	}
 }
+
+// A run that said in an answer that it is leaving takes no work again, also if it still
+// announces itself as ready. A later run does.
+func TestRunThatLeavesTakesNoWorkAgain(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	local := &presence.Presence{}
+	announcement := presence.Announcement{Instance: "i-1", StartMillis: 5, Sequence: 1, Service: "agenda", Slots: 4}
+	local.Announce(time.Unix(10, 0), announcement)
+	expect(local.Leave("i-1", 4)).To(gomega.BeFalse())
+	expect(local.Leave("i-2", 5)).To(gomega.BeFalse())
+	_, serving := local.Current()
+	expect(serving).To(gomega.BeTrue())
+	expect(local.Leave("i-1", 5)).To(gomega.BeTrue())
+	announcement.Sequence++
+	expect(local.Announce(time.Unix(11, 0), announcement)).To(gomega.Equal(presence.Accepted))
+	_, serving = local.Current()
+	expect(serving).To(gomega.BeFalse())
+	announcement.StartMillis, announcement.Sequence = 6, 1
+	local.Announce(time.Unix(12, 0), announcement)
+	_, serving = local.Current()
+	expect(serving).To(gomega.BeTrue())
+}
--- a/internal/host/dataplane.go
+++ b/internal/host/dataplane.go
@@ -38,7 +38,10 @@
 	versions       chan configuration.Version
 	// targetDown is set when the target died, and cleared when it accepts
 	// connections again.
-	targetDown      atomic.Bool
+	targetDown atomic.Bool
+	// targetLeaving is set when the target said that it is leaving, and cleared when it
+	// has gone. It is not used where targets announce themselves.
+	targetLeaving   atomic.Bool
 	announcedTarget *announcedTarget
 	connections     connectionPool
 }
@@ -107,6 +110,7 @@
 		Decisions:             &decision.Log{Logger: host.Logger},
 		OnDrain:               plane.announceDrain,
 		OnTargetDeath:         plane.reportTargetDeath,
+		OnTargetLeaving:       plane.reportTargetLeaving,
 	}
 	if host.Platform != nil {
 		plane.node.Dialect = host.Platform.Dialect()
@@ -263,6 +267,21 @@
 	_ = plane.registryClient.SetState(ctx, membership.Draining)
 }
 
+// reportTargetLeaving tells the registry that the target said in an answer that it is
+// leaving.
+func (plane *dataPlane) reportTargetLeaving(local node.LocalTarget) {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	if plane.host.Platform != nil {
+		plane.announcedTarget.leave(ctx, local)
+		return
+	}
+	if err := plane.registryClient.SetState(ctx, membership.Down); err != nil {
+		plane.logProblem("that the target is leaving was not sent to a replica", err)
+	}
+	plane.targetLeaving.Store(true)
+}
+
 func (plane *dataPlane) reportTargetDeath(report quarantine.Report) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
--- a/internal/host/platform.go
+++ b/internal/host/platform.go
@@ -105,6 +105,15 @@
 	target.applyPresence(ctx)
 }
 
+// leave records that the target said in an answer that it is leaving.
+func (target *announcedTarget) leave(ctx context.Context, local node.LocalTarget) {
+	target.lock.Lock()
+	defer target.lock.Unlock()
+	if target.presence.Leave(local.Instance, local.StartMillis) {
+		target.applyPresence(ctx)
+	}
+}
+
 // Withdraw implements [port.TargetAnnouncements].
 func (target *announcedTarget) Withdraw(ctx context.Context, instance request.InstanceID) {
 	target.lock.Lock()
--- a/internal/node/admission_control.go
+++ b/internal/node/admission_control.go
@@ -96,6 +96,13 @@
 	control.gate.SpendRate(now)
 }
 
+// refuseQueued refuses all waiting calls.
+func (control *admissionControl) refuseQueued(code request.Code) {
+	control.lock.Lock()
+	defer control.lock.Unlock()
+	control.deliver(control.gate.RefuseQueued(code, control.notices[:0]))
+}
+
 // tick advances the gate and returns the headroom before and after.
 func (control *admissionControl) tick(now time.Time) (before, after headroom) {
 	control.lock.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,6 +91,9 @@
 	// has died.
 	OnDrain       func()
 	OnTargetDeath func(quarantine.Report)
+	// OnTargetLeaving is called in its own goroutine when the target has said in an
+	// answer that it is leaving.
+	OnTargetLeaving func(LocalTarget)
 
 	roots rootTable
 	entry entryControl
--- a/internal/node/target_run_test.go
+++ b/internal/node/target_run_test.go
@@ -26,7 +26,9 @@
 		serving  bool
 	}{
 		{"limit", current, []web.TargetStatus{limited}, true, true},
+		{"leaving", current, []web.TargetStatus{{Leaving: true}}, false, false},
 		{"limit of an earlier run", earlier, []web.TargetStatus{limited}, false, true},
+		{"an earlier run leaves", earlier, []web.TargetStatus{{Leaving: true}}, false, true},
 		{"another instance answers", current, []web.TargetStatus{{OtherInstance: true, Leaving: true, Limited: true}}, false, true},
 		{"another instance is named", current, []web.TargetStatus{{Instance: "i-2", Leaving: true, Limited: true}}, false, true},
 		{"unreadable after a limit", current, []web.TargetStatus{limited, {Unreadable: "few"}}, true, true},
--- a/internal/node/target_status.go
+++ b/internal/node/target_status.go
@@ -58,17 +58,36 @@
 		return
 	}
 	node.logTargetStatus(local, reported)
+	if reported.Leaving {
+		node.recordLeaving(local, "its answer says so")
+	}
 	if reported.Limited || reported.Unreadable == "" {
 		node.admissionControl.recordRate(time.Now(), admission.RateStatement{Limited: reported.Limited, Limit: reported.Limit, HandedAt: handedAt})
 	}
 }
 
+// recordLeaving stops calls to a run of the target that is leaving.
+func (node *Node) recordLeaving(local LocalTarget, reason string) {
+	if !node.markLeaving(local) {
+		return
+	}
+	if node.Logger != nil {
+		node.Logger.Info().Str("instance", string(local.Instance)).Str("reason", reason).Msg("target: is leaving and gets no more calls")
+	}
+	if node.OnTargetLeaving != nil {
+		go node.OnTargetLeaving(local)
+	}
+}
+
 // adoptKnownStatus applies what the target told a caller's node before this node started.
 func (node *Node) adoptKnownStatus(known *peerpb.TargetStatus) {
 	local := LocalTarget{Instance: request.InstanceID(known.GetInstance()), StartMillis: presence.StartMillis(known.GetStartMs())}
 	if known == nil || !node.LocalTarget().sameRun(local) {
 		return
 	}
+	if known.GetLeaving() {
+		node.recordLeaving(local, "a caller's node was told so")
+	}
 	if known.GetLimited() && known.GetLimit() >= 0 {
 		node.admissionControl.adoptRate(time.Now(), request.Rate(known.GetLimit()))
 	}
@@ -78,12 +97,13 @@
 // one, or nil where there is nothing to tell.
 func (node *Node) knownStatus(believed *peerpb.TargetStatus, rate admission.RateState) *peerpb.TargetStatus {
 	local := node.LocalTarget()
-	if !rate.Limited && (believed == nil || !rate.Heard) {
+	if !rate.Limited && !local.Leaving && (believed == nil || !rate.Heard) {
 		return nil
 	}
 	return &peerpb.TargetStatus{
 		Instance: string(local.Instance),
 		StartMs:  int64(local.StartMillis),
+		Leaving:  local.Leaving,
 		Limited:  rate.Limited,
 		Limit:    float64(rate.Limit),
 	}
--- a/internal/node/target_status_test.go
+++ b/internal/node/target_status_test.go
@@ -103,6 +103,7 @@
 		allowed             float64
 	}{
 		{"rate limit", web.HeaderRateLimit, "0.5", 1.5*0.5*arrivalWindow.Seconds() + 5},
+		{"leaving", web.HeaderLeaving, "1", 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
