Bound the head of a target's answer, and what waits for a body without end

A target that sends a head without end, as one header, many, a status line or interim responses, made its node hold all of it until the call's deadline: 64 MB of 64 MB in five of six cases of the test, up to a call a slot at once. The reader of responses of net/http has no limit. A head may now have 128 KB, with its interim responses, and the body of a response to another call 1 MB; beyond that the call ends with an unknown outcome and the connection is closed.

The body of an answer that declines a call was waited for until the deadline if it did not end: now 50 ms, as the call goes on elsewhere. Idle connections on which a target sends bytes, or that it has closed, are closed within a second instead of when they are taken next.

Bodies without end on a call were read no further than the caller read, and ended with the call; the test shows it.

Tests: TestHeadWithoutEndIsBrokenOff (five of six failed before), TestBodyWithoutEndEndsWithItsCall, TestIdleConnectionsOfNoUseAreClosed, TestDiscardBodyDoesNotWaitForItsEnd.

--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -26,12 +26,45 @@
 	// header, which is in whole seconds and may have been rounded up.
 	keepAliveMargin = 1500 * time.Millisecond
 	readBufferBytes = 4 << 10
+	// maxResponseHeadBytes bounds the head of a response with the interim responses before
+	// it, and maxMismatchedBodyBytes the body of a response to another call.
+	maxResponseHeadBytes   = 128 << 10
+	maxMismatchedBodyBytes = 1 << 20
 )
 
+var errResponseHeadTooLong = errors.New("the head of the response does not end within its limit")
+
+// headLimiter reads from a connection and, while a response head is read, fails when the
+// head is too long. The client of net/http has such a limit, its reader of responses has
+// none.
+type headLimiter struct {
+	source io.Reader
+	inHead bool
+	left   int
+}
+
+func (limiter *headLimiter) beginHead() { limiter.inHead, limiter.left = true, maxResponseHeadBytes }
+
+func (limiter *headLimiter) endHead() { limiter.inHead = false }
+
+// Read reads from the connection.
+func (limiter *headLimiter) Read(data []byte) (int, error) {
+	if !limiter.inHead {
+		return limiter.source.Read(data)
+	}
+	if limiter.left <= 0 {
+		return 0, errResponseHeadTooLong
+	}
+	count, err := limiter.source.Read(data[:min(len(data), limiter.left)])
+	limiter.left -= count
+	return count, err
+}
+
 // targetConn is a connection to the target. It carries one call at a time.
 type targetConn struct {
 	net.Conn
 	client *TargetClient
+	limit  headLimiter
 	reader *bufio.Reader
 	// hasSentBytes reports whether at least one byte of the current call was sent.
 	hasSentBytes atomic.Bool
@@ -43,7 +76,8 @@
 
 func newTargetConn(client *TargetClient, netConn net.Conn) *targetConn {
 	conn := &targetConn{Conn: netConn, client: client, idleUntil: time.Now().Add(defaultIdleTimeout)}
-	conn.reader = bufio.NewReaderSize(netConn, readBufferBytes)
+	conn.limit.source = netConn
+	conn.reader = bufio.NewReaderSize(&conn.limit, readBufferBytes)
 	return conn
 }
 
@@ -206,6 +240,8 @@
 // readResponse returns the response to the call. It skips interim responses, and
 // up to maxMismatchedResponses late responses to earlier calls.
 func (conn *targetConn) readResponse(request *http.Request) (*http.Response, error) {
+	conn.limit.beginHead()
+	defer conn.limit.endHead()
 	for mismatched := 0; mismatched <= maxMismatchedResponses; {
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
@@ -220,7 +256,7 @@
 		if response.Close {
 			break
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := conn.skipBody(response.Body); err != nil {
 			return nil, err
 		}
 		mismatched++
@@ -228,6 +264,20 @@
 	return nil, errMismatchedResponse
 }
 
+// skipBody reads the body of a response to another call, and expects a head after it.
+func (conn *targetConn) skipBody(body io.Reader) error {
+	conn.limit.endHead()
+	_, err := io.CopyN(io.Discard, body, maxMismatchedBodyBytes)
+	conn.limit.beginHead()
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil:
+		return errMismatchedResponse
+	}
+	return err
+}
+
 // accepts reports whether a response that names a call is taken for the response to the
 // current one. Where targets always name the call, a response without a name may belong
 // to any call that the connection has carried.
@@ -263,6 +313,8 @@
 	requestSent <-chan struct{}
 	closeAfter  bool
 	finished    bool
+	// hasDeadline says that reads from the connection have a deadline.
+	hasDeadline bool
 	// readErr is the error that ended the body early; each later read returns it.
 	readErr error
 }
@@ -289,9 +341,25 @@
 	return nil
 }
 
+// DiscardBody closes the body of a response that [TargetClient.Send] returned. It reads the
+// body first, so that the connection can be used again, if that takes no more than the
+// given bytes and time.
+func DiscardBody(response *http.Response, limit int64, timeout time.Duration) {
+	if body, ok := response.Body.(*responseBody); ok && !body.finished {
+		body.hasDeadline = true
+		_ = body.conn.SetReadDeadline(time.Now().Add(timeout))
+	}
+	// A body that does not end here only closes the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, limit))
+	_ = response.Body.Close()
+}
+
 // finish keeps the connection for the next call, or closes it.
 func (body *responseBody) finish(complete bool) {
 	body.finished = true
+	if body.hasDeadline {
+		complete = body.conn.SetReadDeadline(time.Time{}) == nil && complete
+	}
 	active := body.stopCancel()
 	if !complete || !active || body.closeAfter || !body.requestComplete() || body.conn.reader.Buffered() > 0 {
 		body.conn.discard()
--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -221,6 +222,29 @@
 	client.wakeWaiters()
 }
 
+// CloseUnusable closes the idle connections that can carry no further call: the target
+// has closed them or sends bytes on them, or their idle time is over. It is called about
+// once a second.
+func (client *TargetClient) CloseUnusable(now time.Time) {
+	for _, conn := range client.takeUnusable(now) {
+		conn.discard()
+	}
+}
+
+func (client *TargetClient) takeUnusable(now time.Time) []*targetConn {
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	var unusable []*targetConn
+	client.idle = slices.DeleteFunc(client.idle, func(conn *targetConn) bool {
+		if conn.reusable(now) {
+			return false
+		}
+		unusable = append(unusable, conn)
+		return true
+	})
+	return unusable
+}
+
 // wakeWaiters makes waiting calls check again for a connection. The lock is held.
 func (client *TargetClient) wakeWaiters() {
 	if client.connectionFreed != nil {
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -276,8 +275,12 @@
 }
 
 // maxDeclinedBodyBytes is how much of the body of an answer that declines a call is
-// read, so that the target's connection can be used again.
-const maxDeclinedBodyBytes = 4 << 10
+// read, and maxDeclinedBodyTime for how long, so that the target's connection can be used
+// again. The call waits that long.
+const (
+	maxDeclinedBodyBytes = 4 << 10
+	maxDeclinedBodyTime  = 50 * time.Millisecond
+)
 
 // declinedRefusal returns the refusal for an answer in which the target states that
 // it did not run the call, and nil for any other answer.
@@ -286,8 +289,7 @@
 	if code == request.OK {
 		return nil
 	}
-	// A body that does not end here only closes the connection.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDeclinedBodyBytes))
+	web.DiscardBody(response, maxDeclinedBodyBytes, maxDeclinedBodyTime)
 	refusal := web.NewRefusal(code, "")
 	refusal.Outcome = request.NotRun
 	refusal.SentToTarget = true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,6 +121,10 @@
 	newestPeerVersion atomic.Uint64
 }
 
+// connectionCheckInterval is the time between two checks of the idle connections to the
+// target.
+const connectionCheckInterval = time.Second
+
 // Listeners are the sockets of a node; a nil one is not served.
 type Listeners struct {
 	Callers net.Listener
@@ -271,14 +275,17 @@
 }
 
 func (node *Node) runTicks(ctx context.Context) {
-	ticker := time.NewTicker(gateTickInterval)
+	ticker, connections := time.NewTicker(gateTickInterval), time.NewTicker(connectionCheckInterval)
 	defer ticker.Stop()
+	defer connections.Stop()
 	for {
 		select {
 		case now := <-ticker.C:
 			node.lagMonitor.RecordTick(time.Now())
 			node.applyConfiguration()
 			node.tickGate(now)
+		case now := <-connections.C:
+			node.Target.CloseUnusable(now)
 		case <-ctx.Done():
 			return
 		}
