--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -86,6 +86,8 @@
 	// maxRateHold bounds how long a target that refused a call by its rate limit gets no
 	// others from this node. By then the limit may have ended.
 	maxRateHold = 3 * time.Second
+	// rateHoldDecrease is the factor by which that time shrinks with a success.
+	rateHoldDecrease = 0.75
 	// drainingHold outlasts the 2 s within which the list of targets shows that a
 	// target is draining.
 	drainingHold = 3 * time.Second
--- a/internal/core/balancer/health.go
+++ b/internal/core/balancer/health.go
@@ -16,7 +16,7 @@
 	switch answer.Result {
 	case Succeeded:
 		responder.recordReport(now, answer)
-		responder.rateHold /= 2
+		responder.paceByRate(now, answer, call.Priority)
 		responder.recordLatency(now, answer.Latency)
 		pool.updateKindStats(call.Kind, responder, answer)
 		pool.recordLatency(answer.Latency)
@@ -24,7 +24,7 @@
 		pool.readmit(now, responder)
 	case Refused:
 		responder.recordReport(now, answer)
-		responder.recordRefusal(now.Add(responder.refusalHold(now, pool.balancer.RefusalHold)), now, call.Priority)
+		responder.recordRefusal(now.Add(responder.refusalHold(now, answer, pool.balancer.RefusalHold)), now, call.Priority)
 		pool.readmit(now, responder)
 	case DeadlineExceeded:
 		if float64(answer.Latency) > lateLatencyFactor*pool.typicalLatency {
@@ -52,18 +52,31 @@
 	}
 }
 
-// refusalHold is how long a target that has just refused a call gets no others. Where the
-// reason is its rate limit, the time doubles with each refusal and halves with each
-// success, so that the nodes that call the target share its limit.
-func (endpoint *endpoint) refusalHold(now time.Time, usual time.Duration) time.Duration {
-	if endpoint.rateWait == 0 {
+// paceByRate holds calls back from a target with a rate limit after a success, for a time
+// that shrinks with each.
+func (endpoint *endpoint) paceByRate(now time.Time, answer Answer, priority request.Priority) {
+	if !answer.RateLimited {
+		endpoint.rateHold = 0
+		return
+	}
+	endpoint.rateHold = time.Duration(float64(endpoint.rateHold) * rateHoldDecrease)
+	if endpoint.rateHold > 0 && !now.Before(endpoint.refusedUntil) {
+		endpoint.recordRefusal(now.Add(endpoint.rateHold), now, priority)
+	}
+}
+
+// refusalHold is how long a target that has just refused a call gets no others. Under a
+// rate limit the time doubles with each refusal and shrinks with each success, so that the
+// nodes that call the target share its limit.
+func (endpoint *endpoint) refusalHold(now time.Time, answer Answer, usual time.Duration) time.Duration {
+	if !answer.RateLimited {
 		return usual
 	}
 	if now.Before(endpoint.refusedUntil) {
 		// The call was sent before the last refusal arrived.
 		return max(endpoint.rateHold, usual)
 	}
-	endpoint.rateHold = min(max(2*endpoint.rateHold, endpoint.rateWait, usual), maxRateHold)
+	endpoint.rateHold = min(max(2*endpoint.rateHold, answer.RateWait, usual), maxRateHold)
 	return endpoint.rateHold
 }
 
--- a/internal/core/balancer/target.go
+++ b/internal/core/balancer/target.go
@@ -106,8 +106,10 @@
 	Load Load
 	// ProcessorLag is how long work waits for the processor at the target's node.
 	ProcessorLag time.Duration
-	// RateWait is how long one more call would wait for the target's rate limit.
-	RateWait time.Duration
+	// RateLimited says that the target states a rate limit, and RateWait how long one
+	// more call would wait for it.
+	RateLimited bool
+	RateWait    time.Duration
 	// Bytes is the number of bytes of the call in both directions.
 	Bytes int64
 }
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -460,6 +460,7 @@
 			answer.Load = balancer.Load(report.GetLoad()) / loadUnit
 			answer.OwnTime = time.Duration(report.GetOwnUs()) * time.Microsecond
 			answer.ProcessorLag = time.Duration(report.GetLagUs()) * time.Microsecond
+			answer.RateLimited = report.GetTarget().GetLimited()
 			answer.RateWait = time.Duration(report.GetRateWaitUs()) * time.Microsecond
 		}
 	}
