Show in metrics and in magnolia status which targets are limited or leaving

Operators could see a limit only in the log of the node beside the target. Renewals now carry it while it is stated, replicas pass it on with their summaries, and magnolia status names the target, its limit, how old that is and how many calls were refused by it. Metrics: target_rate_limit (+Inf without one), target_rate_limit_age_seconds, target_leaving.

--- a/internal/adapter/operator/messages.go
+++ b/internal/adapter/operator/messages.go
@@ -187,6 +187,21 @@
 	Silent []request.NodeID `json:"silent"`
 	// Reached reports whether the replica of the domain answers.
 	Reached bool `json:"reached"`
+	// Restricted lists the targets that state a rate limit, or that they are leaving.
+	Restricted []RestrictedRow `json:"restricted,omitempty"`
+}
+
+// RestrictedRow describes a target that states in its answers that it takes only so many
+// calls per second, or that it is leaving.
+type RestrictedRow struct {
+	Node    request.NodeID `json:"node"`
+	Leaving bool           `json:"leaving"`
+	Limited bool           `json:"limited"`
+	Limit   request.Rate   `json:"limit"`
+	// AgeSeconds is the time since the target last stated the limit.
+	AgeSeconds float64 `json:"age-seconds"`
+	// Refused is the number of calls refused by the limit since the node started.
+	Refused uint64 `json:"refused"`
 }
 
 // Status summarizes the whole system.
--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -47,6 +47,8 @@
 	events   Events
 	// links meters traffic between regions; nil disables metering.
 	links *balancer.Links
+	// restrictedTarget returns the restriction of the node's target; it may be nil.
+	restrictedTarget func(now time.Time) *distribution.RestrictedTarget
 	// replicas is updated with the replica addresses that the replica sends.
 	replicas *peer.Directory
 
@@ -312,9 +314,18 @@
 		Version:       uint64(held.Number),
 		VersionDigest: uint64(held.Digest),
 		Flows:         encodeFlows(agent.links.Flows(now, agent.self.Place.Region)),
+		Restricted:    encodeRestricted(agent.restricted(now)),
 	}
 }
 
+// restricted returns the restriction of the node's target, or nil.
+func (agent *agent) restricted(now time.Time) *distribution.RestrictedTarget {
+	if agent.restrictedTarget == nil {
+		return nil
+	}
+	return agent.restrictedTarget(now)
+}
+
 func choiceTargets(records []membership.Record) []balancer.Target {
 	targets := make([]balancer.Target, 0, len(records))
 	for _, record := range records {
--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -76,6 +76,9 @@
 	Events   Events
 	// Links meters what the node sends to other regions; nil disables metering.
 	Links *balancer.Links
+	// RestrictedTarget returns the restriction that the node's target states, or nil. It
+	// may itself be nil.
+	RestrictedTarget func(now time.Time) *distribution.RestrictedTarget
 	// NearestRetryInterval is the mean interval at which a node connected to another
 	// replica tries the nearest one again. Each wait is drawn uniformly between half
 	// and one and a half times the interval.
@@ -117,7 +120,7 @@
 	if client.NearestRetryInterval == 0 {
 		client.NearestRetryInterval = DefaultNearestRetryInterval
 	}
-	client.agent = agent{self: client.Self, replicas: client.Replicas, view: &membership.View{Services: client.Services}, follower: client.Follower, events: client.Events, links: client.Links}
+	client.agent = agent{self: client.Self, replicas: client.Replicas, view: &membership.View{Services: client.Services}, follower: client.Follower, events: client.Events, links: client.Links, restrictedTarget: client.RestrictedTarget}
 	client.connect(ctx, client.Clock())
 	err := client.loop.run(ctx, client.Clock, ticks, func(now time.Time) { client.tick(ctx, now) })
 	if client.stream.writer != nil {
--- a/internal/adapter/registry/hub.go
+++ b/internal/adapter/registry/hub.go
@@ -161,6 +161,7 @@
 		Digest: distribution.Digest(renewal.GetVersionDigest()),
 	}
 	hub.tracker.Report(now, from.node, from.place.Domain, from.held.Number)
+	hub.tracker.ReportTarget(from.node, decodeRestricted(renewal.GetRestricted()))
 	hub.usage.Report(now, from.node, decodeFlows(renewal.GetFlows()))
 	hub.sendFlows(now, from)
 	if from.held != from.offered {
--- a/internal/adapter/registry/status_codec.go
+++ b/internal/adapter/registry/status_codec.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"time"
+
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/core/balancer"
 	"github.com/magnoliawall/magnoliawall/internal/core/distribution"
@@ -88,11 +90,42 @@
 		for _, node := range domain.Silent {
 			message.Silent = append(message.Silent, string(node))
 		}
+		for _, restricted := range domain.Restricted {
+			message.Restricted = append(message.Restricted, encodeRestricted(&restricted))
+		}
 		encoded = append(encoded, message)
 	}
 	return encoded
 }
 
+func encodeRestricted(target *distribution.RestrictedTarget) *pb.RestrictedTarget {
+	if target == nil {
+		return nil
+	}
+	return &pb.RestrictedTarget{
+		Node:    string(target.Node),
+		Leaving: target.Leaving,
+		Limited: target.Limited,
+		Limit:   float64(target.Limit),
+		AgeMs:   uint64(target.Age.Milliseconds()),
+		Refused: target.Refused,
+	}
+}
+
+func decodeRestricted(message *pb.RestrictedTarget) *distribution.RestrictedTarget {
+	if message == nil {
+		return nil
+	}
+	return &distribution.RestrictedTarget{
+		Node:    request.NodeID(message.GetNode()),
+		Leaving: message.GetLeaving(),
+		Limited: message.GetLimited(),
+		Limit:   request.Rate(message.GetLimit()),
+		Age:     time.Duration(message.GetAgeMs()) * time.Millisecond,
+		Refused: message.GetRefused(),
+	}
+}
+
 func decodeDomains(messages []*pb.Domain) []distribution.DomainStatus {
 	var domains []distribution.DomainStatus
 	for _, message := range messages {
@@ -107,6 +140,9 @@
 		for _, node := range message.GetSilent() {
 			domain.Silent = append(domain.Silent, request.NodeID(node))
 		}
+		for _, restricted := range message.GetRestricted() {
+			domain.Restricted = append(domain.Restricted, *decodeRestricted(restricted))
+		}
 		domains = append(domains, domain)
 	}
 	return domains
--- a/internal/core/distribution/distribution_test.go
+++ b/internal/core/distribution/distribution_test.go
@@ -237,3 +237,24 @@
 		{Domain: "norte-1", Nodes: 1, Versions: []distribution.VersionCount{{Number: 7, Nodes: 1}}},
 	}))
 }
+
+// The restriction of a target reaches the status of another replica, and ends with the
+// report that no longer has it.
+func TestStatusListsRestrictedTargets(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	here, there := &distribution.Tracker{}, &distribution.Tracker{}
+	limited := distribution.RestrictedTarget{Limited: true, Limit: 7.4, Refused: 3}
+	there.Report(start, "c", "sur-1", 7)
+	there.ReportTarget("c", &limited)
+	here.Report(start, "a", "norte-1", 7)
+	here.ReportTarget("a", &distribution.RestrictedTarget{Leaving: true})
+	here.ReportTarget("unknown", &distribution.RestrictedTarget{Leaving: true})
+	here.Merge(start, "replica-2", there.Summary(start))
+	status := here.Status(start)
+	expect(status).To(gomega.HaveLen(2))
+	expect(status[0].Restricted).To(gomega.Equal([]distribution.RestrictedTarget{{Node: "a", Leaving: true}}))
+	expect(status[1].Restricted).To(gomega.Equal([]distribution.RestrictedTarget{{Node: "c", Limited: true, Limit: 7.4, Refused: 3}}))
+	here.Report(start, "a", "norte-1", 7)
+	here.ReportTarget("a", nil)
+	expect(here.Status(start)[0].Restricted).To(gomega.BeEmpty())
+}
--- a/internal/core/distribution/tracker.go
+++ b/internal/core/distribution/tracker.go
@@ -33,6 +33,21 @@
 	domain  request.DomainName
 	number  configuration.Version
 	heardAt time.Time
+	// restricted is the restriction of the node's target, or nil.
+	restricted *RestrictedTarget
+}
+
+// RestrictedTarget is a target that states in its answers that it takes only so many calls
+// per second, or that it is leaving.
+type RestrictedTarget struct {
+	Node    request.NodeID
+	Leaving bool
+	Limited bool
+	Limit   request.Rate
+	// Age is the time since the target last stated the limit.
+	Age time.Duration
+	// Refused is the number of calls refused by the limit since the node started.
+	Refused uint64
 }
 
 type replicaSummary struct {
@@ -52,6 +67,8 @@
 	// OutOfReach says that the status is outdated, because the replica that
 	// reported it is silent.
 	OutOfReach bool
+	// Restricted lists the targets of these nodes that are restricted, by node.
+	Restricted []RestrictedTarget
 }
 
 // VersionCount is the number of nodes that have one version in force.
@@ -68,6 +85,20 @@
 	tracker.nodes[node] = nodeReport{domain: domain, number: number, heardAt: now}
 }
 
+// ReportTarget records the restriction of the target of a node that has just reported its
+// version; nil is none.
+func (tracker *Tracker) ReportTarget(node request.NodeID, restricted *RestrictedTarget) {
+	report, known := tracker.nodes[node]
+	if !known {
+		return
+	}
+	if restricted != nil {
+		restricted.Node = node
+	}
+	report.restricted = restricted
+	tracker.nodes[node] = report
+}
+
 // Remove removes a node that was shut down.
 func (tracker *Tracker) Remove(node request.NodeID) {
 	delete(tracker.nodes, node)
@@ -109,6 +140,9 @@
 			continue
 		}
 		status.addCount(VersionCount{Number: report.number, Nodes: 1})
+		if report.restricted != nil {
+			status.Restricted = append(status.Restricted, *report.restricted)
+		}
 	}
 	return sortedStatuses(domains)
 }
@@ -163,6 +197,7 @@
 			status.addCount(count)
 		}
 		status.Silent = append(status.Silent, other.Silent...)
+		status.Restricted = append(status.Restricted, other.Restricted...)
 		status.OutOfReach = status.OutOfReach || outOfReach
 	}
 }
@@ -192,6 +227,7 @@
 	for _, status := range domains {
 		slices.SortFunc(status.Versions, func(left, right VersionCount) int { return cmp.Compare(left.Number, right.Number) })
 		slices.Sort(status.Silent)
+		slices.SortFunc(status.Restricted, func(left, right RestrictedTarget) int { return cmp.Compare(left.Node, right.Node) })
 		statuses = append(statuses, *status)
 	}
 	slices.SortFunc(statuses, func(left, right DomainStatus) int { return cmp.Compare(left.Domain, right.Domain) })
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -74,6 +74,12 @@
 
 func domainRow(domain distribution.DomainStatus, latest configuration.Version) operator.DomainRow {
 	row := operator.DomainRow{Domain: domain.Domain, Nodes: domain.Nodes, Silent: domain.Silent, Reached: !domain.OutOfReach}
+	for _, target := range domain.Restricted {
+		row.Restricted = append(row.Restricted, operator.RestrictedRow{
+			Node: target.Node, Leaving: target.Leaving, Limited: target.Limited, Limit: target.Limit,
+			AgeSeconds: target.Age.Seconds(), Refused: target.Refused,
+		})
+	}
 	for _, count := range domain.Versions {
 		if row.Oldest == 0 {
 			row.Oldest = count.Number
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,6 +158,7 @@
 	node.lagMonitor.Interval = gateTickInterval
 	node.counters.set.NewGauge("magnoliawall_processor_lag_seconds", func() float64 { return node.lagMonitor.Lag(time.Now()).Seconds() })
 	node.admissionControl = newAdmissionControl(node.slots())
+	node.addTargetGauges()
 	// A target that announces itself also states for how long it is slow after its
 	// start. That is a matter of time, which fewer concurrent calls would not shorten.
 	node.admissionControl.gate.Warm = node.TargetAnnouncesItself
--- a/internal/node/target_status.go
+++ b/internal/node/target_status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/core/admission"
+	"github.com/magnoliawall/magnoliawall/internal/core/distribution"
 	"github.com/magnoliawall/magnoliawall/internal/core/presence"
 	"github.com/magnoliawall/magnoliawall/internal/decision"
 	"github.com/magnoliawall/magnoliawall/internal/request"
@@ -109,6 +111,39 @@
 	}
 }
 
+// RestrictedTarget returns the restriction that the local target states, or nil.
+func (node *Node) RestrictedTarget(now time.Time) *distribution.RestrictedTarget {
+	local, rate := node.LocalTarget(), node.admissionControl.state(now, "").rate
+	if !rate.Limited && !local.Leaving {
+		return nil
+	}
+	return &distribution.RestrictedTarget{
+		Leaving: local.Leaving,
+		Limited: rate.Limited,
+		Limit:   rate.Limit,
+		Age:     rate.Age,
+		Refused: node.counters.targetRefusals[request.RateLimited].Get(),
+	}
+}
+
+// addTargetGauges adds the metrics of what the local target states about itself.
+func (node *Node) addTargetGauges() {
+	rate := func() admission.RateState { return node.admissionControl.state(time.Now(), "").rate }
+	node.counters.set.NewGauge("magnoliawall_target_rate_limit", func() float64 {
+		if state := rate(); state.Limited {
+			return float64(state.Limit)
+		}
+		return math.Inf(1)
+	})
+	node.counters.set.NewGauge("magnoliawall_target_rate_limit_age_seconds", func() float64 { return rate().Age.Seconds() })
+	node.counters.set.NewGauge("magnoliawall_target_leaving", func() float64 {
+		if node.LocalTarget().Leaving {
+			return 1
+		}
+		return 0
+	})
+}
+
 // countSent counts a call to the target. While the target states a rate limit, it logs
 // the number of calls in each second.
 func (node *Node) countSent(now time.Time, local LocalTarget) {
--- a/magnolia/internal/command/status/status.go
+++ b/magnolia/internal/command/status/status.go
@@ -69,9 +69,21 @@
 	if len(domain.Silent) > 0 {
 		text += fmt.Sprintf(", silent: %v", domain.Silent)
 	}
+	for _, target := range domain.Restricted {
+		text += ", " + describeRestricted(target)
+	}
 	return text + choose(domain.Reached, "", ", out of reach: this is old")
 }
 
+// describeRestricted summarizes what a target states about itself.
+func describeRestricted(target operator.RestrictedRow) string {
+	text := string(target.Node)
+	if target.Limited {
+		text += fmt.Sprintf(" limited to %.3g/s (stated %.1f s ago, %d calls refused)", float64(target.Limit), target.AgeSeconds, target.Refused)
+	}
+	return text + choose(target.Leaving, " leaving", "")
+}
+
 func choose(flag bool, yes, no string) string {
 	if flag {
 		return yes
