End the leaving of a target that does not announce itself with its run

Where targets do not announce themselves, a target that said that it is leaving and was back within 200 ms never got a call again: only a refused connection was taken for its end, and callers' nodes gave the old status back for the new run, as neither has a name. The node now keeps a connection to the target that carries no call, whose end is the end of the run, and does not take over from callers' nodes that a run without a name is leaving.

--- a/internal/host/dataplane.go
+++ b/internal/host/dataplane.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -36,12 +38,11 @@
 	guard          *quarantine.Guard
 	registryClient *registry.Client
 	versions       chan configuration.Version
+	// background ends when the process stops, after the node has drained.
+	background context.Context
 	// targetDown is set when the target died, and cleared when it accepts
 	// connections again.
-	targetDown atomic.Bool
-	// targetLeaving is set when the target said that it is leaving, and cleared when it
-	// has gone. It is not used where targets announce themselves.
-	targetLeaving   atomic.Bool
+	targetDown      atomic.Bool
 	announcedTarget *announcedTarget
 	connections     connectionPool
 }
@@ -52,7 +53,7 @@
 	if host.Settings.Service == "" {
 		return nil
 	}
-	plane := &dataPlane{host: host, versions: make(chan configuration.Version, 1)}
+	plane := &dataPlane{host: host, background: background, versions: make(chan configuration.Version, 1)}
 	plane.announcedTarget = &announcedTarget{plane: plane, presence: presence.Presence{StartedAt: host.startedAt}}
 	plane.build()
 	host.dataPlane = plane
@@ -280,7 +281,22 @@
 	if err := plane.registryClient.SetState(ctx, membership.Down); err != nil {
 		plane.logProblem("that the target is leaving was not sent to a replica", err)
 	}
-	plane.targetLeaving.Store(true)
+	plane.awaitTargetEnd()
+	plane.node.ForgetLocalTarget()
+	plane.targetDown.Store(true)
+}
+
+// awaitTargetEnd waits until a new connection to the target is refused or closed, which
+// tells the end of its run where targets do not announce themselves.
+func (plane *dataPlane) awaitTargetEnd() {
+	conn, err := net.DialTimeout("tcp", string(plane.host.Settings.Target), reportTimeout)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(plane.background, func() { _ = conn.Close() })
+	defer stop()
+	_, _ = io.Copy(io.Discard, conn)
 }
 
 func (plane *dataPlane) reportTargetDeath(report quarantine.Report) {
--- a/internal/host/maintenance.go
+++ b/internal/host/maintenance.go
@@ -34,11 +34,6 @@
 	if heard := plane.node.NewestPeerVersion(); heard > plane.host.configuration.Current().Version {
 		_ = plane.registryClient.ObserveVersion(ctx, heard)
 	}
-	if plane.targetLeaving.Load() && !acceptsConnections(string(plane.host.Settings.Target)) {
-		plane.targetLeaving.Store(false)
-		plane.node.ForgetLocalTarget()
-		plane.targetDown.Store(true)
-	}
 	if plane.targetDown.Load() && acceptsConnections(string(plane.host.Settings.Target)) {
 		plane.targetDown.Store(false)
 		_ = plane.registryClient.SetState(ctx, membership.Cold)
--- a/internal/host/target_loss_test.go
+++ b/internal/host/target_loss_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"regexp"
+	"slices"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -94,6 +95,25 @@
 	cluster.expectReceivesCalls(dead)
 }
 
+// When a target says in an answer that it is leaving, callers on all hosts stop sending to
+// it, and start again with its next run.
+func TestLeavingTargetReceivesNoCallsUntilItsNextRun(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	cluster := startCluster(t, 1, "norte-a", "norte-a", "norte-b")
+	for _, member := range cluster.members {
+		cluster.expectReceivesCalls(member)
+	}
+	answer := cluster.members[0].call(http.MethodGet, "/visits/leave/checklist", "")
+	g.Expect(answer.status).To(gomega.Equal(http.StatusOK))
+	leaving := cluster.members[slices.IndexFunc(cluster.members, func(member *clusterMember) bool { return member.target.isLeaving() })]
+	_, rest := cluster.others(leaving)
+	g.Eventually(func() bool { return cluster.receivesNoCalls(leaving, rest) }).WithTimeout(testTimeout).Should(gomega.BeTrue())
+	leaving.target.crash()
+	leaving.target.restart(t)
+	cluster.expectReceivesCalls(leaving)
+}
+
 // inboundCallsMetric reads the node's metric of calls from peers.
 func (member *clusterMember) inboundCallsMetric() string {
 	answer, err := http.Get("http://" + string(member.settings.Listen.Admin) + "/metrics")
--- a/internal/host/target_test.go
+++ b/internal/host/target_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 )
 
 // executionLog counts what all targets of a cluster ran, by idempotency key or path,
@@ -41,8 +43,9 @@
 }
 
 // testTarget is a stand-in for a target of the service agenda. It holds a request
-// whose path or key contains "held" until releaseHeld is called, and crashes at a
-// request whose path contains "poison".
+// whose path or key contains "held" until releaseHeld is called, crashes at a request
+// whose path contains "poison", and says in all answers until its next crash that it is
+// leaving after one whose path contains "leave".
 type testTarget struct {
 	address     string
 	executions  *executionLog
@@ -53,6 +56,7 @@
 	lock    sync.Mutex
 	server  *http.Server
 	crashes int
+	leaving bool
 }
 
 func startTestTarget(t *testing.T, executions *executionLog, address string) *testTarget {
@@ -88,6 +92,7 @@
 		_ = target.server.Close()
 		target.server = nil
 		target.crashes++
+		target.leaving = false
 	}
 }
 
@@ -97,6 +102,12 @@
 	return target.crashes
 }
 
+func (target *testTarget) isLeaving() bool {
+	target.lock.Lock()
+	defer target.lock.Unlock()
+	return target.leaving
+}
+
 // ServeHTTP implements [http.Handler].
 func (target *testTarget) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	key := incoming.Header.Get("Idempotency-Key")
@@ -111,5 +122,11 @@
 		target.held <- struct{}{}
 		<-target.release
 	}
+	target.lock.Lock()
+	target.leaving = target.leaving || strings.Contains(incoming.URL.Path, "leave")
+	if target.leaving {
+		writer.Header().Set(web.HeaderLeaving, "1")
+	}
+	target.lock.Unlock()
 	_, _ = writer.Write([]byte("done " + key))
 }
--- a/internal/node/target_status.go
+++ b/internal/node/target_status.go
@@ -87,7 +87,8 @@
 	if known == nil || !node.LocalTarget().sameRun(local) {
 		return
 	}
-	if known.GetLeaving() {
+	// Runs without a name cannot be told apart, and a later one does not leave.
+	if known.GetLeaving() && local.Instance != "" {
 		node.recordLeaving(local, "a caller's node was told so")
 	}
 	if known.GetLimited() && known.GetLimit() >= 0 {
