--- a/internal/node/target_status_test.go
+++ b/internal/node/target_status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -134,3 +135,38 @@
 		})
 	}
 }
+
+// Calls that wait for a slot of a target that stops taking work end at once as not run,
+// and do not reach it when a slot is free.
+func TestQueuedCallsEndWhenTheTargetStopsTakingWork(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	entered, release := make(chan struct{}, 2), make(chan struct{})
+	announced := node.LocalTarget{Instance: "i-1", StartMillis: 1, Service: "agenda", Slots: 1, Serving: true}
+	target := startRoutedHost(t, "one", "agenda", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		entered <- struct{}{}
+		<-release
+	}), func(underTest *node.Node) {
+		underTest.TargetAnnouncesItself = true
+		underTest.SetLocalTarget(announced)
+	})
+	connectHosts(target)
+	statuses := make(chan int, 2)
+	send := func() {
+		answer, _ := sendCall(t, target.callers, "visits.example", http.MethodGet, "/visits/7", nil)
+		statuses <- answer.StatusCode
+	}
+	go send()
+	<-entered
+	go send()
+	expect.Eventually(func() string {
+		metrics := &strings.Builder{}
+		target.node.WriteMetrics(metrics)
+		return metrics.String()
+	}).WithTimeout(testTimeout).Should(gomega.ContainSubstring("magnoliawall_inbound_calls_total 2\n"))
+	announced.Serving = false
+	target.node.SetLocalTarget(announced)
+	expect.Expect(<-statuses).To(gomega.Equal(http.StatusServiceUnavailable))
+	close(release)
+	expect.Expect(<-statuses).To(gomega.Equal(http.StatusOK))
+	expect.Expect(entered).To(gomega.BeEmpty())
+}
