State rate limits in the soak, and check them as the users do

Targets of the soak state 0.5, 2 or 7.4 calls a second for 6 to 14 s while processes are killed, stopped, frozen and cut off, and count what they get in any four seconds. Limits are drawn apart, so that the other faults of a seed stay the same. The test of plans counts them beside the other kinds.

--- a/magnolia-load/internal/mesh/mesh.go
+++ b/magnolia-load/internal/mesh/mesh.go
@@ -76,6 +76,7 @@
 	Records   *target.Records
 
 	targets        map[request.ServiceName][]*target.Target
+	hostTargets    []*target.Target
 	callers        []*load.Caller
 	adminAddresses []string
 	stopNodes      context.CancelFunc
@@ -145,6 +146,9 @@
 // Targets returns the targets of a service.
 func (mesh *Mesh) Targets(service request.ServiceName) []*target.Target { return mesh.targets[service] }
 
+// HostTargets returns the target of each host, in the order in which hosts were added.
+func (mesh *Mesh) HostTargets() []*target.Target { return mesh.hostTargets }
+
 // SetSlowdown multiplies the service times of a service by a factor.
 func (mesh *Mesh) SetSlowdown(service request.ServiceName, factor float64) {
 	for _, instance := range mesh.targets[service] {
@@ -178,6 +182,7 @@
 		Seed:            mesh.Seed + uint64(len(mesh.callers)),
 	}
 	mesh.targets[service.Name] = append(mesh.targets[service.Name], instance)
+	mesh.hostTargets = append(mesh.hostTargets, instance)
 	mesh.targetGroup.Go(func() error { return instance.Run(ctx) })
 	caller := &load.Caller{EntryAddress: endpoints.Callers, Dial: topology.CallerDialer()}
 	caller.Start()
--- a/magnolia-load/internal/soak/plan.go
+++ b/magnolia-load/internal/soak/plan.go
@@ -49,6 +49,8 @@
 	// writing towards it.
 	FaultReset     FaultKind = "reset"
 	FaultHalfClose FaultKind = "half-close"
+	// FaultLimit makes the target of a host state a rate limit in its answers.
+	FaultLimit FaultKind = "limit"
 )
 
 // Parameters of plans and of the time after the last fault.
@@ -58,6 +60,11 @@
 	meanFaultInterval = 1500 * time.Millisecond
 	minFaultDuration  = 100 * time.Millisecond
 	maxFaultDuration  = 4 * time.Second
+	// meanLimitInterval is the mean time between two rate limits, which last long enough
+	// for several windows of arrivals.
+	meanLimitInterval = 4 * time.Second
+	minLimitDuration  = 6 * time.Second
+	maxLimitDuration  = 14 * time.Second
 	// recoveryTimeout is how long the site may take to serve again after the last
 	// fault, the users' recovery-s. After it, the requests of checkDuration are
 	// checked.
@@ -101,10 +108,23 @@
 		fault.Duration = min(fault.Duration, end-at)
 		plan = append(plan, fault)
 	}
+	plan = append(plan, limitFaults(seed, end, hosts)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
+// limitFaults returns the rate limits of a plan. They are drawn apart, so that the other
+// faults of a seed stay the same.
+func limitFaults(seed uint64, end time.Duration, hosts int) []Fault {
+	random := rand.New(rand.NewPCG(seed, 18))
+	var faults []Fault
+	for at := minFaultDuration; at < end; at += time.Duration((0.2 + 1.6*random.Float64()) * float64(meanLimitInterval)) {
+		duration := minLimitDuration + time.Duration(random.Int64N(int64(maxLimitDuration-minLimitDuration)))
+		faults = append(faults, Fault{At: at, Kind: FaultLimit, Host: random.IntN(hosts), Duration: min(duration, end-at)})
+	}
+	return faults
+}
+
 // kindWeights are the relative frequencies of the kinds.
 var kindWeights = []struct {
 	kind   FaultKind
--- a/magnolia-load/internal/soak/promises.go
+++ b/magnolia-load/internal/soak/promises.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/load"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/target"
@@ -16,6 +17,12 @@
 	// maxMemoryBytes and maxOpenFiles bound a process that has served a small load.
 	maxMemoryBytes = 400 << 20
 	maxOpenFiles   = 2000
+	// In any rateWindow, from rateGracePeriod after a target first stated its rate limit, it
+	// gets at most maxRateFactor times what the limit allows and maxRateExcess calls more.
+	rateWindow      = 4 * time.Second
+	rateGracePeriod = 3 * time.Second
+	maxRateFactor   = 1.5
+	maxRateExcess   = 5
 )
 
 // observations are what callers, targets, operators and the system's process list
@@ -35,6 +42,8 @@
 	unexpectedExits []string
 	overdueStops    []string
 	resourceUses    []resourceUse
+	// limitedPeriods are the times in which targets stated a rate limit.
+	limitedPeriods []target.LimitedPeriod
 	// recoverySpan is the span in which the site must serve again.
 	recoverySpan load.Span
 }
@@ -58,7 +67,7 @@
 
 // brokenPromises describes the promises that were not kept.
 func (observed observations) brokenPromises() []string {
-	return slices.Concat(observed.checkAnswers(), observed.checkAtMostOnce(), observed.checkChanges(), observed.checkProcesses(), observed.checkRecovery())
+	return slices.Concat(observed.checkAnswers(), observed.checkAtMostOnce(), observed.checkChanges(), observed.checkProcesses(), observed.checkRates(), observed.checkRecovery())
 }
 
 // checkAnswers checks that each success response is complete and for the caller's
@@ -145,6 +154,33 @@
 	return broken
 }
 
+// checkRates checks that targets got no more calls than the rate limits that they stated.
+func (observed observations) checkRates() []string {
+	var broken []string
+	for _, period := range observed.limitedPeriods {
+		allowed := maxRateFactor*float64(period.Limit)*rateWindow.Seconds() + maxRateExcess
+		if most := mostArrivals(period); float64(most) > allowed {
+			broken = append(broken, fmt.Sprintf("rate limit: a target that stated %g calls a second got %d in %s, allowed %g", float64(period.Limit), most, rateWindow, allowed))
+		}
+	}
+	return broken
+}
+
+// mostArrivals returns the largest number of arrivals in any rateWindow after the grace
+// period.
+func mostArrivals(period target.LimitedPeriod) int {
+	most, first := 0, 0
+	for last, at := range period.Arrivals {
+		for first < last && (at.Sub(period.Arrivals[first]) >= rateWindow || period.Arrivals[first].Sub(period.Since) < rateGracePeriod) {
+			first++
+		}
+		if at.Sub(period.Since) >= rateGracePeriod {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
+
 // checkRecovery checks that nearly all requests succeed after the last fault.
 func (observed observations) checkRecovery() []string {
 	if share := observed.succeededShare(observed.recoverySpan); share < minRecoveredShare {
--- a/magnolia-load/internal/soak/promises_test.go
+++ b/magnolia-load/internal/soak/promises_test.go
@@ -37,6 +37,15 @@
 		"whole answers": func(observed *observations) {
 			observed.samples[0].Attempts = append([]load.Attempt{{Result: load.ResultWrong}}, observed.samples[0].Attempts...)
 		},
+		"rate limit": func(observed *observations) {
+			since := time.Unix(1_000, 0)
+			period := target.LimitedPeriod{Limit: 1, Since: since}
+			for call := range 12 {
+				// Eleven calls in four seconds are allowed.
+				period.Arrivals = append(period.Arrivals, since.Add(rateGracePeriod+time.Duration(call)*rateWindow/12))
+			}
+			observed.limitedPeriods = []target.LimitedPeriod{period}
+		},
 		"at most once": func(observed *observations) {
 			observed.records.RecordRun(target.Action{Kind: bookKind.Name, Key: "one"})
 		},
@@ -95,5 +104,5 @@
 		}
 		expect(lost).To(gomega.BeNumerically("<=", 1), "three replicas survive the loss of one disk")
 	}
-	expect(kinds).To(gomega.HaveLen(len(kindWeights)), "every kind of fault is drawn")
+	expect(kinds).To(gomega.HaveLen(len(kindWeights)+1), "every kind of fault is drawn, and rate limits")
 }
--- a/magnolia-load/internal/soak/run.go
+++ b/magnolia-load/internal/soak/run.go
@@ -18,6 +18,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/magnoliawall/magnoliawall/internal/request"
 	"github.com/magnoliawall/magnoliawall/internal/wait"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/link"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/load"
@@ -159,6 +160,9 @@
 		recoverySpan: recoverySpan,
 	}
 	observed.changes, observed.versionRegressions, observed.overdueStops = execution.sender.changes, execution.versionRegressions, execution.overdueStops
+	for _, limited := range execution.mesh.HostTargets() {
+		observed.limitedPeriods = append(observed.limitedPeriods, limited.LimitedPeriods()...)
+	}
 	for _, host := range hosts {
 		observed.unexpectedExits = append(observed.unexpectedExits, host.UnexpectedExits()...)
 	}
@@ -204,6 +208,11 @@
 		host.Signal(syscall.SIGSTOP)
 		wait.For(ctx, fault.Duration)
 		host.Signal(syscall.SIGCONT)
+	case FaultLimit:
+		limited := execution.mesh.HostTargets()[fault.Host]
+		limited.StateRateLimit(rateLimits[fault.Host%len(rateLimits)])
+		wait.For(ctx, fault.Duration)
+		limited.EndRateLimit()
 	case FaultReload:
 		host.Signal(syscall.SIGHUP)
 	case FaultCutTo, FaultCutFrom, FaultSilence, FaultSlowLink, FaultReset, FaultHalfClose:
@@ -220,6 +229,9 @@
 	}
 }
 
+// rateLimits are the limits that targets state, in calls per second.
+var rateLimits = []request.Rate{0.5, 2, 7.4}
+
 // slowLinkDelay is the delay that a slow link adds: several times the round trip
 // between the regions that are farthest apart, and less than the timeout after
 // which a peer is considered down.
--- a/magnolia-load/internal/target/target.go
+++ b/magnolia-load/internal/target/target.go
@@ -100,6 +100,7 @@
 	crashes           atomic.Int64
 	slowdown          atomic.Uint64
 	startedAtUnixNano atomic.Int64
+	rate              rateLimit
 
 	mu     sync.Mutex
 	random *rand.Rand
