Raise a target's rate limit by steps when its answers no longer state it

One answer without the limit ended it, and let all waiting calls through at once. A target that fails part of its calls may leave the limit out of such an answer. An answer without it now raises the limit fourfold, and the fourth in a row ends it; one that states it puts it in force again at once.

--- a/internal/core/admission/rate_limiter.go
+++ b/internal/core/admission/rate_limiter.go
@@ -13,6 +13,11 @@
 	// maxRateInterval is the longest time between two calls to a target with a rate
 	// limit, however low: only the answer to a call can end the limit.
 	maxRateInterval = 5 * time.Second
+	// A limit that the target no longer states is raised by rateRaiseFactor with each
+	// answer, and ends with the answer after maxRateRaises of them: an answer may lack the
+	// limit for another reason than its end.
+	rateRaiseFactor = 4
+	maxRateRaises   = 3
 )
 
 // RateStatement is what one answer of a target says about the rate of calls that it
@@ -45,25 +50,32 @@
 	limit      request.Rate
 	tokens     float64
 	refilledAt time.Time
-	// statedAt is when the last answer arrived that stated the limit in force.
+	// statedAt is when the last answer arrived that stated the limit in force, or raised it.
 	statedAt time.Time
-	heard    bool
+	// raises counts the answers without a limit since then.
+	raises int
+	heard  bool
 }
 
 // record applies the statement in an answer. Answers to concurrent calls may arrive in
 // another order than the target made them in. So a lower limit applies at once, while a
-// higher one, or none, applies only if the call was handed over after the limit in force
-// had been stated.
+// higher one, or none, applies only if the call was handed over after the answer that
+// changed the limit last had arrived.
 func (limiter *rateLimiter) record(now time.Time, stated RateStatement) {
 	limiter.heard = true
 	if limiter.limited && !stated.HandedAt.After(limiter.statedAt) && (!stated.Limited || stated.Limit > limiter.limit) {
 		return
 	}
-	if !stated.Limited {
-		limiter.limited = false
-		return
+	switch {
+	case stated.Limited:
+		limiter.raises = 0
+		limiter.apply(now, stated.Limit)
+	case limiter.limited && limiter.raises < maxRateRaises:
+		limiter.raises++
+		limiter.apply(now, request.Rate(limiter.perSecond()*rateRaiseFactor))
+	default:
+		limiter.limited, limiter.raises = false, 0
 	}
-	limiter.apply(now, stated.Limit)
 }
 
 // apply puts a limit in force.
--- a/internal/node/target_run_test.go
+++ b/internal/node/target_run_test.go
@@ -32,7 +32,8 @@
 		{"another instance answers", current, []web.TargetStatus{{OtherInstance: true, Leaving: true, Limited: true}}, false, true},
 		{"another instance is named", current, []web.TargetStatus{{Instance: "i-2", Leaving: true, Limited: true}}, false, true},
 		{"unreadable after a limit", current, []web.TargetStatus{limited, {Unreadable: "few"}}, true, true},
-		{"limit that ended", current, []web.TargetStatus{limited, {}}, false, true},
+		{"an answer without the limit", current, []web.TargetStatus{limited, {}}, true, true},
+		{"limit that ended", current, []web.TargetStatus{limited, {}, {}, {}, {}}, false, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
