Give up a call at once when all targets refuse it by their rate limits

A call that the only targets in reach refused by their rates was offered to them again as a retry, and spent the retry budget on offers that could not be taken. It now ends with the wait for the limit as Retry-After.

Test: TestCallLimitedEverywhereEndsAtOnce; a case of the retry policy.

--- a/internal/core/retry/policy_test.go
+++ b/internal/core/retry/policy_test.go
@@ -41,6 +41,7 @@
 		{"downstream service overloaded", func(a *retry.Attempt) { a.Code = request.OverloadedBelow }, &retry.Account{Remaining: 1}, &retry.Budget{}, retry.NoHelpElsewhere},
 		{"deadline too close", func(a *retry.Attempt) { a.Deadline = epoch }, &retry.Account{Remaining: 1}, &retry.Budget{}, retry.DeadlineTooClose},
 		{"kind limit", func(a *retry.Attempt) { a.UsedRetries = 2 }, &retry.Account{Remaining: 1}, &retry.Budget{}, retry.KindLimit},
+		{"no alternative", func(a *retry.Attempt) { a.NoAlternative = true }, &retry.Account{Remaining: 1}, &retry.Budget{}, retry.NoHelpElsewhere},
 		{"body lost", func(a *retry.Attempt) { a.BodyLost = true }, &retry.Account{Remaining: 1}, &retry.Budget{}, retry.BodyLost},
 		{"quarantined", func(a *retry.Attempt) { a.Code = request.Quarantined }, &retry.Account{Remaining: 1}, &retry.Budget{}, retry.Quarantined},
 	}
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -66,6 +66,8 @@
 	SpentBelow float64
 	// BodyLost means that the request body is no longer available.
 	BodyLost bool
+	// NoAlternative means that no other target would take the call.
+	NoAlternative bool
 	// MinDuration is the least time that another attempt takes.
 	MinDuration time.Duration
 	Deadline    time.Time
@@ -125,7 +127,7 @@
 		return Quarantined
 	case attempt.RepeatRule == request.Once && outcome != request.NotRun:
 		return MayHaveRun
-	case !row.RetryElsewhere:
+	case !row.RetryElsewhere, attempt.NoAlternative:
 		return NoHelpElsewhere
 	case attempt.BodyLost:
 		return BodyLost
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -91,13 +91,18 @@
 	if !outbound.kind.Routed || refusal.SentToTarget || refusal.Outcome != request.NotRun || outbound.moves >= maxMoves {
 		return false
 	}
-	if refusal.Code == request.RateLimited && !attempt.choice.HasAlternative {
-		// All targets are limited, and the others would refuse the call as well.
+	if outbound.limitedEverywhere(attempt) {
 		return false
 	}
 	return attempt.choice.Picked() && request.Describe(refusal.Code).RetryElsewhere && !outbound.body.cannotResend()
 }
 
+// limitedEverywhere reports whether a target refused the call by its rate limit and the
+// others would do so as well.
+func (outbound *outboundCall) limitedEverywhere(attempt *attempt) bool {
+	return outbound.kind.Routed && attempt.refusal.Code == request.RateLimited && !attempt.choice.HasAlternative
+}
+
 // tryTargets sends the call to one target after another until one answers or no retry
 // is allowed.
 func (node *Node) tryTargets(ctx context.Context, outbound *outboundCall) *attempt {
@@ -122,7 +127,7 @@
 			tried = append(tried, attempt.choice.Target.Node)
 			continue
 		}
-		decision := node.mayRetry(outbound, attempt.refusal, retriesUsed)
+		decision := node.mayRetry(outbound, attempt, retriesUsed)
 		increment(node.counters.retryDecisions, decision.Reason)
 		node.logRetry(outbound, attempt, retriesUsed, decision)
 		if decision.Reason != retry.Allowed || !wait.For(ctx, decision.Backoff) {
@@ -151,7 +156,7 @@
 	outbound.serviceRetries.noteCall(now)
 }
 
-func (node *Node) mayRetry(outbound *outboundCall, refusal *web.Refusal, retriesUsed int) retry.Decision {
+func (node *Node) mayRetry(outbound *outboundCall, attempt *attempt, retriesUsed int) retry.Decision {
 	outbound.serviceRetries.lock.Lock()
 	defer outbound.serviceRetries.lock.Unlock()
 	outbound.root.lock.Lock()
@@ -162,11 +167,13 @@
 		MaxRetries:  outbound.maxRetries(),
 		UsedRetries: retriesUsed,
 		Important:   outbound.kind.Routed || outbound.work.Priority.Importance() >= node.Configuration.Current().UpperHalf,
-		Code:        refusal.Code,
-		Outcome:     refusal.Outcome,
+		Code:        attempt.refusal.Code,
+		Outcome:     attempt.refusal.Outcome,
 		BodyLost:    outbound.body.cannotResend(),
 		SpentBelow:  outbound.serviceRetries.currentSpentBelow(now),
 		Deadline:    outbound.work.Deadline,
+
+		NoAlternative: outbound.limitedEverywhere(attempt),
 	}, &outbound.root.allowance, &outbound.serviceRetries.budget)
 }
 
--- a/internal/node/target_status_test.go
+++ b/internal/node/target_status_test.go
@@ -170,3 +170,25 @@
 	expect.Expect(<-statuses).To(gomega.Equal(http.StatusOK))
 	expect.Expect(entered).To(gomega.BeEmpty())
 }
+
+// A call that the only target refuses by its rate limit ends at once, without a retry,
+// with a Retry-After that is the wait for the limit.
+func TestCallLimitedEverywhereEndsAtOnce(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	one := startRoutedHost(t, "one", "agenda", reportingTarget(web.HeaderRateLimit, "0"))
+	two := startRoutedHost(t, "two", "subsidios", http.NotFoundHandler())
+	connectHosts(one, two)
+	_, _ = sendCall(t, two.callers, "visits.example", http.MethodGet, "/visits/7", nil)
+	// Health checks count as calls, at one in five seconds.
+	for range 20 {
+		expect(one.node.CheckTarget("", "/health", testTimeout)).To(gomega.Succeed())
+	}
+	answer, body := sendCall(t, two.callers, "visits.example", http.MethodGet, "/visits/8", nil, web.HeaderDeadline, "1s")
+	expect(answer.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	expect(string(body)).To(gomega.ContainSubstring(`"code":2013`))
+	expect(string(body)).To(gomega.ContainSubstring(`"outcome":"not-run"`))
+	expect(answer.Header.Get("Retry-After")).To(gomega.Equal("10"), "the longest that is told")
+	metrics := &strings.Builder{}
+	one.node.WriteMetrics(metrics)
+	expect(metrics.String()).To(gomega.ContainSubstring("magnoliawall_inbound_calls_total 2\n"))
+}
