Keep the rate limit of one target out of the level that callers average

A target with a rate limit and waiting calls reported a high level, which callers average over all targets of its service and then refuse calls by that the other targets have room for. On the product's own interface only; routed calls go by no level. The level goes by the slots again.

Script rate-limit.txt: level 107 before, 0 after, with 8 of 10 slots free.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -344,10 +344,9 @@
 	}
 	gate.levelAdjustedAt = now
 	excess := gate.queue.size() + gate.running.size() - gate.EffectiveLimit()
-	if gate.rate.limited {
-		excess = max(excess, gate.queue.size()-int(gate.rate.available(now)))
-	}
-	rate := gate.serviceRate(now)
+	// The rate limit of one target does not count: callers average the levels of all
+	// targets of a service, and the others have room.
+	rate := gate.slotRate(now)
 	gate.demand.closeInterval(now, interval, gate.level, rate, excess < 0)
 	if rate <= 0 {
 		return
