Take an empty rate limit for one that cannot be read, and bound the limit in force

A header without a value read as the absence of a limit, and raised the one in force. Limits are bounded, so that their multiples stay finite. Both found by reading.

--- a/internal/adapter/web/target_status.go
+++ b/internal/adapter/web/target_status.go
@@ -22,8 +22,8 @@
 	// states that there is none.
 	Limited bool
 	Limit   request.Rate
-	// Unreadable is a limit that could not be read, or empty. It says nothing about the
-	// limits in other responses.
+	// Unreadable is a limit that could not be read, quoted, or empty. It says nothing about
+	// the limits in other responses.
 	Unreadable string
 	// UnknownHeaders are the headers by which targets report about themselves, as far as
 	// their names tell, and that the dialect does not know.
@@ -51,7 +51,7 @@
 func (status *TargetStatus) addLimit(text string) {
 	limit, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(limit >= 0) || math.IsInf(limit, 0) {
-		status.Unreadable = text
+		status.Unreadable = strconv.Quote(text)
 		return
 	}
 	if !status.Limited || request.Rate(limit) < status.Limit {
--- a/internal/core/admission/rate_limiter.go
+++ b/internal/core/admission/rate_limiter.go
@@ -18,6 +18,8 @@
 	// limit for another reason than its end.
 	rateRaiseFactor = 4
 	maxRateRaises   = 3
+	// maxRate bounds the limit in force, and keeps its multiples finite.
+	maxRate request.Rate = 1e9
 )
 
 // RateStatement is what one answer of a target says about the rate of calls that it
@@ -85,7 +87,7 @@
 	} else {
 		limiter.tokens, limiter.refilledAt = 0, now
 	}
-	limiter.limited, limiter.limit, limiter.statedAt = true, limit, now
+	limiter.limited, limiter.limit, limiter.statedAt = true, min(limit, maxRate), now
 	limiter.tokens = min(limiter.tokens, limiter.burst())
 }
 
--- a/internal/core/balancer/expected_time.go
+++ b/internal/core/balancer/expected_time.go
@@ -65,9 +65,9 @@
 }
 
 // leastExpectedTime returns the eligible target with the least expected time over
-// all tiers, distance penalty included, or nil, and the number of eligible targets. Warming targets get a smaller share
-// of the calls only if warmer ones are eligible: after a restart of the whole site,
-// when all targets are cold, none gets less.
+// all tiers, distance penalty included, or nil, and the number of eligible targets.
+// Warming targets get a smaller share of the calls only if warmer ones are eligible:
+// after a restart of the whole site, when all targets are cold, none gets less.
 func (pool *servicePool) leastExpectedTime(now time.Time, random *rand.Rand, call *Call, eligible eligibility) (best *endpoint, count int) {
 	lowestCost, warmest := 0.0, 0.0
 	bytes := pool.expectedBytes(call)
