--- a/internal/node/target_run_test.go
+++ b/internal/node/target_run_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
 // What a target says of itself holds for the run that says it: not for a later run under
@@ -56,3 +58,16 @@
 		})
 	}
 }
+
+// A call of the local target that the limited targets of a service refuse counts as a
+// shortage of that service: requests that cannot end are then refused where they enter.
+func TestCallsRefusedByRateAreAShortage(t *testing.T) {
+	for _, code := range []request.Code{request.RateLimited, request.Overloaded, request.OK} {
+		node := &Node{Configuration: NewConfigurationHolder(NoConfiguration()), Transport: &peer.Transport{}, Target: &web.TargetClient{}}
+		node.Prepare()
+		outbound := &outboundCall{kind: &configuration.CompiledKind{Name: "history", Routed: true}}
+		node.noteFailure(outbound, web.NewRefusal(code, ""))
+		// A time before the refusal, so that its effect cannot be over.
+		gomega.NewWithT(t).Expect(node.entry.shortage.Active(time.Unix(0, 0))).To(gomega.Equal(code != request.OK), code.String())
+	}
+}
