--- a/magnolia-load/internal/soak/promises.go
+++ b/magnolia-load/internal/soak/promises.go
@@ -167,14 +167,17 @@
 }
 
 // mostArrivals returns the largest number of arrivals in any rateWindow after the grace
-// period.
+// period. It is zero for a limit that no answer stated.
 func mostArrivals(period target.LimitedPeriod) int {
+	if period.StatedAt.IsZero() {
+		return 0
+	}
 	most, first := 0, 0
 	for last, at := range period.Arrivals {
-		for first < last && (at.Sub(period.Arrivals[first]) >= rateWindow || period.Arrivals[first].Sub(period.Since) < rateGracePeriod) {
+		for first < last && (at.Sub(period.Arrivals[first]) >= rateWindow || period.Arrivals[first].Sub(period.StatedAt) < rateGracePeriod) {
 			first++
 		}
-		if at.Sub(period.Since) >= rateGracePeriod {
+		if at.Sub(period.StatedAt) >= rateGracePeriod {
 			most = max(most, last-first+1)
 		}
 	}
--- a/magnolia-load/internal/soak/promises_test.go
+++ b/magnolia-load/internal/soak/promises_test.go
@@ -39,7 +39,7 @@
 		},
 		"rate limit": func(observed *observations) {
 			since := time.Unix(1_000, 0)
-			period := target.LimitedPeriod{Limit: 1, Since: since}
+			period := target.LimitedPeriod{Limit: 1, StatedAt: since}
 			for call := range 12 {
 				// Eleven calls in four seconds are allowed.
 				period.Arrivals = append(period.Arrivals, since.Add(rateGracePeriod+time.Duration(call)*rateWindow/12))
--- a/magnolia-load/internal/target/handler.go
+++ b/magnolia-load/internal/target/handler.go
@@ -72,7 +72,7 @@
 func (target *Target) handle(writer http.ResponseWriter, call *http.Request, behaviour Behaviour) {
 	target.inFlight.Add(1)
 	defer target.inFlight.Add(-1)
-	target.stateLimit(writer)
+	defer target.stateLimit(writer)()
 	if target.draining.Load() {
 		http.Error(writer, "the target is draining", http.StatusServiceUnavailable)
 		return
--- a/magnolia-load/internal/target/rate_limit.go
+++ b/magnolia-load/internal/target/rate_limit.go
@@ -13,7 +13,9 @@
 // LimitedPeriod is a time in which a target stated a rate limit.
 type LimitedPeriod struct {
 	Limit request.Rate
-	Since time.Time
+	// StatedAt is when the first answer with the limit was complete; zero if there was
+	// none.
+	StatedAt time.Time
 	// Arrivals are the times at which calls arrived, in order.
 	Arrivals []time.Time
 }
@@ -33,7 +35,7 @@
 	defer target.rate.lock.Unlock()
 	if !target.rate.stating {
 		target.rate.stating = true
-		target.rate.periods = append(target.rate.periods, LimitedPeriod{Limit: limit, Since: time.Now()})
+		target.rate.periods = append(target.rate.periods, LimitedPeriod{Limit: limit})
 	}
 }
 
@@ -51,14 +53,25 @@
 	return append([]LimitedPeriod(nil), target.rate.periods...)
 }
 
-// stateLimit records the arrival of a call and states the limit in its answer.
-func (target *Target) stateLimit(writer http.ResponseWriter) {
+// stateLimit records the arrival of a call and states the limit in its answer. The
+// returned function is called when the answer is complete.
+func (target *Target) stateLimit(writer http.ResponseWriter) (answered func()) {
 	target.rate.lock.Lock()
 	defer target.rate.lock.Unlock()
 	if !target.rate.stating {
-		return
+		return func() {}
 	}
-	current := &target.rate.periods[len(target.rate.periods)-1]
+	index := len(target.rate.periods) - 1
+	current := &target.rate.periods[index]
 	current.Arrivals = append(current.Arrivals, time.Now())
 	writer.Header().Set(web.HeaderRateLimit, strconv.FormatFloat(float64(current.Limit), 'f', -1, 64))
+	return func() { target.recordStated(index) }
+}
+
+func (target *Target) recordStated(index int) {
+	target.rate.lock.Lock()
+	defer target.rate.lock.Unlock()
+	if period := &target.rate.periods[index]; period.StatedAt.IsZero() {
+		period.StatedAt = time.Now()
+	}
 }
