Let a health check without a rate limit end none

After a start a node asks its target by a health check whether an announcement still holds. If that response stated no limit, it counted as the target's word that there is none: the limit that callers' nodes had been told and give back with their calls was not taken over, and 20 calls of 8 allowed reached the target before its first answer. The users say that a target names its limit in its answers, and nothing of its health checks. A health check now adds a limit or that the target is leaving, and ends nothing.

Test: TestRestartedNodeLearnsStatusFromCallers asks for the health check first; it failed with 20 of 8 before.

--- a/internal/node/local_target.go
+++ b/internal/node/local_target.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
-	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/core/presence"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
@@ -94,8 +92,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	local := node.LocalTarget()
-	node.admissionControl.spendRate(time.Now())
-	response, err := node.sendToTarget(ctx, local, web.TargetCall{Method: http.MethodGet, Path: healthPath, Host: string(local.Service), Headers: http.Header{}})
+	response, err := node.sendHealthCheck(ctx, local, healthPath)
 	if err != nil {
 		return fmt.Errorf("health check of the target: %w", err)
 	}
--- a/internal/node/target_status.go
+++ b/internal/node/target_status.go
@@ -52,22 +52,49 @@
 	return response, err
 }
 
+// sendHealthCheck sends a health check to the local target. A response that states no
+// limit does not end one: targets need to state it in the answers to calls only.
+func (node *Node) sendHealthCheck(ctx context.Context, local LocalTarget, path string) (*http.Response, error) {
+	node.admissionControl.spendRate(time.Now())
+	node.countSent(time.Now(), local)
+	response, err := node.Target.Send(ctx, web.TargetCall{Method: http.MethodGet, Path: path, Host: string(local.Service), Headers: http.Header{}})
+	if err != nil {
+		return nil, err
+	}
+	if reported := node.Dialect.TargetStatus(response); node.concernsRun(local, reported) {
+		node.applyLeaving(local, reported)
+		if reported.Limited {
+			node.admissionControl.recordRate(time.Now(), admission.RateStatement{Limited: true, Limit: reported.Limit})
+		}
+	}
+	return response, nil
+}
+
 // applyTargetStatus applies what the answer to a call says about a run of the target.
-// What another run says is ignored.
 func (node *Node) applyTargetStatus(local LocalTarget, handedAt time.Time, reported web.TargetStatus) {
-	otherInstance := reported.OtherInstance || reported.Instance != "" && reported.Instance != local.Instance
-	if otherInstance || !node.LocalTarget().sameRun(local) {
+	if !node.concernsRun(local, reported) {
 		return
 	}
 	node.logTargetStatus(local, reported)
-	if reported.Leaving {
-		node.recordLeaving(local, "its answer says so")
-	}
+	node.applyLeaving(local, reported)
 	if reported.Limited || reported.Unreadable == "" {
 		node.admissionControl.recordRate(time.Now(), admission.RateStatement{Limited: reported.Limited, Limit: reported.Limit, HandedAt: handedAt})
 	}
 }
 
+// concernsRun reports whether a response to a run of the target is from that run, and the
+// run is the current one.
+func (node *Node) concernsRun(local LocalTarget, reported web.TargetStatus) bool {
+	otherInstance := reported.OtherInstance || reported.Instance != "" && reported.Instance != local.Instance
+	return !otherInstance && node.LocalTarget().sameRun(local)
+}
+
+func (node *Node) applyLeaving(local LocalTarget, reported web.TargetStatus) {
+	if reported.Leaving {
+		node.recordLeaving(local, "stated in an answer")
+	}
+}
+
 // recordLeaving stops calls to a run of the target that is leaving.
 func (node *Node) recordLeaving(local LocalTarget, reason string) {
 	if !node.markLeaving(local) {
@@ -89,7 +116,7 @@
 	}
 	// Runs without a name cannot be told apart, and a later one does not leave.
 	if known.GetLeaving() && local.Instance != "" {
-		node.recordLeaving(local, "a caller's node was told so")
+		node.recordLeaving(local, "reported by a caller's node")
 	}
 	if known.GetLimited() && known.GetLimit() >= 0 {
 		node.admissionControl.adoptRate(time.Now(), request.Rate(known.GetLimit()))
--- a/internal/node/target_status_test.go
+++ b/internal/node/target_status_test.go
@@ -118,9 +118,14 @@
 			caller := startRoutedHost(t, "two", "subsidios", http.NotFoundHandler())
 			connectHosts(before, caller)
 			_, _ = sendCall(t, caller.callers, "visits.example", http.MethodGet, "/visits/7", nil)
-			// The target does not answer again in the time of the test.
+			// The target does not answer calls again in the time of the test, and its health
+			// check says nothing of what it said in answers.
 			silent := &visits{serve: func(http.ResponseWriter, *http.Request) { <-blocked }}
-			after := startRoutedHost(t, "one", "agenda", silent, announced)
+			mux := http.NewServeMux()
+			mux.Handle("/", silent)
+			mux.HandleFunc("/health", func(http.ResponseWriter, *http.Request) {})
+			after := startRoutedHost(t, "one", "agenda", mux, announced)
+			gomega.NewWithT(t).Expect(after.node.CheckTarget("i-1", "/health", testTimeout)).To(gomega.Succeed())
 			after.target.Incarnation = 2
 			connectHosts(after, caller)
 			sending := sync.WaitGroup{}
