Tell callers' nodes of a target's limit with the head of its answer

Callers' nodes learned what a target says of itself from the report at the end of an answer. Where a long answer was cut off, its caller had been passed the header with the limit and its node remembered nothing of it: after a restart of the target's node, 20 calls of 8 allowed reached the target before its first answer. The status now comes with the head of the answer.

--- a/internal/node/admission_control.go
+++ b/internal/node/admission_control.go
@@ -68,6 +68,13 @@
 	control.deliver(control.gate.Cancel(now, call, control.notices[:0]))
 }
 
+// rate returns the rate limit in force.
+func (control *admissionControl) rate(now time.Time) admission.RateState {
+	control.lock.Lock()
+	defer control.lock.Unlock()
+	return control.gate.Rate(now)
+}
+
 // recordRate applies what an answer of the target says about its rate limit.
 func (control *admissionControl) recordRate(now time.Time, stated admission.RateStatement) {
 	control.lock.Lock()
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -291,6 +291,7 @@
 	}
 	attempt.exchange = exchange
 	attempt.header = answer
+	node.peerTargets.record(attempt.choice.Target.Node, answer.GetTarget())
 	if answer.GetCode() == 0 && !isSmall(answer) {
 		return
 	}
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -146,7 +146,7 @@
 
 		ConfigurationVersion: uint64(inbound.node.Configuration.Current().Version),
 
-		Target:     inbound.node.knownStatus(inbound.peerCall.Header.GetKnownTarget(), gate.rate),
+		Target:     inbound.knownStatus(),
 		RateWaitUs: gate.rate.Wait.Microseconds(),
 	}
 	if inbound.kind != nil && inbound.kind.Routed {
@@ -251,6 +251,7 @@
 		Status:     uint32(response.StatusCode),
 		Headers:    web.EncodeHeaders(response.Header),
 		BodyLength: response.ContentLength,
+		Target:     inbound.knownStatus(),
 	}
 	report := func() *peerpb.Report {
 		run.end(admissionResult(response))
--- a/internal/node/target_status.go
+++ b/internal/node/target_status.go
@@ -123,10 +123,11 @@
 	}
 }
 
-// knownStatus is the status of the local target for a caller's node that believes another
-// one, or nil where there is nothing to tell.
-func (node *Node) knownStatus(believed *peerpb.TargetStatus, rate admission.RateState) *peerpb.TargetStatus {
-	local := node.LocalTarget()
+// knownStatus is the status of the local target for the caller's node, or nil where it is
+// neither limited nor leaving and the caller's node does not believe that it is.
+func (inbound *inboundCall) knownStatus() *peerpb.TargetStatus {
+	local, rate := inbound.node.LocalTarget(), inbound.node.admissionControl.rate(time.Now())
+	believed := inbound.peerCall.Header.GetKnownTarget()
 	if !rate.Limited && !local.Leaving && (believed == nil || !rate.Heard) {
 		return nil
 	}
@@ -141,7 +142,7 @@
 
 // RestrictedTarget returns the restriction that the local target states, or nil.
 func (node *Node) RestrictedTarget(now time.Time) *distribution.RestrictedTarget {
-	local, rate := node.LocalTarget(), node.admissionControl.state(now, "").rate
+	local, rate := node.LocalTarget(), node.admissionControl.rate(now)
 	if !rate.Limited && !local.Leaving {
 		return nil
 	}
@@ -156,7 +157,7 @@
 
 // addTargetGauges adds the metrics of what the local target states about itself.
 func (node *Node) addTargetGauges() {
-	rate := func() admission.RateState { return node.admissionControl.state(time.Now(), "").rate }
+	rate := func() admission.RateState { return node.admissionControl.rate(time.Now()) }
 	node.counters.set.NewGauge("magnoliawall_target_rate_limit", func() float64 {
 		if state := rate(); state.Limited {
 			return float64(state.Limit)
--- a/internal/node/target_status_test.go
+++ b/internal/node/target_status_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -95,29 +96,50 @@
 	expect(staying.arrived.Load()).To(gomega.BeEquivalentTo(calls))
 }
 
+func newRequest(t *testing.T, base, path string) *http.Request {
+	t.Helper()
+	outgoing, err := http.NewRequestWithContext(t.Context(), http.MethodGet, base+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	outgoing.Host = "visits.example"
+	return outgoing
+}
+
 // A node that has started anew beside a target learns from the calls of nodes that the
 // target had told, before the target answers again, what the target said of itself.
 func TestRestartedNodeLearnsStatusFromCallers(t *testing.T) {
 	const calls = 20
+	const limitAllows = 1.5*0.5*4 + 5
+	cutOff := func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set(web.HeaderRateLimit, "0.5")
+		_, _ = writer.Write(make([]byte, 1<<20))
+		panic(http.ErrAbortHandler)
+	}
 	tests := []struct {
-		name, header, value string
-		allowed             float64
+		name    string
+		told    *visits
+		allowed float64
 	}{
-		{"rate limit", web.HeaderRateLimit, "0.5", 1.5*0.5*arrivalWindow.Seconds() + 5},
-		{"leaving", web.HeaderLeaving, "1", 0},
+		{"rate limit", reportingTarget(web.HeaderRateLimit, "0.5"), limitAllows},
+		{"rate limit in an answer that is cut off", &visits{serve: cutOff}, limitAllows},
+		{"leaving", reportingTarget(web.HeaderLeaving, "1"), 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			told, blocked := reportingTarget(test.header, test.value), make(chan struct{})
+			blocked := make(chan struct{})
 			// A target that announces itself gets as many calls at once as it has slots.
 			announced := func(underTest *node.Node) {
 				underTest.TargetAnnouncesItself = true
 				underTest.SetLocalTarget(node.LocalTarget{Instance: "i-1", StartMillis: 1, Service: "agenda", Slots: 2 * calls, Serving: true})
 			}
-			before := startRoutedHost(t, "one", "agenda", told, announced)
+			before := startRoutedHost(t, "one", "agenda", test.told, announced)
 			caller := startRoutedHost(t, "two", "subsidios", http.NotFoundHandler())
 			connectHosts(before, caller)
-			_, _ = sendCall(t, caller.callers, "visits.example", http.MethodGet, "/visits/7", nil)
+			if answer, err := http.DefaultClient.Do(newRequest(t, caller.callers, "/visits/7")); err == nil {
+				_, _ = io.Copy(io.Discard, answer.Body)
+				_ = answer.Body.Close()
+			}
 			// The target does not answer calls again in the time of the test, and its health
 			// check says nothing of what it said in answers.
 			silent := &visits{serve: func(http.ResponseWriter, *http.Request) { <-blocked }}
