--- a/internal/node/target_status_test.go
+++ b/internal/node/target_status_test.go
@@ -219,3 +219,22 @@
 	one.node.WriteMetrics(metrics)
 	expect(metrics.String()).To(gomega.ContainSubstring("magnoliawall_inbound_calls_total 2\n"))
 }
+
+// A call that its target declines goes elsewhere at once, also if the body of the answer
+// that declines it does not end.
+func TestDeclinedCallDoesNotWaitForItsBody(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	ended := make(chan struct{})
+	endless := &visits{serve: func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusTeapot)
+		_ = http.NewResponseController(writer).Flush()
+		<-ended
+	}}
+	declining := func(underTest *node.Node) { underTest.Dialect = decliningDialect{} }
+	one := startRoutedHost(t, "one", "agenda", endless, declining)
+	defer close(ended)
+	connectHosts(one)
+	answer, body := sendCall(t, one.callers, "visits.example", http.MethodPost, "/visits/grants/7", nil)
+	expect(answer.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	expect(string(body)).To(gomega.ContainSubstring(`"outcome":"not-run"`))
+}
