Say in the log which rate limit was in force, and how a run that left ended

A refusal by the rate limit did not show the limit and the wait that decided it, and the line on calls under a limit went by the last statement: while a limit was raised by steps there was none. How the end of a leaving run was seen, where targets do not announce themselves, was not logged at all.

Lines only; no decision changes.

--- a/internal/host/dataplane.go
+++ b/internal/host/dataplane.go
@@ -281,22 +281,26 @@
 	if err := plane.registryClient.SetState(ctx, membership.Down); err != nil {
 		plane.logProblem("that the target is leaving was not sent to a replica", err)
 	}
-	plane.awaitTargetEnd()
+	plane.host.Logger.Info().Str("seen", plane.awaitTargetEnd()).Msg("target: the run that was leaving has ended; the next one gets calls")
 	plane.node.ForgetLocalTarget()
 	plane.targetDown.Store(true)
 }
 
 // awaitTargetEnd waits until a new connection to the target is refused or closed, which
-// tells the end of its run where targets do not announce themselves.
-func (plane *dataPlane) awaitTargetEnd() {
+// tells the end of its run where targets do not announce themselves. It returns what was
+// seen of that.
+func (plane *dataPlane) awaitTargetEnd() string {
 	conn, err := net.DialTimeout("tcp", string(plane.host.Settings.Target), reportTimeout)
 	if err != nil {
-		return
+		return err.Error()
 	}
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(plane.background, func() { _ = conn.Close() })
 	defer stop()
-	_, _ = io.Copy(io.Discard, conn)
+	if _, err = io.Copy(io.Discard, conn); err != nil {
+		return err.Error()
+	}
+	return "the target closed the connection"
 }
 
 func (plane *dataPlane) reportTargetDeath(report quarantine.Report) {
--- a/internal/node/decision_log.go
+++ b/internal/node/decision_log.go
@@ -88,6 +88,7 @@
 		Str("detail", refusal.Detail).Uint16("priority", uint16(inbound.work.Priority)).Dur("spent", inbound.work.Spent).
 		Dur("left", timeLeft(inbound.work.Deadline, now)).Int("limit", gate.limit).Int("places", gate.effectiveLimit).
 		Int("running", gate.running).Int("waiting", gate.waiting).Uint16("level", uint16(gate.level.Level)).
+		Bool("rate-limited", gate.rate.Limited).Float64("rate-limit", float64(gate.rate.Limit)).Dur("rate-wait", gate.rate.Wait).
 		Msg("target: refused")
 }
 
--- a/internal/node/target_status.go
+++ b/internal/node/target_status.go
@@ -173,8 +173,8 @@
 	})
 }
 
-// countSent counts a call to the target. While the target states a rate limit, it logs
-// the number of calls in each second.
+// countSent counts a call to the target. While a rate limit is in force, it logs the number
+// of calls in each second with some.
 func (node *Node) countSent(now time.Time, local LocalTarget) {
 	node.counters.targetCalls.Inc()
 	status := &node.statusLog
@@ -188,12 +188,13 @@
 }
 
 func (node *Node) logCallsUnderLimit(now time.Time, local LocalTarget, status *targetStatusLog) {
-	if !status.last.Limited {
+	gate := node.admissionControl.state(now, "")
+	if !gate.rate.Limited {
 		return
 	}
 	if line := node.Decisions.Line(decision.CallsUnderLimit); line != nil {
-		gate := node.admissionControl.state(now, "")
-		line.Str("instance", string(local.Instance)).Float64("limit", float64(status.last.Limit)).Int("sent", status.sent).
+		line.Str("instance", string(local.Instance)).Float64("limit", float64(gate.rate.Limit)).Int("sent", status.sent).
+			Bool("stated", status.last.Limited).Float64("stated-limit", float64(status.last.Limit)).
 			Int("places", gate.effectiveLimit).Int("running", gate.running).Int("waiting", gate.waiting).Dur("wait", gate.rate.Wait).
 			Msg("target: calls of one second under a rate limit")
 	}
