--- a/internal/adapter/web/endless_test.go
+++ b/internal/adapter/web/endless_test.go
@@ -48,6 +48,12 @@
 	return target
 }
 
+func (target *endlessTarget) client() *web.TargetClient {
+	client := &web.TargetClient{Address: target.Addr().String(), Connections: 1, Dialect: echoDialect{}}
+	client.Start()
+	return client
+}
+
 func (target *endlessTarget) serve(conn net.Conn) {
 	defer func() {
 		_ = conn.Close()
@@ -79,8 +85,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			expect := gomega.NewWithT(t).Expect
 			target := startEndlessTarget(t, test.first, test.repeated)
-			client := &web.TargetClient{Address: target.Addr().String(), Connections: 1, Dialect: echoDialect{}}
-			client.Start()
+			client := target.client()
 			_, err := client.Send(context.Background(), newCall(http.MethodGet, "/a", "1"))
 			sent := &web.SentError{}
 			expect(errors.As(err, &sent)).To(gomega.BeTrue())
@@ -103,8 +108,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			expect := gomega.NewWithT(t).Expect
 			target := startEndlessTarget(t, test.first, test.repeated)
-			client := &web.TargetClient{Address: target.Addr().String(), Connections: 1, Dialect: echoDialect{}}
-			client.Start()
+			client := target.client()
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			response, err := client.Send(ctx, newCall(http.MethodGet, "/a", "1"))
@@ -124,8 +128,7 @@
 func TestIdleConnectionsOfNoUseAreClosed(t *testing.T) {
 	expect := gomega.NewWithT(t).Expect
 	target := startEndlessTarget(t, okHeader+"Call: 1\r\n\r\nok", "x")
-	client := &web.TargetClient{Address: target.Addr().String(), Connections: 1, Dialect: echoDialect{}}
-	client.Start()
+	client := target.client()
 	response, err := client.Send(context.Background(), newCall(http.MethodGet, "/a", "1"))
 	expect(err).NotTo(gomega.HaveOccurred())
 	_, _ = io.Copy(io.Discard, response.Body)
