--- a/magnolia/internal/command/status/status.go
+++ b/magnolia/internal/command/status/status.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
 	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
@@ -79,7 +80,7 @@
 func describeRestricted(target operator.RestrictedRow) string {
 	text := string(target.Node)
 	if target.Limited {
-		text += fmt.Sprintf(" limited to %.3g/s (stated %.1f s ago, %d calls refused)", float64(target.Limit), target.AgeSeconds, target.Refused)
+		text += fmt.Sprintf(" limited to %s/s (stated %.1f s ago, %d calls refused)", strconv.FormatFloat(float64(target.Limit), 'f', -1, 64), target.AgeSeconds, target.Refused)
 	}
 	return text + choose(target.Leaving, " leaving", "")
 }
