Apply a target's rate limit under the lock that guards its run

Between the check that an answer is from the current run of the target and the taking over of its limit, another run could become the current one and get the limit of the one before, until its first answers. Found by reading; there is no test for the moment between both, and TestTargetStatusHoldsForItsRun covers what is checked.

--- a/internal/node/target_status.go
+++ b/internal/node/target_status.go
@@ -64,7 +64,7 @@
 	if reported := node.Dialect.TargetStatus(response); node.concernsRun(local, reported) {
 		node.applyLeaving(local, reported)
 		if reported.Limited {
-			node.admissionControl.recordRate(time.Now(), admission.RateStatement{Limited: true, Limit: reported.Limit})
+			node.recordRate(local, admission.RateStatement{Limited: true, Limit: reported.Limit})
 		}
 	}
 	return response, nil
@@ -78,7 +78,17 @@
 	node.logTargetStatus(local, reported)
 	node.applyLeaving(local, reported)
 	if reported.Limited || reported.Unreadable == "" {
-		node.admissionControl.recordRate(time.Now(), admission.RateStatement{Limited: reported.Limited, Limit: reported.Limit, HandedAt: handedAt})
+		node.recordRate(local, admission.RateStatement{Limited: reported.Limited, Limit: reported.Limit, HandedAt: handedAt})
+	}
+}
+
+// recordRate applies what a run of the target states about its rate limit, unless another
+// run has become the current one meanwhile.
+func (node *Node) recordRate(local LocalTarget, stated admission.RateStatement) {
+	node.localTargetLock.Lock()
+	defer node.localTargetLock.Unlock()
+	if node.LocalTarget().sameRun(local) {
+		node.admissionControl.recordRate(time.Now(), stated)
 	}
 }
 
@@ -119,7 +129,15 @@
 		node.recordLeaving(local, "reported by a caller's node")
 	}
 	if known.GetLimited() && known.GetLimit() >= 0 {
-		node.admissionControl.adoptRate(time.Now(), request.Rate(known.GetLimit()))
+		node.adoptRate(local, request.Rate(known.GetLimit()))
+	}
+}
+
+func (node *Node) adoptRate(local LocalTarget, limit request.Rate) {
+	node.localTargetLock.Lock()
+	defer node.localTargetLock.Unlock()
+	if node.LocalTarget().sameRun(local) {
+		node.admissionControl.adoptRate(time.Now(), limit)
 	}
 }
 
