Put the settings file in place at once in the test of kept signals

Cause: the test wrote the file while the watcher could still read it for the tick before. That reload saw the file cut to nothing, counted as the one that was due, and the next tick found a text that differed. A race of the test; the product reloads again as it should.

Change: the file is renamed into place. What the test checks is unchanged.

--- a/internal/settings/watch_test.go
+++ b/internal/settings/watch_test.go
@@ -75,7 +75,11 @@
 func TestSignalIsKeptWhileFileIsUnreadable(t *testing.T) {
 	g := gomega.NewWithT(t)
 	path := filepath.Join(t.TempDir(), "node.jsonc")
-	write := func() { g.Expect(os.WriteFile(path, []byte("same"), 0o600)).To(gomega.Succeed()) }
+	// Renamed into place, since the reload of the tick before may read the file meanwhile.
+	write := func() {
+		g.Expect(os.WriteFile(path+".new", []byte("same"), 0o600)).To(gomega.Succeed())
+		g.Expect(os.Rename(path+".new", path)).To(gomega.Succeed())
+	}
 	write()
 	signals, ticks := make(chan os.Signal), make(chan time.Time)
 	events := make(chan string, 8)
