Separate the choice of a replica from the streams of a node

Cause: which replica a node registers with was decided in between the code that opens and reads its streams, so that it could be tested with running goroutines only. Change: selector holds the decision, without I/O. Nothing is decided otherwise.

--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -35,7 +35,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -54,9 +53,6 @@
 // be reachable.
 const openTimeout = 500 * time.Millisecond
 
-// maxMoveDelay spreads the moves of all nodes that learn of the replicas at the same time.
-const maxMoveDelay = time.Second
-
 // DefaultNearestRetryInterval is used if NearestRetryInterval is zero.
 const DefaultNearestRetryInterval = 30 * time.Second
 
@@ -89,23 +85,11 @@
 	Random *rand.Rand
 	Logger *log.Logger
 
-	agent  agent
-	loop   loop
-	stream replicaStream
-}
-
-// replicaStream is the client's stream to a replica; writer is nil while there is
-// none.
-type replicaStream struct {
-	writer  *writer
-	address peer.Address
-	// nextIndex is the index of the replica to try next, modulo the number of
-	// replicas.
-	nextIndex      int
-	opening        bool
-	connectAt      time.Time
-	nearestRetryAt time.Time
-	backoff        backoff
+	agent    agent
+	loop     loop
+	selector selector
+	// writer sends to the replica that the node is registered with, or is nil.
+	writer *writer
 }
 
 // Run keeps a stream to a replica until the context ends. It returns nil then.
@@ -120,11 +104,12 @@
 	if client.NearestRetryInterval == 0 {
 		client.NearestRetryInterval = DefaultNearestRetryInterval
 	}
+	client.selector = selector{nearestRetryInterval: client.NearestRetryInterval, random: client.Random}
 	client.agent = agent{self: client.Self, replicas: client.Replicas, view: &membership.View{Services: client.Services}, follower: client.Follower, events: client.Events, links: client.Links, restrictedTarget: client.RestrictedTarget}
 	client.connect(ctx, client.Clock())
 	err := client.loop.run(ctx, client.Clock, ticks, func(now time.Time) { client.tick(ctx, now) })
-	if client.stream.writer != nil {
-		client.stream.writer.finish()
+	if client.writer != nil {
+		client.writer.finish()
 	}
 	return err
 }
@@ -180,10 +165,10 @@
 	client.loop.prepare()
 	return client.loop.do(ctx, func(now time.Time) {
 		client.send(&pb.Request{Leave: true})
-		if client.stream.writer != nil {
-			client.stream.writer.finish()
+		if client.writer != nil {
+			client.writer.finish()
 		}
-		client.stream.connectAt = now.Add(time.Hour)
+		client.selector.pauseUntil(now.Add(time.Hour))
 		client.detach()
 	})
 }
@@ -203,40 +188,24 @@
 
 // switchReplica closes the stream to the current replica and selects the next one.
 func (client *Client) switchReplica() {
-	client.stream.writer.finish()
+	client.writer.finish()
 	client.detach()
-	client.stream.nextIndex = slices.Index(client.Replicas.List(), client.stream.address) + 1
+	client.selector.abandon(client.Replicas.List())
 }
 
-// connect opens a stream if there is none. If there is one to a replica other than
-// the nearest, it tries the nearest one when that is due.
+// connect opens a stream to the replica that is to be tried now, if any.
 func (client *Client) connect(ctx context.Context, now time.Time) {
-	replicas := client.Replicas.List()
-	if client.stream.opening || len(replicas) == 0 {
-		return
-	}
-	if client.stream.writer != nil {
-		if client.stream.address == replicas[0] || now.Before(client.stream.nearestRetryAt) {
-			return
-		}
-		client.stream.nearestRetryAt = client.nextNearestRetry(now)
-		client.open(ctx, replicas[0])
-		return
+	if address, due := client.selector.next(now, client.Replicas.List()); due {
+		client.open(ctx, address)
 	}
-	if now.Before(client.stream.connectAt) {
-		return
-	}
-	client.open(ctx, replicas[client.stream.nextIndex%len(replicas)])
 }
 
 func (client *Client) open(ctx context.Context, address peer.Address) {
-	client.stream.opening = true
 	go func() {
 		openCtx, cancel := context.WithTimeout(ctx, openTimeout)
 		link, err := client.Open(openCtx, address)
 		cancel()
 		loopErr := client.loop.do(ctx, func(now time.Time) {
-			client.stream.opening = false
 			if err != nil {
 				client.openFailed(now, err)
 				return
@@ -251,28 +220,18 @@
 
 // openFailed selects the next replica, and backs off once all have been tried.
 func (client *Client) openFailed(now time.Time, err error) {
-	if client.stream.writer != nil {
-		return
-	}
-	client.stream.nextIndex++
-	if client.stream.nextIndex%max(len(client.Replicas.List()), 1) == 0 {
-		if client.Logger != nil {
-			client.Logger.Warn().Err(err).Msg("registry: no replica is reachable; the last target lists stay in force (error of the last replica tried)")
-		}
-		client.stream.connectAt = now.Add(client.stream.backoff.next(client.Random))
+	if client.selector.fail(now, client.Replicas.List()) && client.Logger != nil {
+		client.Logger.Warn().Err(err).Msg("registry: no replica is reachable; the last target lists stay in force (error of the last replica tried)")
 	}
 }
 
 func (client *Client) attach(ctx context.Context, now time.Time, link Link, address peer.Address) {
-	if client.stream.writer != nil {
-		client.stream.writer.finish()
+	if client.writer != nil {
+		client.writer.finish()
 	}
 	output := newWriter(link)
-	client.stream.writer = output
-	client.stream.address = address
-	client.stream.nextIndex = max(slices.Index(client.Replicas.List(), address), 0)
-	client.stream.nearestRetryAt = client.nextNearestRetry(now)
-	client.stream.backoff.reset()
+	client.writer = output
+	client.selector.register(now, address, client.Replicas.List())
 	if client.Logger != nil {
 		client.Logger.Info().Str("node", string(client.Self.Node)).Str("replica", string(address)).Msg("registry: registers with a replica")
 	}
@@ -287,7 +246,7 @@
 			break
 		}
 		err := client.loop.do(ctx, func(now time.Time) {
-			if client.stream.writer == output {
+			if client.writer == output {
 				client.send(client.agent.receive(now, reply))
 				client.moveToNearest(now)
 			}
@@ -298,44 +257,34 @@
 	}
 	output.finish()
 	_ = client.loop.do(context.WithoutCancel(ctx), func(now time.Time) {
-		if client.stream.writer != output {
+		if client.writer != output {
 			return
 		}
 		client.detach()
-		client.stream.nextIndex = 0
-		client.stream.connectAt = now.Add(client.stream.backoff.next(client.Random))
+		client.selector.lose(now)
 	})
 }
 
-// moveToNearest tries the nearest replica soon once the replicas have become known, or
-// others are members. A node that has just started is at one of the few seeds, which may
-// be in another region and would send the target lists of all nodes there.
+// moveToNearest lets the selector know that the replicas have become known, or that
+// others are members.
 func (client *Client) moveToNearest(now time.Time) {
-	if !client.agent.replicasChanged {
-		return
-	}
-	client.agent.replicasChanged = false
-	soon := now.Add(time.Duration(client.Random.Int64N(int64(maxMoveDelay))))
-	if soon.Before(client.stream.nearestRetryAt) {
-		client.stream.nearestRetryAt = soon
+	if client.agent.replicasChanged {
+		client.agent.replicasChanged = false
+		client.selector.moveToNearest(now)
 	}
 }
 
 func (client *Client) detach() {
-	client.stream.writer = nil
+	client.writer = nil
 	client.agent.attached = false
 }
 
 func (client *Client) send(message *pb.Request) {
-	if message != nil && client.stream.writer != nil {
-		_ = client.stream.writer.send(message)
+	if message != nil && client.writer != nil {
+		_ = client.writer.send(message)
 	}
 }
 
-func (client *Client) nextNearestRetry(now time.Time) time.Time {
-	return now.Add(client.NearestRetryInterval/2 + time.Duration(client.Random.Int64N(int64(client.NearestRetryInterval))))
-}
-
 func (client *Client) warn(text string) {
 	if client.Logger != nil {
 		client.Logger.Warn().Str("node", string(client.Self.Node)).Msg(text)
--- /dev/null
+++ b/internal/adapter/registry/selector.go
@@ -0,0 +1,112 @@
+package registry
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+)
+
+// maxMoveDelay spreads the moves of all nodes that learn of the replicas at the same time.
+const maxMoveDelay = time.Second
+
+// selector decides which replica a node registers with, and when it tries another one. It
+// does no I/O. Lists of replicas are in the order in which to try them.
+type selector struct {
+	// nearestRetryInterval is the mean interval at which a node registered with another
+	// replica tries the nearest one again.
+	nearestRetryInterval time.Duration
+	random               *rand.Rand
+
+	registered bool
+	// address is that of the replica, if registered.
+	address peer.Address
+	// trying is set from next until the result of the attempt is known.
+	trying bool
+	// nextIndex is the index of the replica to try next, modulo the number of replicas.
+	nextIndex      int
+	connectAt      time.Time
+	nearestRetryAt time.Time
+	backoff        backoff
+}
+
+// next returns the replica to try now, if any. The result of the attempt must be passed to
+// register or fail.
+func (selector *selector) next(now time.Time, replicas []peer.Address) (peer.Address, bool) {
+	if selector.trying || len(replicas) == 0 {
+		return "", false
+	}
+	address, due := selector.due(now, replicas)
+	selector.trying = due
+	return address, due
+}
+
+func (selector *selector) due(now time.Time, replicas []peer.Address) (peer.Address, bool) {
+	if !selector.registered {
+		return replicas[selector.nextIndex%len(replicas)], !now.Before(selector.connectAt)
+	}
+	if selector.address == replicas[0] || now.Before(selector.nearestRetryAt) {
+		return "", false
+	}
+	selector.nearestRetryAt = selector.drawNearestRetry(now)
+	return replicas[0], true
+}
+
+// fail records an attempt without success. It reports whether that was the last replica
+// to try, and none is reachable.
+func (selector *selector) fail(now time.Time, replicas []peer.Address) bool {
+	selector.trying = false
+	if selector.registered {
+		return false
+	}
+	selector.nextIndex++
+	if selector.nextIndex%max(len(replicas), 1) != 0 {
+		return false
+	}
+	selector.connectAt = now.Add(selector.backoff.next(selector.random))
+	return true
+}
+
+// register records that the node registers with a replica.
+func (selector *selector) register(now time.Time, address peer.Address, replicas []peer.Address) {
+	selector.trying = false
+	selector.registered, selector.address = true, address
+	selector.nextIndex = max(slices.Index(replicas, address), 0)
+	selector.nearestRetryAt = selector.drawNearestRetry(now)
+	selector.backoff.reset()
+}
+
+// lose records that the stream to the replica has ended.
+func (selector *selector) lose(now time.Time) {
+	selector.registered = false
+	selector.nextIndex = 0
+	selector.connectAt = now.Add(selector.backoff.next(selector.random))
+}
+
+// abandon gives up the replica; the next one is tried at once.
+func (selector *selector) abandon(replicas []peer.Address) {
+	selector.registered = false
+	selector.nextIndex = slices.Index(replicas, selector.address) + 1
+}
+
+// pauseUntil gives up the replica, and no other one is tried before the given time.
+func (selector *selector) pauseUntil(at time.Time) {
+	selector.registered = false
+	selector.connectAt = at
+}
+
+// moveToNearest tries the nearest replica soon. A node that has just started is at one of
+// the few seeds, which may be in another region and would send the target lists of all
+// nodes there.
+func (selector *selector) moveToNearest(now time.Time) {
+	soon := now.Add(time.Duration(selector.random.Int64N(int64(maxMoveDelay))))
+	if soon.Before(selector.nearestRetryAt) {
+		selector.nearestRetryAt = soon
+	}
+}
+
+func (selector *selector) drawNearestRetry(now time.Time) time.Time {
+	interval := selector.nearestRetryInterval
+	return now.Add(interval/2 + time.Duration(selector.random.Int64N(int64(interval))))
+}
