Show that nodes of a replica without a majority miss versions (red)

A simulation of replicas and nodes whose links are cut, with 9 and 93 nodes and ten seeds each. The nodes show each other no versions, as in a half whose calls stay in it.

Cause, as read: a node leaves a replica that answers in time only if a peer shows a newer version. The replica knows from its reads that it has no majority, and tells nobody.

--- a/internal/adapter/registry/fleet_harness_test.go
+++ b/internal/adapter/registry/fleet_harness_test.go
@@ -30,6 +30,10 @@
 	nodes    []*fleetNode
 	bytes    int
 	messages int
+	// nodeCut and replicaCut report whether messages between a node and a replica, or
+	// from one replica to another, are lost; nil means none.
+	nodeCut    func(node *fleetNode, replica int) bool
+	replicaCut func(from, to int) bool
 }
 
 type fleetReplica struct {
@@ -87,6 +91,9 @@
 	from.hub.members[to.id] = true
 	var opened *session
 	opened = from.hub.open(to.id, request.Place{}, func(reply *pb.Reply) {
+		if fleet.replicaCut != nil && fleet.replicaCut(source, reader) {
+			return
+		}
 		if !to.dead && !from.dead && to.hub.receiveFromReplica(fleet.now, from.id, fleet.transmit(reply)) {
 			from.hub.receive(fleet.now, opened, &pb.Request{Join: true})
 		}
@@ -149,13 +156,24 @@
 	}
 	node.replica = replica
 	self := node.agent.self
-	node.session = fleet.replicas[replica].hub.open(self.Node, self.Place, func(reply *pb.Reply) {
-		node.inbox = append(node.inbox, fleet.transmit(reply))
+	var opened *session
+	opened = fleet.replicas[replica].hub.open(self.Node, self.Place, func(reply *pb.Reply) {
+		if node.session == opened && !fleet.isCut(node) {
+			node.inbox = append(node.inbox, fleet.transmit(reply))
+		}
 	})
+	node.session = opened
 	fleet.send(node, node.agent.attach(fleet.now))
 }
 
+func (fleet *testFleet) isCut(node *fleetNode) bool {
+	return fleet.nodeCut != nil && fleet.nodeCut(node, node.replica)
+}
+
 func (fleet *testFleet) send(node *fleetNode, message *pb.Request) {
+	if fleet.isCut(node) {
+		return
+	}
 	for message != nil && node.session != nil && !fleet.replicas[node.replica].dead {
 		decoded := &pb.Request{}
 		fleet.roundTrip(message, decoded)
--- /dev/null
+++ b/internal/adapter/registry/split_harness_test.go
@@ -0,0 +1,286 @@
+package registry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// Times of the model of the replica group. A read fails while the replica does not reach a
+// leader with a majority; another leader is elected after electionTime.
+const (
+	readInterval = time.Second
+	electionTime = time.Second
+)
+
+// splitFleet is a fleet whose links can be cut, whose nodes choose their replicas
+// themselves, and whose replicas share a log. Nodes show each other no versions.
+type splitFleet struct {
+	*testFleet
+	random *rand.Rand
+	nodes  []*choosingNode
+
+	// lost holds the directions between replicas in which messages are lost, lostToNode
+	// the nodes and replicas between which they are.
+	lost       map[[2]int]bool
+	lostToNode map[[2]int]bool
+	frozen     map[int]bool
+
+	leader     int
+	leaderless time.Duration
+	readAt     []time.Time
+	// confirmedAt is when the last successful read of each replica began.
+	confirmedAt []time.Time
+	published   []configuration.Version
+	// accepted holds the time at which each version was accepted.
+	accepted map[configuration.Version]time.Time
+	newest   configuration.Version
+
+	// opened counts the streams that nodes tried to open, by replica.
+	opened []int
+}
+
+// choosingNode is a node with its selector, as Client runs it.
+type choosingNode struct {
+	*fleetNode
+	index     int
+	selector  *selector
+	directory *peer.Directory
+	attempt   *attempt
+}
+
+// attempt is a stream that is being opened to a replica.
+type attempt struct {
+	replica int
+	endsAt  time.Time
+}
+
+func newSplitFleet(seed uint64, replicas, nodes int) *splitFleet {
+	fleet := &splitFleet{
+		testFleet: newFleet(replicas), random: rand.New(rand.NewPCG(seed, seed)),
+		lost: map[[2]int]bool{}, lostToNode: map[[2]int]bool{}, frozen: map[int]bool{},
+		readAt: make([]time.Time, replicas), confirmedAt: make([]time.Time, replicas),
+		published: make([]configuration.Version, replicas), accepted: map[configuration.Version]time.Time{},
+		opened: make([]int, replicas),
+	}
+	fleet.testFleet.replicaCut = fleet.replicaLost
+	fleet.testFleet.nodeCut = func(node *fleetNode, replica int) bool {
+		index := slices.IndexFunc(fleet.nodes, func(other *choosingNode) bool { return other.fleetNode == node })
+		return index >= 0 && fleet.nodeLost(index, replica)
+	}
+	var places []peer.ReplicaPlace
+	for index := range replicas {
+		fleet.readAt[index] = fleet.now.Add(time.Duration(fleet.random.Int64N(int64(readInterval))))
+		fleet.confirmedAt[index] = fleet.now
+		fleet.replicas[index].hub.confirmed = func() bool { return fleet.now.Sub(fleet.confirmedAt[index]) < 2*time.Second }
+		places = append(places, peer.ReplicaPlace{Address: replicaAddress(index), Domain: placeAt(index).Domain})
+	}
+	for index := range nodes {
+		fleet.addChoosingNode(index, places)
+	}
+	return fleet
+}
+
+func replicaAddress(index int) peer.Address {
+	return peer.Address(fmt.Sprintf("127.0.0.%d:7001", index+1))
+}
+
+func (fleet *splitFleet) addChoosingNode(index int, places []peer.ReplicaPlace) {
+	name := fmt.Sprintf("node-%02d", index)
+	home := index % len(places)
+	node := &choosingNode{
+		fleetNode: fleet.addNode(name, service, placeAt(home), []request.ServiceName{service}, home),
+		index:     index,
+		directory: &peer.Directory{Self: request.NodeID(name), Domain: placeAt(home).Domain, SortByHash: true},
+		selector:  &selector{nearestRetryInterval: DefaultNearestRetryInterval, random: fleet.random},
+	}
+	node.directory.Learn(places)
+	node.selector.register(fleet.now, replicaAddress(home), node.directory.List())
+	fleet.nodes = append(fleet.nodes, node)
+}
+
+func (fleet *splitFleet) replicaLost(from, to int) bool {
+	return fleet.lost[[2]int{from, to}] || fleet.frozen[from] || fleet.frozen[to]
+}
+
+func (fleet *splitFleet) nodeLost(node, replica int) bool {
+	return fleet.lostToNode[[2]int{node, replica}] || fleet.frozen[replica]
+}
+
+// split cuts the replicas of one half from the others.
+func (fleet *splitFleet) split(half []int) {
+	for from := range fleet.replicas {
+		for to := range fleet.replicas {
+			if slices.Contains(half, from) != slices.Contains(half, to) {
+				fleet.lost[[2]int{from, to}] = true
+			}
+		}
+	}
+}
+
+// cutDomain cuts a replica, with the nodes of its failure domain, from all others.
+func (fleet *splitFleet) cutDomain(domain int) {
+	fleet.split([]int{domain})
+	for _, node := range fleet.nodes {
+		for replica := range fleet.replicas {
+			if (node.index%len(fleet.replicas) == domain) != (replica == domain) {
+				fleet.lostToNode[[2]int{node.index, replica}] = true
+			}
+		}
+	}
+}
+
+func (fleet *splitFleet) heal() {
+	clear(fleet.lost)
+	clear(fleet.lostToNode)
+	clear(fleet.frozen)
+}
+
+// reaches reports whether two replicas reach each other in both directions.
+func (fleet *splitFleet) reaches(one, other int) bool {
+	return one == other && !fleet.frozen[one] || !fleet.replicaLost(one, other) && !fleet.replicaLost(other, one)
+}
+
+func (fleet *splitFleet) hasMajority(leader int) bool {
+	count := 0
+	for other := range fleet.replicas {
+		if fleet.reaches(leader, other) {
+			count++
+		}
+	}
+	return count > len(fleet.replicas)/2
+}
+
+// stepLog lets the replicas elect, read and learn the accepted versions.
+func (fleet *splitFleet) stepLog() {
+	if fleet.hasMajority(fleet.leader) {
+		fleet.leaderless = 0
+	} else if fleet.leaderless += TickInterval; fleet.leaderless >= electionTime {
+		fleet.elect()
+	}
+	for index := range fleet.replicas {
+		if fleet.now.Before(fleet.readAt[index]) || fleet.frozen[index] {
+			continue
+		}
+		fleet.readAt[index] = fleet.now.Add(readInterval)
+		if fleet.follows(index) {
+			fleet.confirmedAt[index] = fleet.now
+		}
+	}
+	for index := range fleet.replicas {
+		if fleet.follows(index) {
+			fleet.publishTo(index)
+		}
+	}
+}
+
+// follows reports whether a replica reaches a leader with a majority.
+func (fleet *splitFleet) follows(index int) bool {
+	return fleet.hasMajority(fleet.leader) && fleet.reaches(fleet.leader, index)
+}
+
+func (fleet *splitFleet) elect() {
+	for index := range fleet.replicas {
+		if fleet.hasMajority(index) {
+			fleet.leader, fleet.leaderless = index, 0
+			return
+		}
+	}
+}
+
+// accept lets the group accept another version, if it has a leader with a majority.
+func (fleet *splitFleet) accept() {
+	if fleet.hasMajority(fleet.leader) {
+		fleet.newest++
+		fleet.accepted[fleet.newest] = fleet.now
+	}
+}
+
+func (fleet *splitFleet) publishTo(index int) {
+	for fleet.published[index] < fleet.newest {
+		fleet.published[index]++
+		if err := fleet.replicas[index].hub.publisher.Publish(newVersion(int(fleet.published[index]))); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// step advances the clock by a tick.
+func (fleet *splitFleet) step() {
+	fleet.now = fleet.now.Add(TickInterval)
+	fleet.stepLog()
+	for index, replica := range fleet.replicas {
+		if !fleet.frozen[index] {
+			replica.hub.tick(fleet.now)
+		}
+	}
+	for _, node := range fleet.nodes {
+		fleet.stepNode(node)
+	}
+}
+
+// stepNode does what a client does in a tick.
+func (fleet *splitFleet) stepNode(node *choosingNode) {
+	fleet.deliver(node.fleetNode)
+	fleet.send(node.fleetNode, node.agent.tick(fleet.now))
+	if node.agent.replicaUnresponsive(fleet.now) || node.agent.replicaOutdated(fleet.now) {
+		fleet.disconnect(node.fleetNode)
+		node.selector.abandon(node.directory.List())
+	}
+	if node.attempt != nil && !fleet.now.Before(node.attempt.endsAt) {
+		fleet.finishAttempt(node)
+	}
+	if address, due := node.selector.next(fleet.now, node.directory.List()); due {
+		fleet.startAttempt(node, address)
+	}
+}
+
+// startAttempt opens a stream, which takes a tick, or the timeout if messages are lost.
+func (fleet *splitFleet) startAttempt(node *choosingNode, address peer.Address) {
+	replica := slices.IndexFunc(fleet.replicas, func(replica *fleetReplica) bool {
+		return replicaAddress(slices.Index(fleet.replicas, replica)) == address
+	})
+	fleet.opened[replica]++
+	took := TickInterval
+	if fleet.nodeLost(node.index, replica) {
+		took = openTimeout
+	}
+	node.attempt = &attempt{replica: replica, endsAt: fleet.now.Add(took)}
+}
+
+func (fleet *splitFleet) finishAttempt(node *choosingNode) {
+	replica := node.attempt.replica
+	node.attempt = nil
+	if fleet.nodeLost(node.index, replica) {
+		node.selector.fail(fleet.now, node.directory.List())
+		return
+	}
+	if node.session != nil {
+		fleet.disconnect(node.fleetNode)
+	}
+	fleet.connect(node.fleetNode, replica)
+	node.selector.register(fleet.now, replicaAddress(replica), node.directory.List())
+}
+
+// outdated returns the nodes that lack a version that was accepted longer ago than the
+// bound.
+func (fleet *splitFleet) outdated(bound time.Duration, nodes []*choosingNode) []string {
+	var due configuration.Version
+	for number, at := range fleet.accepted {
+		if fleet.now.Sub(at) > bound {
+			due = max(due, number)
+		}
+	}
+	var behind []string
+	for _, node := range nodes {
+		if node.version < due {
+			behind = append(behind, fmt.Sprintf("%v: %s at %s has %d of %d", fleet.now.Sub(startTime), node.agent.self.Node, fleet.replicas[node.replica].id, node.version, due))
+		}
+	}
+	return behind
+}
--- /dev/null
+++ b/internal/adapter/registry/split_test.go
@@ -0,0 +1,109 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// applyBound is the time within which an accepted version must be in force at every node.
+const applyBound = 2500 * time.Millisecond
+
+// fleetSizes gives numbers of replicas and nodes.
+var fleetSizes = [][2]int{{3, 9}, {9, 93}}
+
+// runSplit accepts versions for 20 s while disturb changes the links, and expects every node
+// to have each version in force within the bound.
+func runSplit(t *testing.T, fleet *splitFleet, disturb func(step int)) {
+	g := gomega.NewWithT(t)
+	fleet.accept()
+	for step := range 200 {
+		disturb(step)
+		if step%7 == 0 {
+			fleet.accept()
+		}
+		fleet.step()
+		g.Expect(fleet.outdated(applyBound, fleet.nodes)).To(gomega.BeEmpty())
+	}
+}
+
+// forEachFleet runs a test for each size and seed.
+func forEachFleet(t *testing.T, run func(t *testing.T, fleet *splitFleet)) {
+	for _, size := range fleetSizes {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprintf("%d nodes, seed %d", size[1], seed), func(t *testing.T) {
+				run(t, newSplitFleet(seed, size[0], size[1]))
+			})
+		}
+	}
+}
+
+// A version that is accepted while some replicas lack a majority must be in force within
+// the bound at the nodes of these as well, though no peer shows it to them.
+func TestVersionReachesNodesOfReplicasWithoutMajority(t *testing.T) {
+	forEachFleet(t, func(t *testing.T, fleet *splitFleet) {
+		minority := fleet.random.Perm(len(fleet.replicas))[:(len(fleet.replicas)-1)/2]
+		runSplit(t, fleet, func(step int) {
+			switch step {
+			case 30:
+				fleet.split(minority)
+			case 120:
+				fleet.heal()
+			}
+		})
+	})
+}
+
+// Cuts that heal and come again between other replicas must not keep a version from nodes.
+func TestVersionReachesNodesWhileCutsComeAgain(t *testing.T) {
+	forEachFleet(t, func(t *testing.T, fleet *splitFleet) {
+		runSplit(t, fleet, func(step int) {
+			switch step % 45 {
+			case 10:
+				fleet.split(fleet.random.Perm(len(fleet.replicas))[:(len(fleet.replicas)-1)/2])
+			case 40:
+				fleet.heal()
+			}
+		})
+	})
+}
+
+// A replica that only sends, or only receives, must not keep a version from its nodes.
+func TestVersionReachesNodesOfReplicaBehindOneWayLinks(t *testing.T) {
+	for name, direction := range map[string]func(one, other int) [2]int{
+		"sends":    func(one, other int) [2]int { return [2]int{other, one} },
+		"receives": func(one, other int) [2]int { return [2]int{one, other} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			forEachFleet(t, func(t *testing.T, fleet *splitFleet) {
+				one := fleet.random.IntN(len(fleet.replicas))
+				runSplit(t, fleet, func(step int) {
+					switch step {
+					case 30:
+						for other := range fleet.replicas {
+							fleet.lost[direction(one, other)] = other != one
+						}
+					case 120:
+						fleet.heal()
+					}
+				})
+			})
+		})
+	}
+}
+
+// A frozen leader must not keep a version from its own nodes or from those of others.
+func TestVersionReachesNodesOfFrozenLeader(t *testing.T) {
+	forEachFleet(t, func(t *testing.T, fleet *splitFleet) {
+		runSplit(t, fleet, func(step int) {
+			switch step {
+			case 30:
+				fleet.frozen[fleet.leader] = true
+			case 120:
+				fleet.heal()
+			}
+		})
+	})
+}
