Keep a confirmation no longer than its lifetime when the clock is set back

Cause: the time of the last successful quorum read was kept as nanoseconds of the wall clock. After a step back by S the replica went on offering versions as confirmed for S longer, without a read. By reading; the clock of a process can't be set in a test here. Change: the time keeps its monotonic reading.

--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -35,16 +35,18 @@
 	plane            *controlPlane
 	publishedVersion configuration.Version
 	publishedText    []byte
-	confirmedAt      atomic.Int64
-	advancedAt       time.Time
-	members          []registry.Replica
+	// confirmedAt is when the last successful quorum read began. It keeps its monotonic
+	// reading, so that a step of the clock does not prolong a confirmation.
+	confirmedAt atomic.Pointer[time.Time]
+	advancedAt  time.Time
+	members     []registry.Replica
 }
 
 // confirmed reports whether a recent quorum read showed that the version
 // published here is the newest accepted one.
 func (reconciler *reconciler) confirmed() bool {
 	at := reconciler.confirmedAt.Load()
-	return at != 0 && time.Since(time.Unix(0, at)) < confirmationLifetime
+	return at != nil && time.Since(*at) < confirmationLifetime
 }
 
 func (reconciler *reconciler) run(ctx context.Context) error {
@@ -76,7 +78,7 @@
 		return
 	}
 	reconciler.publish(ctx, committed)
-	reconciler.confirmedAt.Store(began.UnixNano())
+	reconciler.confirmedAt.Store(&began)
 	reconciler.runLeaderTasks(ctx)
 }
 
