Keep the deadlines of a planned stop when the clock is stepped

Cause: the end of the grace time, and of the time in which queued connections are still accepted, were kept as nanoseconds of the wall clock. A step forward during a stop ended requests that had just been accepted; a step back prolonged the stop beyond the grace time, after which a platform may kill the process. Change: both times keep their monotonic reading. Measured: the tests of internal/node pass with -race.

--- a/internal/node/connection_acceptor.go
+++ b/internal/node/connection_acceptor.go
@@ -31,9 +31,10 @@
 	mutex   sync.Mutex
 	servers map[configuration.Limits]*limitedServer
 	closed  bool
-	// acceptUntil is when a stopping acceptor closes its listener at the latest, in Unix
-	// nanoseconds; zero while it is not stopping.
-	acceptUntil atomic.Int64
+	// acceptUntil is when a stopping acceptor closes its listener at the latest; nil while it
+	// is not stopping. Like the node's stopDeadline it keeps its monotonic reading, so that
+	// a step of the clock neither cuts a stop short nor prolongs it.
+	acceptUntil atomic.Pointer[time.Time]
 }
 
 func newConnectionAcceptor(handler http.Handler, limits func() configuration.Limits, logProblem func(string, error)) *connectionAcceptor {
@@ -96,16 +97,18 @@
 // accepted. The kernel would reset them, with the requests that their callers have
 // sent. It returns when Serve has ended.
 func (acceptor *connectionAcceptor) StopAccepting(listener net.Listener) {
-	acceptor.acceptUntil.Store(time.Now().Add(acceptMaxTime).UnixNano())
+	until := time.Now().Add(acceptMaxTime)
+	acceptor.acceptUntil.Store(&until)
 	acceptor.extendAccept(listener)
 	<-acceptor.served
 }
 
-func (acceptor *connectionAcceptor) stopping() bool { return acceptor.acceptUntil.Load() != 0 }
+func (acceptor *connectionAcceptor) stopping() bool { return acceptor.acceptUntil.Load() != nil }
 
 // acceptTimeOver reports whether a stopping acceptor closes its listener now.
 func (acceptor *connectionAcceptor) acceptTimeOver() bool {
-	return time.Now().UnixNano() >= acceptor.acceptUntil.Load()
+	until := acceptor.acceptUntil.Load()
+	return until == nil || !time.Now().Before(*until)
 }
 
 // mustAcceptMore reports whether connections still wait after the deadline of an Accept:
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -45,7 +45,8 @@
 		began := time.Now()
 		node.Drain.Begin(began)
 		if node.Grace > 0 {
-			node.stopDeadline.Store(began.Add(node.Grace - stopMargin).UnixNano())
+			deadline := began.Add(node.Grace - stopMargin)
+			node.stopDeadline.Store(&deadline)
 		}
 		node.announceDrain()
 		node.linger(interrupted)
@@ -82,7 +83,7 @@
 // stopDue reports whether the grace time is used up except for stopMargin.
 func (node *Node) stopDue() bool {
 	deadline := node.stopDeadline.Load()
-	return deadline != 0 && time.Now().UnixNano() >= deadline
+	return deadline != nil && !time.Now().Before(*deadline)
 }
 
 // awaitRecords waits until all running actions that may run only once have ended, and
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,7 @@
 	localTargetLock   sync.Mutex
 	localTarget       atomic.Pointer[LocalTarget]
 	peerTargets       peerTargets
-	stopDeadline      atomic.Int64
+	stopDeadline      atomic.Pointer[time.Time]
 	newestPeerVersion atomic.Uint64
 }
 
@@ -233,8 +233,8 @@
 // shutDown lets the requests in flight end, within the grace time.
 func (node *Node) shutDown(acceptor *connectionAcceptor) {
 	ctx := context.Background()
-	if deadline := node.stopDeadline.Load(); deadline != 0 {
-		bounded, cancel := context.WithDeadline(ctx, time.Unix(0, deadline))
+	if deadline := node.stopDeadline.Load(); deadline != nil {
+		bounded, cancel := context.WithDeadline(ctx, *deadline)
 		defer cancel()
 		ctx = bounded
 	}
