Raise the sequence of a node's announcement with each move

What callers saw: a target that serves is missing from the lists for up to a second after the end of a split, until its next renewal. Cause: a node that moved from one replica to a second one that did not reach it announced the sequence that the first one had already. The end of the first lease marked the record of that sequence as gone, and that won over the record of the second replica. Change: every stream after the first one begins with a higher sequence.

--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -60,6 +60,8 @@
 	renewAt    time.Time
 	registerAt time.Time
 	attached   bool
+	// announced says that a replica may know the announcement.
+	announced bool
 	// unansweredSince is when the first renewal after the last message of the replica
 	// was sent; zero if there was none.
 	unansweredSince time.Time
@@ -75,6 +77,12 @@
 // attach returns the first request on a new stream.
 func (agent *agent) attach(now time.Time) *pb.Request {
 	agent.attached = true
+	// The replica before may have the same sequence without this one knowing, and the
+	// end of its lease would then remove the record of this one.
+	if agent.announced {
+		agent.self.Sequence++
+	}
+	agent.announced = true
 	agent.unansweredSince = now
 	agent.registerAt = time.Time{}
 	agent.leaseEnd = now.Add(membership.DefaultLeaseTime)
--- a/internal/adapter/registry/split_test.go
+++ b/internal/adapter/registry/split_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/membership"
 )
 
 // applyBound is the time within which an accepted version must be in force at every node.
@@ -107,3 +109,26 @@
 		})
 	})
 }
+
+// Two replicas that do not reach each other must not hold the same sequence of a node that
+// moves from one to the other, as the end of the first lease would remove its target later.
+func TestNodeThatMovesRaisesItsSequence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fleet := newSplitFleet(1, 3, 9)
+	for range 60 {
+		fleet.step()
+	}
+	for replica := range fleet.replicas {
+		fleet.split([]int{replica})
+	}
+	moving := fleet.nodes[0].fleetNode
+	var sequences []membership.Sequence
+	for _, replica := range []int{1, 2} {
+		fleet.disconnect(moving)
+		fleet.connect(moving, replica)
+		records := fleet.replicas[replica].hub.registry.Records(service)
+		g.Expect(records[0].Holder).To(gomega.Equal(fleet.replicas[replica].id))
+		sequences = append(sequences, records[0].Sequence)
+	}
+	g.Expect(sequences[1]).To(gomega.BeNumerically(">", sequences[0]))
+}
