Move nodes away from a replica that has lost its quorum

What callers saw: CONFIG, nodes that handle requests by an old version for seconds after a newer one was accepted, while the replicas are split and the nodes are not. Cause: a replica knew from its reads that it had no quorum, and told nobody; a node left a replica that answers only if a peer showed a newer version in force. Nodes whose calls stay among nodes of the same half met no such peer. Change: a replica tells its nodes when no quorum read has succeeded for 1.5 s, and when one does again. The node then asks the other replicas, one by one, whether they have a quorum, and registers with the first that has. It stays where it is if none has or can be reached, and asks again after pauses that grow to 10 s. It also asks before it returns to the nearest. A replica without a quorum keeps the lease of a node whose stream ended for its whole length, since it may not hear of the move.

--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -62,6 +62,8 @@
 	attached   bool
 	// announced says that a replica may know the announcement.
 	announced bool
+	// quorumLost says that the replica has reported that it lacks a quorum.
+	quorumLost bool
 	// unansweredSince is when the first renewal after the last message of the replica
 	// was sent; zero if there was none.
 	unansweredSince time.Time
@@ -76,7 +78,7 @@
 
 // attach returns the first request on a new stream.
 func (agent *agent) attach(now time.Time) *pb.Request {
-	agent.attached = true
+	agent.attached, agent.quorumLost = true, false
 	// The replica before may have the same sequence without this one knowing, and the
 	// end of its lease would then remove the record of this one.
 	if agent.announced {
@@ -223,6 +225,9 @@
 	for _, flow := range decodeFlows(reply.GetOthers()) {
 		agent.links.SetOthersRate(now, flow.To, flow.Rate)
 	}
+	if reply.GetQuorum() != nil {
+		agent.quorumLost = reply.GetQuorum().GetLost()
+	}
 	if places := decodePlaces(reply.GetReplicas()); len(places) > 0 && agent.replicas != nil {
 		agent.replicasChanged = agent.replicas.Learn(places) || agent.replicasChanged
 	}
--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -159,6 +159,15 @@
 	return client.loop.do(ctx, func(time.Time) { client.Follower.NoteVersion(number) })
 }
 
+// ReplicaWithoutQuorum reports whether the node is registered with a replica that has lost
+// its quorum.
+func (client *Client) ReplicaWithoutQuorum(ctx context.Context) (bool, error) {
+	client.loop.prepare()
+	var lost bool
+	err := client.loop.do(ctx, func(time.Time) { lost = client.agent.attached && client.agent.quorumLost })
+	return lost, err
+}
+
 // Leave releases the lease before a planned stop. The client does not reconnect
 // within the next hour.
 func (client *Client) Leave(ctx context.Context) error {
@@ -200,24 +209,57 @@
 	}
 }
 
+// open opens a stream to a replica. A registered node moves to it only after an inquiry.
 func (client *Client) open(ctx context.Context, address peer.Address) {
+	asks := client.selector.registered
 	go func() {
 		openCtx, cancel := context.WithTimeout(ctx, openTimeout)
 		link, err := client.Open(openCtx, address)
+		lost := false
+		if err == nil && asks {
+			lost, err = inquire(openCtx, link)
+		}
 		cancel()
 		loopErr := client.loop.do(ctx, func(now time.Time) {
-			if err != nil {
-				client.openFailed(now, err)
-				return
-			}
-			client.attach(ctx, now, link, address)
+			client.finishOpen(ctx, now, link, address, lost, err)
 		})
-		if loopErr != nil && err == nil {
+		if loopErr != nil && link != nil {
 			_ = link.Close()
 		}
 	}()
 }
 
+// inquire asks a replica whether it has lost its quorum. It closes the link if the replica
+// does not answer before the context ends.
+func inquire(ctx context.Context, link Link) (lost bool, err error) {
+	unregister := context.AfterFunc(ctx, func() { _ = link.Close() })
+	defer unregister()
+	if err := link.Send(&pb.Request{Inquire: true}); err != nil {
+		return false, err
+	}
+	reply := &pb.Reply{}
+	for reply.GetQuorum() == nil {
+		reply.Reset()
+		if err := link.Receive(reply); err != nil {
+			return false, err
+		}
+	}
+	return reply.GetQuorum().GetLost(), nil
+}
+
+func (client *Client) finishOpen(ctx context.Context, now time.Time, link Link, address peer.Address, lost bool, err error) {
+	switch {
+	case err != nil:
+		client.openFailed(now, err)
+	case client.selector.accepts(address, lost, client.Replicas.List()):
+		client.attach(ctx, now, link, address)
+		return
+	}
+	if link != nil {
+		_ = link.Close()
+	}
+}
+
 // openFailed selects the next replica, and backs off once all have been tried.
 func (client *Client) openFailed(now time.Time, err error) {
 	if client.selector.fail(now, client.Replicas.List()) && client.Logger != nil {
@@ -249,6 +291,7 @@
 			if client.writer == output {
 				client.send(client.agent.receive(now, reply))
 				client.moveToNearest(now)
+				client.noteQuorum(now)
 			}
 		})
 		if err != nil {
@@ -274,6 +317,15 @@
 	}
 }
 
+// noteQuorum lets the selector know what the replica reports about its quorum.
+func (client *Client) noteQuorum(now time.Time) {
+	lost := client.agent.quorumLost
+	if lost && !client.selector.quorumLost {
+		client.warn("registry: the replica has lost its quorum and may lack versions; asking the others")
+	}
+	client.selector.noteQuorum(now, lost)
+}
+
 func (client *Client) detach() {
 	client.writer = nil
 	client.agent.attached = false
--- a/internal/adapter/registry/client_test.go
+++ b/internal/adapter/registry/client_test.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/balancer"
 	"github.com/magnoliawall/magnoliawall/internal/core/distribution"
 	"github.com/magnoliawall/magnoliawall/internal/core/membership"
+	pb "github.com/magnoliawall/magnoliawall/internal/core/membership/membershippb"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
@@ -75,12 +76,13 @@
 	servers              map[peer.Address]*Server
 	lock                 sync.Mutex
 	down                 map[peer.Address]bool
+	withoutQuorum        map[peer.Address]bool
 	links                []*memoryLink
 }
 
 func newTestCluster(t *testing.T, addresses ...peer.Address) *testCluster {
 	ctx, cancel := context.WithCancel(context.Background())
-	cluster := &testCluster{ctx: ctx, ticks: make(chan time.Time), servers: map[peer.Address]*Server{}, down: map[peer.Address]bool{}}
+	cluster := &testCluster{ctx: ctx, ticks: make(chan time.Time), servers: map[peer.Address]*Server{}, down: map[peer.Address]bool{}, withoutQuorum: map[peer.Address]bool{}}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -98,7 +100,12 @@
 			Publisher: &distribution.Publisher{},
 			Tracker:   &distribution.Tracker{},
 			Confirmed: func() bool { return true },
-			Clock:     cluster.clock, Ticks: cluster.ticks, Open: cluster.open(request.NodeID(address)),
+			QuorumLost: func() bool {
+				cluster.lock.Lock()
+				defer cluster.lock.Unlock()
+				return cluster.withoutQuorum[address]
+			},
+			Clock: cluster.clock, Ticks: cluster.ticks, Open: cluster.open(request.NodeID(address)),
 			Random: rand.New(rand.NewPCG(1, 1)),
 		}
 		for _, other := range addresses {
@@ -149,6 +156,13 @@
 	cluster.links = nil
 }
 
+// loseQuorum lets a replica report that it has no quorum, or that it has one again.
+func (cluster *testCluster) loseQuorum(address peer.Address, lost bool) {
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
+	cluster.withoutQuorum[address] = lost
+}
+
 type testClient struct {
 	*Client
 	targets  chan balancer.View
@@ -259,6 +273,42 @@
 	g.Expect(cluster.clock().Sub(startTime)).To(gomega.BeNumerically("<", time.Minute))
 }
 
+// A node must leave a replica without a quorum for one that has it, not for another one
+// without, and return once the nearest has its quorum again.
+func TestClientLeavesReplicaWithoutQuorum(t *testing.T) {
+	g := gomega.NewWithT(t)
+	cluster := newTestCluster(t, "one", "two", "three")
+	cluster.nearestRetryInterval = time.Millisecond
+	client := cluster.startClient("a", "one", "two", "three")
+	client.awaitView(hasTargets(1))
+	leases := func(address peer.Address) int {
+		count, err := cluster.servers[address].LeaseCount(cluster.ctx)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return count
+	}
+	cluster.loseQuorum("two", true)
+	cluster.loseQuorum("one", true)
+	advanceUntil(cluster, func() bool { return leases("three") == 1 })
+	g.Expect(leases("two")).To(gomega.BeZero())
+
+	cluster.loseQuorum("one", false)
+	advanceUntil(cluster, func() bool { return leases("three") == 0 && leases("one") == 1 })
+	g.Expect(leases("two")).To(gomega.BeZero())
+}
+
+// A nearest replica that takes connections but does not answer must not be moved to.
+func TestClientDoesNotMoveToSilentReplica(t *testing.T) {
+	g := gomega.NewWithT(t)
+	near, far := newMemoryLinkPair()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		g.Expect(far.Receive(&pb.Request{})).To(gomega.Succeed())
+		cancel()
+	}()
+	_, err := inquire(ctx, near)
+	g.Expect(err).To(gomega.MatchError(io.EOF))
+}
+
 func TestClientSwitchesFromOutdatedReplica(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	cluster := newTestCluster(t, "one", "two")
--- a/internal/adapter/registry/hub.go
+++ b/internal/adapter/registry/hub.go
@@ -31,6 +31,8 @@
 	joinRequested bool
 	// flowsSent is set while the flows last sent to the node are not empty.
 	flowsSent bool
+	// quorumLost is what the node was last told about the quorum of this replica.
+	quorumLost bool
 	// leaseIncarnation is the incarnation that registered on this session; zero
 	// before the first registration.
 	leaseIncarnation membership.Incarnation
@@ -64,6 +66,11 @@
 	// version here is the newest accepted one; nil means no.
 	confirmed func() bool
 
+	// quorumLost reports whether no quorum read has succeeded for some time; nil means no.
+	quorumLost func() bool
+	// wasLost is what quorumLost returned in the last tick.
+	wasLost bool
+
 	// members holds the other replicas of the log.
 	members map[request.NodeID]bool
 
@@ -85,7 +92,8 @@
 }
 
 // close removes a session. The lease of its node is shortened unless the node
-// has already reconnected on another stream.
+// has already reconnected on another stream, or has probably moved to a replica with a
+// quorum, of which this one may not hear.
 func (hub *hub) close(now time.Time, ended *session) {
 	delete(hub.sessions, ended)
 	for other := range hub.sessions {
@@ -97,6 +105,10 @@
 		hub.registry.UnsubscribeReplica(ended.node)
 		return
 	}
+	if hub.lacksQuorum() {
+		hub.registry.Unsubscribe(ended.node)
+		return
+	}
 	hub.registry.Disconnected(now, ended.node)
 }
 
@@ -121,6 +133,9 @@
 	if message.GetRenew() != nil && message.GetAnnounce() == nil {
 		hub.renew(now, from, message.GetRenew())
 	}
+	if message.GetInquire() {
+		from.send(&pb.Reply{Quorum: &pb.Quorum{Lost: hub.lacksQuorum()}})
+	}
 	if message.GetLeave() {
 		hub.registry.Release(now, from.node, from.leaseIncarnation)
 		hub.tracker.Remove(from.node)
@@ -264,11 +279,26 @@
 	}
 }
 
+func (hub *hub) lacksQuorum() bool {
+	return hub.quorumLost != nil && hub.quorumLost()
+}
+
+// sendQuorum tells a registered node when the quorum is lost or reached again.
+func (hub *hub) sendQuorum(to *session, lost bool) {
+	if to.isReplica || to.leaseIncarnation == 0 || to.quorumLost == lost {
+		return
+	}
+	to.quorumLost = lost
+	to.send(&pb.Reply{Quorum: &pb.Quorum{Lost: lost}})
+}
+
 // tick expires leases, sends the changes since the last tick, repeats version
 // offers and sends heartbeats to replicas.
 func (hub *hub) tick(now time.Time) {
 	hub.registry.Tick(now)
+	hub.wasLost = hub.lacksQuorum()
 	for to := range hub.sessions {
+		hub.sendQuorum(to, hub.wasLost)
 		for _, update := range hub.pendingUpdates(now, to) {
 			to.send(&pb.Reply{Updates: []*pb.Update{encodeUpdate(update)}})
 		}
--- a/internal/adapter/registry/selector.go
+++ b/internal/adapter/registry/selector.go
@@ -8,11 +8,24 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 )
 
-// maxMoveDelay spreads the moves of all nodes that learn of the replicas at the same time.
-const maxMoveDelay = time.Second
+const (
+	// maxMoveDelay spreads the moves of all nodes that learn of the replicas at the same
+	// time, maxInquiryDelay the inquiries of all nodes whose replica loses its quorum.
+	maxMoveDelay    = time.Second
+	maxInquiryDelay = 300 * time.Millisecond
+	// minInquiryPause and maxInquiryPause bound the pause after all replicas were asked and
+	// none has a quorum.
+	minInquiryPause = time.Second
+	maxInquiryPause = 10 * time.Second
+)
 
 // selector decides which replica a node registers with, and when it tries another one. It
 // does no I/O. Lists of replicas are in the order in which to try them.
+//
+// A node that is not registered registers with the first replica that it reaches. A
+// registered node first asks the other replica whether it has a quorum: it returns to the
+// nearest one if that has, and leaves its own only if that has lost its quorum and another
+// has one. So a node that is cut off together with its replica stays with it.
 type selector struct {
 	// nearestRetryInterval is the mean interval at which a node registered with another
 	// replica tries the nearest one again.
@@ -29,10 +42,17 @@
 	connectAt      time.Time
 	nearestRetryAt time.Time
 	backoff        backoff
+
+	// quorumLost says that the replica reports that it lacks a quorum. The others are then
+	// asked one by one: at inquireAt that with inquiryIndex.
+	quorumLost   bool
+	inquireAt    time.Time
+	inquiryIndex int
+	inquiryPause time.Duration
 }
 
 // next returns the replica to try now, if any. The result of the attempt must be passed to
-// register or fail.
+// register, accepts or fail.
 func (selector *selector) next(now time.Time, replicas []peer.Address) (peer.Address, bool) {
 	if selector.trying || len(replicas) == 0 {
 		return "", false
@@ -46,6 +66,9 @@
 	if !selector.registered {
 		return replicas[selector.nextIndex%len(replicas)], !now.Before(selector.connectAt)
 	}
+	if selector.quorumLost {
+		return selector.nextInquiry(now, replicas)
+	}
 	if selector.address == replicas[0] || now.Before(selector.nearestRetryAt) {
 		return "", false
 	}
@@ -53,6 +76,45 @@
 	return replicas[0], true
 }
 
+// nextInquiry returns the replica to ask now whether it has a quorum. After all were asked
+// it pauses, for longer each time.
+func (selector *selector) nextInquiry(now time.Time, replicas []peer.Address) (peer.Address, bool) {
+	if now.Before(selector.inquireAt) {
+		return "", false
+	}
+	for selector.inquiryIndex < len(replicas) {
+		address := replicas[selector.inquiryIndex]
+		selector.inquiryIndex++
+		if address != selector.address {
+			return address, true
+		}
+	}
+	selector.inquiryIndex = 0
+	selector.inquiryPause = min(max(2*selector.inquiryPause, minInquiryPause), maxInquiryPause)
+	selector.inquireAt = now.Add(selector.inquiryPause/2 + time.Duration(selector.random.Int64N(int64(selector.inquiryPause))))
+	return "", false
+}
+
+// noteQuorum records whether the replica reports that it lacks a quorum.
+func (selector *selector) noteQuorum(now time.Time, lost bool) {
+	if lost && !selector.quorumLost {
+		selector.inquiryIndex, selector.inquiryPause = 0, 0
+		selector.inquireAt = now.Add(time.Duration(selector.random.Int64N(int64(maxInquiryDelay))))
+	}
+	selector.quorumLost = lost
+}
+
+// accepts records the answer of a replica that was asked, and reports whether the node
+// should register with it.
+func (selector *selector) accepts(address peer.Address, lost bool, replicas []peer.Address) bool {
+	selector.trying = false
+	if !selector.registered {
+		return true
+	}
+	nearest := len(replicas) > 0 && address == replicas[0]
+	return !lost && (selector.quorumLost || nearest)
+}
+
 // fail records an attempt without success. It reports whether that was the last replica
 // to try, and none is reachable.
 func (selector *selector) fail(now time.Time, replicas []peer.Address) bool {
@@ -71,7 +133,7 @@
 // register records that the node registers with a replica.
 func (selector *selector) register(now time.Time, address peer.Address, replicas []peer.Address) {
 	selector.trying = false
-	selector.registered, selector.address = true, address
+	selector.registered, selector.address, selector.quorumLost = true, address, false
 	selector.nextIndex = max(slices.Index(replicas, address), 0)
 	selector.nearestRetryAt = selector.drawNearestRetry(now)
 	selector.backoff.reset()
--- a/internal/adapter/registry/server.go
+++ b/internal/adapter/registry/server.go
@@ -41,6 +41,9 @@
 	// Confirmed reports whether a recent quorum read has shown that the newest
 	// version here is the newest accepted one. It must not block. Nil means no.
 	Confirmed func() bool
+	// QuorumLost reports whether no quorum read has succeeded for some time. It must not
+	// block. Nodes are told, and register with another replica. Nil means no.
+	QuorumLost func() bool
 	// Clock and Ticks default to [time.Now] and a ticker of [TickInterval].
 	Clock  func() time.Time
 	Ticks  <-chan time.Time
@@ -78,14 +81,16 @@
 	defer stop()
 	now := server.Clock()
 	server.Registry.Start(now, membership.Epoch(now.UnixNano()))
-	server.hub = hub{registry: server.Registry, publisher: server.Publisher, tracker: server.Tracker, confirmed: server.Confirmed, members: map[request.NodeID]bool{}}
+	server.hub = hub{registry: server.Registry, publisher: server.Publisher, tracker: server.Tracker, confirmed: server.Confirmed, quorumLost: server.QuorumLost, members: map[request.NodeID]bool{}}
 	for _, other := range server.Others {
 		server.hub.members[other.ID] = true
 		server.subscriptions = append(server.subscriptions, &replicaSubscription{replica: other})
 	}
 	defer server.closeSubscriptions()
 	return server.loop.run(ctx, server.Clock, ticks, func(now time.Time) {
+		wasLost := server.hub.wasLost
 		server.hub.tick(now)
+		server.logQuorum(wasLost)
 		for _, subscription := range server.subscriptions {
 			server.connect(ctx, now, subscription)
 		}
@@ -268,6 +273,17 @@
 	}
 }
 
+// logQuorum logs that the quorum was lost or reached again.
+func (server *Server) logQuorum(wasLost bool) {
+	switch {
+	case server.Logger == nil || server.hub.wasLost == wasLost:
+	case server.hub.wasLost:
+		server.Logger.Warn().Int("leases", server.Registry.LeaseCount()).Msg("registry: this replica has lost its quorum; its nodes ask the other replicas")
+	default:
+		server.Logger.Info().Int("leases", server.Registry.LeaseCount()).Msg("registry: this replica has a quorum again")
+	}
+}
+
 func (server *Server) warn(text string, replica request.NodeID) {
 	if server.Logger != nil {
 		server.Logger.Warn().Str("replica", string(replica)).Msg(text)
--- a/internal/adapter/registry/split_harness_test.go
+++ b/internal/adapter/registry/split_harness_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/distribution"
+	pb "github.com/magnoliawall/magnoliawall/internal/core/membership/membershippb"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
@@ -16,6 +18,8 @@
 const (
 	readInterval = time.Second
 	electionTime = time.Second
+	// quorumLossTimeout is that of a replica's reconciler.
+	quorumLossTimeout = 1500 * time.Millisecond
 )
 
 // splitFleet is a fleet whose links can be cut, whose nodes choose their replicas
@@ -40,6 +44,7 @@
 	// accepted holds the time at which each version was accepted.
 	accepted map[configuration.Version]time.Time
 	newest   configuration.Version
+	versions []distribution.Version
 
 	// opened counts the streams that nodes tried to open, by replica.
 	opened []int
@@ -69,19 +74,22 @@
 		opened: make([]int, replicas),
 	}
 	fleet.testFleet.replicaCut = fleet.replicaLost
+	indexes := map[*fleetNode]int{}
 	fleet.testFleet.nodeCut = func(node *fleetNode, replica int) bool {
-		index := slices.IndexFunc(fleet.nodes, func(other *choosingNode) bool { return other.fleetNode == node })
-		return index >= 0 && fleet.nodeLost(index, replica)
+		index, known := indexes[node]
+		return known && fleet.nodeLost(index, replica)
 	}
 	var places []peer.ReplicaPlace
 	for index := range replicas {
 		fleet.readAt[index] = fleet.now.Add(time.Duration(fleet.random.Int64N(int64(readInterval))))
 		fleet.confirmedAt[index] = fleet.now
 		fleet.replicas[index].hub.confirmed = func() bool { return fleet.now.Sub(fleet.confirmedAt[index]) < 2*time.Second }
+		fleet.replicas[index].hub.quorumLost = func() bool { return fleet.now.Sub(fleet.confirmedAt[index]) > quorumLossTimeout }
 		places = append(places, peer.ReplicaPlace{Address: replicaAddress(index), Domain: placeAt(index).Domain})
 	}
 	for index := range nodes {
 		fleet.addChoosingNode(index, places)
+		indexes[fleet.nodes[index].fleetNode] = index
 	}
 	return fleet
 }
@@ -197,16 +205,17 @@
 func (fleet *splitFleet) accept() {
 	if fleet.hasMajority(fleet.leader) {
 		fleet.newest++
+		fleet.versions = append(fleet.versions, newVersion(int(fleet.newest)))
 		fleet.accepted[fleet.newest] = fleet.now
 	}
 }
 
 func (fleet *splitFleet) publishTo(index int) {
 	for fleet.published[index] < fleet.newest {
-		fleet.published[index]++
-		if err := fleet.replicas[index].hub.publisher.Publish(newVersion(int(fleet.published[index]))); err != nil {
+		if err := fleet.replicas[index].hub.publisher.Publish(fleet.versions[fleet.published[index]]); err != nil {
 			panic(err)
 		}
+		fleet.published[index]++
 	}
 }
 
@@ -228,6 +237,7 @@
 func (fleet *splitFleet) stepNode(node *choosingNode) {
 	fleet.deliver(node.fleetNode)
 	fleet.send(node.fleetNode, node.agent.tick(fleet.now))
+	node.selector.noteQuorum(fleet.now, node.agent.quorumLost)
 	if node.agent.replicaUnresponsive(fleet.now) || node.agent.replicaOutdated(fleet.now) {
 		fleet.disconnect(node.fleetNode)
 		node.selector.abandon(node.directory.List())
@@ -260,6 +270,13 @@
 		node.selector.fail(fleet.now, node.directory.List())
 		return
 	}
+	lost := false
+	if node.selector.registered {
+		lost = fleet.inquire(replica)
+	}
+	if !node.selector.accepts(replicaAddress(replica), lost, node.directory.List()) {
+		return
+	}
 	if node.session != nil {
 		fleet.disconnect(node.fleetNode)
 	}
@@ -267,6 +284,16 @@
 	node.selector.register(fleet.now, replicaAddress(replica), node.directory.List())
 }
 
+// inquire asks a replica over a stream of its own whether it has lost its quorum.
+func (fleet *splitFleet) inquire(replica int) bool {
+	var answer *pb.Reply
+	hub := fleet.replicas[replica].hub
+	opened := hub.open("inquiry", request.Place{}, func(reply *pb.Reply) { answer = fleet.transmit(reply) })
+	hub.receive(fleet.now, opened, &pb.Request{Inquire: true})
+	hub.close(fleet.now, opened)
+	return answer.GetQuorum().GetLost()
+}
+
 // outdated returns the nodes that lack a version that was accepted longer ago than the
 // bound.
 func (fleet *splitFleet) outdated(bound time.Duration, nodes []*choosingNode) []string {
@@ -284,3 +311,34 @@
 	}
 	return behind
 }
+
+// shortLists returns the nodes whose list has fewer targets than wanted.
+func (fleet *splitFleet) shortLists(nodes []*choosingNode, wanted int) []string {
+	var short []string
+	for _, node := range nodes {
+		if count := len(node.lists[service]); count < wanted {
+			short = append(short, fmt.Sprintf("%v: %s at %s lists %d of %d", fleet.now.Sub(startTime), node.agent.self.Node, fleet.replicas[node.replica].id, count, wanted))
+		}
+	}
+	return short
+}
+
+// homes returns the replica of each node.
+func (fleet *splitFleet) homes() []int {
+	var homes []int
+	for _, node := range fleet.nodes {
+		homes = append(homes, node.replica)
+	}
+	return homes
+}
+
+// awayFrom counts the nodes that are not registered with the given replicas.
+func (fleet *splitFleet) awayFrom(homes []int) int {
+	count := 0
+	for index, home := range fleet.homes() {
+		if home != homes[index] {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/host/controlplane.go
+++ b/internal/host/controlplane.go
@@ -104,13 +104,14 @@
 	}
 	plane.reconciler = &reconciler{plane: plane}
 	plane.registry = &registry.Server{
-		Registry:  &membership.Registry{Self: host.Settings.Node},
-		Publisher: &distribution.Publisher{},
-		Tracker:   &distribution.Tracker{},
-		Others:    plane.otherReplicas(),
-		Open:      registry.OpenPeer(host.transport),
-		Confirmed: plane.reconciler.confirmed,
-		Logger:    host.Logger,
+		Registry:   &membership.Registry{Self: host.Settings.Node},
+		Publisher:  &distribution.Publisher{},
+		Tracker:    &distribution.Tracker{},
+		Others:     plane.otherReplicas(),
+		Open:       registry.OpenPeer(host.transport),
+		Confirmed:  plane.reconciler.confirmed,
+		QuorumLost: plane.reconciler.quorumLost,
+		Logger:     host.Logger,
 	}
 	return nil
 }
--- a/internal/host/kept_answer_test.go
+++ b/internal/host/kept_answer_test.go
@@ -17,7 +17,7 @@
 	cluster := startCluster(t, 3, "norte-a", "litoral-a", "sur-a")
 	left := cluster.members[0]
 	kept := left.book("before")
-	g.Expect(kept.status).To(gomega.Equal(http.StatusOK))
+	g.Expect(kept.status).To(gomega.Equal(http.StatusOK), "%+v", kept)
 	g.Eventually(func() ([]operator.ActionRow, error) {
 		open, err := operate[operator.Actions](left, operator.ListActions, operator.Done{})
 		return open.Actions, err
--- a/internal/host/monitoring.go
+++ b/internal/host/monitoring.go
@@ -60,6 +60,9 @@
 	if host.dataPlane != nil {
 		host.dataPlane.node.WriteMetrics(page)
 		writeGauge(page, "configuration_version", uint64(host.configuration.Current().Version))
+		if lost, err := host.dataPlane.registryClient.ReplicaWithoutQuorum(ctx); err == nil {
+			writeGauge(page, "node_replica_without_quorum", gaugeValue(lost))
+		}
 	}
 	if host.controlPlane != nil {
 		host.controlPlane.writeMetrics(ctx, page)
@@ -149,6 +152,7 @@
 	if err != nil {
 		return
 	}
+	writeGauge(page, "replica_quorum_lost", gaugeValue(plane.reconciler.quorumLost()))
 	writeGauge(page, "registry_silent_replicas", uint64(len(lost)))
 	writeGauge(page, "registry_leases", uint64(leases))
 	writeGauge(page, "registry_silent_nodes", uint64(silent))
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -22,7 +22,11 @@
 	ageInterval          = 5 * time.Second
 	quorumTimeout        = 900 * time.Millisecond
 	confirmationLifetime = 2 * time.Second
-	initialPatchID       = "initial-configuration"
+	// quorumLossTimeout is how long no quorum read may have succeeded before nodes are sent
+	// to other replicas. It is more than a read that is due each reconcileInterval takes,
+	// and leaves time for the move within the seconds in which a version must be in force.
+	quorumLossTimeout = 1500 * time.Millisecond
+	initialPatchID    = "initial-configuration"
 	// maxVersionSteps bounds the versions that are published one by one; further
 	// behind, only the latest is published.
 	maxVersionSteps = 16
@@ -49,6 +53,16 @@
 	return at != nil && time.Since(*at) < confirmationLifetime
 }
 
+// quorumLost reports whether no quorum read has succeeded for quorumLossTimeout, counted
+// from the start of the process at the earliest.
+func (reconciler *reconciler) quorumLost() bool {
+	since := reconciler.plane.host.startedAt
+	if at := reconciler.confirmedAt.Load(); at != nil {
+		since = *at
+	}
+	return time.Since(since) > quorumLossTimeout
+}
+
 func (reconciler *reconciler) run(ctx context.Context) error {
 	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
