Send recent crash reports again to the replica that a node moves to

What callers saw: nothing yet; a request that crashes targets in one half of a split could go on to those of the other half. A report to a replica that had lost its quorum reached the nodes of that replica only, and the node that made it did not repeat it when it moved. Change: a node sends the reports of its last 10 s again at the start of each stream. They are idempotent, and a replica repeats its own in the same way to each node that registers.

--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
@@ -38,6 +39,10 @@
 // disappears without closing its connections.
 const renewalTimeout = 700 * time.Millisecond
 
+// reportRepeatTime is how long a report is sent again to a replica that the node moves to.
+// The one before may have lost its quorum and not have passed it on.
+const reportRepeatTime = 10 * time.Second
+
 // agent is the protocol state of one node. It does no I/O: its methods return
 // the request to send to the replica, or nil.
 type agent struct {
@@ -72,8 +77,15 @@
 	// behindSince is when the node was last known not to be behind a version in force
 	// at a peer.
 	behindSince time.Time
-	// pendingReports holds reports made while no replica was connected.
-	pendingReports []quarantine.Report
+	// reports holds those that were made while no replica was connected, and those sent
+	// within the last reportRepeatTime.
+	reports []ownReport
+}
+
+// ownReport is a report of this node; sentAt is zero if no replica was connected.
+type ownReport struct {
+	report quarantine.Report
+	sentAt time.Time
 }
 
 // attach returns the first request on a new stream.
@@ -90,10 +102,8 @@
 	agent.leaseEnd = now.Add(membership.DefaultLeaseTime)
 	agent.renewAt = now.Add(membership.DefaultRenewInterval)
 	agent.view.ResetPosition()
-	reports := agent.pendingReports
-	agent.pendingReports = nil
 	return &pb.Request{
-		Reports:   encodeReports(reports),
+		Reports:   encodeReports(agent.reportsToRepeat(now)),
 		Announce:  encodeAnnouncement(agent.self),
 		Renew:     agent.renewal(now),
 		Subscribe: encodeSubscription(agent.view.Subscription()),
@@ -154,13 +164,40 @@
 }
 
 // report sends reports to the replica, or stores them until one is connected.
-func (agent *agent) report(reports []quarantine.Report) *pb.Request {
+func (agent *agent) report(now time.Time, reports []quarantine.Report) *pb.Request {
+	agent.dropOldReports(now)
+	sentAt := time.Time{}
 	if agent.attached {
-		return &pb.Request{Reports: encodeReports(reports)}
+		sentAt = now
+	}
+	for _, report := range reports {
+		agent.reports = append(agent.reports, ownReport{report: report, sentAt: sentAt})
+	}
+	agent.reports = agent.reports[max(0, len(agent.reports)-maxStoredReports):]
+	if !agent.attached {
+		return nil
 	}
-	agent.pendingReports = append(agent.pendingReports, reports...)
-	agent.pendingReports = agent.pendingReports[max(0, len(agent.pendingReports)-maxStoredReports):]
-	return nil
+	return &pb.Request{Reports: encodeReports(reports)}
+}
+
+// reportsToRepeat returns the reports to send on a new stream, in the order in which they
+// were made.
+func (agent *agent) reportsToRepeat(now time.Time) []quarantine.Report {
+	agent.dropOldReports(now)
+	var reports []quarantine.Report
+	for index := range agent.reports {
+		if agent.reports[index].sentAt.IsZero() {
+			agent.reports[index].sentAt = now
+		}
+		reports = append(reports, agent.reports[index].report)
+	}
+	return reports
+}
+
+func (agent *agent) dropOldReports(now time.Time) {
+	agent.reports = slices.DeleteFunc(agent.reports, func(own ownReport) bool {
+		return !own.sentAt.IsZero() && now.Sub(own.sentAt) > reportRepeatTime
+	})
 }
 
 // tick renews the lease when it is due. It is called every [TickInterval].
--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -148,7 +148,7 @@
 // before they see the target gone.
 func (client *Client) Report(ctx context.Context, reports ...quarantine.Report) error {
 	client.loop.prepare()
-	return client.loop.do(ctx, func(time.Time) { client.send(client.agent.report(reports)) })
+	return client.loop.do(ctx, func(now time.Time) { client.send(client.agent.report(now, reports)) })
 }
 
 // ObserveVersion records the configuration version that a peer has in force. If the
--- a/internal/adapter/registry/fleet_test.go
+++ b/internal/adapter/registry/fleet_test.go
@@ -174,7 +174,7 @@
 		caller.events = nil
 	}
 	crash := quarantine.Report{Event: quarantine.TargetCrashed, Crash: quarantine.Crash{Node: "target-0", Domain: "domain-0", Incarnation: 1}, Fingerprints: []request.Fingerprint{7}}
-	fleet.send(targets[0], targets[0].agent.report([]quarantine.Report{crash}))
+	fleet.send(targets[0], targets[0].agent.report(fleet.now, []quarantine.Report{crash}))
 	fleet.send(targets[0], targets[0].agent.setState(fleet.now, membership.Down))
 	fleet.advance(time.Second, nil)
 	for _, caller := range callers {
@@ -186,12 +186,12 @@
 	expect := gomega.NewWithT(t)
 	fleet, targets, _ := newSmallFleet()
 	crash := quarantine.Report{Event: quarantine.TargetCrashed, Fingerprints: []request.Fingerprint{7}}
-	fleet.send(targets[0], targets[0].agent.report([]quarantine.Report{crash}))
+	fleet.send(targets[0], targets[0].agent.report(fleet.now, []quarantine.Report{crash}))
 	late := fleet.addNode("late", "agenda", placeAt(1), nil, 1)
 	expect.Expect(late.events).To(gomega.ContainElement("report 1"))
 
 	fleet.disconnect(targets[2])
-	expect.Expect(targets[2].agent.report([]quarantine.Report{crash})).To(gomega.BeNil())
+	expect.Expect(targets[2].agent.report(fleet.now, []quarantine.Report{crash})).To(gomega.BeNil())
 	late.events = nil
 	fleet.connect(targets[2], 0)
 	expect.Expect(late.events).To(gomega.BeEmpty())
--- a/internal/adapter/registry/split_test.go
+++ b/internal/adapter/registry/split_test.go
@@ -8,6 +8,8 @@
 	"github.com/onsi/gomega"
 
 	"github.com/magnoliawall/magnoliawall/internal/core/membership"
+	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
+	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
 // applyBound is the time within which an accepted version must be in force at every node.
@@ -249,3 +251,27 @@
 	}
 	g.Expect(sequences[1]).To(gomega.BeNumerically(">", sequences[0]))
 }
+
+// A crash that was reported to a replica without a majority must reach the nodes of the
+// others as soon as its node has moved, as they could send the request to their targets.
+func TestCrashReportCrossesSplit(t *testing.T) {
+	forEachFleet(t, func(t *testing.T, fleet *splitFleet) {
+		g := gomega.NewWithT(t)
+		for range 30 {
+			fleet.step()
+		}
+		minority := fleet.random.Perm(len(fleet.replicas))[:(len(fleet.replicas)-1)/2]
+		fleet.split(minority)
+		fleet.step()
+		reporting := fleet.nodes[minority[0]]
+		fleet.send(reporting.fleetNode, reporting.agent.report(fleet.now, []quarantine.Report{{Event: quarantine.TargetCrashed, Fingerprints: []request.Fingerprint{7}}}))
+		for range int(applyBound / TickInterval) {
+			fleet.step()
+		}
+		for _, node := range fleet.nodes {
+			if node != reporting {
+				g.Expect(node.events).To(gomega.ContainElement("report 1"), "%s at %s", node.agent.self.Node, fleet.replicas[node.replica].id)
+			}
+		}
+	})
+}
