Close a connection to a replica that is no longer used

Cause: a transport kept a connection to each address that it ever opened a stream to. A node that asks all replicas, or comes back from another one, kept a connection with its memory and its pings to each of them. Change: a connection that carried streams of the registry only is closed once two pings in a row have found it without streams. Those of calls and of the other protocols are kept.

--- a/internal/adapter/peer/dial.go
+++ b/internal/adapter/peer/dial.go
@@ -88,7 +88,7 @@
 func (transport *Transport) watch(address Address, peerSession *session) {
 	ticker := time.NewTicker(transport.pingInterval())
 	defer ticker.Stop()
-	silent := false
+	silent, unused := false, false
 	for {
 		select {
 		case <-peerSession.mux.CloseChan():
@@ -105,6 +105,11 @@
 			}
 			continue
 		}
+		wasUnused := unused
+		unused = peerSession.mux.NumStreams() == 0
+		if wasUnused && unused && transport.discard(address, peerSession) {
+			continue
+		}
 		_, err := peerSession.mux.Ping()
 		if errors.Is(err, yamux.ErrTimeout) || errors.Is(err, yamux.ErrConnectionWriteTimeout) {
 			silent = true
@@ -114,6 +119,20 @@
 	}
 }
 
+// discard closes an unused session, unless it is to be kept.
+func (transport *Transport) discard(address Address, peerSession *session) bool {
+	transport.lock.Lock()
+	kept := peerSession.kept
+	if !kept && transport.sessions[address] == peerSession {
+		delete(transport.sessions, address)
+	}
+	transport.lock.Unlock()
+	if !kept {
+		_ = peerSession.mux.Close()
+	}
+	return !kept
+}
+
 // setSilent takes a session out of use for new streams.
 func (transport *Transport) setSilent(address Address, peerSession *session) {
 	transport.lock.Lock()
--- a/internal/adapter/peer/session.go
+++ b/internal/adapter/peer/session.go
@@ -17,6 +17,10 @@
 	mux    *yamux.Session
 	remote Hello
 
+	// kept says that the connection is kept while it carries no streams. It is guarded by
+	// the lock of the transport.
+	kept bool
+
 	// lock guards the fields below.
 	lock        sync.Mutex
 	idleStreams [kindCount][]*Stream
--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -7,7 +7,9 @@
 // version. A peer with another version is rejected with [ErrIncompatible].
 //
 // A [Transport] keeps one outgoing connection per address and reuses idle streams
-// by kind. A stream whose exchange did not complete is closed, never reused.
+// by kind. A stream whose exchange did not complete is closed, never reused. A connection
+// that was used for streams of [KindRegistry] only is closed some seconds after the last
+// of them, since a node asks many replicas and stays with one.
 //
 // A peer that answers no ping may be paused rather than dead. It gets no new calls on
 // that connection, but the calls under way go on until they end or TCP reports the
@@ -90,7 +92,7 @@
 // Open returns a stream of the kind to the address: an idle one, or a new one over
 // the connection to the address. It dials if there is no connection.
 func (transport *Transport) Open(ctx context.Context, address Address, kind StreamKind) (*Stream, error) {
-	peerSession, err := transport.session(ctx, address)
+	peerSession, err := transport.session(ctx, address, kind != KindRegistry)
 	if err != nil {
 		return nil, err
 	}
@@ -113,14 +115,17 @@
 // Connect dials the address if there is no connection to it, so that the next
 // stream need not wait for one.
 func (transport *Transport) Connect(ctx context.Context, address Address) error {
-	_, err := transport.session(ctx, address)
+	_, err := transport.session(ctx, address, true)
 	return err
 }
 
-// Connected reports whether a connection to the address is established.
+// Connected reports whether a connection to the address is established. If so, it is kept.
 func (transport *Transport) Connected(address Address) bool {
 	transport.lock.Lock()
 	peerSession := transport.sessions[address]
+	if peerSession != nil {
+		peerSession.kept = true
+	}
 	transport.lock.Unlock()
 	return peerSession != nil && peerSession.established()
 }
@@ -161,7 +166,9 @@
 	return err
 }
 
-func (transport *Transport) session(ctx context.Context, address Address) (*session, error) {
+// session returns the connection to the address and dials it if there is none. If keep is
+// set, the connection is kept while it carries no streams.
+func (transport *Transport) session(ctx context.Context, address Address, keep bool) (*session, error) {
 	transport.lock.Lock()
 	if transport.closed {
 		transport.lock.Unlock()
@@ -180,6 +187,7 @@
 		transport.sessions[address] = peerSession
 		go transport.connect(address, peerSession)
 	}
+	peerSession.kept = peerSession.kept || keep
 	transport.lock.Unlock()
 	return awaitSession(ctx, peerSession)
 }
