Keep a node that has left from registering again

Cause: a stream that was being opened when the node left was used when it was there, and the node announced its target once more; an attempt that failed ended the pause of the node that had left. Change: the result of an attempt counts only once the pause is over, and a failure does not shorten it.

--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -251,7 +251,7 @@
 	switch {
 	case err != nil:
 		client.openFailed(now, err)
-	case client.selector.accepts(address, lost, client.Replicas.List()):
+	case client.selector.accepts(now, address, lost, client.Replicas.List()):
 		client.attach(ctx, now, link, address)
 		return
 	}
--- a/internal/adapter/registry/selector.go
+++ b/internal/adapter/registry/selector.go
@@ -104,12 +104,12 @@
 	selector.quorumLost = lost
 }
 
-// accepts records the answer of a replica that was asked, and reports whether the node
-// should register with it.
-func (selector *selector) accepts(address peer.Address, lost bool, replicas []peer.Address) bool {
+// accepts records that a stream was opened, and whether the replica, if it was asked, has
+// lost its quorum. It reports whether the node should register with it.
+func (selector *selector) accepts(now time.Time, address peer.Address, lost bool, replicas []peer.Address) bool {
 	selector.trying = false
 	if !selector.registered {
-		return true
+		return !now.Before(selector.connectAt)
 	}
 	nearest := len(replicas) > 0 && address == replicas[0]
 	return !lost && (selector.quorumLost || nearest)
@@ -126,7 +126,10 @@
 	if selector.nextIndex%max(len(replicas), 1) != 0 {
 		return false
 	}
-	selector.connectAt = now.Add(selector.backoff.next(selector.random))
+	// A node that has left stays paused.
+	if retryAt := now.Add(selector.backoff.next(selector.random)); retryAt.After(selector.connectAt) {
+		selector.connectAt = retryAt
+	}
 	return true
 }
 
--- a/internal/adapter/registry/split_harness_test.go
+++ b/internal/adapter/registry/split_harness_test.go
@@ -274,7 +274,7 @@
 	if node.selector.registered {
 		lost = fleet.inquire(replica)
 	}
-	if !node.selector.accepts(replicaAddress(replica), lost, node.directory.List()) {
+	if !node.selector.accepts(fleet.now, replicaAddress(replica), lost, node.directory.List()) {
 		return
 	}
 	if node.session != nil {
