Wait for actions no longer than the grace time of a planned stop

Cause: a stop waited for the end of each action that may run only once without a bound, and then up to 10 s for the records of their outcomes. With a target that never answers the process was still there when its grace time was over, and the platform ended it with all that was under way. Change: both waits end with the grace time, less the margin for what ends after the node. Measured: TestStopDoesNotWaitForActionBeyondGraceTime hung before (ended after 10 s) and passes.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -87,16 +87,17 @@
 }
 
 // awaitRecords waits until all running actions that may run only once have ended, and
-// then, but not longer than recordTimeout, until their outcomes are recorded.
+// then, but not longer than recordTimeout, until their outcomes are recorded. Nothing is
+// waited for beyond the grace time.
 func (node *Node) awaitRecords(interrupted <-chan struct{}) {
 	if node.claimDriver == nil {
 		return
 	}
-	node.claimedRuns.Wait()
+	node.awaitClaimedRuns(interrupted)
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	timeout := time.After(recordTimeout)
-	for node.claimDriver.pendingAttempts.Load() > 0 {
+	for node.claimDriver.pendingAttempts.Load() > 0 && !node.stopDue() {
 		select {
 		case <-ticker.C:
 		case <-timeout:
@@ -107,6 +108,27 @@
 	}
 }
 
+// awaitClaimedRuns waits until all running actions that may run only once have ended, or
+// the grace time is used up: a target may never answer.
+func (node *Node) awaitClaimedRuns(interrupted <-chan struct{}) {
+	ended := make(chan struct{})
+	go func() {
+		node.claimedRuns.Wait()
+		close(ended)
+	}()
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for !node.stopDue() {
+		select {
+		case <-ended:
+			return
+		case <-ticker.C:
+		case <-interrupted:
+			return
+		}
+	}
+}
+
 // announceDrain tells the registry that the target is leaving.
 func (node *Node) announceDrain() {
 	if node.OnDrain != nil {
--- a/internal/node/planned_stop_test.go
+++ b/internal/node/planned_stop_test.go
@@ -140,3 +140,14 @@
 	acceptor.StopAccepting(listener)
 	acceptor.Shutdown(t.Context())
 }
+
+// An action whose target never answers must not hold up a planned stop beyond the grace
+// time, as the platform would then end the process with all other calls.
+func TestStopDoesNotWaitForActionBeyondGraceTime(t *testing.T) {
+	node := &Node{claimDriver: &claimDriver{}}
+	node.claimedRuns.Add(1)
+	node.claimDriver.pendingAttempts.Add(1)
+	deadline := time.Now()
+	node.stopDeadline.Store(&deadline)
+	node.awaitRecords(nil)
+}
