Let a node take another version after an unusable unconfirmed one

What callers saw: a node that starts without a quorum and is offered a version that it cannot use stays without a configuration, also when another replica offers a usable one. Cause: the highest unconfirmed offer was kept after it had proved unusable, and was tried, and reported, at each tick. Change: it is dropped once it was tried. It is reported once for each offer. Measured: TestUnusableUnconfirmedVersionKeepsNoOtherOut failed and passes.

--- a/internal/core/distribution/distribution_test.go
+++ b/internal/core/distribution/distribution_test.go
@@ -125,6 +125,28 @@
 	expect.Expect(follower.Current().Number).To(gomega.BeZero())
 }
 
+// A node that starts without a quorum must take the version of another replica if the
+// first one offers it a version that it cannot use.
+func TestUnusableUnconfirmedVersionKeepsNoOtherOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	follower := &distribution.Follower{Check: func(text []byte) error {
+		if string(text) == "unusable" {
+			return errors.New("unknown field")
+		}
+		return nil
+	}}
+	offer := func(at time.Time, number configuration.Version, text string) {
+		follower.Apply(at, distribution.Update{Number: number, Text: []byte(text), Digest: distribution.DigestOf([]byte(text))})
+	}
+	offer(start, 9, "unusable")
+	at := start.Add(distribution.DefaultUnconfirmedWait)
+	g.Expect(follower.Tick(at).Unusable).To(gomega.HaveOccurred())
+	g.Expect(follower.Tick(at.Add(time.Second)).Unusable).NotTo(gomega.HaveOccurred(), "reported once for each offer")
+
+	offer(at.Add(time.Second), 8, "usable")
+	g.Expect(follower.Tick(at.Add(time.Second + distribution.DefaultUnconfirmedWait)).Changed).To(gomega.BeTrue())
+}
+
 // Nodes switch between replicas that lag by different amounts, and updates may be
 // lost, duplicated or reordered. A node must never return to an earlier version,
 // and in the end all nodes must have the newest one.
--- a/internal/core/distribution/follower.go
+++ b/internal/core/distribution/follower.go
@@ -97,7 +97,10 @@
 	if follower.bestUnconfirmed == nil || now.Sub(follower.waitingSince) < wait {
 		return ApplyResult{}
 	}
-	return follower.installText(*follower.bestUnconfirmed)
+	best := *follower.bestUnconfirmed
+	// If it is unusable, it must not keep out a lower one that is offered later.
+	follower.bestUnconfirmed = nil
+	return follower.installText(best)
 }
 
 func (follower *Follower) rememberUnconfirmed(now time.Time, update Update) ApplyResult {
