--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -65,8 +65,8 @@
 	renewAt    time.Time
 	registerAt time.Time
 	attached   bool
-	// announced says that a replica may know the announcement.
-	announced bool
+	// replica is the one that the node is, or was last, registered with.
+	replica peer.Address
 	// quorumLost says that the replica has reported that it lacks a quorum.
 	quorumLost bool
 	// unansweredSince is when the first renewal after the last message of the replica
@@ -88,15 +88,15 @@
 	sentAt time.Time
 }
 
-// attach returns the first request on a new stream.
-func (agent *agent) attach(now time.Time) *pb.Request {
+// attach returns the first request on a new stream to a replica.
+func (agent *agent) attach(now time.Time, replica peer.Address) *pb.Request {
 	agent.attached, agent.quorumLost = true, false
 	// The replica before may have the same sequence without this one knowing, and the
 	// end of its lease would then remove the record of this one.
-	if agent.announced {
+	if agent.replica != "" && agent.replica != replica {
 		agent.self.Sequence++
 	}
-	agent.announced = true
+	agent.replica = replica
 	agent.unansweredSince = now
 	agent.registerAt = time.Time{}
 	agent.leaseEnd = now.Add(membership.DefaultLeaseTime)
--- a/internal/adapter/registry/agent_test.go
+++ b/internal/adapter/registry/agent_test.go
@@ -18,7 +18,7 @@
 	for _, answering := range []bool{true, false} {
 		agent := &agent{view: &membership.View{}, follower: &distribution.Follower{}}
 		now := startTime
-		agent.attach(now)
+		agent.attach(now, "near")
 		detectedAfter := time.Duration(0)
 		for ; detectedAfter == 0 && now.Before(startTime.Add(2*time.Second)); now = now.Add(TickInterval) {
 			agent.tick(now)
--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -277,7 +277,7 @@
 	if client.Logger != nil {
 		client.Logger.Info().Str("node", string(client.Self.Node)).Str("replica", string(address)).Msg("registry: registers with a replica")
 	}
-	client.send(client.agent.attach(now))
+	client.send(client.agent.attach(now, address))
 	go client.read(ctx, link, output)
 }
 
--- a/internal/adapter/registry/fleet_harness_test.go
+++ b/internal/adapter/registry/fleet_harness_test.go
@@ -163,7 +163,7 @@
 		}
 	})
 	node.session = opened
-	fleet.send(node, node.agent.attach(fleet.now))
+	fleet.send(node, node.agent.attach(fleet.now, replicaAddress(replica)))
 }
 
 func (fleet *testFleet) isCut(node *fleetNode) bool {
