--- a/internal/node/planned_stop_test.go
+++ b/internal/node/planned_stop_test.go
@@ -143,7 +143,7 @@
 
 // An action whose target never answers must not hold up a planned stop beyond the grace
 // time, as the platform would then end the process with all other calls.
-func TestStopDoesNotWaitForActionBeyondGraceTime(t *testing.T) {
+func TestStopDoesNotWaitForActionBeyondGraceTime(_ *testing.T) {
 	node := &Node{claimDriver: &claimDriver{}}
 	node.claimedRuns.Add(1)
 	node.claimDriver.pendingAttempts.Add(1)
