--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -5,8 +5,8 @@
 // A [Server] runs at each replica and subscribes to the other replicas. A
 // [Client] runs at each node. It keeps a stream to the nearest replica that it
 // can reach and returns to the first one of its list when that is reachable
-// again. While it reaches none, its target lists and its configuration stay in
-// force.
+// again. It leaves a replica that has lost its quorum if another one has a quorum.
+// While it reaches none, its target lists and its configuration stay in force.
 //
 // Server and Client each run their state on one goroutine, an event loop in Run.
 // The other methods may be called from any goroutine: they hand a function to
