--- a/internal/adapter/registry/split_harness_test.go
+++ b/internal/adapter/registry/split_harness_test.go
@@ -27,13 +27,14 @@
 type splitFleet struct {
 	*testFleet
 	random *rand.Rand
-	nodes  []*choosingNode
+	// nodes are those of testFleet with their selectors.
+	nodes []*choosingNode
 
-	// lost holds the directions between replicas in which messages are lost, lostToNode
+	// replicaCuts holds the directions between replicas in which messages are lost, nodeCuts
 	// the nodes and replicas between which they are.
-	lost       map[[2]int]bool
-	lostToNode map[[2]int]bool
-	frozen     map[int]bool
+	replicaCuts map[[2]int]bool
+	nodeCuts    map[[2]int]bool
+	frozen      map[int]bool
 
 	leader     int
 	leaderless time.Duration
@@ -68,16 +69,16 @@
 func newSplitFleet(seed uint64, replicas, nodes int) *splitFleet {
 	fleet := &splitFleet{
 		testFleet: newFleet(replicas), random: rand.New(rand.NewPCG(seed, seed)),
-		lost: map[[2]int]bool{}, lostToNode: map[[2]int]bool{}, frozen: map[int]bool{},
+		replicaCuts: map[[2]int]bool{}, nodeCuts: map[[2]int]bool{}, frozen: map[int]bool{},
 		readAt: make([]time.Time, replicas), confirmedAt: make([]time.Time, replicas),
 		published: make([]configuration.Version, replicas), accepted: map[configuration.Version]time.Time{},
 		opened: make([]int, replicas),
 	}
-	fleet.testFleet.replicaCut = fleet.replicaLost
+	fleet.testFleet.replicaCut = fleet.isReplicaCut
 	indexes := map[*fleetNode]int{}
 	fleet.testFleet.nodeCut = func(node *fleetNode, replica int) bool {
 		index, known := indexes[node]
-		return known && fleet.nodeLost(index, replica)
+		return known && fleet.isNodeCut(index, replica)
 	}
 	var places []peer.ReplicaPlace
 	for index := range replicas {
@@ -112,12 +113,12 @@
 	fleet.nodes = append(fleet.nodes, node)
 }
 
-func (fleet *splitFleet) replicaLost(from, to int) bool {
-	return fleet.lost[[2]int{from, to}] || fleet.frozen[from] || fleet.frozen[to]
+func (fleet *splitFleet) isReplicaCut(from, to int) bool {
+	return fleet.replicaCuts[[2]int{from, to}] || fleet.frozen[from] || fleet.frozen[to]
 }
 
-func (fleet *splitFleet) nodeLost(node, replica int) bool {
-	return fleet.lostToNode[[2]int{node, replica}] || fleet.frozen[replica]
+func (fleet *splitFleet) isNodeCut(node, replica int) bool {
+	return fleet.nodeCuts[[2]int{node, replica}] || fleet.frozen[replica]
 }
 
 // split cuts the replicas of one half from the others.
@@ -125,7 +126,7 @@
 	for from := range fleet.replicas {
 		for to := range fleet.replicas {
 			if slices.Contains(half, from) != slices.Contains(half, to) {
-				fleet.lost[[2]int{from, to}] = true
+				fleet.replicaCuts[[2]int{from, to}] = true
 			}
 		}
 	}
@@ -137,21 +138,21 @@
 	for _, node := range fleet.nodes {
 		for replica := range fleet.replicas {
 			if (node.index%len(fleet.replicas) == domain) != (replica == domain) {
-				fleet.lostToNode[[2]int{node.index, replica}] = true
+				fleet.nodeCuts[[2]int{node.index, replica}] = true
 			}
 		}
 	}
 }
 
 func (fleet *splitFleet) heal() {
-	clear(fleet.lost)
-	clear(fleet.lostToNode)
+	clear(fleet.replicaCuts)
+	clear(fleet.nodeCuts)
 	clear(fleet.frozen)
 }
 
 // reaches reports whether two replicas reach each other in both directions.
 func (fleet *splitFleet) reaches(one, other int) bool {
-	return one == other && !fleet.frozen[one] || !fleet.replicaLost(one, other) && !fleet.replicaLost(other, one)
+	return one == other && !fleet.frozen[one] || !fleet.isReplicaCut(one, other) && !fleet.isReplicaCut(other, one)
 }
 
 func (fleet *splitFleet) hasMajority(leader int) bool {
@@ -257,7 +258,7 @@
 	})
 	fleet.opened[replica]++
 	took := TickInterval
-	if fleet.nodeLost(node.index, replica) {
+	if fleet.isNodeCut(node.index, replica) {
 		took = openTimeout
 	}
 	node.attempt = &attempt{replica: replica, endsAt: fleet.now.Add(took)}
@@ -266,7 +267,7 @@
 func (fleet *splitFleet) finishAttempt(node *choosingNode) {
 	replica := node.attempt.replica
 	node.attempt = nil
-	if fleet.nodeLost(node.index, replica) {
+	if fleet.isNodeCut(node.index, replica) {
 		node.selector.fail(fleet.now, node.directory.List())
 		return
 	}
--- a/internal/adapter/registry/split_test.go
+++ b/internal/adapter/registry/split_test.go
@@ -91,7 +91,7 @@
 					switch step {
 					case 30:
 						for other := range fleet.replicas {
-							fleet.lost[direction(one, other)] = other != one
+							fleet.replicaCuts[direction(one, other)] = other != one
 						}
 					case 120:
 						fleet.heal()
