--- a/magnolia-load/internal/soak/promises.go
+++ b/magnolia-load/internal/soak/promises.go
@@ -160,12 +160,21 @@
 	for _, period := range observed.limitedPeriods {
 		allowed := maxRateFactor*float64(period.Limit)*rateWindow.Seconds() + maxRateExcess
 		if most := mostArrivals(period); float64(most) > allowed {
-			broken = append(broken, fmt.Sprintf("rate limit: a target that stated %g calls a second got %d in %s, allowed %g", float64(period.Limit), most, rateWindow, allowed))
+			broken = append(broken, fmt.Sprintf("rate limit: a target that stated %g calls a second from %s on got %d in %s, allowed %g; it got all its calls at %s", float64(period.Limit), period.StatedAt.Format(time.TimeOnly), most, rateWindow, allowed, arrivalTimes(period)))
 		}
 	}
 	return broken
 }
 
+// arrivalTimes gives the arrivals of a period relative to the first statement of its limit.
+func arrivalTimes(period target.LimitedPeriod) []time.Duration {
+	var times []time.Duration
+	for _, at := range period.Arrivals {
+		times = append(times, at.Sub(period.StatedAt).Round(time.Millisecond))
+	}
+	return times
+}
+
 // mostArrivals returns the largest number of arrivals in any rateWindow after the grace
 // period. It is zero for a limit that no answer stated.
 func mostArrivals(period target.LimitedPeriod) int {
