Count a rate limit in the soak anew after all processes were killed

Nobody who had been told was alive. The users excuse the calls of a machine that was restarted since it was told, so the case is allowed; the check did not know of it. Change: a kill of all processes begins another period, which counts from the next answer. Kills of single processes change nothing: the others give the limit back.

--- a/magnolia-load/internal/soak/run.go
+++ b/magnolia-load/internal/soak/run.go
@@ -225,6 +225,9 @@
 		for _, process := range execution.processes.Hosts() {
 			process.Kill()
 		}
+		for _, limited := range execution.mesh.HostTargets() {
+			limited.StateRateLimitAnew()
+		}
 		execution.startAfter(ctx, fault.Duration, execution.processes.Hosts()...)
 	}
 }
--- a/magnolia-load/internal/target/rate_limit.go
+++ b/magnolia-load/internal/target/rate_limit.go
@@ -39,6 +39,18 @@
 	}
 }
 
+// StateRateLimitAnew begins another period with the same limit, if one is stated. It is
+// called when all processes that know of the limit were killed, so that nobody is told until
+// the next answer is complete.
+func (target *Target) StateRateLimitAnew() {
+	target.rate.lock.Lock()
+	defer target.rate.lock.Unlock()
+	if target.rate.stating {
+		current := target.rate.periods[len(target.rate.periods)-1]
+		target.rate.periods = append(target.rate.periods, LimitedPeriod{Limit: current.Limit})
+	}
+}
+
 // EndRateLimit ends the limit.
 func (target *Target) EndRateLimit() {
 	target.rate.lock.Lock()
