Reserve the loopback addresses of processes in tests

Change: internal/loopback reserves an address of 127.0.0.0/8 for each process; the tests of magnoliad, magnolia and internal/host use it with fixed ports. Those of internal/host had addresses by process id modulo 250, which two processes could share. A wait for a process that has ended fails at once with its error.

--- a/internal/host/cluster_test.go
+++ b/internal/host/cluster_test.go
@@ -7,12 +7,10 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +20,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/host"
+	"github.com/magnoliawall/magnoliawall/internal/loopback"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 	"github.com/magnoliawall/magnoliawall/internal/settings"
 )
@@ -29,9 +28,6 @@
 // testTimeout bounds the wait for an event; no check depends on how fast it comes.
 const testTimeout = 2 * time.Minute
 
-// addressBlocks gives each cluster of this process its own loopback addresses.
-var addressBlocks atomic.Int32
-
 type domains = []request.DomainName
 
 // The six failure domains of the example configuration, two in each region.
@@ -82,9 +78,8 @@
 		t.Fatal(err)
 	}
 	var members []settings.Member
-	block := addressBlocks.Add(1)
 	for index, domain := range places {
-		address := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, block, 1+index)
+		address := reserveAddress(t)
 		cluster.network.domains[address] = domain
 		member := &clusterMember{cluster: cluster, logs: &logCapture{}, target: startTestTarget(t, cluster.executions, address)}
 		member.settings = &settings.Settings{
@@ -112,6 +107,15 @@
 	return cluster
 }
 
+func reserveAddress(t *testing.T) string {
+	t.Helper()
+	address, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
+}
+
 func addressWithPort(address string, number int) settings.Address {
 	return settings.Address(net.JoinHostPort(address, strconv.Itoa(number)))
 }
--- a/internal/host/platform_test.go
+++ b/internal/host/platform_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"testing"
 
@@ -56,11 +55,12 @@
 func startPlatformCluster(t *testing.T) *platformCluster {
 	t.Helper()
 	cluster := &platformCluster{WithT: gomega.NewWithT(t)}
-	block := addressBlocks.Add(1)
-	address := func(index int) string { return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, block, 1+index) }
-	seeds := []settings.Address{addressWithPort(address(0), 1), addressWithPort(address(1), 1), addressWithPort(address(2), 1)}
-	for index := range 6 {
-		own := address(index)
+	var addresses []string
+	for range 6 {
+		addresses = append(addresses, reserveAddress(t))
+	}
+	seeds := []settings.Address{addressWithPort(addresses[0], 1), addressWithPort(addresses[1], 1), addressWithPort(addresses[2], 1)}
+	for index, own := range addresses {
 		target := cluster.startTarget(t, own)
 		loaded := &settings.Settings{
 			Node: request.NodeID(fmt.Sprintf("host-%d", index)), Region: "norte", FailureDomain: request.DomainName(fmt.Sprintf("domain-%d", index)),
--- a/magnolia/script_test.go
+++ b/magnolia/script_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
 	"github.com/magnoliawall/magnoliawall/internal/host"
+	"github.com/magnoliawall/magnoliawall/internal/loopback"
 	"github.com/magnoliawall/magnoliawall/internal/settings"
 	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/factory"
 	"github.com/magnoliawall/magnoliawall/magnolia/internal/command/root"
@@ -56,12 +57,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	own, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := func(port string) settings.Address { return settings.Address(net.JoinHostPort(own, port)) }
 	target := httptest.NewServer(http.NotFoundHandler())
 	env.Defer(target.Close)
 	loaded := &settings.Settings{
 		Node: "one", Region: "norte", FailureDomain: "norte-a", Service: "agenda",
 		Target:     settings.Address(target.Listener.Addr().String()),
-		Listen:     settings.Listen{Callers: freeAddress(t), Outbound: freeAddress(t), Peers: freeAddress(t), Admin: freeAddress(t)},
+		Listen:     settings.Listen{Callers: address("7401"), Outbound: address("7402"), Peers: address("7403"), Admin: address("7404")},
 		DataFolder: filepath.Join(env.WorkDir, "data"),
 		Security:   settings.Security{PlaintextOnLoopback: true},
 	}
@@ -94,14 +100,3 @@
 		return err == nil && len(targets.Targets) == 1
 	}).WithTimeout(readyTimeout).Should(gomega.BeTrue())
 }
-
-// freeAddress returns a loopback address with a port that was free just now.
-func freeAddress(t *testing.T) settings.Address {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return settings.Address(listener.Addr().String())
-}
--- a/magnoliad/freeze_test.go
+++ b/magnoliad/freeze_test.go
@@ -14,6 +14,8 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/settings"
 )
 
 // newTargetDaemon writes the settings of another process, which serves a target of
@@ -23,18 +25,12 @@
 	g := gomega.NewWithT(t)
 	server := httptest.NewServer(target)
 	t.Cleanup(server.Close)
-	first, err := os.ReadFile(daemon.settingsPath)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	loaded := struct{ Listen struct{ Peers string } }{}
-	g.Expect(json.Unmarshal(first, &loaded)).To(gomega.Succeed())
-	node := &testDaemon{callersAddress: freeAddress(t), adminAddress: freeAddress(t), settingsPath: filepath.Join(t.TempDir(), name+".jsonc")}
+	node := &testDaemon{listen: testListen(t), settingsPath: filepath.Join(t.TempDir(), name+".jsonc")}
 	text, err := json.Marshal(map[string]any{
 		"node": name, "region": "norte", "failure-domain": "norte-b",
 		"service": "agenda", "target": server.Listener.Addr().String(),
-		"listen": map[string]string{
-			"callers": node.callersAddress, "outbound": freeAddress(t), "peers": freeAddress(t), "admin": node.adminAddress,
-		},
-		"seeds":    []string{loaded.Listen.Peers},
+		"listen":   node.listen,
+		"seeds":    []settings.Address{daemon.listen.Peers},
 		"security": map[string]bool{"plaintext-on-loopback": true},
 	})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -51,7 +47,7 @@
 
 func (daemon *testDaemon) bookVisit(t *testing.T, key string) bookingResult {
 	t.Helper()
-	outgoing, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+daemon.callersAddress+"/visits", strings.NewReader("visit"))
+	outgoing, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+string(daemon.listen.Callers)+"/visits", strings.NewReader("visit"))
 	outgoing.Host = "agenda"
 	outgoing.Header.Set("Idempotency-Key", key)
 	answer, err := http.DefaultClient.Do(outgoing)
--- a/magnoliad/process_test.go
+++ b/magnoliad/process_test.go
@@ -20,6 +20,8 @@
 	"github.com/onsi/gomega"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/operator"
+	"github.com/magnoliawall/magnoliawall/internal/loopback"
+	"github.com/magnoliawall/magnoliawall/internal/settings"
 )
 
 // waitTimeout bounds the wait for a condition. No check depends on how soon the
@@ -44,20 +46,21 @@
 
 // testDaemon is a real magnoliad process and its addresses.
 type testDaemon struct {
-	callersAddress, adminAddress string
-	settingsPath                 string
-	command                      *exec.Cmd
-	exited                       chan error
+	listen       settings.Listen
+	settingsPath string
+	command      *exec.Cmd
+	exited       chan error
 }
 
-func freeAddress(t *testing.T) string {
+// testListen returns the addresses of one process.
+func testListen(t *testing.T) settings.Listen {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	host, err := loopback.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	address := func(port string) settings.Address { return settings.Address(net.JoinHostPort(host, port)) }
+	return settings.Listen{Callers: address("7401"), Outbound: address("7402"), Peers: address("7403"), Admin: address("7404")}
 }
 
 // newReplicaDaemon writes the settings of a process that holds the only replica and
@@ -71,15 +74,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	daemon := &testDaemon{callersAddress: freeAddress(t), adminAddress: freeAddress(t), settingsPath: filepath.Join(folder, "node.jsonc")}
-	peers := freeAddress(t)
+	listen := testListen(t)
+	daemon := &testDaemon{listen: listen, settingsPath: filepath.Join(folder, "node.jsonc")}
 	text, err := json.Marshal(map[string]any{
 		"node": "one", "region": "norte", "failure-domain": "norte-a",
 		"service": "evidencia", "target": server.Listener.Addr().String(),
-		"listen":      map[string]string{"callers": daemon.callersAddress, "outbound": freeAddress(t), "peers": peers, "admin": daemon.adminAddress},
+		"listen":      listen,
 		"data-folder": "data",
 		"replica": map[string]any{
-			"members":               []map[string]string{{"node": "one", "address": peers, "failure-domain": "norte-a"}},
+			"members":               []map[string]string{{"node": "one", "address": string(listen.Peers), "failure-domain": "norte-a"}},
 			"initial-configuration": configuration,
 		},
 		"security": map[string]bool{"plaintext-on-loopback": true},
@@ -96,7 +99,14 @@
 func (daemon *testDaemon) startAndWait(t *testing.T) {
 	t.Helper()
 	daemon.startProcess(t, os.Stderr)
-	gomega.NewWithT(t).Eventually(daemon.readyStatus).WithTimeout(waitTimeout).Should(gomega.Equal(http.StatusOK))
+	gomega.NewWithT(t).Eventually(func() (int, error) {
+		select {
+		case err := <-daemon.exited:
+			return 0, gomega.StopTrying("the process ended before it was ready").Wrap(err)
+		default:
+			return daemon.readyStatus(), nil
+		}
+	}).WithTimeout(waitTimeout).Should(gomega.Equal(http.StatusOK))
 }
 
 // startProcess starts the process without waiting until it is ready.
@@ -116,7 +126,7 @@
 // readyStatus returns the HTTP status of the readiness check, or zero if the
 // process does not respond.
 func (daemon *testDaemon) readyStatus() int {
-	answer, err := http.Get("http://" + daemon.adminAddress + "/readyz")
+	answer, err := http.Get("http://" + string(daemon.listen.Admin) + "/readyz")
 	if err != nil {
 		return 0
 	}
@@ -125,7 +135,7 @@
 }
 
 func (daemon *testDaemon) operatorClient() *operator.Client {
-	return &operator.Client{Base: "http://" + daemon.adminAddress, HTTP: http.DefaultClient}
+	return &operator.Client{Base: "http://" + string(daemon.listen.Admin), HTTP: http.DefaultClient}
 }
 
 func (daemon *testDaemon) createPatch(t *testing.T, number int) operator.PatchOutcome {
@@ -154,7 +164,7 @@
 	}))
 	daemon.startAndWait(t)
 	body, bodyWriter := io.Pipe()
-	outgoing, _ := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+daemon.callersAddress+"/claims/7/photos/3", body)
+	outgoing, _ := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+string(daemon.listen.Callers)+"/claims/7/photos/3", body)
 	outgoing.Host = "evidencia"
 	outgoing.ContentLength = int64(len(photo))
 	type reply struct {
@@ -254,7 +264,7 @@
 
 func (daemon *testDaemon) getAdmin(t *testing.T, path string) string {
 	t.Helper()
-	answer, err := http.Get("http://" + daemon.adminAddress + path)
+	answer, err := http.Get("http://" + string(daemon.listen.Admin) + path)
 	if err != nil {
 		t.Fatal(err)
 	}
