Apply crash reports as of the time of the crash

Cause: replicas keep reports for ten minutes and send them to each node that connects, and since crash reports are sent again after a move of their node, a report can arrive several times. Each time its hold began anew: a request whose quarantine had ended was refused again for a minute, and a suspect that had completed became one again. The ninth crash of a suspect, which is not recorded, extended the hold with each repetition.

Change: a report carries its age through node and replicas. The guard applies it as of its own time, ignores crashes from before a completion, and completions from before a crash. A node applies the reports of one message together, so that a new node still learns of an old quarantine whose requests were sent again since. Reports of older nodes have the age zero and work as before.

--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -22,7 +22,7 @@
 	// Configuration receives each version when it comes into force.
 	Configuration func(number configuration.Version, text []byte)
 	// Reports receives the reports of other nodes on requests that crash targets.
-	Reports func(now time.Time, report quarantine.Report)
+	Reports func(now time.Time, reports []quarantine.Report)
 	// Problem receives conditions that an operator should look into; err may be nil.
 	Problem func(problem string, err error)
 }
@@ -85,6 +85,7 @@
 // ownReport is a report of this node; sentAt is zero if no replica was connected.
 type ownReport struct {
 	report quarantine.Report
+	madeAt time.Time
 	sentAt time.Time
 }
 
@@ -171,7 +172,7 @@
 		sentAt = now
 	}
 	for _, report := range reports {
-		agent.reports = append(agent.reports, ownReport{report: report, sentAt: sentAt})
+		agent.reports = append(agent.reports, ownReport{report: report, madeAt: now, sentAt: sentAt})
 	}
 	agent.reports = agent.reports[max(0, len(agent.reports)-maxStoredReports):]
 	if !agent.attached {
@@ -189,7 +190,9 @@
 		if agent.reports[index].sentAt.IsZero() {
 			agent.reports[index].sentAt = now
 		}
-		reports = append(reports, agent.reports[index].report)
+		report := agent.reports[index].report
+		report.Age += now.Sub(agent.reports[index].madeAt)
+		reports = append(reports, report)
 	}
 	return reports
 }
@@ -254,10 +257,8 @@
 func (agent *agent) receive(now time.Time, reply *pb.Reply) *pb.Request {
 	agent.unansweredSince = time.Time{}
 	answer := &pb.Request{}
-	for _, report := range decodeReports(reply.GetReports()) {
-		if agent.events.Reports != nil {
-			agent.events.Reports(now, report)
-		}
+	if reports := decodeReports(reply.GetReports()); len(reports) > 0 && agent.events.Reports != nil {
+		agent.events.Reports(now, reports)
 	}
 	for _, flow := range decodeFlows(reply.GetOthers()) {
 		agent.links.SetOthersRate(now, flow.To, flow.Rate)
--- a/internal/adapter/registry/client_test.go
+++ b/internal/adapter/registry/client_test.go
@@ -188,7 +188,11 @@
 		Events: Events{
 			Targets:       func(_ time.Time, view balancer.View) { client.targets <- view },
 			Configuration: func(number configuration.Version, _ []byte) { client.versions <- number },
-			Reports:       func(_ time.Time, report quarantine.Report) { client.reports <- report },
+			Reports: func(_ time.Time, reports []quarantine.Report) {
+				for _, report := range reports {
+					client.reports <- report
+				}
+			},
 		},
 	}
 	go func() { _ = client.Run(cluster.ctx) }()
--- a/internal/adapter/registry/fleet_harness_test.go
+++ b/internal/adapter/registry/fleet_harness_test.go
@@ -52,6 +52,8 @@
 	lists   map[request.ServiceName][]balancer.Target
 	version configuration.Version
 	events  []string
+	// reportAge is the age of the last report.
+	reportAge time.Duration
 }
 
 func newFleet(replicas int) *testFleet {
@@ -139,8 +141,11 @@
 				added.events = append(added.events, fmt.Sprintf("targets %d", len(view.Targets)))
 			},
 			Configuration: func(number configuration.Version, _ []byte) { added.version = number },
-			Reports: func(_ time.Time, report quarantine.Report) {
-				added.events = append(added.events, fmt.Sprintf("report %d", report.Event))
+			Reports: func(_ time.Time, reports []quarantine.Report) {
+				for _, report := range reports {
+					added.events = append(added.events, fmt.Sprintf("report %d", report.Event))
+					added.reportAge = report.Age
+				}
 			},
 		},
 	}
--- a/internal/adapter/registry/fleet_test.go
+++ b/internal/adapter/registry/fleet_test.go
@@ -199,6 +199,30 @@
 	expect.Expect(late.events).To(gomega.ContainElement("report 1"))
 }
 
+// TestReportsCarryTheirAge guards against a hold that begins anew at each node that
+// connects, moves or was without a replica.
+func TestReportsCarryTheirAge(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	fleet, targets, _ := newSmallFleet()
+	crash := quarantine.Report{Event: quarantine.TargetCrashed, Fingerprints: []request.Fingerprint{7}}
+	fleet.send(targets[0], targets[0].agent.report(fleet.now, []quarantine.Report{crash}))
+	fleet.advance(20*time.Second, nil)
+	late := fleet.addNode("late", "agenda", placeAt(1), nil, 1)
+	expect.Expect(late.reportAge).To(gomega.BeNumerically("~", 20*time.Second, time.Second))
+	fleet.killReplica(0)
+	fleet.startReplica(0)
+	fleet.advance(10*time.Second, nil)
+	later := fleet.addNode("later", "agenda", placeAt(0), nil, 0)
+	expect.Expect(later.reportAge).To(gomega.BeNumerically("~", 30*time.Second, time.Second))
+
+	fleet.disconnect(targets[3])
+	expect.Expect(targets[3].agent.report(fleet.now, []quarantine.Report{crash})).To(gomega.BeNil())
+	fleet.advance(5*time.Second, nil)
+	fleet.connect(targets[3], 1)
+	fleet.advance(TickInterval, nil)
+	expect.Expect(late.reportAge).To(gomega.BeNumerically("~", 5*time.Second, time.Second))
+}
+
 func newVersion(number int) distribution.Version {
 	text := fmt.Sprintf("{\n\t\"padding\": \"%0512d\",\n\t\"number\": %d\n}\n", 0, number)
 	patch := fmt.Sprintf(`[{"op":"replace","path":"/number","value":%d}]`, number)
--- a/internal/adapter/registry/hub.go
+++ b/internal/adapter/registry/hub.go
@@ -341,7 +341,9 @@
 	var reports []quarantine.Report
 	for _, stored := range hub.reports {
 		if now.Sub(stored.receivedAt) < reportRetention {
-			reports = append(reports, stored.report)
+			report := stored.report
+			report.Age += now.Sub(stored.receivedAt)
+			reports = append(reports, report)
 		}
 	}
 	return encodeReports(reports)
--- a/internal/adapter/registry/status_codec.go
+++ b/internal/adapter/registry/status_codec.go
@@ -11,6 +11,9 @@
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
+// maxReportAge, in milliseconds, bounds the age that a message can state.
+const maxReportAge = 24 * 60 * 60 * 1000
+
 func encodeReports(reports []quarantine.Report) []*pb.Report {
 	var encoded []*pb.Report
 	for _, report := range reports {
@@ -19,6 +22,7 @@
 			Node:        string(report.Crash.Node),
 			Domain:      string(report.Crash.Domain),
 			Incarnation: uint64(report.Crash.Incarnation),
+			AgeMs:       uint64(report.Age / time.Millisecond),
 		}
 		for _, fingerprint := range report.Fingerprints {
 			message.Fingerprints = append(message.Fingerprints, uint64(fingerprint))
@@ -38,6 +42,7 @@
 				Domain:      request.DomainName(message.GetDomain()),
 				Incarnation: quarantine.Incarnation(message.GetIncarnation()),
 			},
+			Age: min(time.Duration(message.GetAgeMs()), maxReportAge) * time.Millisecond,
 		}
 		for _, fingerprint := range message.GetFingerprints() {
 			report.Fingerprints = append(report.Fingerprints, request.Fingerprint(fingerprint))
--- a/internal/core/quarantine/admission.go
+++ b/internal/core/quarantine/admission.go
@@ -73,6 +73,7 @@
 		guard.completed.add(fingerprint)
 	}
 	if completed && guard.findSuspect(now, fingerprint) != nil {
+		guard.noteCompleted(now, fingerprint)
 		guard.clearSuspect(fingerprint)
 		guard.pendingReports = append(guard.pendingReports, Report{Event: SuspectCompleted, Fingerprints: []request.Fingerprint{fingerprint}})
 	}
--- a/internal/core/quarantine/guard.go
+++ b/internal/core/quarantine/guard.go
@@ -31,6 +31,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -70,6 +71,8 @@
 	suspectCount    atomic.Int64
 	suspects        map[request.Fingerprint]*suspectRecord
 	suspectsByCrash map[Crash]map[request.Fingerprint]bool
+	// completedAt holds when suspects completed, for the hold time.
+	completedAt     map[request.Fingerprint]time.Time
 	inFlight        map[Ticket]request.Fingerprint
 	completed       completedSet
 	queue           suspectQueue
@@ -133,13 +136,16 @@
 	return report, true
 }
 
-// Apply applies the report of another node. Reports may arrive repeatedly and
-// late.
-func (guard *Guard) Apply(now time.Time, report Report) {
+// Apply applies reports of other nodes, in the order of the list. Reports may arrive
+// repeatedly and late; the reports that a replica keeps for a new node belong into one
+// call, so that a suspect does not expire between its crash and a later resend.
+func (guard *Guard) Apply(now time.Time, reports ...Report) {
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
 	guard.initialize()
-	guard.applyReport(now, report)
+	for _, report := range reports {
+		guard.applyReport(now, report)
+	}
 }
 
 // TakeReports returns the reports to send that were added since the last call.
@@ -170,6 +176,9 @@
 			delete(guard.suspectsByCrash, crash)
 		}
 	}
+	maps.DeleteFunc(guard.completedAt, func(_ request.Fingerprint, at time.Time) bool {
+		return !now.Before(at.Add(guard.Hold))
+	})
 }
 
 // QuarantinedCount returns the number of fingerprints that are refused at present.
@@ -222,6 +231,7 @@
 	}
 	guard.suspects = map[request.Fingerprint]*suspectRecord{}
 	guard.suspectsByCrash = map[Crash]map[request.Fingerprint]bool{}
+	guard.completedAt = map[request.Fingerprint]time.Time{}
 	guard.inFlight = map[Ticket]request.Fingerprint{}
 	guard.completed.initialize()
 }
--- a/internal/core/quarantine/report.go
+++ b/internal/core/quarantine/report.go
@@ -37,6 +37,8 @@
 	Event        Event
 	Crash        Crash
 	Fingerprints []request.Fingerprint
+	// Age is the time from the event until the report was sent or, on its way, sent on.
+	Age time.Duration
 }
 
 // Restriction says which targets may run a request.
@@ -73,6 +75,7 @@
 type suspectRecord struct {
 	crashes          []Crash
 	restriction      Restriction
+	lastCrashAt      time.Time
 	expiresAt        time.Time
 	lastResendReport time.Time
 }
--- a/internal/core/quarantine/script_test.go
+++ b/internal/core/quarantine/script_test.go
@@ -55,11 +55,16 @@
 	}
 	now := start.Add(offset)
 	guard, rest := runner.guard(words[2]), words[3:]
+	rest, age := runner.age(rest)
 	switch words[1] {
 	case "crash":
-		guard.Apply(now, newCrashReport(request.NodeID(rest[0]), request.DomainName(rest[1]), runner.fingerprints(rest[2:])...))
+		report := newCrashReport(request.NodeID(rest[0]), request.DomainName(rest[1]), runner.fingerprints(rest[2:])...)
+		report.Age = age
+		guard.Apply(now, report)
 	case "finished":
-		guard.Apply(now, quarantine.Report{Event: quarantine.SuspectCompleted, Fingerprints: runner.fingerprints(rest)})
+		guard.Apply(now, quarantine.Report{Event: quarantine.SuspectCompleted, Fingerprints: runner.fingerprints(rest), Age: age})
+	case "resent":
+		guard.Apply(now, quarantine.Report{Event: quarantine.RefusedResent, Fingerprints: runner.fingerprints(rest), Age: age})
 	case "decide":
 		return formatDecision(guard.Decide(now, runner.fingerprints(rest)[0]))
 	case "quarantined":
@@ -84,6 +89,18 @@
 	return ""
 }
 
+// age takes a last word "age=DURATION" off the words.
+func (runner *scriptRunner) age(words []string) ([]string, time.Duration) {
+	if len(words) == 0 || !strings.HasPrefix(words[len(words)-1], "age=") {
+		return words, 0
+	}
+	age, err := time.ParseDuration(strings.TrimPrefix(words[len(words)-1], "age="))
+	if err != nil {
+		runner.t.Fatal(err)
+	}
+	return words[:len(words)-1], age
+}
+
 // targetStep runs an event on the node of a target.
 func (runner *scriptRunner) targetStep(now time.Time, guard *quarantine.Guard, event string, rest []string) string {
 	switch event {
--- a/internal/host/dataplane.go
+++ b/internal/host/dataplane.go
@@ -152,7 +152,7 @@
 		Events: registry.Events{
 			Targets:       func(now time.Time, view balancer.View) { plane.balancer.Update(now, view) },
 			Configuration: plane.activate,
-			Reports:       func(now time.Time, report quarantine.Report) { plane.guard.Apply(now, report) },
+			Reports:       func(now time.Time, reports []quarantine.Report) { plane.guard.Apply(now, reports...) },
 			Problem:       plane.logProblem,
 		},
 		Logger: host.Logger,
