Log the reasons of failed attempts at replicas and of absent metrics

Cause: a replica that was asked for its quorum and gave no answer, all but the last of the replicas that a node could not reach, and the end of the stream to a replica left no line in the log, and metrics whose part did not answer were left out of the page without one.

Change: each is logged with its address and error. The metrics of the registry are read before any is written.

Measured: TestAttemptsWithoutSuccessAreLogged and TestMissingMetricsAreLogged pass; both name messages that the code before did not have. internal/adapter/registry passes.

--- a/internal/adapter/registry/client.go
+++ b/internal/adapter/registry/client.go
@@ -250,20 +250,28 @@
 func (client *Client) finishOpen(ctx context.Context, now time.Time, link Link, address peer.Address, lost bool, err error) {
 	switch {
 	case err != nil:
-		client.openFailed(now, err)
+		client.openFailed(now, address, err)
 	case client.selector.accepts(now, address, lost, client.Replicas.List()):
 		client.attach(ctx, now, link, address)
 		return
 	}
+	if lost {
+		client.logReplica(address, nil, "registry: the replica that was asked has lost its quorum too")
+	}
 	if link != nil {
 		_ = link.Close()
 	}
 }
 
 // openFailed selects the next replica, and backs off once all have been tried.
-func (client *Client) openFailed(now time.Time, err error) {
-	if client.selector.fail(now, client.Replicas.List()) && client.Logger != nil {
-		client.Logger.Warn().Err(err).Msg("registry: no replica is reachable; the last target lists stay in force (error of the last replica tried)")
+func (client *Client) openFailed(now time.Time, address peer.Address, err error) {
+	if client.selector.registered {
+		client.logReplica(address, err, "registry: the replica that was asked for its quorum gave no answer")
+	} else {
+		client.logReplica(address, err, "registry: the replica is not reachable; trying the next one")
+	}
+	if client.selector.fail(now, client.Replicas.List()) {
+		client.warn("registry: no replica is reachable; the last target lists stay in force")
 	}
 }
 
@@ -274,17 +282,16 @@
 	output := newWriter(link)
 	client.writer = output
 	client.selector.register(now, address, client.Replicas.List())
-	if client.Logger != nil {
-		client.Logger.Info().Str("node", string(client.Self.Node)).Str("replica", string(address)).Msg("registry: registers with a replica")
-	}
+	client.logReplica(address, nil, "registry: registers with a replica")
 	client.send(client.agent.attach(now, address))
 	go client.read(ctx, link, output)
 }
 
 func (client *Client) read(ctx context.Context, link Link, output *writer) {
+	var streamErr error
 	for {
 		reply := &pb.Reply{}
-		if link.Receive(reply) != nil {
+		if streamErr = link.Receive(reply); streamErr != nil {
 			break
 		}
 		err := client.loop.do(ctx, func(now time.Time) {
@@ -303,6 +310,7 @@
 		if client.writer != output {
 			return
 		}
+		client.logReplica(client.selector.address, streamErr, "registry: the stream to the replica ended")
 		client.detach()
 		client.selector.lose(now)
 	})
@@ -337,6 +345,18 @@
 	}
 }
 
+// logReplica logs an event at a replica; err may be nil.
+func (client *Client) logReplica(replica peer.Address, err error, text string) {
+	if client.Logger == nil {
+		return
+	}
+	entry := client.Logger.Info().Str("node", string(client.Self.Node)).Str("replica", string(replica))
+	if err != nil {
+		entry = entry.Err(err)
+	}
+	entry.Msg(text)
+}
+
 func (client *Client) warn(text string) {
 	if client.Logger != nil {
 		client.Logger.Warn().Str("node", string(client.Self.Node)).Msg(text)
--- a/internal/core/quarantine/guard.go
+++ b/internal/core/quarantine/guard.go
@@ -72,11 +72,11 @@
 	suspects        map[request.Fingerprint]*suspectRecord
 	suspectsByCrash map[Crash]map[request.Fingerprint]bool
 	// completedAt holds when suspects completed, for the hold time.
-	completedAt     map[request.Fingerprint]time.Time
-	inFlight        map[Ticket]request.Fingerprint
-	completed       completedSet
-	queue           suspectQueue
-	pendingReports  []Report
+	completedAt    map[request.Fingerprint]time.Time
+	inFlight       map[Ticket]request.Fingerprint
+	completed      completedSet
+	queue          suspectQueue
+	pendingReports []Report
 }
 
 // SetHold changes the hold time. Records that exist keep their expiry until it
--- a/internal/host/monitoring.go
+++ b/internal/host/monitoring.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -62,6 +63,8 @@
 		writeGauge(page, "configuration_version", uint64(host.configuration.Current().Version))
 		if lost, err := host.dataPlane.registryClient.ReplicaWithoutQuorum(ctx); err == nil {
 			writeGauge(page, "node_replica_without_quorum", gaugeValue(lost))
+		} else {
+			host.logMissingMetrics(err, "node_replica_without_quorum")
 		}
 	}
 	if host.controlPlane != nil {
@@ -74,6 +77,11 @@
 	_, _ = page.WriteTo(writer)
 }
 
+// logMissingMetrics logs that a page of metrics lacks some, and why.
+func (host *Host) logMissingMetrics(err error, names string) {
+	host.Logger.Warn().Err(err).Str("metrics", names).Msg("metrics: some are left out of this page")
+}
+
 func (host *Host) writeCertificateMetrics(page io.Writer) {
 	writeGauge(page, "certificate_expiry_timestamp_seconds", uint64(host.certificates.Expiry().Unix()))
 	writeGauge(page, "certificate_reload_failed", gaugeValue(host.certificates.ReloadError() != nil))
@@ -91,6 +99,8 @@
 	if err == nil {
 		writeReplicaMetrics(page, status)
 		state.write(page)
+	} else {
+		plane.host.logMissingMetrics(err, "replica")
 	}
 	plane.writeRegistryMetrics(ctx, page)
 }
@@ -135,12 +145,11 @@
 }
 
 func (plane *controlPlane) writeRegistryMetrics(ctx context.Context, page io.Writer) {
-	leases, err := plane.registry.LeaseCount(ctx)
-	if err != nil {
-		return
-	}
-	domains, err := plane.registry.Status(ctx)
-	if err != nil {
+	leases, leasesErr := plane.registry.LeaseCount(ctx)
+	domains, domainsErr := plane.registry.Status(ctx)
+	lost, lostErr := plane.registry.SilentReplicas(ctx)
+	if err := errors.Join(leasesErr, domainsErr, lostErr); err != nil {
+		plane.host.logMissingMetrics(err, "registry")
 		return
 	}
 	silent, unreached := 0, 0
@@ -148,10 +157,6 @@
 		silent += len(domain.Silent)
 		unreached += int(gaugeValue(domain.OutOfReach))
 	}
-	lost, err := plane.registry.SilentReplicas(ctx)
-	if err != nil {
-		return
-	}
 	writeGauge(page, "replica_quorum_lost", gaugeValue(plane.reconciler.quorumLost()))
 	writeGauge(page, "registry_silent_replicas", uint64(len(lost)))
 	writeGauge(page, "registry_leases", uint64(leases))
