Limit a suspect to one target on routes too

Cause: a call of a route picks from all tiers by expected time, and that choice did not look at the limits of a suspect. So copies of a request that crashes targets went to different targets at once, and to failure domains that are excluded for it.

Change: a call that is limited to one target is picked by its fingerprint, whatever its kind.

Measured: the cases "all tiers true" of TestSingleTargetCallsShareTargetThatIsNotAvoided and TestAvoidedDomainIsNeverPicked failed before and pass. internal/core/balancer passes.

--- a/internal/core/balancer/fingerprint_test.go
+++ b/internal/core/balancer/fingerprint_test.go
@@ -50,35 +50,48 @@
 }
 
 // All nodes must send a call that is limited to one target to the same target, and
-// not to one of AvoidNodes.
+// not to one of AvoidNodes, also if other calls of its kind may go to all tiers.
 func TestSingleTargetCallsShareTargetThatIsNotAvoided(t *testing.T) {
+	for _, allTiers := range []bool{false, true} {
+		t.Run(fmt.Sprintf("all tiers %v", allTiers), func(t *testing.T) {
+			for fingerprint := request.Fingerprint(1); fingerprint < 50; fingerprint++ {
+				checkSingleTarget(t, fingerprint, allTiers)
+			}
+		})
+	}
+}
+
+func checkSingleTarget(t *testing.T, fingerprint request.Fingerprint, allTiers bool) {
+	t.Helper()
 	expect := gomega.NewWithT(t)
 	targets := newTargets(4)
-	source := newRandom()
-	for fingerprint := request.Fingerprint(1); fingerprint < 50; fingerprint++ {
-		avoided := targets[fingerprint%4].Node
-		reached := map[request.NodeID]bool{}
-		for sender := range 5 {
-			loadBalancer := &balancer.Balancer{Self: request.NodeID(fmt.Sprintf("sender-%d", sender)), Place: callerPlace}
-			loadBalancer.Update(start, balancer.View{Service: service, Targets: targets})
-			call := balancer.Call{Service: service, Fingerprint: fingerprint, SingleTarget: true, AvoidNodes: []request.NodeID{avoided}}
-			picked, code := loadBalancer.Pick(start, source, call)
-			expect.Expect(code).To(gomega.Equal(request.OK))
-			expect.Expect(picked.Target.Place).To(gomega.Equal(callerPlace))
-			reached[picked.Target.Node] = true
-		}
-		expect.Expect(reached).To(gomega.HaveLen(1))
-		expect.Expect(reached).NotTo(gomega.HaveKey(avoided))
+	avoided := targets[fingerprint%4].Node
+	source := rand.New(rand.NewPCG(uint64(fingerprint), 1))
+	reached := map[request.NodeID]bool{}
+	for sender := range 5 {
+		loadBalancer := &balancer.Balancer{Self: request.NodeID(fmt.Sprintf("sender-%d", sender)), Place: callerPlace}
+		loadBalancer.Update(start, balancer.View{Service: service, Targets: targets})
+		call := balancer.Call{Service: service, Fingerprint: fingerprint, AllTiers: allTiers, SingleTarget: true, AvoidNodes: []request.NodeID{avoided}}
+		picked, code := loadBalancer.Pick(start, source, call)
+		expect.Expect(code).To(gomega.Equal(request.OK))
+		expect.Expect(picked.Target.Place).To(gomega.Equal(callerPlace))
+		reached[picked.Target.Node] = true
 	}
+	expect.Expect(reached).To(gomega.HaveLen(1))
+	expect.Expect(reached).NotTo(gomega.HaveKey(avoided))
 }
 
 func TestAvoidedDomainIsNeverPicked(t *testing.T) {
-	expect := gomega.NewWithT(t)
-	loadBalancer := newBalancer(newTargets(2))
-	call := balancer.Call{Service: service, Fingerprint: 5, SingleTarget: true, AvoidDomains: []request.DomainName{callerPlace.Domain}}
-	picked, code := loadBalancer.Pick(start, newRandom(), call)
-	expect.Expect(code).To(gomega.Equal(request.OK))
-	expect.Expect(picked.Target.Place.Domain).NotTo(gomega.Equal(callerPlace.Domain))
+	for _, allTiers := range []bool{false, true} {
+		t.Run(fmt.Sprintf("all tiers %v", allTiers), func(t *testing.T) {
+			expect := gomega.NewWithT(t)
+			loadBalancer := newBalancer(newTargets(2))
+			call := balancer.Call{Service: service, Fingerprint: 5, AllTiers: allTiers, SingleTarget: true, AvoidDomains: []request.DomainName{callerPlace.Domain}}
+			picked, code := loadBalancer.Pick(start, newRandom(), call)
+			expect.Expect(code).To(gomega.Equal(request.OK))
+			expect.Expect(picked.Target.Place.Domain).NotTo(gomega.Equal(callerPlace.Domain))
+		})
+	}
 }
 
 func TestAvoidedTargetIsPickedIfThereIsNoOther(t *testing.T) {
--- a/internal/core/balancer/pool.go
+++ b/internal/core/balancer/pool.go
@@ -132,7 +132,7 @@
 		return pool.newChoice(due), request.OK
 	}
 	ignoreEjected := pool.mostEjected(now)
-	if call.AllTiers {
+	if call.AllTiers && !call.SingleTarget {
 		return pool.pickAcrossTiers(now, random, call, ignoreEjected)
 	}
 	code := request.NoTarget
