Wait in tests of hosts until every node knows the targets

With a delay of 0.3 s put before the list of a node, TestKeptAnswerNeedsNoQuorum failed in three runs of three with just that answer. The booking of TestOnceAcrossPartitionSides is the first of its cluster as well.

Change: a gauge node_known_targets, and startCluster waits for it at each node.

Measured: with the delay, TestKeptAnswerNeedsNoQuorum passes in three runs of three; internal/host passes with -race.

--- a/internal/host/cluster_test.go
+++ b/internal/host/cluster_test.go
@@ -66,6 +66,9 @@
 	}
 	cluster.awaitVersion(1)
 	cluster.awaitTargets(len(places))
+	for _, member := range cluster.members {
+		member.awaitKnownTargets(len(places))
+	}
 	return cluster
 }
 
@@ -241,6 +244,14 @@
 	}).WithTimeout(testTimeout).Should(gomega.Equal(count))
 }
 
+// awaitKnownTargets waits until the target lists of the host's own node hold so many
+// targets. They follow the lists of the replica.
+func (member *clusterMember) awaitKnownTargets(count int) {
+	member.cluster.t.Helper()
+	gauge := fmt.Sprintf("magnoliawall_node_known_targets %d\n", count)
+	gomega.NewWithT(member.cluster.t).Eventually(member.metrics).WithTimeout(testTimeout).Should(gomega.ContainSubstring(gauge))
+}
+
 // operate sends an operator request to one host.
 func operate[Answer any](member *clusterMember, verb operator.Verb, message any) (Answer, error) {
 	client := &operator.Client{Base: "http://" + string(member.settings.Listen.Admin), HTTP: http.DefaultClient}
--- a/internal/host/monitoring.go
+++ b/internal/host/monitoring.go
@@ -61,6 +61,7 @@
 	if host.dataPlane != nil {
 		host.dataPlane.node.WriteMetrics(page)
 		writeGauge(page, "configuration_version", uint64(host.configuration.Current().Version))
+		writeGauge(page, "node_known_targets", uint64(host.dataPlane.balancer.TotalTargetCount()))
 		if lost, err := host.dataPlane.registryClient.ReplicaWithoutQuorum(ctx); err == nil {
 			writeGauge(page, "node_replica_without_quorum", gaugeValue(lost))
 		} else {
--- a/internal/host/monitoring_test.go
+++ b/internal/host/monitoring_test.go
@@ -31,7 +31,7 @@
 	}
 	served := &node.Node{Configuration: monitored.configuration, Transport: &peer.Transport{}, Target: &web.TargetClient{}, Balancer: &balancer.Balancer{}}
 	served.Prepare()
-	monitored.dataPlane = &dataPlane{host: monitored, node: served, registryClient: client}
+	monitored.dataPlane = &dataPlane{host: monitored, node: served, balancer: served.Balancer, registryClient: client}
 
 	page := httptest.NewRecorder()
 	monitored.serveMetrics(page, httptest.NewRequest("GET", "/metrics", nil))
--- a/internal/host/target_loss_test.go
+++ b/internal/host/target_loss_test.go
@@ -116,13 +116,18 @@
 
 // inboundCallsMetric reads the node's metric of calls from peers.
 func (member *clusterMember) inboundCallsMetric() string {
+	return regexp.MustCompile(`magnoliawall_inbound_calls_total \d+`).FindString(member.metrics())
+}
+
+// metrics returns the host's page of metrics, or nothing if it does not answer.
+func (member *clusterMember) metrics() string {
 	answer, err := http.Get("http://" + string(member.settings.Listen.Admin) + "/metrics")
 	if err != nil {
 		return ""
 	}
 	defer func() { _ = answer.Body.Close() }()
 	content, _ := io.ReadAll(answer.Body)
-	return regexp.MustCompile(`magnoliawall_inbound_calls_total \d+`).FindString(string(content))
+	return string(content)
 }
 
 // A request that crashes its target takes down at most two targets of a failure
