End a call whose target switches the protocol

Cause: a response 101 was skipped like other interim ones, and whatever bytes of the other protocol followed were read as the response. Calls to targets never ask for an upgrade.

Change: a 101 ends the call and closes the connection.

Measured: TestUnrequestedUpgradeEndsCall failed before (no error) and passes; internal/adapter/web passes.

--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -247,6 +247,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errUnrequestedUpgrade
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -28,6 +28,9 @@
 
 var errMismatchedResponse = errors.New("the target sent the response to another call")
 
+// errUnrequestedUpgrade means that no response follows; calls never ask for an upgrade.
+var errUnrequestedUpgrade = errors.New("the target switches the protocol though no call asks for it")
+
 // TargetClient sends calls to the local target, one at a time on each connection.
 // It formats and parses messages with net/http but manages the connections
 // itself, because [http.Client] resends a request on its own when a kept
--- a/internal/adapter/web/wire_test.go
+++ b/internal/adapter/web/wire_test.go
@@ -280,3 +280,18 @@
 	g.Expect(errors.As(err, &sent)).To(gomega.BeFalse())
 	g.Expect(request.Describe(request.TargetUnreachable).Outcome).To(gomega.Equal(request.NotRun))
 }
+
+// TestUnrequestedUpgradeEndsCall guards against the bytes of another protocol that are read
+// as the response to a call.
+func TestUnrequestedUpgradeEndsCall(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target := startScriptedTarget(t, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"+okHeader+"Call: 1\r\n\r\nno", okHeader+"Call: 2\r\n\r\nok")
+	client := target.client(echoDialect{})
+	defer client.Close()
+	_, err := client.Send(t.Context(), newCall(http.MethodGet, "/first", "1"))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("switches the protocol")))
+	second, err := sendAndReadBody(client, newCall(http.MethodGet, "/second", "2"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(second).To(gomega.Equal("ok"))
+	g.Expect(target.connections.Load()).To(gomega.BeEquivalentTo(2))
+}
