Keep draining when SIGTERM comes again

Cause: after the first signal the default handling applied again, so that a supervisor that repeats SIGTERM ended the process and cut the requests in flight. SIGHUP was handled from the reading of the arguments until the end of the drain only, and ended the process before and after.

Change: another SIGTERM has no effect, SIGINT after it ends the process. SIGHUP is handled from the start of main to the exit.

Measured: TestRepeatedStopSignalCutsNoUpload failed before (the process was gone) and passes; TestInterruptEndsDrain and the other tests of magnoliad pass.

--- a/magnoliad/internal/command/factory/factory.go
+++ b/magnoliad/internal/command/factory/factory.go
@@ -22,11 +22,13 @@
 // Factory holds the dependencies of the commands. Tests set its fields.
 type Factory struct {
 	Streams *terminal.Streams
+	// Reloads receives the signals to reload the settings.
+	Reloads chan os.Signal
 }
 
 // New returns the factory of the program, with the streams of the process.
 func New() *Factory {
-	return &Factory{Streams: terminal.System()}
+	return &Factory{Streams: terminal.System(), Reloads: make(chan os.Signal, 1)}
 }
 
 // Settings reads and checks a settings file and resolves its paths. The error lists
--- a/magnoliad/internal/command/run/run.go
+++ b/magnoliad/internal/command/run/run.go
@@ -9,9 +9,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/magnoliawall/magnoliawall/internal/host"
 	"github.com/magnoliawall/magnoliawall/internal/memory"
@@ -34,8 +31,8 @@
 func (options *Options) Help() string {
 	return `Runs the node of this host, and the replica that its settings name, until
 SIGTERM or SIGINT. Then it tells its peers that its target leaves, accepts no new
-calls, finishes every request in flight, uploads included, and exits 0. A second
-signal ends the process at once. On SIGHUP, and when the file changes without a
+calls, finishes every request in flight, uploads included, and exits 0. Another
+SIGTERM changes nothing, another SIGINT ends the process at once. On SIGHUP, and when the file changes without a
 signal, it reloads its settings: seeds and log-level take effect at once.
 
 Examples:
@@ -45,10 +42,7 @@
 // Run runs the node until the context ends and reloads its settings on SIGHUP and
 // when the file changes.
 func (options *Options) Run(ctx context.Context, tools *factory.Factory) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	watcher := &settings.Watcher{Path: options.Settings, Signals: signals, Load: tools.Settings}
+	watcher := &settings.Watcher{Path: options.Settings, Signals: tools.Reloads, Load: tools.Settings}
 	watcher.Remember()
 	loaded, err := tools.Settings(options.Settings)
 	if err != nil {
--- a/magnoliad/process_test.go
+++ b/magnoliad/process_test.go
@@ -99,14 +99,21 @@
 func (daemon *testDaemon) startAndWait(t *testing.T) {
 	t.Helper()
 	daemon.startProcess(t, os.Stderr)
+	daemon.awaitReadyStatus(t, http.StatusOK)
+}
+
+// awaitReadyStatus waits until the readiness check has the status. It fails at once if
+// the process ends.
+func (daemon *testDaemon) awaitReadyStatus(t *testing.T, status int) {
+	t.Helper()
 	gomega.NewWithT(t).Eventually(func() (int, error) {
 		select {
 		case err := <-daemon.exited:
-			return 0, gomega.StopTrying("the process ended before it was ready").Wrap(err)
+			return 0, gomega.StopTrying("the process ended").Wrap(err)
 		default:
 			return daemon.readyStatus(), nil
 		}
-	}).WithTimeout(waitTimeout).Should(gomega.Equal(http.StatusOK))
+	}).WithTimeout(waitTimeout).Should(gomega.Equal(status))
 }
 
 // startProcess starts the process without waiting until it is ready.
@@ -150,50 +157,104 @@
 	return outcome
 }
 
-// TestGracefulStopCompletesUpload stops a real process during the upload of a photo
-// of 20 MB. The whole photo must arrive before the process exits with 0.
-func TestGracefulStopCompletesUpload(t *testing.T) {
-	g := gomega.NewWithT(t)
+// uploadTest is the upload of a photo of 20 MB through a real process. The target has
+// read a quarter of it.
+type uploadTest struct {
+	daemon  *testDaemon
+	photo   []byte
+	writer  *io.PipeWriter
+	answers chan uploadAnswer
+}
+
+type uploadAnswer struct {
+	content string
+	err     error
+}
+
+func startUpload(t *testing.T) *uploadTest {
+	t.Helper()
 	uploadStarted := make(chan struct{})
-	photo := bytes.Repeat([]byte("meter pit "), 2<<20)
-	daemon := newReplicaDaemon(t, http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
-		_, _ = io.CopyN(io.Discard, incoming.Body, int64(len(photo)/4))
+	upload := &uploadTest{photo: bytes.Repeat([]byte("meter pit "), 2<<20), answers: make(chan uploadAnswer, 1)}
+	quarter := len(upload.photo) / 4
+	upload.daemon = newReplicaDaemon(t, http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+		_, _ = io.CopyN(io.Discard, incoming.Body, int64(quarter))
 		close(uploadStarted)
 		rest, _ := io.Copy(io.Discard, incoming.Body)
-		_, _ = fmt.Fprint(writer, int(rest)+len(photo)/4)
+		_, _ = fmt.Fprint(writer, int(rest)+quarter)
 	}))
-	daemon.startAndWait(t)
-	body, bodyWriter := io.Pipe()
-	outgoing, _ := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+string(daemon.listen.Callers)+"/claims/7/photos/3", body)
+	upload.daemon.startAndWait(t)
+	var body io.ReadCloser
+	body, upload.writer = io.Pipe()
+	outgoing, _ := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+string(upload.daemon.listen.Callers)+"/claims/7/photos/3", body)
 	outgoing.Host = "evidencia"
-	outgoing.ContentLength = int64(len(photo))
-	type reply struct {
-		content string
-		err     error
-	}
-	replies := make(chan reply, 1)
-	go func() {
-		answer, err := http.DefaultClient.Do(outgoing)
-		if err != nil {
-			replies <- reply{err: err}
-			return
-		}
-		content, err := io.ReadAll(answer.Body)
-		replies <- reply{string(content), err}
-	}()
-	_, err := bodyWriter.Write(photo[:len(photo)/2])
-	g.Expect(err).NotTo(gomega.HaveOccurred())
+	outgoing.ContentLength = int64(len(upload.photo))
+	go func() { upload.answers <- readUploadAnswer(outgoing) }()
+	_, err := upload.writer.Write(upload.photo[:len(upload.photo)/2])
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	<-uploadStarted
-	g.Expect(daemon.command.Process.Signal(syscall.SIGTERM)).To(gomega.Succeed())
-	g.Eventually(daemon.readyStatus).WithTimeout(waitTimeout).Should(gomega.Equal(http.StatusServiceUnavailable))
-	g.Expect(daemon.exited).NotTo(gomega.Receive())
-	_, err = bodyWriter.Write(photo[len(photo)/2:])
+	return upload
+}
+
+func readUploadAnswer(outgoing *http.Request) uploadAnswer {
+	answer, err := http.DefaultClient.Do(outgoing)
+	if err != nil {
+		return uploadAnswer{err: err}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	content, err := io.ReadAll(answer.Body)
+	return uploadAnswer{string(content), err}
+}
+
+// expectDrains sends SIGTERM to the process and waits until it drains.
+func (upload *uploadTest) expectDrains(t *testing.T) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	g.Expect(upload.daemon.command.Process.Signal(syscall.SIGTERM)).To(gomega.Succeed())
+	upload.daemon.awaitReadyStatus(t, http.StatusServiceUnavailable)
+}
+
+// expectCompletes sends the rest of the photo. The whole of it must arrive before the
+// process exits with 0.
+func (upload *uploadTest) expectCompletes(t *testing.T) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	_, err := upload.writer.Write(upload.photo[len(upload.photo)/2:])
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(bodyWriter.Close()).To(gomega.Succeed())
-	got := <-replies
-	g.Expect(got.err).NotTo(gomega.HaveOccurred())
-	g.Expect(got.content).To(gomega.Equal(fmt.Sprint(len(photo))))
-	g.Eventually(daemon.exited).WithTimeout(waitTimeout).Should(gomega.Receive(gomega.BeNil()))
+	g.Expect(upload.writer.Close()).To(gomega.Succeed())
+	answer := <-upload.answers
+	g.Expect(answer.err).NotTo(gomega.HaveOccurred())
+	g.Expect(answer.content).To(gomega.Equal(fmt.Sprint(len(upload.photo))))
+	g.Eventually(upload.daemon.exited).WithTimeout(waitTimeout).Should(gomega.Receive(gomega.BeNil()))
+}
+
+// TestGracefulStopCompletesUpload guards against a planned stop that cuts an upload.
+func TestGracefulStopCompletesUpload(t *testing.T) {
+	upload := startUpload(t)
+	upload.expectDrains(t)
+	upload.expectCompletes(t)
+}
+
+// TestRepeatedStopSignalCutsNoUpload guards against a supervisor that repeats SIGTERM, or
+// reloads the settings, while the process drains.
+func TestRepeatedStopSignalCutsNoUpload(t *testing.T) {
+	g := gomega.NewWithT(t)
+	upload := startUpload(t)
+	upload.expectDrains(t)
+	for _, repeated := range []os.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM} {
+		g.Expect(upload.daemon.command.Process.Signal(repeated)).To(gomega.Succeed())
+		upload.daemon.awaitReadyStatus(t, http.StatusServiceUnavailable)
+	}
+	upload.expectCompletes(t)
+}
+
+// TestInterruptEndsDrain guards against a drain that an operator at a terminal cannot end.
+func TestInterruptEndsDrain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	upload := startUpload(t)
+	upload.expectDrains(t)
+	g.Expect(upload.daemon.command.Process.Signal(os.Interrupt)).To(gomega.Succeed())
+	g.Eventually(upload.daemon.exited).WithTimeout(waitTimeout).Should(gomega.Receive(gomega.HaveOccurred()))
+	g.Expect(upload.writer.Close()).To(gomega.Succeed())
 }
 
 // TestKilledProcessRecoversLatestVersion kills and restarts a real process after an
