Check in the soak that a planned stop cuts no request

Cause: the soak saw a request that was cut only as one that is sent again. A second SIGTERM that ended a process was found by reading. Faults that overlap at one host ended with the first of them.

Change: an attempt tells that its connection ended without the whole answer after the request was written whole on a new connection, or within an answer; that is a broken promise ("no cut") unless the process was killed. A fault stop-again repeats signals during a stop. A host stays down, frozen or limited until the last fault ends. The other faults of a seed are the same as before.

--- a/magnolia-load/internal/load/caller.go
+++ b/magnolia-load/internal/load/caller.go
@@ -53,6 +53,9 @@
 	// Detail is the start of an answer that is neither a success nor a refusal with a
 	// code, at most maxDetailBytes long.
 	Detail string
+	// Cut says that the connection ended without the whole answer to a request that the
+	// entry node had been sent whole.
+	Cut bool
 }
 
 // Send makes one attempt and checks the complete answer. All attempts of an action
@@ -65,18 +68,19 @@
 	if kind.Repeat == request.Once {
 		nonce = string(key)
 	}
-	outgoing, err := caller.newRequest(ctx, kind, key, attempt, nonce)
+	watched := &exchange{}
+	outgoing, err := caller.newRequest(watched.withTrace(ctx), kind, key, attempt, nonce)
 	if err != nil {
 		return Reply{Result: ResultBroken}
 	}
 	response, err := caller.client.Do(outgoing)
 	if err != nil {
-		return Reply{Result: classifyError(err)}
+		return Reply{Result: classifyError(err), Cut: watched.wasCut(err)}
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		return Reply{Result: classifyError(err)}
+		return Reply{Result: classifyError(err), Cut: watched.wasCut(err)}
 	}
 	return classifyResponse(response.StatusCode, body, nonce)
 }
--- a/magnolia-load/internal/load/runner.go
+++ b/magnolia-load/internal/load/runner.go
@@ -82,12 +82,12 @@
 func (runner *Runner) send(ctx context.Context, number int, arrival Arrival) {
 	kind := runner.Plan.Kinds[arrival.KindIndex]
 	key := request.IdempotencyKey(fmt.Sprintf("%s-%d-%d", runner.KeyPrefix, runner.Plan.Seed, number))
-	sample := Sample{KindIndex: arrival.KindIndex, Key: key, ArrivedAt: arrival.At}
-	caller := runner.Callers[arrival.EntryIndex%len(runner.Callers)]
+	sample := Sample{KindIndex: arrival.KindIndex, EntryIndex: arrival.EntryIndex % len(runner.Callers), Key: key, ArrivedAt: arrival.At}
+	caller := runner.Callers[sample.EntryIndex]
 	for number := range max(runner.Plan.MaxAttempts, 1) {
 		attempt := Attempt{Name: target.AttemptName(fmt.Sprintf("%s-%d", key, number)), SentAt: time.Since(runner.startedAt)}
 		reply := caller.Send(ctx, kind, key, attempt.Name)
-		attempt.Result, attempt.Code, attempt.Outcome = reply.Result, reply.Code, reply.Outcome
+		attempt.Result, attempt.Code, attempt.Outcome, attempt.Cut = reply.Result, reply.Code, reply.Outcome, reply.Cut
 		attempt.EndedAt = time.Since(runner.startedAt)
 		sample.Attempts = append(sample.Attempts, attempt)
 		if attempt.Result == ResultWhole || ctx.Err() != nil {
--- a/magnolia-load/internal/load/sample.go
+++ b/magnolia-load/internal/load/sample.go
@@ -50,16 +50,20 @@
 	Outcome string
 	SentAt  time.Duration
 	EndedAt time.Duration
+	// Cut is as in [Reply].
+	Cut bool
 }
 
 // Sample is one request with all its attempts. Its times are since the start of
 // the run.
 type Sample struct {
 	KindIndex int
-	Key       request.IdempotencyKey
-	ArrivedAt time.Duration
-	EndedAt   time.Duration
-	Attempts  []Attempt
+	// EntryIndex is the index of the caller of the entry node.
+	EntryIndex int
+	Key        request.IdempotencyKey
+	ArrivedAt  time.Duration
+	EndedAt    time.Duration
+	Attempts   []Attempt
 }
 
 // Succeeded reports whether the last attempt got the complete answer.
--- a/magnolia-load/internal/soak/plan.go
+++ b/magnolia-load/internal/soak/plan.go
@@ -49,6 +49,8 @@
 	// writing towards it.
 	FaultReset     FaultKind = "reset"
 	FaultHalfClose FaultKind = "half-close"
+	// FaultStopAgain is FaultStop with SIGTERM, SIGHUP and SIGTERM during the stop.
+	FaultStopAgain FaultKind = "stop-again"
 	// FaultLimit makes the target of a host state a rate limit in its answers.
 	FaultLimit FaultKind = "limit"
 )
@@ -64,7 +66,9 @@
 	// for several windows of arrivals.
 	meanLimitInterval = 4 * time.Second
 	minLimitDuration  = 6 * time.Second
-	maxLimitDuration  = 14 * time.Second
+	// meanStopAgainInterval is the mean time between two stops with repeated signals.
+	meanStopAgainInterval = 5 * time.Second
+	maxLimitDuration      = 14 * time.Second
 	// recoveryTimeout is how long the site may take to serve again after the last
 	// fault, the users' recovery-s. After it, the requests of checkDuration are
 	// checked.
@@ -109,6 +113,7 @@
 		plan = append(plan, fault)
 	}
 	plan = append(plan, limitFaults(seed, end, hosts)...)
+	plan = append(plan, repeatedStops(seed, end, hosts)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -125,6 +130,18 @@
 	return faults
 }
 
+// repeatedStops returns the stops with repeated signals of a plan, drawn apart like the
+// rate limits.
+func repeatedStops(seed uint64, end time.Duration, hosts int) []Fault {
+	random := rand.New(rand.NewPCG(seed, 19))
+	var faults []Fault
+	for at := minFaultDuration; at < end; at += time.Duration((0.2 + 1.6*random.Float64()) * float64(meanStopAgainInterval)) {
+		duration := minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))
+		faults = append(faults, Fault{At: at, Kind: FaultStopAgain, Host: random.IntN(hosts), Duration: min(duration, end-at)})
+	}
+	return faults
+}
+
 // kindWeights are the relative frequencies of the kinds.
 var kindWeights = []struct {
 	kind   FaultKind
--- a/magnolia-load/internal/soak/promises.go
+++ b/magnolia-load/internal/soak/promises.go
@@ -23,6 +23,8 @@
 	rateGracePeriod = 3 * time.Second
 	maxRateFactor   = 1.5
 	maxRateExcess   = 5
+	// killMargin is the time by which the record of a kill may differ from its effect.
+	killMargin = 500 * time.Millisecond
 )
 
 // observations are what callers, targets, operators and the system's process list
@@ -41,7 +43,9 @@
 	// overdueStops planned stops that took too long.
 	unexpectedExits []string
 	overdueStops    []string
-	resourceUses    []resourceUse
+	// kills holds when each host was killed, by the index of the host.
+	kills        map[int][]time.Duration
+	resourceUses []resourceUse
 	// limitedPeriods are the times in which targets stated a rate limit.
 	limitedPeriods []target.LimitedPeriod
 	// recoverySpan is the span in which the site must serve again.
@@ -67,7 +71,7 @@
 
 // brokenPromises describes the promises that were not kept.
 func (observed observations) brokenPromises() []string {
-	return slices.Concat(observed.checkAnswers(), observed.checkAtMostOnce(), observed.checkChanges(), observed.checkProcesses(), observed.checkRates(), observed.checkRecovery())
+	return slices.Concat(observed.checkAnswers(), observed.checkCuts(), observed.checkAtMostOnce(), observed.checkChanges(), observed.checkProcesses(), observed.checkRates(), observed.checkRecovery())
 }
 
 // checkAnswers checks that each success response is complete and for the caller's
@@ -80,6 +84,27 @@
 	return []string{fmt.Sprintf("whole answers: %d success responses were truncated, corrupted or for another request", wrong)}
 }
 
+// checkCuts checks that each request that its entry process got whole is answered, unless
+// that process was killed.
+func (observed observations) checkCuts() []string {
+	var broken []string
+	for _, sample := range observed.samples {
+		for _, attempt := range sample.Attempts {
+			if attempt.Cut && !observed.wasKilled(sample.EntryIndex, attempt) {
+				broken = append(broken, fmt.Sprintf("no cut: %s at host %d, sent at %s, was cut at %s", attempt.Name, sample.EntryIndex, attempt.SentAt, attempt.EndedAt))
+			}
+		}
+	}
+	return broken
+}
+
+// wasKilled reports whether a host was killed during the attempt.
+func (observed observations) wasKilled(host int, attempt load.Attempt) bool {
+	return slices.ContainsFunc(observed.kills[host], func(at time.Duration) bool {
+		return at >= attempt.SentAt-killMargin && at <= attempt.EndedAt+killMargin
+	})
+}
+
 // checkAtMostOnce checks that an action runs at most once, and not at all if every
 // attempt was told so.
 func (observed observations) checkAtMostOnce() []string {
--- a/magnolia-load/internal/soak/promises_test.go
+++ b/magnolia-load/internal/soak/promises_test.go
@@ -37,6 +37,12 @@
 		"whole answers": func(observed *observations) {
 			observed.samples[0].Attempts = append([]load.Attempt{{Result: load.ResultWrong}}, observed.samples[0].Attempts...)
 		},
+		"no cut": func(observed *observations) {
+			cut := load.Attempt{Result: load.ResultBroken, Cut: true, SentAt: time.Second, EndedAt: 2 * time.Second}
+			observed.samples = append(observed.samples, load.Sample{Key: "three", EntryIndex: 1, ArrivedAt: time.Hour, Attempts: []load.Attempt{cut}})
+			// Another host was killed, and this one later.
+			observed.kills = map[int][]time.Duration{0: {time.Second}, 1: {4 * time.Second}}
+		},
 		"rate limit": func(observed *observations) {
 			since := time.Unix(1_000, 0)
 			period := target.LimitedPeriod{Limit: 1, StatedAt: since}
@@ -104,5 +110,5 @@
 		}
 		expect(lost).To(gomega.BeNumerically("<=", 1), "three replicas survive the loss of one disk")
 	}
-	expect(kinds).To(gomega.HaveLen(len(kindWeights)+1), "every kind of fault is drawn, and rate limits")
+	expect(kinds).To(gomega.HaveLen(len(kindWeights)+2), "every kind of fault is drawn, rate limits, and stops with repeated signals")
 }
--- a/magnolia-load/internal/soak/run.go
+++ b/magnolia-load/internal/soak/run.go
@@ -76,9 +76,15 @@
 	sender    *changeSender
 	plan      []Fault
 
+	overlaps overlaps
+	// loadStartedAt is the time from which samples and kills are counted.
+	loadStartedAt time.Time
+
 	lock         sync.Mutex
 	overdueStops []string
-	err          error
+	// kills holds when each host was killed.
+	kills map[int][]time.Duration
+	err   error
 	// versionByRun holds the last version in force that each run of a process
 	// reported, by node and process id.
 	versionByRun       map[string]int
@@ -91,7 +97,7 @@
 func (run *Run) Execute(ctx context.Context) (Report, error) {
 	design := mesh.GotaJusta()
 	design.Places = design.Places[:min(len(design.Places), max(run.MaxHosts/len(design.Services), 1))]
-	current := &execution{run: run, design: design, versionByRun: make(map[string]int)}
+	current := &execution{run: run, design: design, versionByRun: make(map[string]int), kills: make(map[int][]time.Duration)}
 	current.processes = &mesh.Processes{Program: run.Program, Folder: run.Folder}
 	current.mesh = &mesh.Mesh{Design: design, System: current.processes, Seed: run.Seed, Records: target.NewRecords()}
 	if err := current.mesh.Start(ctx); err != nil {
@@ -140,6 +146,7 @@
 	background := sync.WaitGroup{}
 	background.Go(func() { execution.sender.run(backgroundCtx) })
 	background.Go(func() { execution.watchVersions(backgroundCtx) })
+	execution.loadStartedAt = time.Now()
 	injecting := sync.WaitGroup{}
 	injecting.Go(func() { execution.injectFaults(ctx) })
 	runner := &load.Runner{
@@ -160,6 +167,7 @@
 		recoverySpan: recoverySpan,
 	}
 	observed.changes, observed.versionRegressions, observed.overdueStops = execution.sender.changes, execution.versionRegressions, execution.overdueStops
+	observed.kills = execution.kills
 	for _, limited := range execution.mesh.HostTargets() {
 		observed.limitedPeriods = append(observed.limitedPeriods, limited.LimitedPeriods()...)
 	}
@@ -197,41 +205,84 @@
 	host := execution.processes.Hosts()[fault.Host]
 	switch fault.Kind {
 	case FaultKill:
-		host.Kill()
-		execution.startAfter(ctx, fault.Duration, host)
-	case FaultStop:
-		if host.Stop() {
-			execution.recordOverdueStop(host)
-		}
-		execution.startAfter(ctx, fault.Duration, host)
+		execution.killFor(ctx, fault.Duration, fault.Host)
+	case FaultStop, FaultStopAgain:
+		execution.stopFor(ctx, fault)
 	case FaultFreeze:
+		execution.overlaps.begin(frozen, fault.Host)
 		host.Signal(syscall.SIGSTOP)
 		wait.For(ctx, fault.Duration)
-		host.Signal(syscall.SIGCONT)
+		if execution.overlaps.end(frozen, fault.Host) {
+			host.Signal(syscall.SIGCONT)
+		}
 	case FaultLimit:
-		limited := execution.mesh.HostTargets()[fault.Host]
-		limited.StateRateLimit(rateLimits[fault.Host%len(rateLimits)])
+		stating := execution.mesh.HostTargets()[fault.Host]
+		execution.overlaps.begin(limited, fault.Host)
+		stating.StateRateLimit(rateLimits[fault.Host%len(rateLimits)])
 		wait.For(ctx, fault.Duration)
-		limited.EndRateLimit()
+		if execution.overlaps.end(limited, fault.Host) {
+			stating.EndRateLimit()
+		}
 	case FaultReload:
 		host.Signal(syscall.SIGHUP)
 	case FaultCutTo, FaultCutFrom, FaultSilence, FaultSlowLink, FaultReset, FaultHalfClose:
 		execution.injectLinkFault(ctx, fault, host.Link)
 	case FaultLoseDisk:
 		replica := execution.replicas()[fault.Host]
+		index := slices.Index(execution.processes.Hosts(), replica)
+		execution.overlaps.begin(down, index)
+		execution.recordKill(index)
 		execution.recordError(replica.LoseData())
-		execution.startAfter(ctx, fault.Duration, replica)
+		execution.startAfter(ctx, fault.Duration, index)
 	case FaultKillAll:
-		for _, process := range execution.processes.Hosts() {
-			process.Kill()
+		var all []int
+		for index := range execution.processes.Hosts() {
+			all = append(all, index)
 		}
-		for _, limited := range execution.mesh.HostTargets() {
-			limited.StateRateLimitAnew()
+		execution.killFor(ctx, fault.Duration, all...)
+	}
+}
+
+// killFor kills hosts and starts them again after the pause.
+func (execution *execution) killFor(ctx context.Context, pause time.Duration, hosts ...int) {
+	execution.overlaps.begin(down, hosts...)
+	for _, index := range hosts {
+		execution.recordKill(index)
+		execution.processes.Hosts()[index].Kill()
+	}
+	if len(hosts) == len(execution.processes.Hosts()) {
+		for _, stating := range execution.mesh.HostTargets() {
+			stating.StateRateLimitAnew()
 		}
-		execution.startAfter(ctx, fault.Duration, execution.processes.Hosts()...)
 	}
+	execution.startAfter(ctx, pause, hosts...)
+}
+
+// stopFor stops a host as planned and starts it again after the fault's duration.
+func (execution *execution) stopFor(ctx context.Context, fault Fault) {
+	host := execution.processes.Hosts()[fault.Host]
+	execution.overlaps.begin(down, fault.Host)
+	repeating := sync.WaitGroup{}
+	if fault.Kind == FaultStopAgain {
+		repeating.Go(func() {
+			for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+				wait.For(ctx, repeatedSignalInterval)
+				host.Signal(signal)
+			}
+		})
+	}
+	if host.Stop() {
+		execution.recordOverdueStop(host)
+		execution.recordKill(fault.Host)
+	}
+	// Before the next start, which is not to receive these signals.
+	repeating.Wait()
+	execution.startAfter(ctx, fault.Duration, fault.Host)
 }
 
+// repeatedSignalInterval is the time between the signals of FaultStopAgain.
+const repeatedSignalInterval = 60 * time.Millisecond
+
 // rateLimits are the limits that targets state, in calls per second.
 var rateLimits = []request.Rate{0.5, 2, 7.4}
 
@@ -265,13 +316,22 @@
 // heldDirections are the directions in which a fault holds back data.
 var heldDirections = map[FaultKind][]link.Direction{FaultCutTo: {link.ToProcess}, FaultCutFrom: {link.FromProcess}, FaultSilence: {link.ToProcess, link.FromProcess}}
 
-func (execution *execution) startAfter(ctx context.Context, pause time.Duration, hosts ...*mesh.Process) {
+// startAfter starts hosts after the pause, unless another fault still keeps them down.
+func (execution *execution) startAfter(ctx context.Context, pause time.Duration, hosts ...int) {
 	wait.For(ctx, pause)
-	for _, host := range hosts {
-		execution.recordError(host.Start(false))
+	for _, index := range hosts {
+		if execution.overlaps.end(down, index) {
+			execution.recordError(execution.processes.Hosts()[index].Start(false))
+		}
 	}
 }
 
+func (execution *execution) recordKill(host int) {
+	execution.lock.Lock()
+	defer execution.lock.Unlock()
+	execution.kills[host] = append(execution.kills[host], time.Since(execution.loadStartedAt))
+}
+
 func (execution *execution) recordOverdueStop(host *mesh.Process) {
 	execution.lock.Lock()
 	defer execution.lock.Unlock()
