Bound the age of a crash report before its conversion

Cause: an age beyond the range of durations turned negative, so that a malformed report could put a crash into the future and a quarantine without end into force.

Change: the number is bounded before it becomes a duration.

Measured: TestReportedAgeIsBounded failed for ms with the bound after the conversion and passes.

--- a/internal/adapter/registry/fleet_test.go
+++ b/internal/adapter/registry/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/balancer"
 	"github.com/magnoliawall/magnoliawall/internal/core/distribution"
 	"github.com/magnoliawall/magnoliawall/internal/core/membership"
+	pb "github.com/magnoliawall/magnoliawall/internal/core/membership/membershippb"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
@@ -223,6 +225,17 @@
 	expect.Expect(late.reportAge).To(gomega.BeNumerically("~", 5*time.Second, time.Second))
 }
 
+// TestReportedAgeIsBounded guards against an age beyond the range of durations, which would
+// put the event into the future.
+func TestReportedAgeIsBounded(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	for _, stated := range []uint64{0, 1500, math.MaxInt64 / 1000, math.MaxInt64, math.MaxUint64} {
+		age := decodeReports([]*pb.Report{{AgeMs: stated}})[0].Age
+		expect(age).To(gomega.And(gomega.BeNumerically(">=", 0), gomega.BeNumerically("<=", maxReportAge)), "%d ms", stated)
+	}
+	expect(decodeReports([]*pb.Report{{AgeMs: 1500}})[0].Age).To(gomega.Equal(1500 * time.Millisecond))
+}
+
 func newVersion(number int) distribution.Version {
 	text := fmt.Sprintf("{\n\t\"padding\": \"%0512d\",\n\t\"number\": %d\n}\n", 0, number)
 	patch := fmt.Sprintf(`[{"op":"replace","path":"/number","value":%d}]`, number)
--- a/internal/adapter/registry/status_codec.go
+++ b/internal/adapter/registry/status_codec.go
@@ -11,8 +11,8 @@
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
-// maxReportAge, in milliseconds, bounds the age that a message can state.
-const maxReportAge = 24 * 60 * 60 * 1000
+// maxReportAge bounds the age that a message can state.
+const maxReportAge = 24 * time.Hour
 
 func encodeReports(reports []quarantine.Report) []*pb.Report {
 	var encoded []*pb.Report
@@ -42,7 +42,7 @@
 				Domain:      request.DomainName(message.GetDomain()),
 				Incarnation: quarantine.Incarnation(message.GetIncarnation()),
 			},
-			Age: min(time.Duration(message.GetAgeMs()), maxReportAge) * time.Millisecond,
+			Age: time.Duration(min(message.GetAgeMs(), uint64(maxReportAge/time.Millisecond))) * time.Millisecond,
 		}
 		for _, fingerprint := range message.GetFingerprints() {
 			report.Fingerprints = append(report.Fingerprints, request.Fingerprint(fingerprint))
