Draw the separate fault kinds of the soak by one function

Cause: rate limits and repeated stops were drawn by two functions of the same shape.

Change: a table of the kinds that are drawn apart, and one function.

--- a/magnolia-load/internal/soak/plan.go
+++ b/magnolia-load/internal/soak/plan.go
@@ -112,32 +112,34 @@
 		fault.Duration = min(fault.Duration, end-at)
 		plan = append(plan, fault)
 	}
-	plan = append(plan, limitFaults(seed, end, hosts)...)
-	plan = append(plan, repeatedStops(seed, end, hosts)...)
+	for _, separate := range separateKinds {
+		plan = append(plan, separate.faults(seed, end, hosts)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
-// limitFaults returns the rate limits of a plan. They are drawn apart, so that the other
-// faults of a seed stay the same.
-func limitFaults(seed uint64, end time.Duration, hosts int) []Fault {
-	random := rand.New(rand.NewPCG(seed, 18))
-	var faults []Fault
-	for at := minFaultDuration; at < end; at += time.Duration((0.2 + 1.6*random.Float64()) * float64(meanLimitInterval)) {
-		duration := minLimitDuration + time.Duration(random.Int64N(int64(maxLimitDuration-minLimitDuration)))
-		faults = append(faults, Fault{At: at, Kind: FaultLimit, Host: random.IntN(hosts), Duration: min(duration, end-at)})
-	}
-	return faults
+// separateKind is a kind of fault that is drawn apart, so that the other faults of a seed
+// stay the same.
+type separateKind struct {
+	kind FaultKind
+	// stream is the second word of the seed of the kind's random numbers.
+	stream                   uint64
+	meanInterval             time.Duration
+	minDuration, maxDuration time.Duration
+}
+
+var separateKinds = []separateKind{
+	{kind: FaultLimit, stream: 18, meanInterval: meanLimitInterval, minDuration: minLimitDuration, maxDuration: maxLimitDuration},
+	{kind: FaultStopAgain, stream: 19, meanInterval: meanStopAgainInterval, minDuration: minFaultDuration, maxDuration: maxFaultDuration},
 }
 
-// repeatedStops returns the stops with repeated signals of a plan, drawn apart like the
-// rate limits.
-func repeatedStops(seed uint64, end time.Duration, hosts int) []Fault {
-	random := rand.New(rand.NewPCG(seed, 19))
+func (separate separateKind) faults(seed uint64, end time.Duration, hosts int) []Fault {
+	random := rand.New(rand.NewPCG(seed, separate.stream))
 	var faults []Fault
-	for at := minFaultDuration; at < end; at += time.Duration((0.2 + 1.6*random.Float64()) * float64(meanStopAgainInterval)) {
-		duration := minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))
-		faults = append(faults, Fault{At: at, Kind: FaultStopAgain, Host: random.IntN(hosts), Duration: min(duration, end-at)})
+	for at := minFaultDuration; at < end; at += time.Duration((0.2 + 1.6*random.Float64()) * float64(separate.meanInterval)) {
+		duration := separate.minDuration + time.Duration(random.Int64N(int64(separate.maxDuration-separate.minDuration)))
+		faults = append(faults, Fault{At: at, Kind: separate.kind, Host: random.IntN(hosts), Duration: min(duration, end-at)})
 	}
 	return faults
 }
--- a/magnolia-load/internal/soak/promises_test.go
+++ b/magnolia-load/internal/soak/promises_test.go
@@ -110,5 +110,5 @@
 		}
 		expect(lost).To(gomega.BeNumerically("<=", 1), "three replicas survive the loss of one disk")
 	}
-	expect(kinds).To(gomega.HaveLen(len(kindWeights)+2), "every kind of fault is drawn, rate limits, and stops with repeated signals")
+	expect(kinds).To(gomega.HaveLen(len(kindWeights)+len(separateKinds)), "every kind of fault is drawn")
 }
