Wrap the help of magnoliad run

Cause: a line of it had grown longer than the others. The usage of package loopback had no heading like those of the other packages.

Change: both texts.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -5,7 +5,7 @@
 // connections have the source address 127.0.0.1, so that no port of another address
 // is taken by one.
 //
-// Usage:
+// # Usage
 //
 //	host, err := loopback.Reserve()
 //	listener, err := net.Listen("tcp", net.JoinHostPort(host, "7401"))
--- a/magnoliad/internal/command/run/run.go
+++ b/magnoliad/internal/command/run/run.go
@@ -32,8 +32,9 @@
 	return `Runs the node of this host, and the replica that its settings name, until
 SIGTERM or SIGINT. Then it tells its peers that its target leaves, accepts no new
 calls, finishes every request in flight, uploads included, and exits 0. Another
-SIGTERM changes nothing, another SIGINT ends the process at once. On SIGHUP, and when the file changes without a
-signal, it reloads its settings: seeds and log-level take effect at once.
+SIGTERM changes nothing; SIGINT then ends the process at once. On SIGHUP, and when
+the file changes without a signal, it reloads its settings: seeds and log-level
+take effect at once.
 
 Examples:
   magnoliad run /etc/magnoliad/node.jsonc`
