Bound the stated age of a restricted target as well

Cause: the age of a target's limit or leaving was converted like that of a crash report was: an age beyond the range of durations turned negative. The package had a conversion with a bound of an hour, which had written again with another bound.

Change: both use that conversion. The test covers both and requires its bound.

Measured: TestStatedAgesAreBounded failed and passes; internal/adapter/registry passes.

--- a/internal/adapter/registry/fleet_test.go
+++ b/internal/adapter/registry/fleet_test.go
@@ -225,15 +225,17 @@
 	expect.Expect(late.reportAge).To(gomega.BeNumerically("~", 5*time.Second, time.Second))
 }
 
-// TestReportedAgeIsBounded guards against an age beyond the range of durations, which would
-// put the event into the future.
-func TestReportedAgeIsBounded(t *testing.T) {
+// TestStatedAgesAreBounded guards against an age beyond the range of durations, which would
+// put its event into the future.
+func TestStatedAgesAreBounded(t *testing.T) {
 	expect := gomega.NewWithT(t).Expect
 	for _, stated := range []uint64{0, 1500, math.MaxInt64 / 1000, math.MaxInt64, math.MaxUint64} {
-		age := decodeReports([]*pb.Report{{AgeMs: stated}})[0].Age
-		expect(age).To(gomega.And(gomega.BeNumerically(">=", 0), gomega.BeNumerically("<=", maxReportAge)), "%d ms", stated)
+		report := decodeReports([]*pb.Report{{AgeMs: stated}})[0]
+		restricted := decodeRestricted(&pb.RestrictedTarget{AgeMs: stated})
+		want := min(stated, uint64(time.Hour/time.Millisecond))
+		expect(report.Age.Milliseconds()).To(gomega.BeEquivalentTo(want), "%d ms", stated)
+		expect(restricted.Age.Milliseconds()).To(gomega.BeEquivalentTo(want), "%d ms", stated)
 	}
-	expect(decodeReports([]*pb.Report{{AgeMs: 1500}})[0].Age).To(gomega.Equal(1500 * time.Millisecond))
 }
 
 func newVersion(number int) distribution.Version {
--- a/internal/adapter/registry/status_codec.go
+++ b/internal/adapter/registry/status_codec.go
@@ -11,9 +11,6 @@
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
-// maxReportAge bounds the age that a message can state.
-const maxReportAge = 24 * time.Hour
-
 func encodeReports(reports []quarantine.Report) []*pb.Report {
 	var encoded []*pb.Report
 	for _, report := range reports {
@@ -42,7 +39,7 @@
 				Domain:      request.DomainName(message.GetDomain()),
 				Incarnation: quarantine.Incarnation(message.GetIncarnation()),
 			},
-			Age: time.Duration(min(message.GetAgeMs(), uint64(maxReportAge/time.Millisecond))) * time.Millisecond,
+			Age: milliseconds(message.GetAgeMs()),
 		}
 		for _, fingerprint := range message.GetFingerprints() {
 			report.Fingerprints = append(report.Fingerprints, request.Fingerprint(fingerprint))
@@ -126,7 +123,7 @@
 		Leaving: message.GetLeaving(),
 		Limited: message.GetLimited(),
 		Limit:   request.Rate(message.GetLimit()),
-		Age:     time.Duration(message.GetAgeMs()) * time.Millisecond,
+		Age:     milliseconds(message.GetAgeMs()),
 		Refused: message.GetRefused(),
 	}
 }
