Bound the times that peers state in calls and answers

Cause: counts of a malformed message turned negative or wrapped when they became durations: time left, time spent, patience, objective, Retry-After, ages, and the times of a report.

Messages of this program state none outside of that, by reading.

--- a/internal/adapter/control/server.go
+++ b/internal/adapter/control/server.go
@@ -36,7 +36,7 @@
 }
 
 func (server *Server) answer(ctx context.Context, message *controlpb.Request) *controlpb.Answer {
-	remaining := time.Duration(message.GetRemainingUs()) * time.Microsecond
+	remaining := peer.StatedTime(message.GetRemainingUs(), time.Microsecond)
 	ctx, cancel := context.WithTimeout(ctx, min(remaining, maxRequestTime))
 	defer cancel()
 	if operation := message.GetOperation(); operation != nil {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -330,7 +330,7 @@
 	return &web.Refusal{
 		Code:            request.Code(answer.GetCode()),
 		Outcome:         request.Outcome(answer.GetOutcome()),
-		RetryAfter:      time.Duration(answer.GetRetryAfterMs()) * time.Millisecond,
+		RetryAfter:      peer.StatedTime(answer.GetRetryAfterMs(), time.Millisecond),
 		IsActionOutcome: answer.GetClaimed(),
 		SentToTarget:    answer.GetHanded(),
 	}
@@ -438,7 +438,7 @@
 	node.learnReport(time.Now(), outbound, report)
 	node.admissionControl.learnLevel(time.Now(), outbound, admission.LevelReport{
 		Level: request.Level(report.GetLevel()),
-		Age:   time.Duration(report.GetLevelAgeUs()) * time.Microsecond,
+		Age:   peer.StatedTime(report.GetLevelAgeUs(), time.Microsecond),
 	})
 }
 
@@ -466,10 +466,10 @@
 	if attempt.exchange != nil {
 		if report := attempt.exchange.Report(); report != nil {
 			answer.Load = balancer.Load(report.GetLoad()) / loadUnit
-			answer.OwnTime = time.Duration(report.GetOwnUs()) * time.Microsecond
-			answer.ProcessorLag = time.Duration(report.GetLagUs()) * time.Microsecond
+			answer.OwnTime = peer.StatedTime(report.GetOwnUs(), time.Microsecond)
+			answer.ProcessorLag = peer.StatedTime(report.GetLagUs(), time.Microsecond)
 			answer.RateLimited = report.GetTarget().GetLimited()
-			answer.RateWait = time.Duration(report.GetRateWaitUs()) * time.Microsecond
+			answer.RateWait = peer.StatedTime(report.GetRateWaitUs(), time.Microsecond)
 		}
 	}
 	node.Balancer.Answered(now, attempt.choice, call, answer)
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -86,7 +86,7 @@
 		return inbound, web.NewRefusal(request.UnknownKind, header.GetKind())
 	}
 	inbound.kind, inbound.local = kind, local
-	inbound.objective = time.Duration(header.GetObjectiveUs()) * time.Microsecond
+	inbound.objective = peer.StatedTime(header.GetObjectiveUs(), time.Microsecond)
 	if kind.Routed {
 		node.entry.noteCaller(kind.Name, request.ServiceName(header.GetCallerService()))
 	}
@@ -95,9 +95,9 @@
 		RootKind: request.KindName(header.GetRootKind()),
 		Kind:     kind.Name,
 		Priority: request.Priority(min(header.GetPriority(), uint32(request.MaxPriority))),
-		Spent:    time.Duration(header.GetSpentUs()) * time.Microsecond,
-		Deadline: now.Add(time.Duration(header.GetRemainingUs()) * time.Microsecond),
-		Patience: time.Duration(header.GetPatienceUs()) * time.Microsecond,
+		Spent:    peer.StatedTime(header.GetSpentUs(), time.Microsecond),
+		Deadline: now.Add(peer.StatedTime(header.GetRemainingUs(), time.Microsecond)),
+		Patience: peer.StatedTime(header.GetPatienceUs(), time.Microsecond),
 		Movable:  header.GetMovable(),
 	}
 	copy(inbound.work.Root[:], header.GetRoot())
