Know customers by their keys, and pass their names on

Cause: the shifted site's configurations hold customers with keys, of which the system knew nothing: every key ran, was passed on to the target, and a forged name of a customer reached it.

Change: customers in the configuration, with keys, an importance, a rate and a burst; public routes and kinds. The name goes with the request through the fleet and down its tree; the target gets it from the node beside it. Calls in flight and claims are kept apart by customer. The importance of a customer goes before that of the route.

Ruled out: comparing keys one by one (time grows with their number and tells prefixes); a name found by the target's node (an older node would pass the key on).

--- a/internal/adapter/operator/actions.go
+++ b/internal/adapter/operator/actions.go
@@ -14,12 +14,14 @@
 	list := Actions{Actions: []ActionRow{}}
 	err := service.Ledger.Read(ctx, func(machine *ledger.Machine) {
 		for _, action := range machine.OpenClaims() {
+			customer, key := action.Key.SplitCustomer()
 			list.Actions = append(list.Actions, ActionRow{
-				Kind:    action.Kind,
-				Key:     action.Key,
-				Attempt: hex.EncodeToString(action.Attempt[:]),
-				Node:    action.Node,
-				InDoubt: action.InDoubt,
+				Kind:     action.Kind,
+				Customer: customer,
+				Key:      key,
+				Attempt:  hex.EncodeToString(action.Attempt[:]),
+				Node:     action.Node,
+				InDoubt:  action.InDoubt,
 			})
 		}
 	})
@@ -48,7 +50,7 @@
 	}
 	result, err := service.Ledger.Propose(ctx, ledger.SettleCommand{
 		Kind:            settlement.Kind,
-		Key:             settlement.Key,
+		Key:             settlement.Key.ForCustomer(settlement.Customer),
 		Attempt:         attempt,
 		Ran:             settlement.Ran,
 		Operator:        settlement.Operator,
--- a/internal/adapter/operator/configuration.go
+++ b/internal/adapter/operator/configuration.go
@@ -129,6 +129,11 @@
 	if err == nil && !found {
 		return answer, notFound{fmt.Sprintf("version %d does not exist or is no longer stored; check the list of versions", query.Version)}
 	}
+	if err != nil {
+		return answer, err
+	}
+	shown, err := configuration.HideKeys([]byte(answer.Text))
+	answer.Text = string(shown)
 	return answer, err
 }
 
--- a/internal/adapter/operator/messages.go
+++ b/internal/adapter/operator/messages.go
@@ -220,11 +220,13 @@
 
 // ActionRow is a non-repeatable action without a recorded outcome.
 type ActionRow struct {
-	Kind    request.KindName       `json:"kind"`
-	Key     request.IdempotencyKey `json:"key"`
-	Attempt string                 `json:"attempt"`
-	Node    request.NodeID         `json:"node"`
-	InDoubt bool                   `json:"in-doubt"`
+	Kind request.KindName `json:"kind"`
+	// Customer is the customer whose action it is; empty means none.
+	Customer request.CustomerName   `json:"customer,omitempty"`
+	Key      request.IdempotencyKey `json:"key"`
+	Attempt  string                 `json:"attempt"`
+	Node     request.NodeID         `json:"node"`
+	InDoubt  bool                   `json:"in-doubt"`
 }
 
 // Actions is a list of actions.
@@ -235,7 +237,9 @@
 // Settlement records what an operator found out about an action in doubt: Ran
 // reports whether it was executed.
 type Settlement struct {
-	Kind     request.KindName       `json:"kind"`
+	Kind request.KindName `json:"kind"`
+	// Customer is the customer whose action it is; empty means none.
+	Customer request.CustomerName   `json:"customer,omitempty"`
 	Key      request.IdempotencyKey `json:"key"`
 	Attempt  string                 `json:"attempt"`
 	Ran      bool                   `json:"ran"`
--- a/internal/adapter/web/dialect.go
+++ b/internal/adapter/web/dialect.go
@@ -11,7 +11,8 @@
 // Dialect is the set of HTTP headers, statuses and bodies that the callers and
 // targets of a site use. A dialect only translates; the node makes the decisions.
 type Dialect interface {
-	// ReadMetadata reads the parameters of a call from a caller's request.
+	// ReadMetadata reads the parameters of a call from a caller's request, and removes
+	// from it the headers that only a node may send to a target, and the customer's key.
 	ReadMetadata(incoming *http.Request) (CallerMetadata, *Refusal)
 	// Refuse writes the response to a caller whose call is refused.
 	Refuse(writer http.ResponseWriter, refusal *Refusal)
@@ -51,6 +52,9 @@
 	// Remaining is the time until the caller's deadline; zero means that the
 	// caller sent none.
 	Remaining time.Duration
+	// CustomerKeys are the customer keys of the call: none, one, or several if the
+	// header was sent more than once. None of them is logged.
+	CustomerKeys []string
 }
 
 // TargetMetadata are the parameters of a call that are sent to the target.
@@ -61,6 +65,8 @@
 	Remaining time.Duration
 	// Caller is the service of the host where the call began.
 	Caller request.ServiceName
+	// Customer is the customer that the call is for; empty means none.
+	Customer request.CustomerName
 	// Instance is the target instance that was chosen; empty means any.
 	Instance request.InstanceID
 }
@@ -71,15 +77,36 @@
 
 // ReadMetadata reads the remaining time from the deadline header.
 func (NativeDialect) ReadMetadata(incoming *http.Request) (CallerMetadata, *Refusal) {
+	metadata := CallerMetadata{CustomerKeys: TakeCustomerKeys(incoming.Header, HeaderCustomerKey, HeaderCustomer)}
 	text := incoming.Header.Get(HeaderDeadline)
 	if text == "" {
-		return CallerMetadata{}, nil
+		return metadata, nil
 	}
 	remaining, err := time.ParseDuration(text)
 	if err != nil || remaining <= 0 {
 		return CallerMetadata{}, NewRefusal(request.BadDeadline, HeaderDeadline+` must be the time left as a positive duration, such as "800ms"`)
 	}
-	return CallerMetadata{Remaining: remaining}, nil
+	metadata.Remaining = remaining
+	return metadata, nil
+}
+
+// TakeCustomerKeys removes the headers with the customer's key and with its name from the
+// headers of a caller, and returns the values of the first.
+func TakeCustomerKeys(headers http.Header, keyHeader, nameHeader string) []string {
+	keys := headers[keyHeader]
+	delete(headers, keyHeader)
+	delete(headers, nameHeader)
+	return keys
+}
+
+// SetCustomer sets the header with the customer's name for a target, or removes it if the
+// call is for none, and removes the header with the key.
+func SetCustomer(headers http.Header, keyHeader, nameHeader string, customer request.CustomerName) {
+	delete(headers, keyHeader)
+	delete(headers, nameHeader)
+	if customer != "" {
+		headers[nameHeader] = []string{string(customer)}
+	}
 }
 
 // Refuse writes a problem document.
@@ -92,6 +119,7 @@
 	headers.Set(HeaderCall, strconv.FormatUint(uint64(call.Call), 16))
 	headers.Set(HeaderTraceparent, FormatTraceparent(call.Root, call.Call))
 	headers.Set(HeaderDeadline, call.Remaining.Round(time.Microsecond).String())
+	SetCustomer(headers, HeaderCustomerKey, HeaderCustomer, call.Customer)
 }
 
 // NamedCall compares the id of the call, which targets need not repeat.
--- a/internal/adapter/web/headers.go
+++ b/internal/adapter/web/headers.go
@@ -15,6 +15,10 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderTraceparent    = "Traceparent"
 	HeaderCode           = "Magnoliawall-Code"
+	// HeaderCustomerKey is the key of the customer that a call is for. Targets get the
+	// customer's name in HeaderCustomer instead.
+	HeaderCustomerKey = "Magnoliawall-Customer-Key"
+	HeaderCustomer    = "Magnoliawall-Customer"
 	// HeaderCall is the id of a call at a target, in hexadecimal. A target that repeats
 	// it in its response protects the next call on the connection from a late one.
 	HeaderCall = "Magnoliawall-Call"
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -63,6 +63,7 @@
 		checker.checkService(name, checker.document.Services[name])
 	}
 	checker.checkRoutes()
+	checker.checkCustomers()
 	checker.checkCycles()
 	checker.checkUnusedImportances()
 }
@@ -92,6 +93,9 @@
 	for _, route := range checker.document.Routes {
 		used[route.Importance] = true
 	}
+	for _, customer := range checker.document.Customers {
+		used[customer.Importance] = true
+	}
 	for i, name := range checker.document.Importances {
 		if !used[name] {
 			checker.addFault(fmt.Sprintf("importances[%d]", i), "use it in a kind or a route, or remove it from the list", "no kind or route has the importance %q", name)
--- a/internal/configuration/diff.go
+++ b/internal/configuration/diff.go
@@ -28,7 +28,8 @@
 
 // Diff lists the fields that differ between two texts of JSON with
 // comments, sorted by name. Comments and white space are ignored. The members of
-// objects are compared one by one, lists and other values as a whole.
+// objects are compared one by one, lists and other values as a whole. Keys of customers are
+// replaced as by [HideKeys].
 func Diff(before, after []byte) ([]Change, error) {
 	left, err := hujson.Parse(bytes.Clone(before))
 	if err != nil {
@@ -38,6 +39,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("parse the later text: %w", err)
 	}
+	hideKeys(left)
+	hideKeys(right)
 	left.Minimize()
 	right.Minimize()
 	return diffValues("", left, right), nil
--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -57,6 +57,8 @@
 	// are matched against the kinds of the services.
 	Routes map[string]Route `json:"routes"`
 	Limits Limits           `json:"limits"`
+	// Customers holds the customers by name. Without any, calls need no key.
+	Customers map[request.CustomerName]Customer `json:"customers,omitzero"`
 }
 
 // Retry bounds the retries caused by one root request and those from a caller to
@@ -130,4 +132,6 @@
 	// BodyLimit is the size of the largest body. The body of a kind that may not
 	// be repeated is buffered in memory and hashed before the action starts.
 	BodyLimit Bytes `json:"body-limit"`
+	// Public calls need no customer key.
+	Public bool `json:"public,omitempty"`
 }
--- a/internal/configuration/match.go
+++ b/internal/configuration/match.go
@@ -26,6 +26,8 @@
 	// Unkeyed tells whether calls that may not be repeated carry no idempotency
 	// key.
 	Unkeyed bool
+	// Public tells whether calls need no customer key.
+	Public bool
 }
 
 // Matcher finds the kind or the route of a request. It does not change after
@@ -34,6 +36,8 @@
 	services map[request.ServiceName]map[matchKey][]matchEntry
 	kinds    map[request.KindName]*CompiledKind
 	routes   routeTable
+
+	customers customerTable
 }
 
 // matchKey groups path patterns by what a request must share with all of them:
@@ -59,6 +63,7 @@
 		ranks[name] = request.Importance(i)
 	}
 	matcher.routes = compileRoutes(document, ranks)
+	matcher.customers = compileCustomers(document)
 	for serviceName, service := range document.Services {
 		entries := make(map[matchKey][]matchEntry)
 		for _, kindName := range sortedKeys(service.Kinds) {
@@ -85,6 +90,7 @@
 		Deadline:   time.Duration(kind.Deadline),
 		Retries:    kind.Retries,
 		BodyLimit:  kind.BodyLimit,
+		Public:     kind.Public,
 	}
 	if kind.Repeat == onceRule {
 		compiled.Repeat = request.Once
--- a/internal/configuration/route.go
+++ b/internal/configuration/route.go
@@ -52,6 +52,8 @@
 	// Split tells whether the services were given with weights, even if there is
 	// only one.
 	Split bool `json:"split"`
+	// Public calls need no customer key.
+	Public bool `json:"public,omitempty"`
 }
 
 // WeightedService is a service of a route and its weight: the calls of the route are split
@@ -166,6 +168,7 @@
 			Retries:    route.Attempts - 1,
 			BodyLimit:  limits.MaxBody,
 			Routed:     true,
+			Public:     route.Public,
 		},
 	}
 	if route.Repeat == Unkeyed {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -43,7 +43,8 @@
 		node.finishCall(ctx, writer, outbound, node.tryTargets(ctx, outbound))
 		return
 	}
-	shared, started := node.sharedCalls.joinOrStart(outbound.fingerprint)
+	key := sharedCallKey{customer: outbound.work.Customer, fingerprint: outbound.fingerprint}
+	shared, started := node.sharedCalls.joinOrStart(key)
 	if !started {
 		node.counters.joinedCalls.Inc()
 	}
@@ -53,7 +54,7 @@
 	}
 	outcome := node.tryTargets(ctx, outbound)
 	if started {
-		node.sharedCalls.finish(outbound.fingerprint, shared, outcome)
+		node.sharedCalls.finish(key, shared, outcome)
 	}
 	node.finishCall(ctx, writer, outbound, outcome)
 }
@@ -359,6 +360,7 @@
 		Host:                 outbound.host,
 		CallerService:        string(node.LocalTarget().Service),
 		RequestId:            outbound.requestID,
+		Customer:             string(outbound.work.Customer),
 		ObjectiveUs:          outbound.kind.Objective.Microseconds(),
 		PatienceUs:           node.patience(outbound).Microseconds(),
 		Repeat:               outbound.retried || outbound.inherited,
--- a/internal/node/claimed_call.go
+++ b/internal/node/claimed_call.go
@@ -96,7 +96,7 @@
 		Call:               inbound.work.Call,
 		Attempt:            attempt,
 		Kind:               inbound.kind.Name,
-		Key:                request.IdempotencyKey(inbound.headerValue(web.HeaderIdempotencyKey)),
+		Key:                inbound.claimKey(),
 		Digest:             digestOf(inbound.peerCall.Header, body),
 		Deadline:           inbound.work.Deadline,
 		MaxKeptAnswerBytes: int64(rules.KeptAnswer),
@@ -105,6 +105,13 @@
 	}
 }
 
+// claimKey is the idempotency key, within the customer of the call: customers that choose
+// the same key never get each other's answers.
+func (inbound *inboundCall) claimKey() request.IdempotencyKey {
+	key := inbound.headerValue(web.HeaderIdempotencyKey)
+	return request.IdempotencyKey(key).ForCustomer(inbound.work.Customer)
+}
+
 func (inbound *inboundCall) headerValue(name string) string {
 	for _, header := range inbound.peerCall.Header.GetHeaders() {
 		if http.CanonicalHeaderKey(header.GetName()) == name {
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -36,13 +36,14 @@
 	if err != nil {
 		return nil, err
 	}
+	matcher := configuration.Compile(document)
 	return &ActiveConfiguration{
 		Version:        version,
 		Text:           text,
 		Document:       document,
-		Matcher:        configuration.Compile(document),
+		Matcher:        matcher,
 		RetryAllowance: retry.Allowance(document.Retry.AllowancePerRoot),
-		UpperHalf:      request.Importance(len(document.Importances) / 2),
+		UpperHalf:      request.Importance(matcher.ImportanceLevels() / 2),
 	}, nil
 }
 
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -94,6 +94,7 @@
 		Call:     node.nextCallID(),
 		RootKind: request.KindName(header.GetRootKind()),
 		Kind:     kind.Name,
+		Customer: request.CustomerName(header.GetCustomer()),
 		Priority: request.Priority(min(header.GetPriority(), uint32(request.MaxPriority))),
 		Spent:    peer.StatedTime(header.GetSpentUs(), time.Microsecond),
 		Deadline: now.Add(peer.StatedTime(header.GetRemainingUs(), time.Microsecond)),
@@ -375,6 +376,7 @@
 		Call:      inbound.work.Call,
 		Remaining: time.Until(inbound.work.Deadline),
 		Caller:    request.ServiceName(inbound.peerCall.Header.GetCallerService()),
+		Customer:  inbound.work.Customer,
 		Instance:  inbound.local.Instance,
 	})
 }
--- a/internal/node/inherit.go
+++ b/internal/node/inherit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
@@ -57,7 +58,7 @@
 // and spent time of the request that it is likely made for. They affect only the
 // order of calls and the time that a target seems to wait for others, never what
 // callers are told or what is retried, since the parent may be wrong.
-func (node *Node) inheritFromParent(outbound *outboundCall, deadline, now time.Time) {
+func (node *Node) inheritFromParent(matcher *configuration.Matcher, outbound *outboundCall, deadline, now time.Time) {
 	if outbound.attached || !outbound.kind.Routed || node.entry.fromOutside(outbound.kind.Name) {
 		return
 	}
@@ -67,14 +68,14 @@
 	}
 	outbound.likelyParent = parent
 	node.counters.inheritedCalls.Inc()
-	outbound.inheritWork(parent.work, now.Sub(parent.started))
+	outbound.inheritWork(matcher, parent.work, now.Sub(parent.started))
 }
 
 // inheritWork gives the call the bucket of its parent's work, so that the calls of
-// one tree are all admitted or all shed, the higher importance of the two, and the
-// time spent on the parent so far.
-func (outbound *outboundCall) inheritWork(parent request.Work, elapsed time.Duration) {
-	importance := max(parent.Priority.Importance(), outbound.kind.Importance)
+// one tree are all admitted or all shed, the importance of its customer and the higher
+// one of the two kinds, and the time spent on the parent so far.
+func (outbound *outboundCall) inheritWork(matcher *configuration.Matcher, parent request.Work, elapsed time.Duration) {
+	importance := matcher.InheritedImportance(parent.Priority.Importance(), outbound.kind)
 	outbound.work.Priority = request.NewPriority(importance, parent.Priority.Bucket())
 	outbound.work.Spent = parent.Spent + elapsed
 }
--- a/internal/node/inherit_test.go
+++ b/internal/node/inherit_test.go
@@ -49,7 +49,7 @@
 			node.activeRequests.Enter(until, parent)
 			node.entry.reportedEntryKinds = map[request.KindName]bool{lookup.Name: test.entering}
 			outbound := &outboundCall{kind: &test.kind, work: request.Work{Priority: request.NewPriority(min(test.kind.Importance, 1), 5)}}
-			node.inheritFromParent(outbound, test.deadline, now)
+			node.inheritFromParent(configuration.Compile(&configuration.Document{Importances: []string{"0", "1", "2", "3"}}), outbound, test.deadline, now)
 			g.Expect(outbound.work.Priority).To(gomega.Equal(test.priority))
 			g.Expect(outbound.work.Spent).To(gomega.Equal(test.spent))
 			g.Expect(node.counters.inheritedCalls.Get() == 1).To(gomega.Equal(test.spent > 0))
--- a/internal/node/outbound.go
+++ b/internal/node/outbound.go
@@ -30,11 +30,13 @@
 
 // outboundCall is a call that this node sends to a target.
 type outboundCall struct {
-	kind    *configuration.CompiledKind
-	version configuration.Version
-	method  string
-	path    string
-	host    string
+	kind *configuration.CompiledKind
+	// customer is the customer whose key the call has; nil means that it has none.
+	customer *configuration.CompiledCustomer
+	version  configuration.Version
+	method   string
+	path     string
+	host     string
 	// requestID is the caller's own id of the call, remoteAddress the address it came
 	// from.
 	requestID     string
@@ -88,8 +90,13 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	customer, refusal := identifyCustomer(current.Matcher, kind, terms.CustomerKeys, origin)
+	if refusal != nil {
+		return nil, refusal
+	}
 	outbound := &outboundCall{
 		kind:          kind,
+		customer:      customer,
 		version:       current.Version,
 		method:        incoming.Method,
 		path:          pathOf(incoming),
@@ -104,13 +111,34 @@
 	}
 	if terms.Remaining > 0 {
 		callerDeadline := now.Add(terms.Remaining)
-		node.inheritFromParent(outbound, callerDeadline, now)
+		node.inheritFromParent(current.Matcher, outbound, callerDeadline, now)
 		// The caller's own deadline applies where it is earlier.
 		outbound.work.Deadline = earlier(outbound.work.Deadline, callerDeadline)
 	}
 	return outbound, outbound.readBody(incoming)
 }
 
+// identifyCustomer returns the customer whose key a call has, or nil. Calls that the local
+// target makes through its own listener need no key, nor do public ones.
+func identifyCustomer(matcher *configuration.Matcher, kind *configuration.CompiledKind, keys []string, origin origin) (*configuration.CompiledCustomer, *web.Refusal) {
+	if !matcher.RequiresKeys() {
+		return nil, nil
+	}
+	var customer *configuration.CompiledCustomer
+	if len(keys) == 1 {
+		customer = matcher.Customer(keys[0])
+	}
+	switch {
+	case customer != nil || kind.Public:
+		return customer, nil
+	case len(keys) > 0:
+		return nil, web.NewRefusal(request.CustomerKeyUnknown, "")
+	case origin == originTarget:
+		return nil, nil
+	}
+	return nil, web.NewRefusal(request.CustomerKeyMissing, "")
+}
+
 // match returns the kind of the route of a call, or else the kind of its service.
 func match(matcher *configuration.Matcher, incoming *http.Request) (*configuration.CompiledKind, *web.Refusal) {
 	host, _, _ := strings.Cut(strings.ToLower(incoming.Host), ":")
@@ -149,7 +177,7 @@
 	id, traced := web.ParseTraceparent(incoming.Header.Get(web.HeaderTraceparent))
 	if origin == originTarget && traced {
 		if parent, ok := node.roots.find(id); ok {
-			outbound.attachTo(parent, now)
+			outbound.attachTo(current.Matcher, parent, now)
 			outbound.work.Call = node.nextCallID()
 			return
 		}
@@ -162,22 +190,25 @@
 		Root:     id,
 		RootKind: outbound.kind.Name,
 		Kind:     outbound.kind.Name,
-		Priority: request.NewPriority(outbound.kind.Importance, request.BucketOf(id)),
+		Priority: request.NewPriority(current.Matcher.Importance(outbound.kind, outbound.customer), request.BucketOf(id)),
 		Deadline: now.Add(outbound.kind.Deadline),
 	}
+	if outbound.customer != nil {
+		outbound.work.Customer = outbound.customer.Name
+	}
 	outbound.root = &root{work: outbound.work, started: now}
 	if origin == originCaller {
 		outbound.root.allowance.Remaining = current.RetryAllowance
 	}
 }
 
-func (outbound *outboundCall) attachTo(parent *root, now time.Time) {
+func (outbound *outboundCall) attachTo(matcher *configuration.Matcher, parent *root, now time.Time) {
 	outbound.root = parent
 	outbound.attached = true
 	outbound.depth = parent.depth + 1
 	outbound.work = parent.work
 	outbound.work.Kind = outbound.kind.Name
-	outbound.inheritWork(parent.work, now.Sub(parent.started))
+	outbound.inheritWork(matcher, parent.work, now.Sub(parent.started))
 	outbound.work.Deadline = earlier(parent.work.Deadline, now.Add(outbound.kind.Deadline))
 }
 
--- a/internal/node/shared_calls.go
+++ b/internal/node/shared_calls.go
@@ -10,7 +10,13 @@
 // resend joins the call in flight instead of being sent again.
 type sharedCalls struct {
 	lock     sync.Mutex
-	inFlight map[request.Fingerprint]*sharedCall
+	inFlight map[sharedCallKey]*sharedCall
+}
+
+// sharedCallKey identifies calls that may share an answer. Customers never share one.
+type sharedCallKey struct {
+	customer    request.CustomerName
+	fingerprint request.Fingerprint
 }
 
 // sharedCall is one call in flight. outcome is set before done closes, and stays nil
@@ -20,28 +26,28 @@
 	outcome *attempt
 }
 
-// joinOrStart returns the call in flight with a fingerprint, and true if it started
+// joinOrStart returns the call in flight with a key, and true if it started
 // it.
-func (calls *sharedCalls) joinOrStart(fingerprint request.Fingerprint) (*sharedCall, bool) {
+func (calls *sharedCalls) joinOrStart(key sharedCallKey) (*sharedCall, bool) {
 	calls.lock.Lock()
 	defer calls.lock.Unlock()
-	if shared, ok := calls.inFlight[fingerprint]; ok {
+	if shared, ok := calls.inFlight[key]; ok {
 		return shared, false
 	}
 	if calls.inFlight == nil {
-		calls.inFlight = make(map[request.Fingerprint]*sharedCall)
+		calls.inFlight = make(map[sharedCallKey]*sharedCall)
 	}
 	shared := &sharedCall{done: make(chan struct{})}
-	calls.inFlight[fingerprint] = shared
+	calls.inFlight[key] = shared
 	return shared, true
 }
 
 // finish ends a shared call. The outcome is shared only if it holds for several
 // callers: an answer that is buffered whole, or a refusal other than caller-left.
-func (calls *sharedCalls) finish(fingerprint request.Fingerprint, shared *sharedCall, outcome *attempt) {
+func (calls *sharedCalls) finish(key sharedCallKey, shared *sharedCall, outcome *attempt) {
 	calls.lock.Lock()
 	defer calls.lock.Unlock()
-	delete(calls.inFlight, fingerprint)
+	delete(calls.inFlight, key)
 	if outcome.complete || outcome.refusal != nil && outcome.refusal.Code != request.CallerLeft {
 		shared.outcome = outcome
 	}
--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -20,6 +20,8 @@
 	BadRequest         Code = 1006
 	KeyReusedOtherBody Code = 1007
 	KeyTooLong         Code = 1008
+	CustomerKeyMissing Code = 1009
+	CustomerKeyUnknown Code = 1010
 
 	Overloaded       Code = 2001
 	OverloadedBelow  Code = 2002
@@ -33,6 +35,7 @@
 	CallerLeft       Code = 2010
 	NotReady         Code = 2012
 	RateLimited      Code = 2013
+	OverQuota        Code = 2014
 
 	NoTarget          Code = 3001
 	TargetUnreachable Code = 3002
@@ -80,6 +83,8 @@
 	{BadRequest, "bad-request", http.StatusBadRequest, NotRun, false, false, 0, "the request cannot be read"},
 	{KeyReusedOtherBody, "key-reused-with-another-body", http.StatusUnprocessableEntity, NotRun, false, false, 0, "the Idempotency-Key was used before with another body"},
 	{KeyTooLong, "key-too-long", http.StatusBadRequest, NotRun, false, false, 0, "the Idempotency-Key is over its limit"},
+	{CustomerKeyMissing, "customer-key-missing", http.StatusUnauthorized, NotRun, false, false, 0, "the route is not public and the call has no customer key"},
+	{CustomerKeyUnknown, "customer-key-unknown", http.StatusUnauthorized, NotRun, false, false, 0, "no customer has the key of the call, or it has several keys"},
 
 	{Overloaded, "overloaded", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the target is full and takes only more important work"},
 	{OverloadedBelow, "overloaded-below", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "a service further down takes only more important work"},
@@ -94,6 +99,7 @@
 
 	{NotReady, "not-ready", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the node has just started and has no configuration yet"},
 	{RateLimited, "rate-limited", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the target takes only as many calls per second as it states in its answers"},
+	{OverQuota, "over-quota", http.StatusTooManyRequests, NotRun, false, true, time.Second, "the customer sends more requests per second than its quota"},
 
 	{NoTarget, "no-target", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "no target of the service is known in reach"},
 	{TargetUnreachable, "target-unreachable", http.StatusBadGateway, NotRun, true, true, time.Second, "the chosen target could not be reached"},
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -21,7 +21,10 @@
 // of docs/RESULT-CODES.md.
 package request
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // ServiceName is the name of a user's service, for example "subsidios".
 type ServiceName string
@@ -39,6 +42,9 @@
 // RegionName is the name of a region, which contains one or more failure domains.
 type RegionName string
 
+// CustomerName is the name of a customer, on whose behalf callers send requests.
+type CustomerName string
+
 // Place is the region and failure domain in which a process runs.
 type Place struct {
 	Region RegionName
@@ -68,6 +74,27 @@
 // header.
 type IdempotencyKey string
 
+// customerSeparator cannot be part of a header, and so of a key that a caller sends.
+const customerSeparator = "\x00"
+
+// ForCustomer returns the key within the actions of a customer.
+func (key IdempotencyKey) ForCustomer(customer CustomerName) IdempotencyKey {
+	if customer == "" {
+		return key
+	}
+	return IdempotencyKey(customer) + customerSeparator + key
+}
+
+// SplitCustomer returns the customer that [IdempotencyKey.ForCustomer] was called with,
+// and the key as its caller sent it.
+func (key IdempotencyKey) SplitCustomer() (CustomerName, IdempotencyKey) {
+	customer, own, found := strings.Cut(string(key), customerSeparator)
+	if !found {
+		return "", key
+	}
+	return CustomerName(customer), IdempotencyKey(own)
+}
+
 // RepeatRule says whether an action may run more than once.
 type RepeatRule uint8
 
@@ -108,6 +135,8 @@
 	RootKind KindName
 	Kind     KindName
 	Priority Priority
+	// Customer is the customer that the root request is for; empty means none.
+	Customer CustomerName
 	Spent    time.Duration
 	Deadline time.Time
 	// Patience is how long the call may wait for a slot; zero leaves it to the
--- a/magnolia/internal/command/action/list/list.go
+++ b/magnolia/internal/command/action/list/list.go
@@ -22,6 +22,7 @@
 var columns = []listing.Column[operator.ActionRow]{
 	{Header: "KIND", Cell: func(row operator.ActionRow) string { return string(row.Kind) }},
 	{Header: "KEY", Cell: func(row operator.ActionRow) string { return string(row.Key) }},
+	{Header: "CUSTOMER", Cell: func(row operator.ActionRow) string { return string(row.Customer) }},
 	{Header: "STATE", Cell: func(row operator.ActionRow) string { return stateText(row) }},
 	{Header: "NODE", Cell: func(row operator.ActionRow) string { return string(row.Node) }},
 	{Header: "ATTEMPT", Cell: func(row operator.ActionRow) string { return row.Attempt }},
--- a/magnolia/internal/command/action/settle/settle.go
+++ b/magnolia/internal/command/action/settle/settle.go
@@ -17,11 +17,12 @@
 
 // Options are the arguments and flags of the command, as kong parses them.
 type Options struct {
-	Kind    request.KindName       `arg:"" help:"Kind of the action."`
-	Key     request.IdempotencyKey `arg:"" help:"Idempotency key of the action."`
-	Attempt string                 `required:"" help:"Attempt that holds the action, from the list."`
-	As      string                 `required:"" enum:"ran,not-run" help:"What you found out: ran or not-run."`
-	Note    string                 `required:"" help:"How you found out, for those who ask later."`
+	Kind     request.KindName       `arg:"" help:"Kind of the action."`
+	Key      request.IdempotencyKey `arg:"" help:"Idempotency key of the action."`
+	Customer request.CustomerName   `help:"Customer of the action, if the list shows one."`
+	Attempt  string                 `required:"" help:"Attempt that holds the action, from the list."`
+	As       string                 `required:"" enum:"ran,not-run" help:"What you found out: ran or not-run."`
+	Note     string                 `required:"" help:"How you found out, for those who ask later."`
 }
 
 // New returns the command with no flags set.
@@ -49,6 +50,7 @@
 	}
 	settlement := operator.Settlement{
 		Kind:     options.Kind,
+		Customer: options.Customer,
 		Key:      options.Key,
 		Attempt:  options.Attempt,
 		Ran:      options.As == "ran",
