Bound the requests of a customer over all nodes

Change: each replica grants an equal part of each quota from token buckets of its own; the parts add up to the quota, so that no agreement on grants is needed. A node asks for one token per root request, nearest replica first, and remembers which ones have none or do not answer. Without any replica it admits its share of a quarter of the quota. A bucket begins with less than one token, also after a restart and for a customer that was removed and added again. A token that comes a second late is given up. A replica grants nothing that no quorum has confirmed for 15 s, or that is no member. Quotas of a version apply at replicas before nodes are told of it.

Bound: rate x window + burst + one token a replica.

--- a/internal/adapter/control/client.go
+++ b/internal/adapter/control/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/control/controlpb"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/core/quota"
 	"github.com/magnoliawall/magnoliawall/internal/port"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 	"github.com/magnoliawall/magnoliawall/internal/wait"
@@ -78,6 +79,23 @@
 	}
 }
 
+// TakeToken asks one replica for a token of a customer's quota. An error means that the
+// replica did not answer, or too late.
+func (client *Client) TakeToken(ctx context.Context, replica peer.Address, customer request.CustomerName) (quota.Grant, error) {
+	answer, err := client.exchange(ctx, replica, &controlpb.Request{Body: &controlpb.Request_TakeFor{TakeFor: string(customer)}})
+	if err != nil {
+		return quota.Grant{Result: quota.Unavailable}, err
+	}
+	grant := answer.GetGrant()
+	switch {
+	case grant.GetGranted():
+		return quota.Grant{Result: quota.Granted}, nil
+	case grant.GetEmpty():
+		return quota.Grant{Result: quota.Empty, Wait: peer.StatedTime(grant.GetWaitUs(), time.Microsecond)}, nil
+	}
+	return quota.Grant{Result: quota.Unavailable}, nil
+}
+
 func mayBeRecorded(answer *controlpb.Answer, err error) bool {
 	if err != nil {
 		return peer.MayHaveBeenSent(err)
--- a/internal/adapter/control/server.go
+++ b/internal/adapter/control/server.go
@@ -7,7 +7,9 @@
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/control/controlpb"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/core/quota"
 	"github.com/magnoliawall/magnoliawall/internal/port"
+	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
 // maxRequestTime bounds the time for one request, whatever its client asks for.
@@ -18,6 +20,14 @@
 type Server struct {
 	Ledger     Ledger
 	Operations Operations
+	// Quotas is nil on hosts without a replica.
+	Quotas Quotas
+}
+
+// Quotas grants tokens of the quotas of customers. Its methods may be called
+// concurrently.
+type Quotas interface {
+	Take(customer request.CustomerName) quota.Grant
 }
 
 // Serve handles the requests of one stream, one after the other. It is the
@@ -39,6 +49,9 @@
 	remaining := peer.StatedTime(message.GetRemainingUs(), time.Microsecond)
 	ctx, cancel := context.WithTimeout(ctx, min(remaining, maxRequestTime))
 	defer cancel()
+	if customer := message.GetTakeFor(); customer != "" {
+		return &controlpb.Answer{Grant: server.takeToken(request.CustomerName(customer))}
+	}
 	if operation := message.GetOperation(); operation != nil {
 		status, body := server.Operations.Operate(ctx, operation.GetVerb(), operation.GetBody())
 		return &controlpb.Answer{Status: uint32(status), Result: body}
@@ -47,6 +60,18 @@
 	return encodeResult(result, err)
 }
 
+func (server *Server) takeToken(customer request.CustomerName) *controlpb.Grant {
+	if server.Quotas == nil {
+		return &controlpb.Grant{}
+	}
+	grant := server.Quotas.Take(customer)
+	return &controlpb.Grant{
+		Granted: grant.Result == quota.Granted,
+		Empty:   grant.Result == quota.Empty,
+		WaitUs:  grant.Wait.Microseconds(),
+	}
+}
+
 func encodeResult(result []byte, err error) *controlpb.Answer {
 	switch {
 	case err == nil:
--- a/internal/adapter/peer/directory.go
+++ b/internal/adapter/peer/directory.go
@@ -56,6 +56,21 @@
 	return list
 }
 
+// Replicas returns the addresses of the learned replicas, or those of the seeds if none
+// is learned. Seeds that are no replicas any more are left out.
+func (directory *Directory) Replicas() []Address {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	if len(directory.learned) == 0 {
+		return slices.Clone(directory.Seeds)
+	}
+	list := make([]Address, 0, len(directory.learned))
+	for _, place := range directory.learned {
+		list = append(list, place.Address)
+	}
+	return list
+}
+
 // Learn replaces the learned replicas and reports whether they changed. An empty
 // list is ignored.
 func (directory *Directory) Learn(places []ReplicaPlace) bool {
--- /dev/null
+++ b/internal/core/quota/asker.go
@@ -0,0 +1,125 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+const (
+	// OwnPartShare is the part of a quota that all nodes together admit without a
+	// replica. It stays below the tolerance of the quota even if a part of the nodes has
+	// lost all replicas while the others use the whole quota.
+	OwnPartShare = 0.25
+	// minEmptyTime is how long a replica without a token is not asked again. It bounds
+	// what a customer far over its quota costs; the tokens of that time stay in the bucket.
+	minEmptyTime = 50 * time.Millisecond
+	// silentTime is how long a replica that did not answer is not asked again.
+	silentTime = time.Second
+	// ownPartLifetime is how long after its last use the part that a node admits by itself
+	// goes on. Later the replicas have granted tokens in between.
+	ownPartLifetime = 5 * time.Second
+	// maxRemembered bounds the memory for replicas without a token.
+	maxRemembered = 1 << 16
+)
+
+// Asker decides which replica a node asks for a token. Random is set before the first
+// use. Replica is the type of the replicas' addresses.
+type Asker[Replica comparable] struct {
+	Random *rand.Rand
+
+	refusals    map[refusalKey[Replica]]refusal
+	silentUntil map[Replica]time.Time
+	ownParts    map[request.CustomerName]*bucket
+}
+
+type refusalKey[Replica comparable] struct {
+	customer request.CustomerName
+	replica  Replica
+}
+
+// refusal is a replica's last answer for a customer, if that was no token.
+type refusal struct {
+	result Result
+	until  time.Time
+}
+
+// Next returns the first of the replicas, nearest first, that may have a token of the
+// customer. Tried is the number of replicas at the beginning of the list that were asked
+// for this request already; the position that is returned counts the same way.
+func (asker *Asker[Replica]) Next(now time.Time, customer request.CustomerName, replicas []Replica, tried int) (position int, ok bool) {
+	for position = tried; position < len(replicas); position++ {
+		if asker.isSilent(now, replicas[position]) || asker.refused(now, customer, replicas[position]) {
+			continue
+		}
+		return position, true
+	}
+	return 0, false
+}
+
+// Exhausted reports whether a replica has said that the customer has no token now, and
+// the time until the first of the replicas has one.
+func (asker *Asker[Replica]) Exhausted(now time.Time, customer request.CustomerName, replicas []Replica) (wait time.Duration, exhausted bool) {
+	wait = silentTime
+	for _, replica := range replicas {
+		last := asker.refusals[refusalKey[Replica]{customer, replica}]
+		if last.result != Empty || now.After(last.until) {
+			continue
+		}
+		wait, exhausted = min(wait, last.until.Sub(now)), true
+	}
+	return wait, exhausted
+}
+
+// Answered records the answer of a replica.
+func (asker *Asker[Replica]) Answered(now time.Time, customer request.CustomerName, replica Replica, grant Grant) {
+	delete(asker.silentUntil, replica)
+	key := refusalKey[Replica]{customer, replica}
+	if grant.Result == Granted {
+		delete(asker.refusals, key)
+		return
+	}
+	if asker.refusals == nil || len(asker.refusals) >= maxRemembered {
+		asker.refusals = make(map[refusalKey[Replica]]refusal)
+	}
+	asker.refusals[key] = refusal{result: grant.Result, until: now.Add(max(grant.Wait, minEmptyTime))}
+}
+
+// NotAnswered records that a replica did not answer.
+func (asker *Asker[Replica]) NotAnswered(now time.Time, replica Replica) {
+	if asker.silentUntil == nil {
+		asker.silentUntil = make(map[Replica]time.Time)
+	}
+	asker.silentUntil[replica] = now.Add(silentTime)
+}
+
+// TakeOwnPart takes a token from the part that this node, one of a number of nodes,
+// admits while it reaches no replica.
+func (asker *Asker[Replica]) TakeOwnPart(now time.Time, customer request.CustomerName, limit Limit, nodes int) Grant {
+	share := OwnPartShare / float64(max(nodes, 1))
+	if asker.ownParts == nil {
+		asker.ownParts = make(map[request.CustomerName]*bucket)
+	}
+	found := asker.ownParts[customer]
+	if found == nil || now.Sub(found.updated) > ownPartLifetime {
+		// Nodes that lose the replicas at the same moment begin at different levels, so
+		// that together they admit no more than their rate.
+		found = &bucket{level: asker.Random.Float64(), capacity: 1, updated: now}
+		asker.ownParts[customer] = found
+	}
+	found.setLimit(now, float64(limit.Rate)*share, limit.Burst*share)
+	wait, ok := found.take(now)
+	if !ok {
+		return Grant{Result: Empty, Wait: wait}
+	}
+	return Grant{Result: Granted}
+}
+
+func (asker *Asker[Replica]) isSilent(now time.Time, replica Replica) bool {
+	return now.Before(asker.silentUntil[replica])
+}
+
+func (asker *Asker[Replica]) refused(now time.Time, customer request.CustomerName, replica Replica) bool {
+	return now.Before(asker.refusals[refusalKey[Replica]{customer, replica}].until)
+}
--- /dev/null
+++ b/internal/core/quota/doc.go
@@ -0,0 +1,101 @@
+// Package quota bounds the requests per second of each customer over all nodes.
+//
+// Every replica of the control state grants an equal part of each customer's quota from
+// token buckets of its own ([Granter]). The parts add up to the quota, so the replicas
+// need no agreement about what they grant: a replica that is lost takes its part with it,
+// and both sides of a partition go on with theirs. A bucket starts almost empty, so that
+// a restart grants no second burst.
+//
+// A node asks for one token per request, from the nearest replica first and from the
+// next ones while that has none. It remembers which replicas have no token for a customer
+// and which do not answer ([Asker]). A node that no replica answers admits a small part
+// of the quota by itself ([Asker.TakeOwnPart]).
+//
+// In any window of W seconds the replicas grant at most rate * W + burst + replicas
+// tokens. Nodes without a replica add at most [OwnPartShare] * rate * W together, and
+// each of them one request. A token that a node does not use in time is lost, never
+// granted twice.
+//
+// Equal parts of a quota at the nodes themselves would grant nothing to customers with
+// less than one request per node; see docs/design/quotas.md for the comparison.
+//
+// # Usage
+//
+//	granter := &quota.Granter{Random: random} // at a replica
+//	granter.SetLimits(now, limits, 1.0/6)
+//	grant := granter.Take(now, "salto")
+//
+//	asker := &quota.Asker[peer.Address]{Random: random} // at a node
+//	position, ok := asker.Next(now, "salto", replicas, 0)
+//	// ask replicas[position], then
+//	asker.Answered(now, "salto", replicas[position], grant)
+//
+// The values are not safe for concurrent use and read no clock.
+package quota
+
+import (
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// Limit is the quota of a customer, over all nodes. A zero Rate means no limit.
+type Limit struct {
+	Rate request.Rate
+	// Burst is the number of requests that may come at once.
+	Burst float64
+}
+
+// Result is the result of a request for a token.
+type Result uint8
+
+// The results.
+const (
+	// Granted means that one request may be made.
+	Granted Result = iota
+	// Empty means that the replica has no token now.
+	Empty
+	// Unavailable means that the replica does not know the customer, or grants nothing.
+	Unavailable
+)
+
+// Grant is the answer to a request for a token.
+type Grant struct {
+	Result Result
+	// Wait is the time until the replica has a token, if it is empty.
+	Wait time.Duration
+}
+
+// bucket is a token bucket with a level from zero to capacity.
+type bucket struct {
+	rate     float64
+	capacity float64
+	level    float64
+	updated  time.Time
+}
+
+// setLimit changes the rate and how many tokens come at once. What was earned before is
+// kept, up to the new capacity. One more token than the burst lets a bucket grant the next
+// one while it is refilled, however small its part of the burst.
+func (bucket *bucket) setLimit(now time.Time, rate, burst float64) {
+	bucket.refill(now)
+	bucket.rate, bucket.capacity = rate, burst+1
+	bucket.level = min(bucket.level, bucket.capacity)
+}
+
+func (bucket *bucket) refill(now time.Time) {
+	if elapsed := now.Sub(bucket.updated); elapsed > 0 {
+		bucket.level = min(bucket.capacity, bucket.level+bucket.rate*elapsed.Seconds())
+		bucket.updated = now
+	}
+}
+
+// take takes a token, or returns the time until there is one.
+func (bucket *bucket) take(now time.Time) (time.Duration, bool) {
+	bucket.refill(now)
+	if bucket.level >= 1 {
+		bucket.level--
+		return 0, true
+	}
+	return time.Duration((1 - bucket.level) / bucket.rate * float64(time.Second)), false
+}
--- /dev/null
+++ b/internal/core/quota/quota_test.go
@@ -0,0 +1,166 @@
+package quota_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/quota"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+const customer = request.CustomerName("salto")
+
+func newGranter(limit quota.Limit, share float64) *quota.Granter {
+	granter := &quota.Granter{Random: rand.New(rand.NewPCG(1, 2))}
+	granter.SetLimits(simulationStart, limits(limit), share)
+	return granter
+}
+
+func limits(limit quota.Limit) map[request.CustomerName]quota.Limit {
+	return map[request.CustomerName]quota.Limit{customer: limit}
+}
+
+// drain takes all tokens that there are at a time.
+func drain(granter *quota.Granter, now time.Time) int {
+	for count := 0; ; count++ {
+		if granter.Take(now, customer).Result != quota.Granted {
+			return count
+		}
+	}
+}
+
+func TestGranterGrantsItsPart(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	granter := newGranter(quota.Limit{Rate: 60, Burst: 120}, 0.5)
+	expect(drain(granter, simulationStart)).To(gomega.BeZero(), "a new bucket holds less than one token")
+	later := simulationStart.Add(time.Hour)
+	expect(drain(granter, later)).To(gomega.Equal(61))
+	expect(drain(granter, later.Add(time.Second))).To(gomega.BeNumerically("~", 30, 1))
+	grant := granter.Take(later.Add(time.Second), customer)
+	expect(grant.Result).To(gomega.Equal(quota.Empty))
+	expect(grant.Wait).To(gomega.BeNumerically("<=", time.Second/30))
+}
+
+func TestChangesOfQuota(t *testing.T) {
+	first := quota.Limit{Rate: 100, Burst: 100}
+	later := simulationStart.Add(time.Minute)
+	cases := []struct {
+		name    string
+		change  func(granter *quota.Granter)
+		highest int
+		lowest  int
+	}{
+		{"raised: what was not earned is not granted", func(granter *quota.Granter) {
+			granter.SetLimits(later, limits(quota.Limit{Rate: 1000, Burst: 1000}), 1)
+		}, 101, 101},
+		{"lowered: the burst is cut at once", func(granter *quota.Granter) {
+			granter.SetLimits(later, limits(quota.Limit{Rate: 5, Burst: 5}), 1)
+		}, 6, 6},
+		{"removed and added again: no burst", func(granter *quota.Granter) {
+			granter.SetLimits(later, nil, 1)
+			granter.SetLimits(later, limits(first), 1)
+		}, 0, 0},
+		{"no member any more: nothing", func(granter *quota.Granter) {
+			granter.SetLimits(later, limits(first), 0)
+		}, 0, 0},
+		{"member again: no burst", func(granter *quota.Granter) {
+			granter.SetLimits(later, limits(first), 0)
+			granter.SetLimits(later, limits(first), 0.2)
+		}, 0, 0},
+		{"smaller part: the burst is cut", func(granter *quota.Granter) {
+			granter.SetLimits(later, limits(first), 0.1)
+		}, 11, 11},
+		{"the clock of the process goes back", func(granter *quota.Granter) {
+			granter.SetLimits(later, limits(first), 1)
+			drain(granter, later)
+			granter.SetLimits(simulationStart, limits(first), 1)
+		}, 0, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			granter := newGranter(first, 1)
+			test.change(granter)
+			gomega.NewWithT(t).Expect(drain(granter, later)).To(gomega.And(gomega.BeNumerically(">=", test.lowest), gomega.BeNumerically("<=", test.highest)))
+		})
+	}
+}
+
+func TestCustomersWithoutQuota(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	granter := newGranter(quota.Limit{}, 0.2)
+	expect(granter.Take(simulationStart, customer).Result).To(gomega.Equal(quota.Granted))
+	expect(granter.Take(simulationStart, "nobody").Result).To(gomega.Equal(quota.Unavailable))
+}
+
+// A replica without a token, or without an answer, is left out for a while; the others
+// are asked in the order of the list.
+func TestAskerLeavesOutReplicas(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	asker := &quota.Asker[string]{Random: rand.New(rand.NewPCG(1, 2))}
+	replicas := []string{"near", "middle", "far"}
+	next := func(now time.Time, name request.CustomerName) string {
+		position, ok := asker.Next(now, name, replicas, 0)
+		if !ok {
+			return ""
+		}
+		return replicas[position]
+	}
+	now := simulationStart
+	expect(next(now, customer)).To(gomega.Equal("near"))
+	asker.Answered(now, customer, "near", quota.Grant{Result: quota.Empty, Wait: 300 * time.Millisecond})
+	expect(next(now, customer)).To(gomega.Equal("middle"))
+	expect(next(now, "artigas")).To(gomega.Equal("near"), "other customers may have tokens there")
+	asker.NotAnswered(now, "middle")
+	expect(next(now, "artigas")).To(gomega.Equal("near"))
+	expect(next(now, customer)).To(gomega.Equal("far"))
+	asker.Answered(now, customer, "far", quota.Grant{Result: quota.Empty, Wait: 100 * time.Millisecond})
+	expect(next(now, customer)).To(gomega.BeEmpty())
+	wait, exhausted := asker.Exhausted(now, customer, replicas)
+	expect(exhausted).To(gomega.BeTrue())
+	expect(wait).To(gomega.Equal(100 * time.Millisecond))
+	expect(next(now.Add(100*time.Millisecond), customer)).To(gomega.Equal("far"))
+	expect(next(now.Add(300*time.Millisecond), customer)).To(gomega.Equal("near"))
+	expect(next(now.Add(time.Second), customer)).To(gomega.Equal("near"))
+}
+
+// The parts that nodes admit without a replica add up to a share of the quota, also in the
+// first second after they all lose the replicas.
+func TestOwnPartsAddUp(t *testing.T) {
+	const nodes = 3000
+	random := rand.New(rand.NewPCG(1, 2))
+	limit := quota.Limit{Rate: 60, Burst: 60}
+	admitted := 0
+	for range nodes {
+		asker := &quota.Asker[string]{Random: random}
+		for tick := range 500 {
+			if asker.TakeOwnPart(simulationStart.Add(time.Duration(tick)*10*time.Millisecond), customer, limit, nodes).Result == quota.Granted {
+				admitted++
+			}
+		}
+	}
+	expected := quota.OwnPartShare * float64(limit.Rate) * 5
+	gomega.NewWithT(t).Expect(float64(admitted)).To(gomega.BeNumerically("~", expected, 0.3*expected))
+}
+
+func BenchmarkTake(b *testing.B) {
+	granter := newGranter(quota.Limit{Rate: 1e6, Burst: 1e6}, 1)
+	b.ReportAllocs()
+	now := simulationStart
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		granter.Take(now, customer)
+	}
+}
+
+func BenchmarkNext(b *testing.B) {
+	asker := &quota.Asker[string]{}
+	replicas := []string{"near", "middle", "far"}
+	asker.Answered(simulationStart, customer, "near", quota.Grant{Result: quota.Empty, Wait: time.Second})
+	b.ReportAllocs()
+	for b.Loop() {
+		asker.Next(simulationStart, customer, replicas, 0)
+	}
+}
--- a/internal/host/controlplane.go
+++ b/internal/host/controlplane.go
@@ -17,6 +17,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/adapter/replication"
 	"github.com/magnoliawall/magnoliawall/internal/core/distribution"
 	"github.com/magnoliawall/magnoliawall/internal/core/membership"
+	"github.com/magnoliawall/magnoliawall/internal/core/quota"
 	"github.com/magnoliawall/magnoliawall/internal/replica"
 )
 
@@ -30,6 +31,7 @@
 	replica    *replica.Replica[*notifyingMachine]
 	registry   *registry.Server
 	reconciler *reconciler
+	quotas     *quotaServer
 	// enoughVoters is set once enough replicas vote for commands to be recorded.
 	enoughVoters atomic.Bool
 	// diskFull is set while a write waits for disk space; only the replica's
@@ -53,7 +55,7 @@
 	host.executeOperation = plane.newOperate()
 	host.transport.Handlers[peer.KindQuorum] = plane.messenger.Serve
 	host.transport.Handlers[peer.KindRegistry] = plane.registry.Handle
-	host.transport.Handlers[peer.KindControl] = (&control.Server{Ledger: plane, Operations: operateFunc(host.operateForPeer)}).Serve
+	host.transport.Handlers[peer.KindControl] = (&control.Server{Ledger: plane, Operations: operateFunc(host.operateForPeer), Quotas: plane.quotas}).Serve
 	return nil
 }
 
@@ -103,6 +105,7 @@
 		plane.replica.Peers = append(plane.replica.Peers, string(member.Address))
 	}
 	plane.reconciler = &reconciler{plane: plane}
+	plane.quotas = &quotaServer{confirmed: plane.reconciler.mayGrant, granter: quota.Granter{Random: newRandom()}}
 	plane.registry = &registry.Server{
 		Registry:   &membership.Registry{Self: host.Settings.Node},
 		Publisher:  &distribution.Publisher{},
--- a/internal/host/dataplane.go
+++ b/internal/host/dataplane.go
@@ -102,6 +102,7 @@
 		Transport:             host.transport,
 		Target:                &web.TargetClient{Address: string(host.Settings.Target), Connections: initialConnectionLimit},
 		Claims:                &control.Client{Transport: host.transport, Replicas: host.replicaDirectory},
+		Quotas:                plane.newQuotaClient(),
 		TargetAnnouncesItself: host.Platform != nil,
 		RetryBudget:           nodeBudget(host.Settings.RetryBudget, 0),
 		Linger:                time.Duration(host.Settings.Stop.Linger),
--- /dev/null
+++ b/internal/host/quota.go
@@ -0,0 +1,154 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/control"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/quota"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+const (
+	// tokenTimeout bounds the wait for one replica: several round trips between regions.
+	tokenTimeout = 250 * time.Millisecond
+	// tokenLifetime is the age above which a token is not used. A process that was paused
+	// may find an answer from long ago.
+	tokenLifetime = time.Second
+	// granterConfirmation is how long after its last confirmation by a quorum a replica
+	// grants tokens. It outlasts a partition of some seconds, in which both sides go on, and
+	// ends the grants of a replica that was replaced without learning of it.
+	granterConfirmation = 15 * time.Second
+)
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// quotaClient takes tokens from the replicas for the node of this host.
+type quotaClient struct {
+	client   *control.Client
+	replicas *peer.Directory
+	// nodeCount returns the number of nodes that share out a quota without a replica.
+	nodeCount func() int
+
+	lock  sync.Mutex
+	asker quota.Asker[peer.Address]
+}
+
+// Take implements [node.QuotaSource].
+func (client *quotaClient) Take(ctx context.Context, customer request.CustomerName, limit quota.Limit) quota.Grant {
+	replicas := client.replicas.Replicas()
+	for tried := 0; ; tried++ {
+		position, ok := client.next(customer, replicas, tried)
+		if !ok {
+			return client.takeWithoutReplica(customer, limit, replicas)
+		}
+		if grant := client.ask(ctx, customer, replicas[position]); grant.Result == quota.Granted {
+			return grant
+		}
+		tried = position
+	}
+}
+
+func (plane *dataPlane) newQuotaClient() *quotaClient {
+	return &quotaClient{
+		client:    &control.Client{Transport: plane.host.transport, Replicas: plane.host.replicaDirectory},
+		replicas:  plane.host.replicaDirectory,
+		nodeCount: plane.balancer.TotalTargetCount,
+		asker:     quota.Asker[peer.Address]{Random: newRandom()},
+	}
+}
+
+func (client *quotaClient) next(customer request.CustomerName, replicas []peer.Address, tried int) (int, bool) {
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	return client.asker.Next(time.Now(), customer, replicas, tried)
+}
+
+// ask asks one replica. A token that comes late is given up: the replica counts it, and the
+// time at which it was granted is over.
+func (client *quotaClient) ask(ctx context.Context, customer request.CustomerName, replica peer.Address) quota.Grant {
+	began := time.Now()
+	asking, cancel := context.WithTimeout(ctx, tokenTimeout)
+	defer cancel()
+	grant, err := client.client.TakeToken(asking, replica, customer)
+	now := time.Now()
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	switch {
+	case err != nil && ctx.Err() != nil:
+		// The caller left, which says nothing of the replica.
+		return quota.Grant{Result: quota.Unavailable}
+	case err != nil:
+		client.asker.NotAnswered(now, replica)
+		return quota.Grant{Result: quota.Unavailable}
+	case isOlderThan(began, now, tokenLifetime):
+		return quota.Grant{Result: quota.Unavailable}
+	}
+	client.asker.Answered(now, customer, replica, grant)
+	return grant
+}
+
+// isOlderThan compares the readings of both clocks: the monotonic one may stand still
+// while a host is suspended.
+func isOlderThan(began, now time.Time, age time.Duration) bool {
+	return now.Sub(began) > age || now.Round(0).Sub(began.Round(0)).Abs() > age
+}
+
+// takeWithoutReplica ends a search in which no replica granted a token.
+func (client *quotaClient) takeWithoutReplica(customer request.CustomerName, limit quota.Limit, replicas []peer.Address) quota.Grant {
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	now := time.Now()
+	if wait, exhausted := client.asker.Exhausted(now, customer, replicas); exhausted {
+		return quota.Grant{Result: quota.Empty, Wait: wait}
+	}
+	return client.asker.TakeOwnPart(now, customer, limit, client.nodeCount())
+}
+
+// quotaServer grants the tokens of this host's replica.
+type quotaServer struct {
+	// confirmed reports whether the replica may grant tokens.
+	confirmed func() bool
+
+	lock    sync.Mutex
+	granter quota.Granter
+	limits  map[request.CustomerName]quota.Limit
+	share   float64
+}
+
+// Take implements [control.Quotas].
+func (server *quotaServer) Take(customer request.CustomerName) quota.Grant {
+	if !server.confirmed() {
+		return quota.Grant{Result: quota.Unavailable}
+	}
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	return server.granter.Take(time.Now(), customer)
+}
+
+// setLimits takes over the quotas of a configuration.
+func (server *quotaServer) setLimits(document *configuration.Document) {
+	limits := make(map[request.CustomerName]quota.Limit, len(document.Customers))
+	for name, customer := range document.Customers {
+		limits[name] = quota.Limit{Rate: customer.Rate, Burst: customer.Burst}
+	}
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	server.limits = limits
+	server.granter.SetLimits(time.Now(), limits, server.share)
+}
+
+// setShare sets the replica's part of each quota, which is zero while it is no member.
+func (server *quotaServer) setShare(share float64) {
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	if share == server.share {
+		return
+	}
+	server.share = share
+	server.granter.SetLimits(time.Now(), server.limits, share)
+}
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -53,6 +53,13 @@
 	return at != nil && time.Since(*at) < confirmationLifetime
 }
 
+// mayGrant reports whether this replica was confirmed by a quorum lately enough to grant
+// its part of the quotas.
+func (reconciler *reconciler) mayGrant() bool {
+	at := reconciler.confirmedAt.Load()
+	return at != nil && time.Since(*at) < granterConfirmation
+}
+
 // quorumLost reports whether no quorum read has succeeded for quorumLossTimeout, counted
 // from the start of the process at the earliest.
 func (reconciler *reconciler) quorumLost() bool {
@@ -99,13 +106,14 @@
 // syncMembers copies the members of the group to the registry and the replica
 // directory, if the group forms from its seeds.
 func (reconciler *reconciler) syncMembers(ctx context.Context) {
-	if !reconciler.plane.host.Settings.Replica.FormsFromSeeds {
-		return
-	}
 	status, err := reconciler.plane.replica.Status(ctx)
 	if err != nil {
 		return
 	}
+	reconciler.plane.quotas.setShare(quotaShare(status))
+	if !reconciler.plane.host.Settings.Replica.FormsFromSeeds {
+		return
+	}
 	var members []registry.Replica
 	var places []peer.ReplicaPlace
 	for _, member := range status.Membership.Members {
@@ -123,6 +131,15 @@
 	reconciler.plane.host.replicaDirectory.Learn(places)
 }
 
+// quotaShare is the part of each quota that a member grants: an equal one, and none before
+// it is a member or after it was removed.
+func quotaShare(status quorum.Status) float64 {
+	if _, member := status.Membership.Find(status.ID); !member || status.Removed {
+		return 0
+	}
+	return 1 / float64(len(status.Membership.Members))
+}
+
 // pendingVersions collects the versions after a base version.
 type pendingVersions struct {
 	base     configuration.Version
@@ -164,6 +181,9 @@
 }
 
 func (reconciler *reconciler) publish(ctx context.Context, found *pendingVersions) {
+	if count := len(found.versions); count > 0 {
+		reconciler.applyQuotas(found.versions[count-1])
+	}
 	for _, version := range found.versions {
 		if err := reconciler.plane.registry.Publish(ctx, version); err != nil && !alreadyPublished(err, version) {
 			if ctx.Err() == nil {
@@ -175,6 +195,17 @@
 	}
 }
 
+// applyQuotas takes over the quotas of a version before nodes are told of it: they ask for
+// tokens of a new customer as soon as they know its key.
+func (reconciler *reconciler) applyQuotas(newest distribution.Version) {
+	document, err := configuration.Parse(newest.Text)
+	if err != nil {
+		reconciler.plane.host.Logger.Error().Err(err).Msg("quota: the newest version cannot be read; the quotas of the one before stay in force")
+		return
+	}
+	reconciler.plane.quotas.setLimits(document)
+}
+
 // alreadyPublished reports whether a version was refused because it, or a newer
 // one, is published.
 func alreadyPublished(err error, version distribution.Version) bool {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -113,6 +113,9 @@
 	if refusal := node.shedAtEntry(began, outbound); refusal != nil {
 		return &attempt{started: began, refusal: refusal}
 	}
+	if refusal := node.takeQuota(ctx, outbound); refusal != nil {
+		return &attempt{started: began, refusal: refusal}
+	}
 	outbound.beginWait(began)
 	tried := make([]request.NodeID, 0, 4)
 	for retriesUsed := 0; ; retriesUsed++ {
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -22,6 +22,7 @@
 	inheritedCalls *metrics.Counter
 	repeatedCalls  *metrics.Counter
 	callDuration   *metrics.Histogram
+	quotaWait      *metrics.Histogram
 	// targetCalls counts the calls that were handed to the target, and the others the
 	// answers in which it reported about itself.
 	targetCalls      *metrics.Counter
@@ -45,6 +46,7 @@
 		targetDeaths:   set.NewCounter("magnoliawall_target_deaths_total"),
 		inboundCalls:   set.NewCounter("magnoliawall_inbound_calls_total"),
 		callDuration:   set.NewHistogram("magnoliawall_call_duration_seconds"),
+		quotaWait:      set.NewHistogram("magnoliawall_quota_wait_seconds"),
 
 		targetCalls:      set.NewCounter("magnoliawall_target_calls_total"),
 		limitedAnswers:   set.NewCounter(`magnoliawall_target_reports_total{report="limited"}`),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,8 @@
 	Target        *web.TargetClient
 	// Claims records actions that may run only once; if nil, such calls are refused.
 	Claims Proposer
+	// Quotas grants tokens of the quotas of customers; if nil, quotas are not enforced.
+	Quotas QuotaSource
 	// Dialect is how callers and targets express terms and refusals in HTTP; nil means
 	// magnoliawall's own headers.
 	Dialect web.Dialect
