Refuse keys that the control plane has not confirmed, where the settings ask for it

Cause: strict revocation of the users' pages had no counterpart: a node that is cut off went on with the keys that it knew, however long.

Change: keys.lifetime in the settings. Both clocks count, since the monotonic one may stand still.

Tests: TestKeysExpireWithoutControlPlane, TestRenewalConfirmsVersionsAsOfItsSending.

--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -23,6 +23,9 @@
 	Configuration func(number configuration.Version, text []byte)
 	// Reports receives the reports of other nodes on requests that crash targets.
 	Reports func(now time.Time, reports []quarantine.Report)
+	// Confirmed receives the time up to which the node is known to have been offered all
+	// versions of a replica with a quorum.
+	Confirmed func(at time.Time)
 	// Problem receives conditions that an operator should look into; err may be nil.
 	Problem func(problem string, err error)
 }
@@ -72,6 +75,8 @@
 	// unansweredSince is when the first renewal after the last message of the replica
 	// was sent; zero if there was none.
 	unansweredSince time.Time
+	// renewedAt is when the last renewal that was due was sent.
+	renewedAt time.Time
 	// coldSince is when the target entered its current state.
 	coldSince time.Time
 	// behindSince is when the node was last known not to be behind a version in force
@@ -98,7 +103,7 @@
 		agent.self.Sequence++
 	}
 	agent.replica = replica
-	agent.unansweredSince = now
+	agent.unansweredSince, agent.renewedAt = now, now
 	agent.registerAt = time.Time{}
 	agent.leaseEnd = now.Add(membership.DefaultLeaseTime)
 	agent.renewAt = now.Add(membership.DefaultRenewInterval)
@@ -220,6 +225,7 @@
 		return nil
 	}
 	agent.renewAt = now.Add(membership.DefaultRenewInterval)
+	agent.renewedAt = now
 	if agent.unansweredSince.IsZero() {
 		agent.unansweredSince = now
 	}
@@ -311,6 +317,9 @@
 	switch {
 	case lease.Duration > 0:
 		agent.leaseEnd = now.Add(lease.Duration)
+		if agent.events.Confirmed != nil && !agent.quorumLost {
+			agent.events.Confirmed(agent.renewedAt)
+		}
 		return agent.view.Check(lease)
 	case lease.RegisterAgain && !agent.registerAt.IsZero():
 		return false
--- a/internal/adapter/registry/agent_test.go
+++ b/internal/adapter/registry/agent_test.go
@@ -37,3 +37,23 @@
 		expect(detectedAfter).To(gomega.BeNumerically(">", 0))
 	}
 }
+
+// What a node has is confirmed as of the time at which it asked, and only by a replica with
+// a quorum.
+func TestRenewalConfirmsVersionsAsOfItsSending(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	var confirmed time.Time
+	agent := &agent{view: &membership.View{}, follower: &distribution.Follower{}, events: Events{Confirmed: func(at time.Time) { confirmed = at }}}
+	lease := &pb.Reply{Lease: encodeLease(membership.Lease{Duration: membership.DefaultLeaseTime})}
+	agent.attach(startTime, "near")
+	agent.receive(startTime.Add(300*time.Millisecond), lease)
+	expect(confirmed).To(gomega.Equal(startTime))
+	renewed := startTime.Add(membership.DefaultRenewInterval)
+	agent.tick(renewed)
+	agent.receive(renewed.Add(time.Second), &pb.Reply{Quorum: &pb.Quorum{Lost: true}})
+	agent.receive(renewed.Add(time.Second), lease)
+	expect(confirmed).To(gomega.Equal(startTime), "the replica has lost its quorum")
+	agent.receive(renewed.Add(2*time.Second), &pb.Reply{Quorum: &pb.Quorum{}})
+	agent.receive(renewed.Add(2*time.Second), lease)
+	expect(confirmed).To(gomega.Equal(renewed))
+}
--- a/internal/host/dataplane.go
+++ b/internal/host/dataplane.go
@@ -105,6 +105,7 @@
 		Quotas:                plane.newQuotaClient(),
 		TargetAnnouncesItself: host.Platform != nil,
 		RetryBudget:           nodeBudget(host.Settings.RetryBudget, 0),
+		KeyLifetime:           time.Duration(host.Settings.Keys.Lifetime),
 		Linger:                time.Duration(host.Settings.Stop.Linger),
 		Grace:                 time.Duration(host.Settings.Stop.Grace),
 		Guard:                 plane.guard,
@@ -153,6 +154,7 @@
 		Events: registry.Events{
 			Targets:       func(now time.Time, view balancer.View) { plane.balancer.Update(now, view) },
 			Configuration: plane.activate,
+			Confirmed:     func(at time.Time) { plane.node.ConfirmKeys(at) },
 			Reports:       func(now time.Time, reports []quarantine.Report) { plane.guard.Apply(now, reports...) },
 			Problem:       plane.logProblem,
 		},
--- a/internal/node/customer_test.go
+++ b/internal/node/customer_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/tailscale/hujson"
@@ -159,3 +160,36 @@
 	_, _ = sendCall(t, middle.outbound, "visits.example", http.MethodGet, "/readings/1", nil, web.HeaderCustomer, "artigas")
 	expect(<-names).To(gomega.BeEmpty())
 }
+
+// With a key lifetime a node refuses calls that need a key once it has heard nothing of the
+// control plane for that long, however its clock reads; without one it goes on.
+func TestKeysExpireWithoutControlPlane(t *testing.T) {
+	now := time.Now()
+	cases := []struct {
+		name      string
+		lifetime  time.Duration
+		confirmed time.Time
+		path      string
+		status    int
+	}{
+		{"open, never confirmed", 0, time.Time{}, "/visits/1", http.StatusOK},
+		{"open, confirmed long ago", 0, now.Add(-time.Hour), "/visits/1", http.StatusOK},
+		{"bounded, never confirmed", time.Hour, time.Time{}, "/visits/1", http.StatusServiceUnavailable},
+		{"bounded, confirmed now", time.Hour, now, "/visits/1", http.StatusOK},
+		{"bounded, confirmed long ago", time.Hour, now.Add(-time.Hour), "/visits/1", http.StatusServiceUnavailable},
+		{"bounded, suspended since", time.Hour, now.Round(0).Add(-time.Hour), "/visits/1", http.StatusServiceUnavailable},
+		{"bounded, public", time.Hour, now.Add(-time.Hour), "/open/1", http.StatusOK},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			entry := startCustomerHost(t, "one", "agenda", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), func(underTest *node.Node) {
+				underTest.KeyLifetime = test.lifetime
+			})
+			if !test.confirmed.IsZero() {
+				entry.node.ConfirmKeys(test.confirmed)
+			}
+			answer, content := customerCall{Path: test.path, Keys: []string{"key-salto"}}.send(t, entry.callers)
+			gomega.NewWithT(t).Expect(answer.StatusCode).To(gomega.Equal(test.status), content)
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,9 @@
 	// RetryBudget bounds the retries to each service; zero fields take the
 	// configuration's values.
 	RetryBudget retry.Budget
+	// KeyLifetime is the time after which calls that need the key of a customer are
+	// refused unless ConfirmKeys was called; zero means never.
+	KeyLifetime time.Duration
 	// Linger is how long callers are still served after a stop was requested. Grace
 	// bounds the whole stop; zero means no bound.
 	Linger time.Duration
@@ -97,6 +100,7 @@
 	// answer that it is leaving.
 	OnTargetLeaving func(LocalTarget)
 
+	keys  keyConfirmation
 	roots rootTable
 	entry entryControl
 	// lagMonitor measures how long work waits for a processor.
--- a/internal/node/outbound.go
+++ b/internal/node/outbound.go
@@ -94,6 +94,9 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	if customer != nil && !kind.Public && node.keysExpired(now) {
+		return nil, web.NewRefusal(request.KeysUnconfirmed, "")
+	}
 	outbound := &outboundCall{
 		kind:          kind,
 		customer:      customer,
--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -36,6 +36,7 @@
 	NotReady         Code = 2012
 	RateLimited      Code = 2013
 	OverQuota        Code = 2014
+	KeysUnconfirmed  Code = 2015
 
 	NoTarget          Code = 3001
 	TargetUnreachable Code = 3002
@@ -100,6 +101,7 @@
 	{NotReady, "not-ready", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the node has just started and has no configuration yet"},
 	{RateLimited, "rate-limited", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the target takes only as many calls per second as it states in its answers"},
 	{OverQuota, "over-quota", http.StatusTooManyRequests, NotRun, false, true, time.Second, "the customer sends more requests per second than its quota"},
+	{KeysUnconfirmed, "keys-unconfirmed", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "the node has not reached the control plane for so long that the key may have been withdrawn"},
 
 	{NoTarget, "no-target", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "no target of the service is known in reach"},
 	{TargetUnreachable, "target-unreachable", http.StatusBadGateway, NotRun, true, true, time.Second, "the chosen target could not be reached"},
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -17,6 +17,9 @@
 	maxLostDisks = 4
 	// minRetryWindow leaves some calls to count in each tenth of a window.
 	minRetryWindow = 100 * time.Millisecond
+	// minKeyLifetime is the time within which a replica publishes a version and a node that
+	// reaches it renews its lease.
+	minKeyLifetime = 4 * time.Second
 	addressAdvice  = `use an IP address with a port, as in "10.1.0.5:7403"`
 	nameAdvice     = "use lower case letters, digits and hyphens"
 )
@@ -58,6 +61,9 @@
 	checker.checkReplica()
 	checker.checkSecurity()
 	checker.checkPlatform()
+	if lifetime := time.Duration(checker.settings.Keys.Lifetime); lifetime != 0 && lifetime < minKeyLifetime {
+		checker.addFault("keys.lifetime", fmt.Sprintf("use %s or more, or leave it out", minKeyLifetime), "%s is shorter than nodes need to learn of a version", lifetime)
+	}
 	if !slices.Contains(logLevels, loaded.LogLevel) {
 		checker.addFault("log-level", "use one of: debug, info, warn, error", "the level %q is unknown", loaded.LogLevel)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,7 +69,9 @@
 	Stop Stop `json:"stop"`
 	// RetryBudget bounds the retries of all nodes together.
 	RetryBudget RetryBudget `json:"retry-budget"`
-	LogLevel    LogLevel    `json:"log-level"`
+	// Keys bounds the use of customers' keys without the control plane.
+	Keys     Keys     `json:"keys"`
+	LogLevel LogLevel `json:"log-level"`
 }
 
 // Platform holds the addresses at which a platform and its operators call this
@@ -104,6 +106,15 @@
 	Window configuration.Duration `json:"window"`
 }
 
+// Keys bounds how long a node admits calls by the keys of customers that it knows while it
+// reaches no replica with a quorum.
+type Keys struct {
+	// Lifetime is the time within which a withdrawn key is refused even by such a node,
+	// which from then on refuses all calls that need a key. With zero it goes on with the
+	// keys that it knows.
+	Lifetime configuration.Duration `json:"lifetime"`
+}
+
 // Listen holds the addresses that the process listens at.
 type Listen struct {
 	// Callers receives the requests of callers.
