Stop granting tokens at a replica without which the others decide

Cause, by reading: a replica that is cut off alone went on with the quotas that it knew for 15 s, while the others could have accepted lower ones and nodes near it count as in touch again after 4 s. A customer at twice its new quota would get a sixth of the old one on top.

Change: without a confirmation by a quorum for 2.5 s a replica grants only while it hears enough members that no majority can be without it. The halves of a group cut in two go on, since neither accepts a version.

Ruled out: a bound on the time without a confirmation alone, which would stop all grants in a cut in halves, or allow old quotas for as long.

Test: TestReplicaGrantsWhileNoneDecideWithoutIt.

--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -88,6 +88,29 @@
 	}
 }
 
+// The pattern is a quota that is lowered while a replica is cut off: it must not go on with
+// the higher one.
+func TestReplicaGrantsWhileNoneDecideWithoutIt(t *testing.T) {
+	cases := []struct {
+		name     string
+		standing quota.Standing
+		grants   bool
+	}{
+		{"confirmed lately", quota.Standing{SinceConfirmed: time.Second, Members: 6, Silent: 5}, true},
+		{"alone", quota.Standing{SinceConfirmed: 3 * time.Second, Members: 6, Silent: 5}, false},
+		{"in a minority", quota.Standing{SinceConfirmed: 3 * time.Second, Members: 6, Silent: 4}, false},
+		{"in one of two halves", quota.Standing{SinceConfirmed: time.Minute, Members: 6, Silent: 3}, true},
+		{"in the smaller part of five", quota.Standing{SinceConfirmed: time.Minute, Members: 5, Silent: 3}, false},
+		{"with all, without a leader", quota.Standing{SinceConfirmed: 4 * time.Second, Members: 6}, true},
+		{"without a group", quota.Standing{SinceConfirmed: 4 * time.Second, Members: 1}, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			gomega.NewWithT(t).Expect(test.standing.MayGrant()).To(gomega.Equal(test.grants))
+		})
+	}
+}
+
 func TestCustomersWithoutQuota(t *testing.T) {
 	expect := gomega.NewWithT(t).Expect
 	granter := newGranter(quota.Limit{}, 0.2)
--- a/internal/host/quota.go
+++ b/internal/host/quota.go
@@ -19,10 +19,6 @@
 	// tokenLifetime is the age above which a token is not used. A process that was paused
 	// may find an answer from long ago.
 	tokenLifetime = time.Second
-	// granterConfirmation is how long after its last confirmation by a quorum a replica
-	// grants tokens. It outlasts a partition of some seconds, in which both sides go on, and
-	// ends the grants of a replica that was replaced without learning of it.
-	granterConfirmation = 15 * time.Second
 )
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
@@ -111,8 +107,8 @@
 
 // quotaServer grants the tokens of this host's replica.
 type quotaServer struct {
-	// confirmed reports whether the replica may grant tokens.
-	confirmed func() bool
+	// standing returns what the replica knows of its place in the group.
+	standing func() quota.Standing
 
 	lock    sync.Mutex
 	granter quota.Granter
@@ -122,7 +118,7 @@
 
 // Take implements [control.Quotas].
 func (server *quotaServer) Take(customer request.CustomerName) quota.Grant {
-	if !server.confirmed() {
+	if !server.standing().MayGrant() {
 		return quota.Grant{Result: quota.Unavailable}
 	}
 	server.lock.Lock()
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -14,6 +14,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/distribution"
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
+	"github.com/magnoliawall/magnoliawall/internal/core/quota"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
@@ -44,6 +45,9 @@
 	confirmedAt atomic.Pointer[time.Time]
 	advancedAt  time.Time
 	members     []registry.Replica
+	// memberCount and silentCount are the numbers of members and of those without a recent
+	// heartbeat.
+	memberCount, silentCount atomic.Int64
 }
 
 // confirmed reports whether a recent quorum read showed that the version
@@ -53,11 +57,17 @@
 	return at != nil && time.Since(*at) < confirmationLifetime
 }
 
-// mayGrant reports whether this replica was confirmed by a quorum lately enough to grant
-// its part of the quotas.
-func (reconciler *reconciler) mayGrant() bool {
-	at := reconciler.confirmedAt.Load()
-	return at != nil && time.Since(*at) < granterConfirmation
+// standing returns what this replica knows of its place in the group.
+func (reconciler *reconciler) standing() quota.Standing {
+	since := reconciler.plane.host.startedAt
+	if at := reconciler.confirmedAt.Load(); at != nil {
+		since = *at
+	}
+	return quota.Standing{
+		SinceConfirmed: time.Since(since),
+		Members:        int(reconciler.memberCount.Load()),
+		Silent:         int(reconciler.silentCount.Load()),
+	}
 }
 
 // quorumLost reports whether no quorum read has succeeded for quorumLossTimeout, counted
@@ -111,6 +121,7 @@
 		return
 	}
 	reconciler.plane.quotas.setShare(quotaShare(status))
+	reconciler.countSilent(ctx, status)
 	if !reconciler.plane.host.Settings.Replica.FormsFromSeeds {
 		return
 	}
@@ -131,6 +142,16 @@
 	reconciler.plane.host.replicaDirectory.Learn(places)
 }
 
+// countSilent counts the members of the group, and those that this replica does not hear.
+func (reconciler *reconciler) countSilent(ctx context.Context, status quorum.Status) {
+	silent, err := reconciler.plane.registry.SilentReplicas(ctx)
+	if err != nil {
+		return
+	}
+	reconciler.memberCount.Store(int64(len(status.Membership.Members)))
+	reconciler.silentCount.Store(int64(len(silent)))
+}
+
 // quotaShare is the part of each quota that a member grants: an equal one, and none before
 // it is a member or after it was removed.
 func quotaShare(status quorum.Status) float64 {
