Check keys, names and quotas in the soak

Two customers in every run: one of the callers, one that sends three times its quota of 20 a second through all hosts, a tenth of that with a key that was withdrawn before. Checked: no call with the withdrawn key is served, no target gets a key or the name of another customer, and the quota holds in every window of 5 s.

--- a/magnolia-load/internal/load/caller.go
+++ b/magnolia-load/internal/load/caller.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/answer"
 	"github.com/magnoliawall/magnoliawall/magnolia-load/internal/target"
@@ -29,6 +30,8 @@
 	EntryAddress string
 	// Dial opens connections; nil means a plain TCP connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// CustomerKey is sent with each request; empty means none.
+	CustomerKey string
 
 	client *http.Client
 }
@@ -99,6 +102,9 @@
 	if kind.Repeat == request.Once {
 		headers.Set(target.KeyHeader, string(key))
 	}
+	if caller.CustomerKey != "" {
+		headers.Set(web.HeaderCustomerKey, caller.CustomerKey)
+	}
 	headers.Set(target.DeadlineHeader, (kind.AttemptTimeout - deadlineMargin).String())
 	return outgoing, nil
 }
--- a/magnolia-load/internal/soak/promises.go
+++ b/magnolia-load/internal/soak/promises.go
@@ -48,6 +48,10 @@
 	resourceUses []resourceUse
 	// limitedPeriods are the times in which targets stated a rate limit.
 	limitedPeriods []target.LimitedPeriod
+	// floodSentAt holds when each call of the customer over its quota was sent, and
+	// admittedWithdrawn counts calls with a withdrawn key that were served.
+	floodSentAt       map[target.AttemptName]time.Time
+	admittedWithdrawn int
 	// recoverySpan is the span in which the site must serve again.
 	recoverySpan load.Span
 }
@@ -71,7 +75,7 @@
 
 // brokenPromises describes the promises that were not kept.
 func (observed observations) brokenPromises() []string {
-	return slices.Concat(observed.checkAnswers(), observed.checkCuts(), observed.checkAtMostOnce(), observed.checkChanges(), observed.checkProcesses(), observed.checkRates(), observed.checkRecovery())
+	return slices.Concat(observed.checkAnswers(), observed.checkCuts(), observed.checkAtMostOnce(), observed.checkChanges(), observed.checkProcesses(), observed.checkRates(), observed.checkRecovery(), observed.checkKeys(), observed.checkNames(), observed.checkQuota())
 }
 
 // checkAnswers checks that each success response is complete and for the caller's
--- a/magnolia-load/internal/soak/promises_test.go
+++ b/magnolia-load/internal/soak/promises_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -76,6 +77,22 @@
 		"size: the resource use of agenda-norte-a cannot be read": func(observed *observations) {
 			observed.resourceUses[0] = resourceUse{host: "agenda-norte-a", err: errors.New("no such process")}
 		},
+		"keys": func(observed *observations) { observed.admittedWithdrawn = 1 },
+		"names: a target got the key": func(observed *observations) {
+			observed.records.RecordCustomer(target.CustomerArrival{Attempt: "one", Customer: callersCustomer, HasKey: true})
+		},
+		"names: a target was told": func(observed *observations) {
+			observed.records.RecordCustomer(target.CustomerArrival{Attempt: "one", Customer: floodCustomer})
+		},
+		"quota": func(observed *observations) {
+			// 152 requests in five seconds are allowed.
+			observed.floodSentAt = make(map[target.AttemptName]time.Time)
+			for number := range 153 {
+				name, at := target.AttemptName(fmt.Sprint("flood-", number)), time.Unix(1_000, 0).Add(time.Duration(number)*30*time.Millisecond)
+				observed.floodSentAt[name] = at
+				observed.records.RecordCustomer(target.CustomerArrival{Attempt: name, Customer: floodCustomer, At: at.Add(10 * time.Millisecond)})
+			}
+		},
 		"recovery": func(observed *observations) { observed.samples[0].Attempts[0].Result = load.ResultLate },
 	}
 	gomega.NewWithT(t).Expect(allPromisesKept().brokenPromises()).To(gomega.BeEmpty())
--- a/magnolia-load/internal/soak/run.go
+++ b/magnolia-load/internal/soak/run.go
@@ -140,21 +140,31 @@
 		return observations{}, err
 	}
 	execution.sender = newChangeSender(execution.mesh.AdminAddresses(), execution.run.Seed)
+	if err := execution.setCustomers(ctx); err != nil {
+		return observations{}, err
+	}
+	execution.mesh.Records.WatchCustomers()
+	callers := execution.mesh.Callers()
+	for _, caller := range callers {
+		caller.CustomerKey = callersKey
+	}
+	flooding := newFlood(execution.design.Kinds, callers)
 	recoverySpan := load.Span{From: execution.run.FaultDuration + recoveryTimeout, To: execution.run.FaultDuration + recoveryTimeout + checkDuration}
 	backgroundCtx, stopBackground := context.WithCancel(ctx)
 	defer stopBackground()
 	background := sync.WaitGroup{}
 	background.Go(func() { execution.sender.run(backgroundCtx) })
 	background.Go(func() { execution.watchVersions(backgroundCtx) })
+	background.Go(func() { flooding.run(backgroundCtx) })
 	execution.loadStartedAt = time.Now()
 	injecting := sync.WaitGroup{}
 	injecting.Go(func() { execution.injectFaults(ctx) })
 	runner := &load.Runner{
 		Plan: load.Plan{
-			Seed: execution.run.Seed, Kinds: execution.design.Kinds, EntryNodes: len(execution.mesh.Callers()), MaxAttempts: maxAttempts,
+			Seed: execution.run.Seed, Kinds: execution.design.Kinds, EntryNodes: len(callers), MaxAttempts: maxAttempts,
 			Phases: []load.Phase{{Name: "soak", Duration: recoverySpan.To, RateFactor: rateFactorPerPlace * float64(len(execution.design.Places))}},
 		},
-		Callers: execution.mesh.Callers(), KeyPrefix: "soak",
+		Callers: callers, KeyPrefix: "soak",
 	}
 	samples := runner.Run(ctx)
 	injecting.Wait()
@@ -168,6 +178,7 @@
 	}
 	observed.changes, observed.versionRegressions, observed.overdueStops = execution.sender.changes, execution.versionRegressions, execution.overdueStops
 	observed.kills = execution.kills
+	observed.floodSentAt, observed.admittedWithdrawn = flooding.sentAt, flooding.admittedWithdrawn
 	for _, limited := range execution.mesh.HostTargets() {
 		observed.limitedPeriods = append(observed.limitedPeriods, limited.LimitedPeriods()...)
 	}
--- a/magnolia-load/internal/target/handler.go
+++ b/magnolia-load/internal/target/handler.go
@@ -113,6 +113,11 @@
 func (target *Target) process(ctx context.Context, writer http.ResponseWriter, call *http.Request, behaviour Behaviour) {
 	attempt := AttemptName(call.Header.Get(AttemptHeader))
 	target.Records.RecordCall(attempt)
+	if target.Records.WatchesCustomers() {
+		target.Records.RecordCustomer(CustomerArrival{
+			Attempt: attempt, At: time.Now(), Customer: request.CustomerName(call.Header.Get(web.HeaderCustomer)), HasKey: call.Header.Get(web.HeaderCustomerKey) != "",
+		})
+	}
 	if behaviour.Repeat == request.Once {
 		target.Records.RecordRun(Action{Kind: behaviour.Kind, Key: request.IdempotencyKey(call.Header.Get(KeyHeader))})
 	}
--- a/magnolia-load/internal/target/records.go
+++ b/magnolia-load/internal/target/records.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,46 @@
 	runCounts  map[Action]int
 	workTimes  map[AttemptName]time.Duration
 	callCounts map[AttemptName]int
+
+	watchesCustomers bool
+	customerArrivals []CustomerArrival
+}
+
+// CustomerArrival is what a call that reached a target said of its customer.
+type CustomerArrival struct {
+	Attempt  AttemptName
+	At       time.Time
+	Customer request.CustomerName
+	// HasKey says that the call had the key of a customer.
+	HasKey bool
+}
+
+// WatchCustomers begins to record the customers of calls.
+func (records *Records) WatchCustomers() {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	records.watchesCustomers = true
+}
+
+// WatchesCustomers reports whether the customers of calls are recorded.
+func (records *Records) WatchesCustomers() bool {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	return records.watchesCustomers
+}
+
+// RecordCustomer records the customer of a call.
+func (records *Records) RecordCustomer(arrival CustomerArrival) {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	records.customerArrivals = append(records.customerArrivals, arrival)
+}
+
+// CustomerArrivals returns the recorded customers of calls.
+func (records *Records) CustomerArrivals() []CustomerArrival {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	return slices.Clone(records.customerArrivals)
 }
 
 // NewRecords returns empty records.
