Wait for a silent replica no longer than its answers usually take

A request waited 250 ms for each replica that did not answer, and every request that arrived meanwhile did so too: up to 1.5 s when all six are cut off.

Change: the wait is four times the usual time to an answer and 50 ms, 400 ms for the whole search; a replica that stays silent is left out for two seconds from the second time on.

Test: TestSilentReplicaDelaysFewRequests.

--- a/internal/core/quota/asker.go
+++ b/internal/core/quota/asker.go
@@ -15,8 +15,17 @@
 	// minEmptyTime is how long a replica without a token is not asked again. It bounds
 	// what a customer far over its quota costs; the tokens of that time stay in the bucket.
 	minEmptyTime = 50 * time.Millisecond
-	// silentTime is how long a replica that did not answer is not asked again.
-	silentTime = time.Second
+	// silentTime is how long a replica that did not answer is not asked again, and
+	// maxSilentTime the same after several times.
+	silentTime    = time.Second
+	maxSilentTime = 2 * time.Second
+	// A request waits for a replica timeoutFactor times as long as its answers usually take
+	// and timeoutMargin, within the bounds.
+	timeoutFactor = 4
+	timeoutMargin = 50 * time.Millisecond
+	maxTimeout    = 250 * time.Millisecond
+	// answerTimeWeight is the weight of one answer in the usual time.
+	answerTimeWeight = 0.2
 	// ownPartLifetime is how long after its last use the part that a node admits by itself
 	// goes on. Later the replicas have granted tokens in between.
 	ownPartLifetime = 5 * time.Second
@@ -29,9 +38,17 @@
 type Asker[Replica comparable] struct {
 	Random *rand.Rand
 
-	refusals    map[refusalKey[Replica]]refusal
-	silentUntil map[Replica]time.Time
-	ownParts    map[request.CustomerName]*bucket
+	refusals map[refusalKey[Replica]]refusal
+	replicas map[Replica]*replicaState
+	ownParts map[request.CustomerName]*bucket
+}
+
+// replicaState is what a node knows of one replica.
+type replicaState struct {
+	silentUntil time.Time
+	silentTime  time.Duration
+	// answerTime is the usual time to an answer; zero before the first one.
+	answerTime time.Duration
 }
 
 type refusalKey[Replica comparable] struct {
@@ -72,9 +89,23 @@
 	return wait, exhausted
 }
 
-// Answered records the answer of a replica.
-func (asker *Asker[Replica]) Answered(now time.Time, customer request.CustomerName, replica Replica, grant Grant) {
-	delete(asker.silentUntil, replica)
+// Timeout returns how long a request waits for the answer of a replica.
+func (asker *Asker[Replica]) Timeout(replica Replica) time.Duration {
+	usual := asker.state(replica).answerTime
+	if usual == 0 {
+		return maxTimeout
+	}
+	return min(timeoutFactor*usual+timeoutMargin, maxTimeout)
+}
+
+// Answered records the answer of a replica and the time that it took.
+func (asker *Asker[Replica]) Answered(now time.Time, customer request.CustomerName, replica Replica, grant Grant, took time.Duration) {
+	state := asker.state(replica)
+	if state.answerTime == 0 {
+		state.answerTime = took
+	}
+	state.answerTime += time.Duration(answerTimeWeight * float64(took-state.answerTime))
+	state.silentUntil, state.silentTime = time.Time{}, 0
 	key := refusalKey[Replica]{customer, replica}
 	if grant.Result == Granted {
 		delete(asker.refusals, key)
@@ -86,12 +117,26 @@
 	asker.refusals[key] = refusal{result: grant.Result, until: now.Add(max(grant.Wait, minEmptyTime))}
 }
 
-// NotAnswered records that a replica did not answer.
+// NotAnswered records that a replica did not answer in time.
 func (asker *Asker[Replica]) NotAnswered(now time.Time, replica Replica) {
-	if asker.silentUntil == nil {
-		asker.silentUntil = make(map[Replica]time.Time)
+	state := asker.state(replica)
+	if now.Before(state.silentUntil) {
+		return
+	}
+	state.silentTime = min(max(2*state.silentTime, silentTime), maxSilentTime)
+	state.silentUntil = now.Add(state.silentTime)
+}
+
+func (asker *Asker[Replica]) state(replica Replica) *replicaState {
+	found := asker.replicas[replica]
+	if found == nil {
+		if asker.replicas == nil || len(asker.replicas) >= maxRemembered {
+			asker.replicas = make(map[Replica]*replicaState)
+		}
+		found = &replicaState{}
+		asker.replicas[replica] = found
 	}
-	asker.silentUntil[replica] = now.Add(silentTime)
+	return found
 }
 
 // TakeOwnPart takes a token from the part that this node, one of a number of nodes,
@@ -117,7 +162,7 @@
 }
 
 func (asker *Asker[Replica]) isSilent(now time.Time, replica Replica) bool {
-	return now.Before(asker.silentUntil[replica])
+	return now.Before(asker.state(replica).silentUntil)
 }
 
 func (asker *Asker[Replica]) refused(now time.Time, customer request.CustomerName, replica Replica) bool {
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -133,13 +133,13 @@
 	}
 	now := simulationStart
 	expect(next(now, customer)).To(gomega.Equal("near"))
-	asker.Answered(now, customer, "near", quota.Grant{Result: quota.Empty, Wait: 300 * time.Millisecond})
+	asker.Answered(now, customer, "near", quota.Grant{Result: quota.Empty, Wait: 300 * time.Millisecond}, time.Millisecond)
 	expect(next(now, customer)).To(gomega.Equal("middle"))
 	expect(next(now, "artigas")).To(gomega.Equal("near"), "other customers may have tokens there")
 	asker.NotAnswered(now, "middle")
 	expect(next(now, "artigas")).To(gomega.Equal("near"))
 	expect(next(now, customer)).To(gomega.Equal("far"))
-	asker.Answered(now, customer, "far", quota.Grant{Result: quota.Empty, Wait: 100 * time.Millisecond})
+	asker.Answered(now, customer, "far", quota.Grant{Result: quota.Empty, Wait: 100 * time.Millisecond}, time.Millisecond)
 	expect(next(now, customer)).To(gomega.BeEmpty())
 	wait, exhausted := asker.Exhausted(now, customer, replicas)
 	expect(exhausted).To(gomega.BeTrue())
@@ -149,6 +149,29 @@
 	expect(next(now.Add(time.Second), customer)).To(gomega.Equal("near"))
 }
 
+// The pattern is a replica that falls silent while many requests arrive: each of them waits
+// a few times as long as its answers usually took, and few of them wait at all.
+func TestSilentReplicaDelaysFewRequests(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	asker := &quota.Asker[string]{}
+	expect(asker.Timeout("near")).To(gomega.Equal(250 * time.Millisecond))
+	for range 20 {
+		asker.Answered(simulationStart, customer, "near", quota.Grant{}, time.Millisecond)
+		asker.Answered(simulationStart, customer, "far", quota.Grant{}, 41*time.Millisecond)
+	}
+	expect(asker.Timeout("near")).To(gomega.BeNumerically("<", 60*time.Millisecond))
+	expect(asker.Timeout("far")).To(gomega.BeNumerically("~", 214*time.Millisecond, time.Millisecond))
+	waits := 0
+	for tick := range 1000 {
+		now := simulationStart.Add(time.Duration(tick) * 10 * time.Millisecond)
+		if position, ok := asker.Next(now, customer, []string{"near", "far"}, 0); ok && position == 0 {
+			waits++
+			asker.NotAnswered(now, "near")
+		}
+	}
+	expect(waits).To(gomega.BeNumerically("<=", 6), "of 1,000 requests in 10 s")
+}
+
 // The parts that nodes admit without a replica add up to a share of the quota, also in the
 // first second after they all lose the replicas.
 func TestOwnPartsAddUp(t *testing.T) {
@@ -181,7 +204,7 @@
 func BenchmarkNext(b *testing.B) {
 	asker := &quota.Asker[string]{}
 	replicas := []string{"near", "middle", "far"}
-	asker.Answered(simulationStart, customer, "near", quota.Grant{Result: quota.Empty, Wait: time.Second})
+	asker.Answered(simulationStart, customer, "near", quota.Grant{Result: quota.Empty, Wait: time.Second}, time.Millisecond)
 	b.ReportAllocs()
 	for b.Loop() {
 		asker.Next(simulationStart, customer, replicas, 0)
--- a/internal/core/quota/simulation_test.go
+++ b/internal/core/quota/simulation_test.go
@@ -228,7 +228,7 @@
 			continue
 		}
 		grant := ways.replicas[order[position]].Take(now, arriving.customer)
-		asker.Answered(now, arriving.customer, order[position], grant)
+		asker.Answered(now, arriving.customer, order[position], grant, time.Millisecond)
 		if grant.Result == quota.Granted {
 			return true
 		}
--- a/internal/host/quota.go
+++ b/internal/host/quota.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// tokenTimeout bounds the wait for one replica: several round trips between regions.
-	tokenTimeout = 250 * time.Millisecond
+	// maxTokenSearch bounds the wait for all replicas together.
+	maxTokenSearch = 400 * time.Millisecond
 	// tokenLifetime is the age above which a token is not used. A process that was paused
 	// may find an answer from long ago.
 	tokenLifetime = time.Second
@@ -37,12 +37,14 @@
 // Take implements [node.QuotaSource].
 func (client *quotaClient) Take(ctx context.Context, customer request.CustomerName, limit quota.Limit) quota.Grant {
 	replicas := client.replicas.Replicas()
+	searching, cancel := context.WithTimeout(ctx, maxTokenSearch)
+	defer cancel()
 	for tried := 0; ; tried++ {
 		position, ok := client.next(customer, replicas, tried)
-		if !ok {
+		if !ok || searching.Err() != nil {
 			return client.takeWithoutReplica(customer, limit, replicas)
 		}
-		if grant := client.ask(ctx, customer, replicas[position]); grant.Result == quota.Granted {
+		if grant := client.ask(searching, customer, replicas[position]); grant.Result == quota.Granted {
 			return grant
 		}
 		tried = position
@@ -64,11 +66,17 @@
 	return client.asker.Next(time.Now(), customer, replicas, tried)
 }
 
+func (client *quotaClient) timeout(replica peer.Address) time.Duration {
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	return client.asker.Timeout(replica)
+}
+
 // ask asks one replica. A token that comes late is given up: the replica counts it, and the
 // time at which it was granted is over.
 func (client *quotaClient) ask(ctx context.Context, customer request.CustomerName, replica peer.Address) quota.Grant {
 	began := time.Now()
-	asking, cancel := context.WithTimeout(ctx, tokenTimeout)
+	asking, cancel := context.WithTimeout(ctx, client.timeout(replica))
 	defer cancel()
 	grant, err := client.client.TakeToken(asking, replica, customer)
 	now := time.Now()
@@ -76,7 +84,7 @@
 	defer client.lock.Unlock()
 	switch {
 	case err != nil && ctx.Err() != nil:
-		// The caller left, which says nothing of the replica.
+		// The caller left or the search took too long, which says nothing of this replica.
 		return quota.Grant{Result: quota.Unavailable}
 	case err != nil:
 		client.asker.NotAnswered(now, replica)
@@ -84,7 +92,7 @@
 	case isOlderThan(began, now, tokenLifetime):
 		return quota.Grant{Result: quota.Unavailable}
 	}
-	client.asker.Answered(now, customer, replica, grant)
+	client.asker.Answered(now, customer, replica, grant, now.Sub(began))
 	return grant
 }
 
