--- a/internal/node/customer_test.go
+++ b/internal/node/customer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -70,15 +69,7 @@
 	if call.Forged != "" {
 		outgoing.Header.Set(web.HeaderCustomer, call.Forged)
 	}
-	answer, err := http.DefaultClient.Do(outgoing)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = answer.Body.Close() }()
-	content, err := io.ReadAll(answer.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
+	answer, content := sendRequest(t, outgoing)
 	return answer, string(content)
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -125,6 +125,12 @@
 	for index := 0; index+1 < len(headers); index += 2 {
 		outgoing.Header.Set(headers[index], headers[index+1])
 	}
+	return sendRequest(t, outgoing)
+}
+
+// sendRequest sends a request and reads the whole answer.
+func sendRequest(t testing.TB, outgoing *http.Request) (*http.Response, []byte) {
+	t.Helper()
 	answer, err := http.DefaultClient.Do(outgoing)
 	if err != nil {
 		t.Fatal(err)
