Accept no connections in a planned stop after the grace time is nearly used up

Cause, by reading: a stopping node goes on accepting for up to a second while callers connect, also when it stops because its grace time less 0.7 s is over.

Change: in a stop with a grace time nothing is accepted later than 0.55 s before its end. What was accepted before is served as before.

Ruled out: a larger part of the grace time left over, which would cut calls that the target still works on earlier.

Test: TestStopAcceptsNothingAfterGraceTime, an endless queue of callers.

--- a/internal/node/connection_acceptor.go
+++ b/internal/node/connection_acceptor.go
@@ -95,9 +95,13 @@
 
 // StopAccepting closes the listener after the connections that wait in its queue were
 // accepted. The kernel would reset them, with the requests that their callers have
-// sent. It returns when Serve has ended.
-func (acceptor *connectionAcceptor) StopAccepting(listener net.Listener) {
+// sent. It accepts none after latest, unless that is zero, and returns when Serve has
+// ended.
+func (acceptor *connectionAcceptor) StopAccepting(listener net.Listener, latest time.Time) {
 	until := time.Now().Add(acceptMaxTime)
+	if !latest.IsZero() && latest.Before(until) {
+		until = latest
+	}
 	acceptor.acceptUntil.Store(&until)
 	acceptor.extendAccept(listener)
 	<-acceptor.served
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -86,6 +86,20 @@
 	return deadline != nil && !time.Now().Before(*deadline)
 }
 
+// acceptMargin is the part of stopMargin in which connections are still accepted.
+const acceptMargin = 150 * time.Millisecond
+
+// latestAccept is the time after which a stopping node accepts no connection, so that the
+// process ends within the grace time however many callers still connect. It is zero without
+// a grace time.
+func (node *Node) latestAccept() time.Time {
+	deadline := node.stopDeadline.Load()
+	if deadline == nil {
+		return time.Time{}
+	}
+	return deadline.Add(acceptMargin)
+}
+
 // awaitRecords waits until all running actions that may run only once have ended, and
 // then, but not longer than recordTimeout, until their outcomes are recorded. Nothing is
 // waited for beyond the grace time.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -219,7 +219,7 @@
 	group.Add(func() error {
 		return acceptor.Serve(listener)
 	}, func(error) {
-		acceptor.StopAccepting(listener)
+		acceptor.StopAccepting(listener, node.latestAccept())
 		node.shutDown(acceptor)
 	})
 }
--- a/internal/node/planned_stop_test.go
+++ b/internal/node/planned_stop_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,7 +59,7 @@
 		callers[index] = sendRequest(g, listener)
 	}
 	go func() { _ = acceptor.Serve(listener) }()
-	acceptor.StopAccepting(listener)
+	acceptor.StopAccepting(listener, time.Time{})
 	acceptor.Shutdown(t.Context())
 	for _, caller := range callers {
 		expectWholeAnswer(g, bufio.NewReader(caller))
@@ -98,7 +99,7 @@
 	defer func() { _ = kept.Close() }()
 	reader := bufio.NewReader(kept)
 	expectWholeAnswer(g, reader)
-	acceptor.StopAccepting(listener)
+	acceptor.StopAccepting(listener, time.Time{})
 
 	unreadListener := listenLoopback(g)
 	caller := sendRequest(g, unreadListener)
@@ -137,7 +138,7 @@
 	answer := expectWholeAnswer(g, bufio.NewReader(caller))
 	g.Expect(answer.Close).To(gomega.BeTrue())
 	g.Expect(caller.Close()).To(gomega.Succeed())
-	acceptor.StopAccepting(listener)
+	acceptor.StopAccepting(listener, time.Time{})
 	acceptor.Shutdown(t.Context())
 }
 
@@ -151,3 +152,46 @@
 	node.stopDeadline.Store(&deadline)
 	node.awaitRecords(nil)
 }
+
+// endlessListener always has another connection.
+type endlessListener struct {
+	closed atomic.Bool
+}
+
+func (listener *endlessListener) Accept() (net.Conn, error) {
+	if listener.closed.Load() {
+		return nil, net.ErrClosed
+	}
+	near, far := net.Pipe()
+	_ = far.Close()
+	return near, nil
+}
+
+func (listener *endlessListener) Close() error {
+	listener.closed.Store(true)
+	return nil
+}
+
+func (listener *endlessListener) SetDeadline(time.Time) error { return nil }
+func (listener *endlessListener) Addr() net.Addr              { return &net.TCPAddr{} }
+
+// The pattern is a planned stop of a node to which callers connect all the time: it accepts
+// no more once its grace time is nearly used up, and the process ends by itself.
+func TestStopAcceptsNothingAfterGraceTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	node := &Node{}
+	g.Expect(node.latestAccept()).To(gomega.BeZero())
+	deadline := time.Now().Add(-acceptMargin)
+	node.stopDeadline.Store(&deadline)
+
+	acceptor, listener := newTestAcceptor(), &endlessListener{}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = acceptor.Serve(listener)
+	}()
+	acceptor.StopAccepting(listener, node.latestAccept())
+	g.Eventually(ended).WithTimeout(time.Minute).Should(gomega.BeClosed())
+	g.Expect(*acceptor.acceptUntil.Load()).To(gomega.Equal(node.latestAccept()))
+	acceptor.Shutdown(t.Context())
+}
