--- a/internal/core/quota/asker.go
+++ b/internal/core/quota/asker.go
@@ -117,14 +117,16 @@
 	asker.refusals[key] = refusal{result: grant.Result, until: now.Add(max(grant.Wait, minEmptyTime))}
 }
 
-// NotAnswered records that a replica did not answer in time.
-func (asker *Asker[Replica]) NotAnswered(now time.Time, replica Replica) {
+// NotAnswered records that a replica did not answer in time. It reports whether that was
+// not known yet.
+func (asker *Asker[Replica]) NotAnswered(now time.Time, replica Replica) bool {
 	state := asker.state(replica)
 	if now.Before(state.silentUntil) {
-		return
+		return false
 	}
 	state.silentTime = min(max(2*state.silentTime, silentTime), maxSilentTime)
 	state.silentUntil = now.Add(state.silentTime)
+	return true
 }
 
 func (asker *Asker[Replica]) state(replica Replica) *replicaState {
--- a/internal/host/quota.go
+++ b/internal/host/quota.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/magnoliawall/magnoliawall/internal/adapter/control"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
@@ -29,6 +31,7 @@
 	replicas *peer.Directory
 	// nodeCount returns the number of nodes that share out a quota without a replica.
 	nodeCount func() int
+	logger    *log.Logger
 
 	lock  sync.Mutex
 	asker quota.Asker[peer.Address]
@@ -56,6 +59,7 @@
 		client:    &control.Client{Transport: plane.host.transport, Replicas: plane.host.replicaDirectory},
 		replicas:  plane.host.replicaDirectory,
 		nodeCount: plane.balancer.TotalTargetCount,
+		logger:    plane.host.Logger,
 		asker:     quota.Asker[peer.Address]{Random: newRandom()},
 	}
 }
@@ -87,9 +91,12 @@
 		// The caller left or the search took too long, which says nothing of this replica.
 		return quota.Grant{Result: quota.Unavailable}
 	case err != nil:
-		client.asker.NotAnswered(now, replica)
+		if client.asker.NotAnswered(now, replica) {
+			client.logger.Warn().Err(err).Str("replica", string(replica)).Msg("quota: the replica did not answer and is left out for a while")
+		}
 		return quota.Grant{Result: quota.Unavailable}
 	case isOlderThan(began, now, tokenLifetime):
+		client.logger.Warn().Str("replica", string(replica)).Msg("quota: the answer is too old and is not used; this process was paused")
 		return quota.Grant{Result: quota.Unavailable}
 	}
 	client.asker.Answered(now, customer, replica, grant, now.Sub(began))
