Keep an inherited importance within the levels in force

Cause, by reading: a call inherits the rank of its parent's customer by dividing the parent's importance by the levels that this node knows. A parent from a node with another version can have a rank that does not exist here; with many levels the sum also left the range of an importance and came out as one of the lowest.

Change: the rank is at most the highest one in force.

Test, failing before (parent 4 of 4 levels): TestInheritedImportanceStaysWithinItsLevels.

--- a/internal/configuration/customer.go
+++ b/internal/configuration/customer.go
@@ -188,7 +188,9 @@
 	if ranks.routeLevels == 0 {
 		return max(parent, kind.Importance)
 	}
-	return ranks.combine(parent/ranks.routeLevels, max(parent%ranks.routeLevels, kind.Importance))
+	// The parent's node may have a version with more levels in force.
+	rank := min(parent/ranks.routeLevels, request.Importance(ranks.levels()-1))
+	return ranks.combine(rank, max(parent%ranks.routeLevels, kind.Importance))
 }
 
 // ImportanceLevels returns the number of values of [Matcher.Importance].
--- a/internal/configuration/customer_test.go
+++ b/internal/configuration/customer_test.go
@@ -85,6 +85,16 @@
 	expect(matcher.InheritedImportance(ascending[3], &low.Kind)).To(gomega.Equal(ascending[3]))
 }
 
+// A parent of a node with another version may have more levels than this one knows.
+func TestInheritedImportanceStaysWithinItsLevels(t *testing.T) {
+	matcher := compileCustomers(t)
+	low, _ := matcher.Route("a.example", "/low/1")
+	for parent := range 256 {
+		inherited := matcher.InheritedImportance(request.Importance(parent), &low.Kind)
+		gomega.NewWithT(t).Expect(int(inherited)).To(gomega.BeNumerically("<", matcher.ImportanceLevels()), "parent %d", parent)
+	}
+}
+
 // A table without customers still requires a key, so that the removal of the last
 // customer does not open all routes.
 func TestKeysAreRequiredByTableOfCustomers(t *testing.T) {
