Tell apart a quota that is used up from one that nobody knows

Cause: a node that no replica answered told a customer within its quota that it was over it, 429 with 2014, and to come back when its own small part has a token, 20 s and more later, although replicas are asked again after a second. A call whose caller had left during the search took a token or got the same answer.

Change: 2016, quota-unknown, 503, with the second until replicas are asked again. A call whose caller left ends as such.

Ruled out: waiting for a replica, since the caller can use the time better.

--- a/internal/core/quota/asker.go
+++ b/internal/core/quota/asker.go
@@ -142,7 +142,8 @@
 }
 
 // TakeOwnPart takes a token from the part that this node, one of a number of nodes,
-// admits while it reaches no replica.
+// admits while it reaches no replica. Without one it is unavailable, and the time to wait is
+// that until replicas are asked again.
 func (asker *Asker[Replica]) TakeOwnPart(now time.Time, customer request.CustomerName, limit Limit, nodes int) Grant {
 	share := OwnPartShare / float64(max(nodes, 1))
 	if asker.ownParts == nil {
@@ -156,9 +157,8 @@
 		asker.ownParts[customer] = found
 	}
 	found.setLimit(now, float64(limit.Rate)*share, limit.Burst*share)
-	wait, ok := found.take(now)
-	if !ok {
-		return Grant{Result: Empty, Wait: wait}
+	if _, ok := found.take(now); !ok {
+		return Grant{Result: Unavailable, Wait: silentTime}
 	}
 	return Grant{Result: Granted}
 }
--- a/internal/core/quota/doc.go
+++ b/internal/core/quota/doc.go
@@ -55,13 +55,15 @@
 	Granted Result = iota
 	// Empty means that the replica has no token now.
 	Empty
-	// Unavailable means that the replica does not know the customer, or grants nothing.
+	// Unavailable means that a replica does not know the customer or grants nothing, or that
+	// none answers.
 	Unavailable
 )
 
 // Grant is the answer to a request for a token.
 type Grant struct {
 	Result Result
-	// Wait is the time until the replica has a token, if it is empty.
+	// Wait is the time until the replica has a token, if it is empty, or until replicas are
+	// asked again.
 	Wait time.Duration
 }
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -13,8 +13,8 @@
 // QuotaSource grants tokens of the quotas of customers. Its methods may be called
 // concurrently.
 type QuotaSource interface {
-	// Take takes a token for one request of the customer, or returns the time until there
-	// may be one.
+	// Take takes a token for one request of the customer. Otherwise it returns the time until
+	// there may be one, and whether the quota is used up or nobody knows.
 	Take(ctx context.Context, customer request.CustomerName, limit quota.Limit) quota.Grant
 }
 
@@ -35,7 +35,13 @@
 	if grant.Result == quota.Granted {
 		return nil
 	}
+	if ctx.Err() != nil {
+		return abandonedRefusal(ctx)
+	}
 	refusal := web.NewRefusal(request.OverQuota, "")
+	if grant.Result == quota.Unavailable {
+		refusal = web.NewRefusal(request.QuotaUnknown, "")
+	}
 	remaining := max(time.Until(outbound.work.Deadline), 0)
 	spread := min(overQuotaSpread, remaining/retryAfterDivisor)
 	refusal.RetryAfter = grant.Wait + time.Duration(rand.Int64N(int64(spread)+1))
--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -37,6 +37,7 @@
 	RateLimited      Code = 2013
 	OverQuota        Code = 2014
 	KeysUnconfirmed  Code = 2015
+	QuotaUnknown     Code = 2016
 
 	NoTarget          Code = 3001
 	TargetUnreachable Code = 3002
@@ -102,6 +103,7 @@
 	{RateLimited, "rate-limited", http.StatusServiceUnavailable, NotRun, true, true, time.Second, "the target takes only as many calls per second as it states in its answers"},
 	{OverQuota, "over-quota", http.StatusTooManyRequests, NotRun, false, true, time.Second, "the customer sends more requests per second than its quota"},
 	{KeysUnconfirmed, "keys-unconfirmed", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "the node has not reached the control plane for so long that the key may have been withdrawn"},
+	{QuotaUnknown, "quota-unknown", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "no replica answers whether the customer has quota left, and this node's own part of it is used up"},
 
 	{NoTarget, "no-target", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "no target of the service is known in reach"},
 	{TargetUnreachable, "target-unreachable", http.StatusBadGateway, NotRun, true, true, time.Second, "the chosen target could not be reached"},
