Wait in upload tests until the node knows its target

A process is ready as soon as it has a configuration; the list of targets, or the target's own announcement, comes some milliseconds later, and the upload was refused with no-target, 503, before the stop that the tests are about.

What is checked of a stop is the same. If an upload ends before its body, its answer is printed.

Ruled out: readiness that waits for the lists, which would not wait for the target's own announcement; the refusal says not-run and when to come back.

--- a/magnoliad/process_test.go
+++ b/magnoliad/process_test.go
@@ -102,6 +102,14 @@
 	daemon.awaitReadyStatus(t, http.StatusOK)
 }
 
+// awaitKnownTarget waits until the node knows its target. A process is ready as soon as it
+// has a configuration, and refuses calls with no-target until then.
+func (daemon *testDaemon) awaitKnownTarget(t *testing.T) {
+	t.Helper()
+	gomega.NewWithT(t).Eventually(func() string { return daemon.getAdmin(t, "/metrics") }).WithTimeout(waitTimeout).
+		Should(gomega.ContainSubstring("magnoliawall_node_known_targets 1\n"))
+}
+
 // awaitReadyStatus waits until the readiness check has the status. It fails at once if
 // the process ends.
 func (daemon *testDaemon) awaitReadyStatus(t *testing.T, status int) {
@@ -183,6 +191,7 @@
 		_, _ = fmt.Fprint(writer, int(rest)+quarter)
 	}))
 	upload.daemon.startAndWait(t)
+	upload.daemon.awaitKnownTarget(t)
 	var body io.ReadCloser
 	body, upload.writer = io.Pipe()
 	outgoing, _ := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+string(upload.daemon.listen.Callers)+"/claims/7/photos/3", body)
@@ -218,8 +227,9 @@
 func (upload *uploadTest) expectCompletes(t *testing.T) {
 	t.Helper()
 	g := gomega.NewWithT(t)
-	_, err := upload.writer.Write(upload.photo[len(upload.photo)/2:])
-	g.Expect(err).NotTo(gomega.HaveOccurred())
+	if _, err := upload.writer.Write(upload.photo[len(upload.photo)/2:]); err != nil {
+		t.Fatalf("the upload ended before its body: %v; its answer: %+v", err, <-upload.answers)
+	}
 	g.Expect(upload.writer.Close()).To(gomega.Succeed())
 	answer := <-upload.answers
 	g.Expect(answer.err).NotTo(gomega.HaveOccurred())
