--- a/internal/configuration/hide_keys.go
+++ b/internal/configuration/hide_keys.go
@@ -24,33 +24,31 @@
 }
 
 func hideKeys(root hujson.Value) {
-	customers, _ := member(root, "customers").(*hujson.Object)
-	if customers == nil {
+	document, ok := root.Value.(*hujson.Object)
+	if !ok {
+		return
+	}
+	customers, ok := memberValues(document)["customers"].Value.(*hujson.Object)
+	if !ok {
 		return
 	}
-	for _, customer := range customers.Members {
-		keys, _ := member(customer.Value, "keys").(*hujson.Array)
-		if keys == nil {
-			continue
-		}
-		for index := range keys.Elements {
-			keys.Elements[index].Value = hiddenKey(keys.Elements[index].Value)
-		}
+	for _, entry := range customers.Members {
+		hideKeysOf(entry.Value)
 	}
 }
 
-// member returns the value of a member of an object, or nil.
-func member(value hujson.Value, name string) hujson.ValueTrimmed {
-	object, ok := value.Value.(*hujson.Object)
+func hideKeysOf(value hujson.Value) {
+	customer, ok := value.Value.(*hujson.Object)
 	if !ok {
-		return nil
+		return
+	}
+	keys, ok := memberValues(customer)["keys"].Value.(*hujson.Array)
+	if !ok {
+		return
 	}
-	for _, entry := range object.Members {
-		if entry.Name.Value.(hujson.Literal).String() == name {
-			return entry.Value.Value
-		}
+	for index := range keys.Elements {
+		keys.Elements[index].Value = hiddenKey(keys.Elements[index].Value)
 	}
-	return nil
 }
 
 func hiddenKey(value hujson.ValueTrimmed) hujson.ValueTrimmed {
