Take the tolerance of quotas from the settings

Change: quota.overshoot and quota.slack in the settings, from the platform's bounds; buckets hold half of the slack on top of the burst, one token each at most, and nodes admit overshoot / 0.4 of a quota without a replica. A granter draws in the order of the customers' names, so that the model's figures follow from its seed; before, the order of a map changed them a little.

Tests: TestExtraTokensFollowTolerance, TestNoOwnPartWithoutOvershoot.

--- a/internal/core/quota/asker.go
+++ b/internal/core/quota/asker.go
@@ -8,10 +8,6 @@
 )
 
 const (
-	// OwnPartShare is the part of a quota that all nodes together admit without a
-	// replica. It stays below the tolerance of the quota even if a part of the nodes has
-	// lost all replicas while the others use the whole quota.
-	OwnPartShare = 0.25
 	// minEmptyTime is how long a replica without a token is not asked again. It bounds
 	// what a customer far over its quota costs; the tokens of that time stay in the bucket.
 	minEmptyTime = 50 * time.Millisecond
@@ -33,10 +29,11 @@
 	maxRemembered = 1 << 16
 )
 
-// Asker decides which replica a node asks for a token. Random is set before the first
-// use. Replica is the type of the replicas' addresses.
+// Asker decides which replica a node asks for a token. The exported fields are set before
+// the first use. Replica is the type of the replicas' addresses.
 type Asker[Replica comparable] struct {
-	Random *rand.Rand
+	Random    *rand.Rand
+	Tolerance Tolerance
 
 	refusals map[refusalKey[Replica]]refusal
 	replicas map[Replica]*replicaState
@@ -145,7 +142,7 @@
 // admits while it reaches no replica. Without one it is unavailable, and the time to wait is
 // that until replicas are asked again.
 func (asker *Asker[Replica]) TakeOwnPart(now time.Time, customer request.CustomerName, limit Limit, nodes int) Grant {
-	share := OwnPartShare / float64(max(nodes, 1))
+	share := asker.Tolerance.ownPart() / float64(max(nodes, 1))
 	if asker.ownParts == nil {
 		asker.ownParts = make(map[request.CustomerName]*bucket)
 	}
@@ -153,10 +150,10 @@
 	if found == nil || now.Sub(found.updated) > ownPartLifetime {
 		// Nodes that lose the replicas at the same moment begin at different levels, so
 		// that together they admit no more than their rate.
-		found = &bucket{level: asker.Random.Float64(), capacity: 1, updated: now}
+		found = newBucket(asker.Random, now)
 		asker.ownParts[customer] = found
 	}
-	found.setLimit(now, float64(limit.Rate)*share, limit.Burst*share)
+	found.setLimit(now, float64(limit.Rate)*share, limit.Burst*share+1)
 	if _, ok := found.take(now); !ok {
 		return Grant{Result: Unavailable, Wait: silentTime}
 	}
--- a/internal/core/quota/doc.go
+++ b/internal/core/quota/doc.go
@@ -11,9 +11,9 @@
 // and which do not answer ([Asker]). A node that no replica answers admits a small part
 // of the quota by itself ([Asker.TakeOwnPart]).
 //
-// In any window of W seconds the replicas grant at most rate * W + burst + replicas
-// tokens. Nodes without a replica add at most [OwnPartShare] * rate * W together, and
-// each of them one request. A token that a node does not use in time is lost, never
+// In any window of W seconds n replicas grant at most rate * W + max(burst + slack / 2, n)
+// tokens, with the slack of the [Tolerance]. Nodes without a replica add a part of
+// rate * W that follows from its overshoot. A token that a node does not use in time is lost, never
 // granted twice.
 //
 // Equal parts of a quota at the nodes themselves would grant nothing to customers with
--- a/internal/core/quota/granter.go
+++ b/internal/core/quota/granter.go
@@ -1,15 +1,19 @@
 package quota
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
-// Granter grants the tokens of one replica. Random is set before the first use.
+// Granter grants the tokens of one replica. The exported fields are set before the first
+// use.
 type Granter struct {
-	Random *rand.Rand
+	Random    *rand.Rand
+	Tolerance Tolerance
 
 	buckets   map[request.CustomerName]*bucket
 	unlimited map[request.CustomerName]bool
@@ -25,17 +29,18 @@
 	if share <= 0 {
 		return
 	}
-	for name, limit := range limits {
+	// In the order of their names, so that a seed determines the draws.
+	for _, name := range slices.Sorted(maps.Keys(limits)) {
+		limit := limits[name]
 		if limit.Rate <= 0 {
 			granter.unlimited[name] = true
 			continue
 		}
 		found := before[name]
 		if found == nil {
-			// The random part keeps the replicas from granting their first tokens together.
-			found = &bucket{level: granter.Random.Float64(), capacity: 1, updated: now}
+			found = newBucket(granter.Random, now)
 		}
-		found.setLimit(now, float64(limit.Rate)*share, limit.Burst*share)
+		found.setLimit(now, float64(limit.Rate)*share, limit.Burst*share+granter.Tolerance.extraTokens(share))
 		granter.buckets[name] = found
 	}
 }
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -14,7 +14,7 @@
 const customer = request.CustomerName("salto")
 
 func newGranter(limit quota.Limit, share float64) *quota.Granter {
-	granter := &quota.Granter{Random: rand.New(rand.NewPCG(1, 2))}
+	granter := &quota.Granter{Random: rand.New(rand.NewPCG(1, 2)), Tolerance: tolerance}
 	granter.SetLimits(simulationStart, limits(limit), share)
 	return granter
 }
@@ -111,6 +111,42 @@
 	}
 }
 
+// Buckets hold no more on top of the burst than half of the slack.
+func TestExtraTokensFollowTolerance(t *testing.T) {
+	cases := []struct {
+		name   string
+		slack  float64
+		burst  float64
+		tokens int
+	}{
+		{"slack for more than a token each", 20, 60, 66},
+		{"slack for half a token each", 6, 60, 60 + 6/2},
+		{"no slack", 0, 60, 60},
+		{"no slack and a burst below a token each", 0, 1, 6},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			granted := 0
+			for range 6 {
+				granter := &quota.Granter{Random: rand.New(rand.NewPCG(1, 2)), Tolerance: quota.Tolerance{Slack: test.slack}}
+				granter.SetLimits(simulationStart, limits(quota.Limit{Rate: 600, Burst: test.burst}), 1.0/6)
+				granted += drain(granter, simulationStart.Add(time.Minute))
+			}
+			gomega.NewWithT(t).Expect(granted).To(gomega.BeNumerically("~", test.tokens, 3))
+			gomega.NewWithT(t).Expect(granted).To(gomega.BeNumerically("<=", test.tokens))
+		})
+	}
+}
+
+// Without a tolerance no node admits anything by itself.
+func TestNoOwnPartWithoutOvershoot(t *testing.T) {
+	asker := &quota.Asker[string]{Random: rand.New(rand.NewPCG(1, 2))}
+	for tick := range 1000 {
+		grant := asker.TakeOwnPart(simulationStart.Add(time.Duration(tick)*time.Second), customer, quota.Limit{Rate: 60, Burst: 60}, 1)
+		gomega.NewWithT(t).Expect(grant.Result).To(gomega.Equal(quota.Unavailable))
+	}
+}
+
 func TestCustomersWithoutQuota(t *testing.T) {
 	expect := gomega.NewWithT(t).Expect
 	granter := newGranter(quota.Limit{}, 0.2)
@@ -122,7 +158,7 @@
 // are asked in the order of the list.
 func TestAskerLeavesOutReplicas(t *testing.T) {
 	expect := gomega.NewWithT(t).Expect
-	asker := &quota.Asker[string]{Random: rand.New(rand.NewPCG(1, 2))}
+	asker := &quota.Asker[string]{Random: rand.New(rand.NewPCG(1, 2)), Tolerance: tolerance}
 	replicas := []string{"near", "middle", "far"}
 	next := func(now time.Time, name request.CustomerName) string {
 		position, ok := asker.Next(now, name, replicas, 0)
@@ -180,14 +216,14 @@
 	limit := quota.Limit{Rate: 60, Burst: 60}
 	admitted := 0
 	for range nodes {
-		asker := &quota.Asker[string]{Random: random}
+		asker := &quota.Asker[string]{Random: random, Tolerance: tolerance}
 		for tick := range 500 {
 			if asker.TakeOwnPart(simulationStart.Add(time.Duration(tick)*10*time.Millisecond), customer, limit, nodes).Result == quota.Granted {
 				admitted++
 			}
 		}
 	}
-	expected := quota.OwnPartShare * float64(limit.Rate) * 5
+	expected := 0.25 * float64(limit.Rate) * 5
 	gomega.NewWithT(t).Expect(float64(admitted)).To(gomega.BeNumerically("~", expected, 0.3*expected))
 }
 
--- a/internal/core/quota/simulation_test.go
+++ b/internal/core/quota/simulation_test.go
@@ -27,6 +27,8 @@
 	quotaOfDemand = 1.6
 )
 
+var tolerance = quota.Tolerance{Overshoot: quotaOvershoot, Slack: quotaSlack}
+
 var simulatedCustomers = map[request.CustomerName]quota.Limit{
 	"large":    {Rate: 400, Burst: 400},
 	"middle":   {Rate: 48, Burst: 48},
@@ -137,7 +139,7 @@
 func newNodeParts(play scenario, random *rand.Rand) way {
 	ways := &nodeParts{}
 	for range play.Nodes {
-		granter := &quota.Granter{Random: random}
+		granter := &quota.Granter{Random: random, Tolerance: tolerance}
 		granter.SetLimits(simulationStart.Add(-time.Minute), simulatedCustomers, 1/float64(play.Nodes))
 		ways.nodes = append(ways.nodes, granter)
 	}
@@ -174,7 +176,7 @@
 		ways.restart(simulationStart.Add(-time.Minute), replica)
 	}
 	for range play.Nodes {
-		ways.nodes = append(ways.nodes, &quota.Asker[int]{Random: random})
+		ways.nodes = append(ways.nodes, &quota.Asker[int]{Random: random, Tolerance: tolerance})
 	}
 	return ways
 }
@@ -184,7 +186,7 @@
 	if ways.home {
 		share = 1
 	}
-	ways.replicas[replica] = &quota.Granter{Random: ways.random}
+	ways.replicas[replica] = &quota.Granter{Random: ways.random, Tolerance: tolerance}
 	ways.replicas[replica].SetLimits(now, simulatedCustomers, share)
 }
 
@@ -254,7 +256,7 @@
 	ways := build(play, random)
 	admitted := make(map[request.CustomerName][]time.Time)
 	allowed := make(map[request.CustomerName]float64)
-	reference := &quota.Granter{Random: random}
+	reference := &quota.Granter{Random: random, Tolerance: tolerance}
 	reference.SetLimits(simulationStart.Add(-time.Minute), simulatedCustomers, 1)
 	restarted := play.Fault.Kind != "restart"
 	for _, arriving := range drawn {
--- a/internal/host/controlplane.go
+++ b/internal/host/controlplane.go
@@ -105,7 +105,7 @@
 		plane.replica.Peers = append(plane.replica.Peers, string(member.Address))
 	}
 	plane.reconciler = &reconciler{plane: plane}
-	plane.quotas = &quotaServer{standing: plane.reconciler.standing, granter: quota.Granter{Random: newRandom()}}
+	plane.quotas = &quotaServer{standing: plane.reconciler.standing, granter: quota.Granter{Random: newRandom(), Tolerance: host.quotaTolerance()}}
 	plane.registry = &registry.Server{
 		Registry:   &membership.Registry{Self: host.Settings.Node},
 		Publisher:  &distribution.Publisher{},
--- a/internal/host/quota.go
+++ b/internal/host/quota.go
@@ -23,6 +23,11 @@
 	tokenLifetime = time.Second
 )
 
+// quotaTolerance is the tolerance of the settings.
+func (host *Host) quotaTolerance() quota.Tolerance {
+	return quota.Tolerance{Overshoot: host.Settings.Quota.Overshoot, Slack: host.Settings.Quota.Slack}
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // quotaClient takes tokens from the replicas for the node of this host.
@@ -60,7 +65,7 @@
 		replicas:  plane.host.replicaDirectory,
 		nodeCount: plane.balancer.TotalTargetCount,
 		logger:    plane.host.Logger,
-		asker:     quota.Asker[peer.Address]{Random: newRandom()},
+		asker:     quota.Asker[peer.Address]{Random: newRandom(), Tolerance: plane.host.quotaTolerance()},
 	}
 }
 
--- a/internal/host/quota_test.go
+++ b/internal/host/quota_test.go
@@ -54,7 +54,8 @@
 }
 
 // The burst of a customer is granted once over all hosts, and not again by a replica that
-// was restarted. The rate is so low that nothing is earned during the test.
+// was restarted. The rate is so low that nothing is earned during the test, and the settings
+// have no tolerance.
 func TestQuotaOverAllHosts(t *testing.T) {
 	t.Parallel()
 	g := gomega.NewWithT(t)
@@ -66,7 +67,7 @@
 		g.Expect(member.callAs("key-nobody")).To(gomega.Equal(http.StatusUnauthorized))
 	}
 	cluster.setCustomer(2, lowRate, burst)
-	g.Expect(cluster.countAdmitted(calls)).To(gomega.Equal(burst + 1))
+	g.Expect(cluster.countAdmitted(calls)).To(gomega.Equal(burst))
 	g.Expect(cluster.members[0].call(http.MethodGet, "/visits/7/checklist", "").code).To(gomega.Equal(request.CustomerKeyMissing))
 
 	cluster.members[0].stopAndWait()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -61,6 +61,12 @@
 	checker.checkReplica()
 	checker.checkSecurity()
 	checker.checkPlatform()
+	if overshoot := checker.settings.Quota.Overshoot; !(overshoot >= 0 && overshoot <= 1) {
+		checker.addFault("quota.overshoot", "use a ratio from 0 to 1", "%v is out of range", overshoot)
+	}
+	if slack := checker.settings.Quota.Slack; !(slack >= 0) {
+		checker.addFault("quota.slack", "use a number of zero or more", "%v is out of range", slack)
+	}
 	if lifetime := time.Duration(checker.settings.Keys.Lifetime); lifetime != 0 && lifetime < minKeyLifetime {
 		checker.addFault("keys.lifetime", fmt.Sprintf("use %s or more, or leave it out", minKeyLifetime), "%s is shorter than nodes need to learn of a version", lifetime)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,8 @@
 	Stop Stop `json:"stop"`
 	// RetryBudget bounds the retries of all nodes together.
 	RetryBudget RetryBudget `json:"retry-budget"`
+	// Quota is the tolerance of the quotas of customers.
+	Quota Quota `json:"quota"`
 	// Keys bounds the use of customers' keys without the control plane.
 	Keys     Keys     `json:"keys"`
 	LogLevel LogLevel `json:"log-level"`
@@ -115,6 +117,19 @@
 	Lifetime configuration.Duration `json:"lifetime"`
 }
 
+// Quota says by how much a customer may exceed its quota in any window, over all nodes. With
+// more, customers near their quota, and those that no replica answers for, lose less.
+type Quota struct {
+	// Overshoot is a share of the quota, and Slack a number of requests on top of it.
+	Overshoot float64 `json:"overshoot"`
+	Slack     float64 `json:"slack"`
+}
+
+// SetDefaults sets the values of the optional fields.
+func (quota *Quota) SetDefaults() {
+	quota.Overshoot, quota.Slack = 0.1, 10
+}
+
 // Listen holds the addresses that the process listens at.
 type Listen struct {
 	// Callers receives the requests of callers.
@@ -185,6 +200,7 @@
 // SetDefaults sets the values of the optional fields.
 func (settings *Settings) SetDefaults() {
 	settings.LogLevel = "info"
+	settings.Quota.SetDefaults()
 }
 
 // HoldsReplica reports whether the host holds a replica.
