--- a/magnolia-load/internal/soak/customers.go
+++ b/magnolia-load/internal/soak/customers.go
@@ -91,7 +91,7 @@
 	callers []*load.Caller
 
 	lock sync.Mutex
-	// sentAt holds when each call within the quota's customer was sent.
+	// sentAt holds when each call of the customer with the quota was sent.
 	sentAt map[target.AttemptName]time.Time
 	// admittedWithdrawn counts the calls with the withdrawn key that were served.
 	admittedWithdrawn int
