--- a/magnolia-load/internal/soak/customers.go
+++ b/magnolia-load/internal/soak/customers.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -149,12 +152,39 @@
 	}
 }
 
-// checkKeys checks that no call with a withdrawn key was served.
+// logsWithKeys returns the logs of processes in a folder that have a customer's key.
+func logsWithKeys(folder string) ([]string, error) {
+	logs, err := filepath.Glob(filepath.Join(folder, "*", "log"))
+	if err != nil {
+		return nil, err
+	}
+	var found []string
+	for _, name := range logs {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		for _, key := range []string{callersKey, floodKey, withdrawnKey} {
+			if bytes.Contains(text, []byte(key)) {
+				found = append(found, name)
+				break
+			}
+		}
+	}
+	return found, nil
+}
+
+// checkKeys checks that no call with a withdrawn key was served, and that no process wrote a
+// key to its log.
 func (observed observations) checkKeys() []string {
-	if observed.admittedWithdrawn == 0 {
-		return nil
+	var broken []string
+	if observed.admittedWithdrawn > 0 {
+		broken = append(broken, fmt.Sprintf("keys: %d calls with a withdrawn key were served", observed.admittedWithdrawn))
+	}
+	for _, name := range observed.logsWithKeys {
+		broken = append(broken, "keys: a customer's key is in "+name)
 	}
-	return []string{fmt.Sprintf("keys: %d calls with a withdrawn key were served", observed.admittedWithdrawn)}
+	return broken
 }
 
 // checkNames checks what customer targets were told, and that none got a key.
--- a/magnolia-load/internal/soak/promises.go
+++ b/magnolia-load/internal/soak/promises.go
@@ -52,6 +52,8 @@
 	// admittedWithdrawn counts calls with a withdrawn key that were served.
 	floodSentAt       map[target.AttemptName]time.Time
 	admittedWithdrawn int
+	// logsWithKeys are the processes' logs that have a customer's key.
+	logsWithKeys []string
 	// recoverySpan is the span in which the site must serve again.
 	recoverySpan load.Span
 }
--- a/magnolia-load/internal/soak/promises_test.go
+++ b/magnolia-load/internal/soak/promises_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -77,7 +79,8 @@
 		"size: the resource use of agenda-norte-a cannot be read": func(observed *observations) {
 			observed.resourceUses[0] = resourceUse{host: "agenda-norte-a", err: errors.New("no such process")}
 		},
-		"keys": func(observed *observations) { observed.admittedWithdrawn = 1 },
+		"keys":                   func(observed *observations) { observed.admittedWithdrawn = 1 },
+		"keys: a customer's key": func(observed *observations) { observed.logsWithKeys = []string{"agenda-norte-a/log"} },
 		"names: a target got the key": func(observed *observations) {
 			observed.records.RecordCustomer(target.CustomerArrival{Attempt: "one", Customer: callersCustomer, HasKey: true})
 		},
@@ -129,3 +132,13 @@
 	}
 	expect(kinds).To(gomega.HaveLen(len(kindWeights)+len(separateKinds)), "every kind of fault is drawn")
 }
+
+func TestKeysAreFoundInLogs(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	folder := t.TempDir()
+	for name, line := range map[string]string{"one": "host: started", "two": "refused " + floodKey} {
+		expect(os.Mkdir(filepath.Join(folder, name), 0o700)).To(gomega.Succeed())
+		expect(os.WriteFile(filepath.Join(folder, name, "log"), []byte(line), fileMode)).To(gomega.Succeed())
+	}
+	expect(logsWithKeys(folder)).To(gomega.Equal([]string{filepath.Join(folder, "two", "log")}))
+}
--- a/magnolia-load/internal/soak/run.go
+++ b/magnolia-load/internal/soak/run.go
@@ -178,6 +178,10 @@
 	}
 	observed.changes, observed.versionRegressions, observed.overdueStops = execution.sender.changes, execution.versionRegressions, execution.overdueStops
 	observed.kills = execution.kills
+	var err error
+	if observed.logsWithKeys, err = logsWithKeys(execution.run.Folder); err != nil {
+		return observations{}, err
+	}
 	observed.floodSentAt, observed.admittedWithdrawn = flooding.sentAt, flooding.admittedWithdrawn
 	for _, limited := range execution.mesh.HostTargets() {
 		observed.limitedPeriods = append(observed.limitedPeriods, limited.LimitedPeriods()...)
