Tell how long calls were under way, and which callers had left

Calls now state when they were sent, by the clock of their host that also counts a suspension. The receiver takes the fastest call of a connection as the reference; builds from before pass over the field. The node of the entry looks at the caller's connection before each attempt, whatever the lag, and logs a caller that has left. No decision depends on either yet. The looks at sockets move to a package of their own, which the peer protocol uses as well.

The test of late calls needs counters in its node now.

--- a/internal/adapter/peer/accept.go
+++ b/internal/adapter/peer/accept.go
@@ -9,8 +9,17 @@
 	"net"
 
 	"github.com/hashicorp/yamux"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/transit"
 )
 
+// acceptedConn is a connection that a peer has opened.
+type acceptedConn struct {
+	// conn is the connection below TLS.
+	conn    net.Conn
+	transit transit.Monitor
+}
+
 // Serve accepts connections until the context ends or the listener fails.
 func (transport *Transport) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
@@ -29,6 +38,7 @@
 
 func (transport *Transport) serveConn(ctx context.Context, conn net.Conn) {
 	detectSilence(conn)
+	accepted := &acceptedConn{conn: conn}
 	if transport.ServerTLS != nil {
 		conn = tls.Server(conn, transport.ServerTLS)
 	}
@@ -48,7 +58,7 @@
 		return
 	}
 	defer transport.closeAccepted(mux)
-	transport.acceptStreams(ctx, mux, remote)
+	transport.acceptStreams(ctx, mux, remote, accepted)
 }
 
 func (transport *Transport) trackAccepted(mux *yamux.Session) bool {
@@ -71,18 +81,19 @@
 	_ = mux.Close()
 }
 
-func (transport *Transport) acceptStreams(ctx context.Context, mux *yamux.Session, remote Hello) {
+func (transport *Transport) acceptStreams(ctx context.Context, mux *yamux.Session, remote Hello, accepted *acceptedConn) {
 	for {
 		conn, err := mux.AcceptStream()
 		if err != nil {
 			return
 		}
-		go transport.serveStream(ctx, conn, remote)
+		stream := newStream(conn, remote, 0)
+		stream.accepted = accepted
+		go transport.serveStream(ctx, stream)
 	}
 }
 
-func (transport *Transport) serveStream(ctx context.Context, conn net.Conn, remote Hello) {
-	stream := newStream(conn, remote, 0)
+func (transport *Transport) serveStream(ctx context.Context, stream *Stream) {
 	stream.openSent = true
 	defer func() { _ = stream.Close() }()
 	frame, err := stream.Receive()
--- a/internal/adapter/peer/exchange.go
+++ b/internal/adapter/peer/exchange.go
@@ -43,6 +43,7 @@
 		transport.Release(address, stream)
 		return nil, nil, &NotSentError{Reason: err}
 	}
+	header.SentUs = hostTime().Microseconds()
 	exchange := &Exchange{transport: transport, address: address, stream: stream, call: call}
 	exchange.stopWatch = context.AfterFunc(ctx, func() { _ = stream.Close() })
 	answer, err := exchange.start(header, body)
--- a/internal/adapter/peer/inbound.go
+++ b/internal/adapter/peer/inbound.go
@@ -6,12 +6,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/socket"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
@@ -20,6 +22,9 @@
 type Inbound struct {
 	Header *peerpb.CallHeader
 	Call   request.CallID
+	// Waited is how much longer the call was under way than the fastest of its connection,
+	// until its header was read. It is zero if the peer does not state when it sent it.
+	Waited time.Duration
 
 	stream     *Stream
 	body       io.Reader
@@ -34,8 +39,12 @@
 	answering   bool
 }
 
-// Remote returns the hello of the peer that sent the call.
+// Remote returns the hello of the peer that sent the call, or zero for a call that did not
+// come over a stream.
 func (inbound *Inbound) Remote() Hello {
+	if inbound.stream == nil {
+		return Hello{}
+	}
 	return inbound.stream.remote
 }
 
@@ -153,7 +162,7 @@
 	if err := proto.Unmarshal(first.Payload, header); err != nil {
 		return nil, fmt.Errorf("decode call: %w", err)
 	}
-	inbound := &Inbound{Header: header, Call: first.Call, stream: stream}
+	inbound := &Inbound{Header: header, Call: first.Call, Waited: stream.waited(header), stream: stream}
 	if header.GetAwaitContinue() {
 		inbound.pipeReader, inbound.pipeWriter = io.Pipe()
 		inbound.body = inbound.pipeReader
@@ -161,6 +170,25 @@
 	return inbound, nil
 }
 
+// waited returns how long a call that was read now had waited.
+func (stream *Stream) waited(header *peerpb.CallHeader) time.Duration {
+	received := hostTime()
+	if header.GetSentUs() <= 0 || received == 0 || stream.accepted == nil {
+		return 0
+	}
+	sent := time.Duration(min(header.GetSentUs(), math.MaxInt64/int64(time.Microsecond))) * time.Microsecond
+	return stream.accepted.transit.Record(sent, received)
+}
+
+// HasUnread reports whether bytes of the peer that sent the call have arrived and were not
+// read yet. The end of the call may be among them.
+func (inbound *Inbound) HasUnread() bool {
+	if inbound.stream == nil || inbound.stream.accepted == nil {
+		return false
+	}
+	return socket.Peek(inbound.stream.accepted.conn) != socket.Idle
+}
+
 // readSmallBody reads a body that was sent without awaiting consent. Its length is
 // limited to MaxBodyPartBytes.
 func (inbound *Inbound) readSmallBody() error {
--- a/internal/adapter/peer/stream.go
+++ b/internal/adapter/peer/stream.go
@@ -38,6 +38,8 @@
 	// session is the connection that the stream was opened on, or nil for an accepted
 	// stream.
 	session *session
+	// accepted is the connection that carries an accepted stream, and nil for others.
+	accepted *acceptedConn
 	// openSent is set once the frame that starts the stream was buffered; always on
 	// the accepting side.
 	openSent bool
--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -12,10 +12,9 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/socket"
 )
 
 const (
@@ -108,83 +107,7 @@
 	if now.After(conn.idleUntil) || conn.reader.Buffered() > 0 {
 		return false
 	}
-	return peekSocket(conn.Conn) == socketIdle
-}
-
-// socketState is the state of a connection as seen without reading from it.
-type socketState uint8
-
-const (
-	// socketIdle is an open connection with no bytes to read.
-	socketIdle socketState = iota
-	socketReadable
-	// socketClosed is a connection that its peer closed or reset.
-	socketClosed
-)
-
-// peekSocket returns the state of a connection. A connection without a socket,
-// such as a pipe in a test, counts as idle.
-func peekSocket(conn net.Conn) socketState {
-	state := socketIdle
-	if withDescriptor(conn, func(descriptor int) { state = peekDescriptor(descriptor) }) != nil {
-		return socketClosed
-	}
-	return state
-}
-
-// withDescriptor calls use with the descriptor of a connection or listener. It returns an
-// error if that is closed, and does nothing for one without a socket, as tests have it.
-//
-// It takes RawConn.Control rather than Read, which would wait while another goroutine
-// reads from the connection, as net/http does while a call is served.
-func withDescriptor(socket any, use func(descriptor int)) error {
-	raw, ok := socket.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return err
-	}
-	return control.Control(func(descriptor uintptr) { use(int(descriptor)) })
-}
-
-// peekDescriptor returns the state of a non-blocking socket.
-func peekDescriptor(descriptor int) socketState {
-	var probe [1]byte
-	for {
-		count, _, err := unix.Recvfrom(descriptor, probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, unix.EINTR):
-			continue
-		case errors.Is(err, unix.EAGAIN):
-			return socketIdle
-		case err == nil && count > 0:
-			return socketReadable
-		}
-		return socketClosed
-	}
-}
-
-// ClosedByPeer reports whether the peer has closed a connection. It neither reads from
-// the connection nor waits for a goroutine that does.
-func ClosedByPeer(conn net.Conn) bool {
-	return peekSocket(conn) == socketClosed
-}
-
-// HasQueued reports whether a connection waits to be accepted by a listener. It returns an
-// error if that is unknown.
-func HasQueued(listener net.Listener) (bool, error) {
-	count, pollErr := 0, error(nil)
-	err := withDescriptor(listener, func(descriptor int) {
-		count, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
-	})
-	return count > 0, errors.Join(err, pollErr)
-}
-
-// HasUnread reports whether bytes of the peer wait to be read from a connection.
-func HasUnread(conn net.Conn) bool {
-	return peekSocket(conn) == socketReadable
+	return socket.Peek(conn.Conn) == socket.Idle
 }
 
 // roundTrip writes the call and reads the header of its response. When ctx ends,
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -42,6 +42,10 @@
 	TargetStatusChanged
 	// CallsUnderLimit gives the calls of one second while the target states a rate limit.
 	CallsUnderLimit
+	// CallerLeft gives a call whose caller had left before it was sent.
+	CallerLeft
+	// CallUnderWay gives a call that was under way for long before this process read it.
+	CallUnderWay
 	kindCount
 )
 
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -241,7 +241,11 @@
 		attempt.refusal = web.NewRefusal(request.DeadlineTooClose, "")
 		return attempt
 	}
-	if node.lagMonitor.Lag(attempt.started) > departureCheckLag && hasLeft(ctx) {
+	left := hasLeft(ctx)
+	if left {
+		node.noteDepartedCaller(ctx, outbound)
+	}
+	if node.lagMonitor.Lag(attempt.started) > departureCheckLag && left {
 		attempt.refusal = web.NewRefusal(request.CallerLeft, "")
 		return attempt
 	}
--- a/internal/node/connection_acceptor.go
+++ b/internal/node/connection_acceptor.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/socket"
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 )
 
@@ -121,7 +121,7 @@
 	if acceptor.acceptTimeOver() {
 		return false
 	}
-	queued, err := web.HasQueued(listener)
+	queued, err := socket.HasQueued(listener)
 	if err != nil {
 		acceptor.logProblem("cannot tell whether connections wait to be accepted; closing the listener", err)
 	}
@@ -183,8 +183,23 @@
 // connectionKey is the context key of a call's connection.
 type connectionKey struct{}
 
+// callerConnection is the connection of a caller.
+type callerConnection struct {
+	net.Conn
+	acceptedAt time.Time
+}
+
 func withConnection(ctx context.Context, connection net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, connection)
+	return context.WithValue(ctx, connectionKey{}, callerConnection{Conn: connection, acceptedAt: time.Now()})
+}
+
+// connectionAge returns how long ago the connection of a call was accepted.
+func connectionAge(ctx context.Context, now time.Time) time.Duration {
+	connection, ok := ctx.Value(connectionKey{}).(callerConnection)
+	if !ok {
+		return 0
+	}
+	return now.Sub(connection.acceptedAt)
 }
 
 // hasLeft reports whether the caller has closed the connection of its call, even if
@@ -193,8 +208,8 @@
 	if ctx.Err() != nil {
 		return true
 	}
-	connection, ok := ctx.Value(connectionKey{}).(net.Conn)
-	return ok && web.ClosedByPeer(connection)
+	connection, ok := ctx.Value(connectionKey{}).(callerConnection)
+	return ok && socket.Peek(connection.Conn) == socket.Closed
 }
 
 // Shutdown waits for the calls in flight, and closes what is still open when the
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -23,6 +23,11 @@
 	repeatedCalls  *metrics.Counter
 	callDuration   *metrics.Histogram
 	quotaWait      *metrics.Histogram
+	// departedCallers counts calls whose callers had left before they were sent, and
+	// callTransit measures how much longer calls were under way between two nodes than the
+	// fastest.
+	departedCallers *metrics.Counter
+	callTransit     *metrics.Histogram
 	// targetCalls counts the calls that were handed to the target, and the others the
 	// answers in which it reported about itself.
 	targetCalls      *metrics.Counter
@@ -48,6 +53,9 @@
 		callDuration:   set.NewHistogram("magnoliawall_call_duration_seconds"),
 		quotaWait:      set.NewHistogram("magnoliawall_quota_wait_seconds"),
 
+		departedCallers: set.NewCounter("magnoliawall_departed_callers_total"),
+		callTransit:     set.NewHistogram("magnoliawall_call_transit_seconds"),
+
 		targetCalls:      set.NewCounter("magnoliawall_target_calls_total"),
 		limitedAnswers:   set.NewCounter(`magnoliawall_target_reports_total{report="limited"}`),
 		leavingAnswers:   set.NewCounter(`magnoliawall_target_reports_total{report="leaving"}`),
--- a/internal/node/decision_log.go
+++ b/internal/node/decision_log.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/phuslu/log"
@@ -48,6 +49,41 @@
 	}
 }
 
+// noteDepartedCaller counts and logs a call whose caller had left before it was sent.
+func (node *Node) noteDepartedCaller(ctx context.Context, outbound *outboundCall) {
+	node.counters.departedCallers.Inc()
+	line := node.Decisions.Line(decision.CallerLeft)
+	if line == nil {
+		return
+	}
+	now := time.Now()
+	outbound.addCallFields(line, now).Dur("lag", node.lagMonitor.Lag(now)).Dur("read-before", now.Sub(outbound.readAt)).
+		Dur("accepted-before", connectionAge(ctx, now)).Int("moves", outbound.moves).Bool("retried", outbound.retried).
+		Msg("call: its caller has left")
+}
+
+// minLoggedTransit is the time above the fastest call from which a call that was under way
+// is logged.
+const minLoggedTransit = 100 * time.Millisecond
+
+// noteTransit measures how long a call was under way to this node, and logs a late one when
+// it is handed to the target.
+func (inbound *inboundCall) noteTransit(now time.Time) {
+	node, transit := inbound.node, inbound.peerCall.Waited
+	node.counters.callTransit.Update(transit.Seconds())
+	if transit < minLoggedTransit {
+		return
+	}
+	line := node.Decisions.Line(decision.CallUnderWay)
+	if line == nil {
+		return
+	}
+	line.Str("request", inbound.peerCall.Header.GetRequestId()).Str("kind", inbound.peerCall.Header.GetKind()).Str("from", string(inbound.peerCall.Remote().Node)).
+		Dur("transit", transit).Dur("queued", now.Sub(inbound.readAt)).Dur("lag", node.lagMonitor.Lag(now)).
+		Bool("more-unread", inbound.peerCall.HasUnread()).Dur("left", timeLeft(inbound.work.Deadline, now)).
+		Msg("target: call was under way for long")
+}
+
 // logNoTarget logs the state of all targets of a service when none of them could be
 // chosen.
 func (node *Node) logNoTarget(now time.Time, outbound *outboundCall) {
@@ -85,13 +121,21 @@
 	header := inbound.peerCall.Header
 	line.Str("request", header.GetRequestId()).Str("kind", header.GetKind()).Str("instance", string(inbound.local.Instance)).
 		Stringer("code", refusal.Code).Stringer("outcome", refusal.Outcome).Bool("handed", refusal.SentToTarget).
-		Str("detail", refusal.Detail).Uint16("priority", uint16(inbound.work.Priority)).Dur("spent", inbound.work.Spent).
+		Str("detail", refusal.Detail).Dur("transit", inbound.peerCall.Waited).Dur("ran", inbound.ran(now)).Uint16("priority", uint16(inbound.work.Priority)).Dur("spent", inbound.work.Spent).
 		Dur("left", timeLeft(inbound.work.Deadline, now)).Int("limit", gate.limit).Int("places", gate.effectiveLimit).
 		Int("running", gate.running).Int("waiting", gate.waiting).Uint16("level", uint16(gate.level.Level)).
 		Bool("rate-limited", gate.rate.Limited).Float64("rate-limit", float64(gate.rate.Limit)).Dur("rate-wait", gate.rate.Wait).
 		Msg("target: refused")
 }
 
+// ran is how long ago the call was handed to the target, or zero if it was not.
+func (inbound *inboundCall) ran(now time.Time) time.Duration {
+	if inbound.handedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(inbound.handedAt)
+}
+
 // logHeadroom logs a change in the number of the target's slots that are kept free.
 func (node *Node) logHeadroom(before, after headroom) {
 	if line := node.Decisions.Line(decision.HeadroomChanged); line != nil {
--- a/internal/node/decision_log_test.go
+++ b/internal/node/decision_log_test.go
@@ -72,3 +72,23 @@
 	node.logRetry(outbound, failed, 0, retry.Decision{Reason: retry.BudgetSpent})
 	g.Expect(output.String()).To(gomega.ContainSubstring(`"budget-spent":0,"budget-spent-below":0.25,"decision":"edge-spent"`))
 }
+
+// A call that was under way for long is logged when it is handed to the target, and one
+// that was not is only measured.
+func TestLateCallIsLogged(t *testing.T) {
+	output := &bytes.Buffer{}
+	node := &Node{
+		Decisions: &decision.Log{Logger: &log.Logger{Writer: &log.IOWriter{Writer: output}}},
+		counters:  newCounters(),
+	}
+	for _, transit := range []time.Duration{minLoggedTransit - 1, minLoggedTransit} {
+		inbound := &inboundCall{node: node, peerCall: &peer.Inbound{Header: &peerpb.CallHeader{RequestId: transit.String()}, Waited: transit}}
+		inbound.noteTransit(time.Now())
+	}
+	g := gomega.NewWithT(t)
+	g.Expect(strings.Count(output.String(), "\n")).To(gomega.Equal(1))
+	g.Expect(output.String()).To(gomega.ContainSubstring(`"transit":100`))
+	metrics := &bytes.Buffer{}
+	node.counters.set.WritePrometheus(metrics)
+	g.Expect(metrics.String()).To(gomega.ContainSubstring("magnoliawall_call_transit_seconds_count 2"))
+}
--- a/internal/node/departed_caller_test.go
+++ b/internal/node/departed_caller_test.go
@@ -91,7 +91,7 @@
 func TestLateCallOfDepartedCallerIsNotSent(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Now()
-	node := &Node{}
+	node := &Node{counters: newCounters()}
 	node.lagMonitor.Interval = gateTickInterval
 	node.lagMonitor.RecordTick(now.Add(-time.Second))
 	left, leave := context.WithCancel(context.Background())
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -33,6 +33,8 @@
 	fingerprint request.Fingerprint
 	unspent     retry.Allowance
 	leftRoot    bool
+	// readAt is when the call was read, and handedAt when it was written to the target.
+	readAt, handedAt time.Time
 	// claimedBody is the buffered body of a call that may run only once.
 	claimedBody []byte
 }
@@ -66,7 +68,7 @@
 	header := peerCall.Header
 	node.notePeerVersion(configuration.Version(header.GetConfigurationVersion()))
 	node.adoptKnownStatus(header.GetKnownTarget())
-	inbound := &inboundCall{node: node, peerCall: peerCall, unspent: retry.Allowance(header.GetAllowance())}
+	inbound := &inboundCall{node: node, peerCall: peerCall, readAt: now, unspent: retry.Allowance(header.GetAllowance())}
 	local := node.LocalTarget()
 	if request.ServiceName(header.GetService()) != local.Service {
 		return inbound, web.NewRefusal(request.TargetUnreachable, "this node has no target of "+header.GetService())
@@ -371,6 +373,8 @@
 // setTargetHeaders sets the headers that the target expects. The time left is that of
 // the moment at which the call is written: it may have waited for a connection.
 func (inbound *inboundCall) setTargetHeaders(headers http.Header) {
+	inbound.handedAt = time.Now()
+	inbound.noteTransit(inbound.handedAt)
 	inbound.node.Dialect.SetTargetHeaders(headers, web.TargetMetadata{
 		Root:      inbound.work.Root,
 		Call:      inbound.work.Call,
--- a/internal/node/outbound.go
+++ b/internal/node/outbound.go
@@ -44,9 +44,11 @@
 	headers       []*peerpb.Header
 	body          *callBody
 	work          request.Work
-	depth         uint32
-	root          *root
-	attached      bool
+	// readAt is when the head of the call was read.
+	readAt   time.Time
+	depth    uint32
+	root     *root
+	attached bool
 	// likelyParent is the request for which a call that names no root was probably
 	// made.
 	likelyParent   *activeRequest
@@ -106,6 +108,7 @@
 		host:          incoming.Host,
 		requestID:     terms.ID,
 		remoteAddress: incoming.RemoteAddr,
+		readAt:        now,
 		headers:       web.EncodeHeaders(incoming.Header),
 	}
 	node.assignRoot(outbound, incoming, origin, now, current)
--- a/internal/node/waiting_connections.go
+++ b/internal/node/waiting_connections.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/socket"
 )
 
 // unreadPollInterval is the time between two looks for requests that are not read yet.
@@ -52,7 +52,7 @@
 	waiting.lock.Lock()
 	defer waiting.lock.Unlock()
 	for connection := range waiting.set {
-		if web.HasUnread(connection) {
+		if socket.Peek(connection) == socket.Readable {
 			return true
 		}
 	}
