--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -60,6 +60,12 @@
 
 // startConfiguredHost starts a host with the given text as configuration version 1.
 func startConfiguredHost(t testing.TB, id request.NodeID, service request.ServiceName, target http.Handler, claims node.Proposer, text []byte, prepare ...func(*node.Node)) *host {
+	t.Helper()
+	underTest := newNode(t, id, service, target, claims, text, prepare...)
+	return runHost(t, underTest, node.Listeners{Callers: listen(t), Target: listen(t), Peers: listen(t)})
+}
+
+func newNode(t testing.TB, id request.NodeID, service request.ServiceName, target http.Handler, claims node.Proposer, text []byte, prepare ...func(*node.Node)) *node.Node {
 	t.Helper()
 	active, err := node.NewActiveConfiguration(1, text)
 	if err != nil {
@@ -80,19 +86,24 @@
 	for _, change := range prepare {
 		change(underTest)
 	}
+	return underTest
+}
+
+// runHost runs a node on the listeners until the test ends.
+func runHost(t testing.TB, underTest *node.Node, listeners node.Listeners) *host {
+	t.Helper()
 	underTest.Prepare()
-	peers, callers, outbound := listen(t), listen(t), listen(t)
 	ctx, stop := context.WithCancel(t.Context())
 	host := &host{
 		node:     underTest,
-		callers:  "http://" + callers.Addr().String(),
-		outbound: "http://" + outbound.Addr().String(),
-		target:   balancer.Target{Node: id, Incarnation: 1, Address: peers.Addr().String(), Place: testPlace, Slots: 50},
+		callers:  "http://" + listeners.Callers.Addr().String(),
+		outbound: "http://" + listeners.Target.Addr().String(),
+		target:   balancer.Target{Node: underTest.ID, Incarnation: 1, Address: listeners.Peers.Addr().String(), Place: testPlace, Slots: 50},
 		stop:     stop,
 		done:     make(chan error, 1),
 	}
 	go func() {
-		host.done <- underTest.Run(ctx, node.Listeners{Callers: callers, Target: outbound, Peers: peers})
+		host.done <- underTest.Run(ctx, listeners)
 	}()
 	t.Cleanup(func() {
 		stop()
--- a/internal/node/routed_test.go
+++ b/internal/node/routed_test.go
@@ -22,11 +22,8 @@
 
 func startRoutedHost(t testing.TB, id request.NodeID, service request.ServiceName, target http.Handler, prepare ...func(*node.Node)) *host {
 	t.Helper()
-	text, err := os.ReadFile("testdata/routes.jsonc")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return startConfiguredHost(t, id, service, target, nil, text, prepare...)
+	underTest := newRoutedNode(t, id, service, target, prepare...)
+	return runHost(t, underTest, node.Listeners{Callers: listen(t), Target: listen(t), Peers: listen(t)})
 }
 
 // visits is a target that counts the calls that arrive.
