Look for a caller that has left right before each attempt

Cause: the node of the entry counted a call's age from the moment of reading it, and looked whether its caller was still there only at a processor lag over 50 ms. The lag is that of runnable work. A call that waits in the accept queue, for a token, for a retry or for a connection to the target's node gets old without it. And Call checked the deadline but not the end of its context; the goroutine that closes the stream may run after the one that sends.

Change: the caller's connection is looked at right before each attempt is sent, once the connection to the peer is at hand, whatever the lag. A call that is not sent counts neither for nor against its target.

--- a/internal/adapter/peer/exchange.go
+++ b/internal/adapter/peer/exchange.go
@@ -28,25 +28,34 @@
 	bodyDone chan struct{}
 }
 
+// Outbound is a call to a peer.
+type Outbound struct {
+	Call   request.CallID
+	Header *peerpb.CallHeader
+	Body   io.Reader
+	// Confirm, if set, is called when the connection to the peer is at hand, right before
+	// the call is sent. If it returns an error, the call is not sent.
+	Confirm func() error
+}
+
 // Call sends the header and the body and reads the header of the answer. If the
 // header sets AwaitContinue, the body is read from its source only after the peer
 // has sent its consent (a [FrameContinue]). If ctx has a deadline, the time left of the
 // header is set to it when the call is sent. If the call failed before anything
 // was sent, the error is a [*NotSentError]. When ctx ends, the stream is closed,
 // which cancels the call at the peer.
-func (transport *Transport) Call(ctx context.Context, address Address, call request.CallID, header *peerpb.CallHeader, body io.Reader) (*Exchange, *peerpb.AnswerHeader, error) {
+func (transport *Transport) Call(ctx context.Context, address Address, outbound Outbound) (*Exchange, *peerpb.AnswerHeader, error) {
 	stream, err := transport.Open(ctx, address, KindCall)
 	if err != nil {
 		return nil, nil, &NotSentError{Reason: err}
 	}
-	if err := setRemaining(ctx, header); err != nil {
+	if err := outbound.prepare(ctx); err != nil {
 		transport.Release(address, stream)
 		return nil, nil, &NotSentError{Reason: err}
 	}
-	header.SentUs = hostTime().Microseconds()
-	exchange := &Exchange{transport: transport, address: address, stream: stream, call: call}
+	exchange := &Exchange{transport: transport, address: address, stream: stream, call: outbound.Call}
 	exchange.stopWatch = context.AfterFunc(ctx, func() { _ = stream.Close() })
-	answer, err := exchange.start(header, body)
+	answer, err := exchange.start(outbound.Header, outbound.Body)
 	if err != nil {
 		exchange.Abort()
 		return nil, nil, err
@@ -58,6 +67,23 @@
 // passed. A connection that could not be opened in time has other errors.
 var ErrNoTimeLeft = errors.New("the call's deadline has passed")
 
+// prepare brings the header up to date after a wait for a connection. It returns an error
+// if the call is not to be sent any more.
+func (outbound *Outbound) prepare(ctx context.Context) error {
+	// The stream is closed by another goroutine than the one that sends the call, and so
+	// perhaps after it.
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if outbound.Confirm != nil {
+		if err := outbound.Confirm(); err != nil {
+			return err
+		}
+	}
+	outbound.Header.SentUs = hostTime().Microseconds()
+	return setRemaining(ctx, outbound.Header)
+}
+
 // setRemaining sets the time left of a call to that of the context, since it may have
 // waited for a connection. It returns an error if none is left.
 func setRemaining(ctx context.Context, header *peerpb.CallHeader) error {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -226,11 +226,19 @@
 	return outbound.kind.Retries
 }
 
-// departureCheckLag is the processor lag from which a call's connection is checked
-// before each attempt: the call, or the answer to its last attempt, was read late,
-// and a disconnect of the caller since then is read later still. Below this lag the
-// check would cost each call a system call for nothing.
-const departureCheckLag = 50 * time.Millisecond
+// errCallerLeft means that a call was not sent because its caller had left.
+var errCallerLeft = errors.New("the caller has left")
+
+// confirmCaller returns an error if the caller has closed its connection. Its end is read
+// after the call, perhaps much later: it may have come while the call waited to be accepted,
+// to be read, for a token, for a retry or for a connection to the target's node.
+func (node *Node) confirmCaller(ctx context.Context, outbound *outboundCall) error {
+	if !hasLeft(ctx) {
+		return nil
+	}
+	node.noteDepartedCaller(ctx, outbound)
+	return errCallerLeft
+}
 
 // tryTarget sends the call to one target and buffers a small answer.
 func (node *Node) tryTarget(ctx context.Context, outbound *outboundCall, tried []request.NodeID) *attempt {
@@ -241,11 +249,7 @@
 		attempt.refusal = web.NewRefusal(request.DeadlineTooClose, "")
 		return attempt
 	}
-	left := hasLeft(ctx)
-	if left {
-		node.noteDepartedCaller(ctx, outbound)
-	}
-	if node.lagMonitor.Lag(attempt.started) > departureCheckLag && left {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		attempt.refusal = web.NewRefusal(request.CallerLeft, "")
 		return attempt
 	}
@@ -292,7 +296,12 @@
 	attempt.allowance = outbound.takeAllowance()
 	header := node.callHeader(outbound, attempt)
 	address := peer.Address(attempt.choice.Target.Address)
-	exchange, answer, err := node.Transport.Call(ctx, address, node.nextCallID(), header, outbound.body.reader())
+	exchange, answer, err := node.Transport.Call(ctx, address, peer.Outbound{
+		Call:    node.nextCallID(),
+		Header:  header,
+		Body:    outbound.body.reader(),
+		Confirm: func() error { return node.confirmCaller(ctx, outbound) },
+	})
 	if err != nil {
 		attempt.refusal = callFailure(ctx, outbound, err)
 		return
@@ -400,7 +409,7 @@
 		return refusal
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return withSentOutcome(web.NewRefusal(request.DeadlinePassed, ""), err)
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, errCallerLeft):
 		return withSentOutcome(web.NewRefusal(request.CallerLeft, ""), err)
 	case errors.Is(err, peer.ErrIncompatible):
 		return web.NewRefusal(request.PeerIncompatible, "")
@@ -469,7 +478,7 @@
 	if attempt.refusal != nil {
 		answer.Result = balancer.ResultOf(attempt.refusal.Code)
 	}
-	if attempt.refusal != nil && errors.Is(ctx.Err(), context.Canceled) {
+	if attempt.refusal != nil && (errors.Is(ctx.Err(), context.Canceled) || attempt.refusal.Code == request.CallerLeft) {
 		answer.Result = balancer.Neutral
 	}
 	if attempt.exchange != nil {
