Confirm a call with its caller's node before it is handed to the target

Cause: the call and its end come over one connection, but the goroutine that hands the call over does not wait for the one that reads the end. On a host that got no processor time, or where the call waited at the gate or for a connection, both have arrived when the call is handed over, and the context of the call ends after it.

Change: right before a call is written to the target, its node waits until what has arrived on the connection of the caller's node is passed on, and asks the goroutine that reads the call's stream whether it waits for more. Where nothing has arrived since that goroutine began to wait, which is the usual case, this is one system call. A call that has ended is not handed over.

--- a/internal/adapter/peer/accept.go
+++ b/internal/adapter/peer/accept.go
@@ -9,17 +9,8 @@
 	"net"
 
 	"github.com/hashicorp/yamux"
-
-	"github.com/magnoliawall/magnoliawall/internal/core/transit"
 )
 
-// acceptedConn is a connection that a peer has opened.
-type acceptedConn struct {
-	// conn is the connection below TLS.
-	conn    net.Conn
-	transit transit.Monitor
-}
-
 // Serve accepts connections until the context ends or the listener fails.
 func (transport *Transport) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
@@ -38,7 +29,8 @@
 
 func (transport *Transport) serveConn(ctx context.Context, conn net.Conn) {
 	detectSilence(conn)
-	accepted := &acceptedConn{conn: conn}
+	accepted := &acceptedConn{Conn: conn}
+	conn = accepted
 	if transport.ServerTLS != nil {
 		conn = tls.Server(conn, transport.ServerTLS)
 	}
--- a/internal/adapter/peer/inbound.go
+++ b/internal/adapter/peer/inbound.go
@@ -31,6 +31,8 @@
 	pipeWriter *io.PipeWriter
 	pipeReader *io.PipeReader
 	answerErr  error
+	// readEnded is closed when the stream is not read any more on behalf of this call.
+	readEnded chan struct{}
 
 	// lock orders the consent, which the reader of the body sends, and the answer:
 	// both are written to the stream.
@@ -150,6 +152,7 @@
 	if err != nil {
 		cancelCall()
 	}
+	close(inbound.readEnded)
 	<-worker.done
 	return next, errors.Join(err, inbound.answerErr)
 }
@@ -162,7 +165,7 @@
 	if err := proto.Unmarshal(first.Payload, header); err != nil {
 		return nil, fmt.Errorf("decode call: %w", err)
 	}
-	inbound := &Inbound{Header: header, Call: first.Call, Waited: stream.waited(header), stream: stream}
+	inbound := &Inbound{Header: header, Call: first.Call, Waited: stream.waited(header), stream: stream, readEnded: make(chan struct{})}
 	if header.GetAwaitContinue() {
 		inbound.pipeReader, inbound.pipeWriter = io.Pipe()
 		inbound.body = inbound.pipeReader
@@ -186,7 +189,7 @@
 	if inbound.stream == nil || inbound.stream.accepted == nil {
 		return false
 	}
-	return socket.Peek(inbound.stream.accepted.conn) != socket.Idle
+	return socket.Peek(inbound.stream.accepted.Conn) != socket.Idle
 }
 
 // readSmallBody reads a body that was sent without awaiting consent. Its length is
--- a/internal/adapter/peer/stream.go
+++ b/internal/adapter/peer/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -40,6 +41,10 @@
 	session *session
 	// accepted is the connection that carries an accepted stream, and nil for others.
 	accepted *acceptedConn
+	probe    probe
+	// readFrom is the position of the accepted connection at which the reader last began to
+	// wait: the end of the stream is not among the bytes before it.
+	readFrom atomic.Uint64
 	// openSent is set once the frame that starts the stream was buffered; always on
 	// the accepting side.
 	openSent bool
@@ -106,7 +111,7 @@
 
 // Receive reads the next frame. Its payload is valid until the next call.
 func (stream *Stream) Receive() (Frame, error) {
-	header, err := stream.reader.Peek(headerBytes)
+	header, err := stream.peekHeader()
 	if err != nil {
 		return Frame{}, endOfStream(len(header), err)
 	}
@@ -127,6 +132,20 @@
 	return decoded.frame(sum, whole[headerBytes:])
 }
 
+// peekHeader returns the header of the next frame. It answers the questions of
+// [Inbound.Confirm] while it waits.
+func (stream *Stream) peekHeader() ([]byte, error) {
+	for {
+		if stream.accepted != nil {
+			stream.readFrom.Store(uint64(stream.accepted.handledSoFar()))
+		}
+		header, err := stream.reader.Peek(headerBytes)
+		if err == nil || !stream.probe.answer(stream, err) {
+			return header, err
+		}
+	}
+}
+
 // receiveLong reads a frame that does not fit into the read buffer.
 func (stream *Stream) receiveLong(decoded frameHeader, sum uint32) (Frame, error) {
 	_, _ = stream.reader.Discard(headerBytes)
--- a/internal/adapter/socket/socket.go
+++ b/internal/adapter/socket/socket.go
@@ -41,6 +41,16 @@
 	return state
 }
 
+// Unread returns how many bytes of a connection have arrived and were not read yet. It
+// returns an error if the connection is closed or the number is unknown.
+func Unread(connection net.Conn) (int, error) {
+	count, countErr := 0, error(nil)
+	err := withDescriptor(connection, func(descriptor int) {
+		count, countErr = unix.IoctlGetInt(descriptor, unix.TIOCINQ)
+	})
+	return count, errors.Join(err, countErr)
+}
+
 // HasQueued reports whether a connection waits to be accepted by a listener. It returns an
 // error if that is unknown.
 func HasQueued(listener net.Listener) (bool, error) {
--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -94,6 +94,9 @@
 	Path    string
 	Host    string
 	Headers http.Header
+	// Confirm, if set, is called when a connection to the target is at hand, right before
+	// the call is written. If it returns an error, the call is not written.
+	Confirm func() error
 	// BeforeWrite, if set, is called right before the call is written. It sets the headers
 	// that depend on the time, such as the time left.
 	BeforeWrite func(headers http.Header)
@@ -124,7 +127,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := contextError(ctx); err != nil {
+		if err := call.confirm(ctx); err != nil {
 			client.putIdle(conn)
 			return nil, err
 		}
@@ -144,6 +147,17 @@
 	}
 }
 
+// confirm returns an error if the call is not to be written any more.
+func (call TargetCall) confirm(ctx context.Context) error {
+	if err := contextError(ctx); err != nil || call.Confirm == nil {
+		return err
+	}
+	if err := call.Confirm(); err != nil {
+		return err
+	}
+	return contextError(ctx)
+}
+
 // contextError returns an error if ctx has ended or its deadline has passed. It
 // compares the deadline with the clock because the context's timer fires late on
 // a host without spare CPU time.
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -233,7 +234,9 @@
 	entry := inbound.node.activeRequests.Enter(inbound.work.Deadline, &activeRequest{id: inbound.peerCall.Header.GetRequestId(), work: inbound.work, root: inbound.root, started: run.started, repeat: inbound.peerCall.Header.GetRepeat()})
 	defer inbound.node.activeRequests.Leave(entry)
 	defer inbound.node.repeats.enter(inbound.peerCall.Header.GetRepeat())()
-	response, err := inbound.node.sendToTarget(ctx, inbound.local, inbound.targetCall())
+	call := inbound.targetCall()
+	call.Confirm = func() error { return inbound.confirm(ctx) }
+	response, err := inbound.node.sendToTarget(ctx, inbound.local, call)
 	if err != nil {
 		run.end(admission.Failed)
 		inbound.refuse(inbound.targetFailure(ctx, err))
@@ -370,6 +373,14 @@
 	}
 }
 
+// confirm returns an error if the call has ended at its caller's node.
+func (inbound *inboundCall) confirm(ctx context.Context) error {
+	if err := inbound.peerCall.Confirm(ctx); err != nil {
+		return fmt.Errorf("%w: %w", errCallerLeft, err)
+	}
+	return nil
+}
+
 // setTargetHeaders sets the headers that the target expects. The time left is that of
 // the moment at which the call is written: it may have waited for a connection.
 func (inbound *inboundCall) setTargetHeaders(headers http.Header) {
@@ -391,7 +402,7 @@
 		if !time.Now().Before(inbound.work.Deadline) {
 			return web.NewRefusal(request.DeadlineTooClose, "")
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, errCallerLeft) {
 			return abandonedRefusal(ctx)
 		}
 		return web.NewRefusal(request.TargetUnreachable, "")
