End the wait for a silent peer when its call or request is cancelled

Callers saw answers up to 3 s after the deadline of their call where the node of the target was frozen, and clients of a replica, such as those that take tokens, waited as long beyond their time limit.

Cause: calls and requests to replicas are cancelled by closing their stream. Yamux lets a read of a stream that is closed on this side go on until the peer closes it too, or until StreamCloseTimeout, which is 3 s here.

Change: closing a stream ends its reads. A cancelled call still reads for 100 ms, since its answer may be under way.

--- a/internal/adapter/peer/confirm.go
+++ b/internal/adapter/peer/confirm.go
@@ -49,7 +49,7 @@
 	probe.asked = asked
 	probe.lock.Unlock()
 	// A read that waits for more fails at once, and one that finds more does not.
-	if err := stream.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+	if err := stream.conn.SetReadDeadline(longAgo); err != nil {
 		return err
 	}
 	select {
--- a/internal/adapter/peer/exchange.go
+++ b/internal/adapter/peer/exchange.go
@@ -54,7 +54,7 @@
 		return nil, nil, &NotSentError{Reason: err}
 	}
 	exchange := &Exchange{transport: transport, address: address, stream: stream, call: outbound.Call}
-	exchange.stopWatch = context.AfterFunc(ctx, func() { _ = stream.Close() })
+	exchange.stopWatch = context.AfterFunc(ctx, exchange.cancel)
 	answer, err := exchange.start(outbound.Header, outbound.Body)
 	if err != nil {
 		exchange.Abort()
@@ -229,6 +229,15 @@
 	}
 }
 
+// lateAnswerTime is how long an answer is read after its call has ended on this side. It may
+// have been sent before the peer learned of that, and is delivered also late.
+const lateAnswerTime = 100 * time.Millisecond
+
+// cancel cancels the call at the peer, and ends the wait for its answer.
+func (exchange *Exchange) cancel() {
+	_ = exchange.stream.closeReadingUntil(time.Now().Add(lateAnswerTime))
+}
+
 // Abort closes the stream, which cancels the call at the peer.
 func (exchange *Exchange) Abort() {
 	exchange.stopWatch()
--- a/internal/adapter/peer/silence_test.go
+++ b/internal/adapter/peer/silence_test.go
@@ -192,3 +192,42 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(header.RemainingUs).To(gomega.BeNumerically("<=", time.Hour.Microseconds()))
 }
+
+// Guards against calls that end for their callers only when a silent peer answers, or
+// seconds after they were cancelled: yamux lets the reads of a stream that is closed on
+// this side wait for the other one.
+func TestCancelledCallEndsThoughPeerIsSilent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fixture := startSilenceFixture(t)
+	fixture.client.PingInterval = time.Hour
+	defer close(fixture.finish)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := fixture.client.Call(ctx, fixture.address, Outbound{Call: 1, Header: &peerpb.CallHeader{}, Body: http.NoBody})
+		ended <- err
+	}()
+	<-fixture.started
+	cancel()
+	g.Eventually(ended).WithTimeout(time.Minute).Should(gomega.Receive(gomega.HaveOccurred()))
+}
+
+// Guards against requests to a replica that outlast their time limit: closing a stream must
+// end a read that waits for a silent peer.
+func TestClosedStreamEndsItsReader(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fixture := startSilenceFixture(t)
+	fixture.client.PingInterval = time.Hour
+	stream, err := fixture.client.Open(context.Background(), fixture.address, KindCall)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	paused := <-fixture.conns
+	paused.paused.Lock()
+	defer paused.paused.Unlock()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := stream.Receive()
+		ended <- err
+	}()
+	g.Expect(stream.Close()).To(gomega.Succeed())
+	g.Eventually(ended).WithTimeout(time.Minute).Should(gomega.Receive(gomega.HaveOccurred()))
+}
--- a/internal/adapter/peer/stream.go
+++ b/internal/adapter/peer/stream.go
@@ -231,11 +231,21 @@
 	}
 }
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 // Close closes the stream at once. The peer's Receive returns an error or
-// [io.EOF].
+// [io.EOF], and so does one that waits on this side.
 func (stream *Stream) Close() error {
+	return stream.closeReadingUntil(longAgo)
+}
+
+// closeReadingUntil closes the stream, but reads what arrives until a time.
+func (stream *Stream) closeReadingUntil(latest time.Time) error {
+	// Yamux lets reads of a stream that is closed on this side wait for the other one.
+	deadlineErr := stream.conn.SetReadDeadline(latest)
 	if stream.session != nil {
 		stream.session.forget(stream)
 	}
-	return stream.conn.Close()
+	return errors.Join(deadlineErr, stream.conn.Close())
 }
