Count the time under way against the deadline of a call

A call states its time left as a duration, and its target's node counted that from the moment of reading. A call that waited in a buffer between two nodes kept the time that it had lost there, and its target was told to work on it for longer than anybody waits.

Change: the time above the fastest call of the connection, known since calls state when they were sent, is subtracted. Calls of older builds state nothing and are treated as before.

TestTimeUnderWayCountsAgainstDeadline failed before and passes since.

--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -100,7 +100,8 @@
 		Customer: request.CustomerName(header.GetCustomer()),
 		Priority: request.Priority(min(header.GetPriority(), uint32(request.MaxPriority))),
 		Spent:    peer.StatedTime(header.GetSpentUs(), time.Microsecond),
-		Deadline: now.Add(peer.StatedTime(header.GetRemainingUs(), time.Microsecond)),
+		// The time left is as of the moment of sending.
+		Deadline: now.Add(peer.StatedTime(header.GetRemainingUs(), time.Microsecond) - peerCall.Waited),
 		Patience: peer.StatedTime(header.GetPatienceUs(), time.Microsecond),
 		Movable:  header.GetMovable(),
 	}
