Hand no call to a target that has begun to leave since it was admitted

A call that had passed the gate waited for a connection to the target, or its process got no processor time, and reached the target after its node had acknowledged that it leaves, or reached another run in its place.

Change: the confirmation right before a call is written also looks at what is known of the target now, for calls with a claim as well. The refusal is that of a target that leaves, so the call may go elsewhere.

TestCallIsNotHandedOverOnceTargetTakesNoMore failed before and passes since; the tests of the node pass with the race detector.

--- a/internal/node/claimed_call.go
+++ b/internal/node/claimed_call.go
@@ -188,7 +188,9 @@
 // runBuffered hands the call to the target and buffers its whole answer.
 func (inbound *inboundCall) runBuffered(ctx context.Context, root *root) (*claim.Answer, *web.Refusal) {
 	run := inbound.beginRun(root)
-	response, err := inbound.node.sendToTarget(ctx, inbound.local, inbound.targetCall())
+	call := inbound.targetCall()
+	call.Confirm = inbound.confirmTarget
+	response, err := inbound.node.sendToTarget(ctx, inbound.local, call)
 	if err != nil {
 		run.end(admission.Failed)
 		return nil, inbound.targetFailure(ctx, err)
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -379,6 +379,18 @@
 	if err := inbound.peerCall.Confirm(ctx); err != nil {
 		return fmt.Errorf("%w: %w", errCallerLeft, err)
 	}
+	return inbound.confirmTarget()
+}
+
+// errTargetGone means that a call was not handed to the target for which it was admitted.
+var errTargetGone = errors.New("the target takes no more calls, or another run has replaced it")
+
+// confirmTarget returns an error if the target takes no more calls. It may have begun to
+// leave, or another run may have taken its place, while the call waited for a connection.
+func (inbound *inboundCall) confirmTarget() error {
+	if local := inbound.node.LocalTarget(); !local.Serving || !local.sameRun(inbound.local) {
+		return errTargetGone
+	}
 	return nil
 }
 
@@ -406,6 +418,9 @@
 		if ctx.Err() != nil || errors.Is(err, errCallerLeft) {
 			return abandonedRefusal(ctx)
 		}
+		if errors.Is(err, errTargetGone) {
+			return web.NewRefusal(request.Draining, errTargetGone.Error())
+		}
 		return web.NewRefusal(request.TargetUnreachable, "")
 	}
 	switch {
--- a/internal/node/late_call_test.go
+++ b/internal/node/late_call_test.go
@@ -160,55 +160,115 @@
 	}
 }
 
+// waitingCall is a host whose only connection to its target is in use, with one more call
+// that waits for it.
+type waitingCall struct {
+	callee *host
+	// peers holds what callers' nodes send.
+	peers  *heldConnListener
+	caller *callerNode
+	target *visits
+	began  chan struct{}
+	finish chan struct{}
+	// drain counts the calls in flight.
+	drain *drain.Drain
+}
+
+func startWaitingCall(t *testing.T) *waitingCall {
+	t.Helper()
+	waiting := &waitingCall{
+		peers:  &heldConnListener{Listener: listen(t)},
+		began:  make(chan struct{}),
+		finish: make(chan struct{}),
+		drain:  &drain.Drain{},
+	}
+	waiting.target = &visits{serve: func(http.ResponseWriter, *http.Request) {
+		waiting.began <- struct{}{}
+		<-waiting.finish
+	}}
+	text := bytes.Replace(readRoutes(t), []byte(`"connections": 100`), []byte(`"connections": 1`), 1)
+	underTest := newNode(t, "two", "agenda", waiting.target, nil, text, func(underTest *node.Node) {
+		underTest.Drain = waiting.drain
+		underTest.TargetAnnouncesItself = true
+	})
+	// With more slots than connections, calls pass the gate and wait for a connection.
+	underTest.SetLocalTarget(node.LocalTarget{Service: "agenda", Instance: "i-1", Slots: 50, Serving: true})
+	waiting.callee = runHost(t, underTest, node.Listeners{Callers: listen(t), Target: listen(t), Peers: waiting.peers})
+	waiting.caller = newCallerNode(t, waiting.callee)
+	return waiting
+}
+
+// send sends a call that runs at the target, and one that waits for its connection until
+// the first is finished. The results come once the calls have ended.
+func (waiting *waitingCall) send(ctx context.Context, g *gomega.WithT, id request.CallID) (first, second chan error) {
+	first, second = make(chan error, 1), make(chan error, 1)
+	go func() { first <- waiting.caller.call(context.WithoutCancel(ctx), id) }()
+	g.Eventually(waiting.began).WithTimeout(testTimeout).Should(gomega.Receive())
+	go func() { second <- waiting.caller.call(ctx, id+1) }()
+	waiting.awaitInFlight(g, 2)
+	return first, second
+}
+
+func (waiting *waitingCall) awaitInFlight(g *gomega.WithT, count int) {
+	g.Eventually(func() int {
+		_, inFlight := waiting.drain.State()
+		return inFlight
+	}).WithTimeout(testTimeout).Should(gomega.Equal(count))
+}
+
+// ranBeforeItEnded reports whether the waiting call ran at the target, and lets it finish.
+func (waiting *waitingCall) ranBeforeItEnded(second <-chan error) bool {
+	select {
+	case <-waiting.began:
+		waiting.finish <- struct{}{}
+		return true
+	case <-second:
+		return false
+	}
+}
+
 // Guards against calls that the node of the target hands over though their end had
 // arrived behind them and was not read yet (GONE).
 func TestCallIsNotHandedOverWhenItsEndHasArrived(t *testing.T) {
 	g := gomega.NewWithT(t)
-	began, finish := make(chan struct{}), make(chan struct{})
-	target := &visits{serve: func(http.ResponseWriter, *http.Request) {
-		began <- struct{}{}
-		<-finish
-	}}
-	held, inFlight := &heldConnListener{Listener: listen(t)}, &drain.Drain{}
-	underTest := newRoutedNode(t, "two", "agenda", target, func(underTest *node.Node) {
-		underTest.Drain = inFlight
-		underTest.Target.Connections = 1
-	})
-	callee := runHost(t, underTest, node.Listeners{Callers: listen(t), Target: listen(t), Peers: held})
-	caller := newCallerNode(t, callee)
-	countInFlight := func() int {
-		_, count := inFlight.State()
-		return count
-	}
-	for round := range request.CallID(departedCallers) {
-		first, second := make(chan error, 1), make(chan error, 1)
-		go func() { first <- caller.call(t.Context(), 2*round+1) }()
-		g.Eventually(began).WithTimeout(testTimeout).Should(gomega.Receive())
+	waiting := startWaitingCall(t)
+	for round := range request.CallID(40) {
 		ctx, leave := context.WithCancel(t.Context())
-		go func() { second <- caller.call(ctx, 2*round+2) }()
-		g.Eventually(countInFlight).WithTimeout(testTimeout).Should(gomega.Equal(2))
-		held.hold.Lock()
-		caller.drainWrites()
+		first, second := waiting.send(ctx, g, 2*round+1)
+		waiting.peers.hold.Lock()
+		waiting.caller.drainWrites()
 		leave()
-		g.Eventually(caller.written).WithTimeout(testTimeout).Should(gomega.Receive())
-		finish <- struct{}{}
+		g.Eventually(waiting.caller.written).WithTimeout(testTimeout).Should(gomega.Receive())
+		waiting.finish <- struct{}{}
 		g.Eventually(first).WithTimeout(testTimeout).Should(gomega.Receive(gomega.BeNil()))
-		held.hold.Unlock()
-		select {
-		case <-began:
-			finish <- struct{}{}
-			t.Errorf("round %d: the call ran after its end had arrived", round)
-		case <-second:
-		}
-		g.Eventually(countInFlight).WithTimeout(testTimeout).Should(gomega.BeZero())
+		waiting.peers.hold.Unlock()
+		g.Expect(waiting.ranBeforeItEnded(second)).To(gomega.BeFalse(), "round %d", round)
+		waiting.awaitInFlight(g, 0)
 	}
 }
 
+// Guards against calls that reach a target after its node has acknowledged that it leaves:
+// they had passed the gate before, and waited for a connection (DRAIN).
+func TestCallIsNotHandedOverOnceTargetTakesNoMore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	waiting := startWaitingCall(t)
+	first, second := waiting.send(t.Context(), g, 1)
+	waiting.callee.node.SetLocalTarget(node.LocalTarget{Service: "agenda", Instance: "i-1"})
+	waiting.finish <- struct{}{}
+	g.Eventually(first).WithTimeout(testTimeout).Should(gomega.Receive(gomega.BeNil()))
+	g.Expect(waiting.ranBeforeItEnded(second)).To(gomega.BeFalse())
+}
+
 func newRoutedNode(t testing.TB, id request.NodeID, service request.ServiceName, target http.Handler, prepare ...func(*node.Node)) *node.Node {
+	t.Helper()
+	return newNode(t, id, service, target, nil, readRoutes(t), prepare...)
+}
+
+func readRoutes(t testing.TB) []byte {
 	t.Helper()
 	text, err := os.ReadFile("testdata/routes.jsonc")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newNode(t, id, service, target, nil, text, prepare...)
+	return text
 }
