Refuse announcements that are not of the local target

The target's own announcements were outdated from then on, also that it drains, and it got calls more than 5 s after that was acknowledged.

Cause: the address of an announcement was not read, and any later start made a run current.

A writer that copies the address and makes up a start just now is still believed; only the target itself could tell.

--- a/internal/core/presence/presence.go
+++ b/internal/core/presence/presence.go
@@ -7,6 +7,10 @@
 // within a run the announcement with the highest sequence number. A withdrawn run
 // does not become current again.
 //
+// An announcement may come from another writer, which mistakes this host for another one or
+// makes it up. It is foreign, and changes nothing, if it states another address than that of
+// the local target, or a start in the future: no later run could replace that one.
+//
 // A process that has just started does not know which runs drained or were withdrawn
 // before. An announcement of a run that is older than the process may be a late one of
 // such a run. It is confirmed by the target itself, or by arriving so long after the
@@ -39,6 +43,12 @@
 // maxAnnouncementDelay is how late an announcement may arrive.
 const maxAnnouncementDelay = 5 * time.Second
 
+// maxClockDifference is how far the clock of a target may be ahead of the present time.
+const maxClockDifference = time.Minute
+
+// Address is where a target listens, as host:port.
+type Address string
+
 // StartMillis is the start time of a run of the target, in Unix milliseconds by the
 // target's own clock.
 type StartMillis int64
@@ -52,8 +62,10 @@
 	StartMillis StartMillis
 	Sequence    Sequence
 	Service     request.ServiceName
-	Slots       int
-	Draining    bool
+	// Address is where the target listens; empty means that it is not stated.
+	Address  Address
+	Slots    int
+	Draining bool
 	// ColdRemaining is the remaining time of the target's warm-up.
 	ColdRemaining time.Duration
 }
@@ -68,12 +80,17 @@
 	// Outdated means that the announcement was ignored: it is not newer than the
 	// current one, or its run was withdrawn.
 	Outdated
+	// Foreign means that the announcement was ignored because it is not of the local target.
+	Foreign
 )
 
 // String returns the verdict as the log writes it.
 func (verdict Verdict) String() string {
-	if verdict == Accepted {
+	switch verdict {
+	case Accepted:
 		return "taken"
+	case Foreign:
+		return "foreign"
 	}
 	return "outdated"
 }
@@ -84,6 +101,9 @@
 	// StartedAt is when this process started; zero means that it knows all earlier
 	// announcements. It is set before the first use.
 	StartedAt time.Time
+	// Address is where the local target listens; empty accepts announcements of any address.
+	// It is set before the first use.
+	Address Address
 
 	current          Announcement
 	known            bool
@@ -101,9 +121,12 @@
 	at          time.Time
 }
 
-// Announce applies an announcement unless it is outdated.
+// Announce applies an announcement unless it is outdated or foreign.
 func (presence *Presence) Announce(now time.Time, announcement Announcement) Verdict {
 	presence.dropOldWithdrawals(now)
+	if presence.isForeign(now, announcement) {
+		return Foreign
+	}
 	if withdrawn, ok := presence.withdrawn[announcement.Instance]; ok && (withdrawn.startMillis == 0 || announcement.StartMillis <= withdrawn.startMillis) {
 		return Outdated
 	}
@@ -120,6 +143,13 @@
 	return Accepted
 }
 
+func (presence *Presence) isForeign(now time.Time, announcement Announcement) bool {
+	if presence.Address != "" && announcement.Address != "" && announcement.Address != presence.Address {
+		return true
+	}
+	return int64(announcement.StartMillis) > now.Add(maxClockDifference).UnixMilli()
+}
+
 // mayBeLate reports whether an announcement may have been sent before this process
 // started.
 func (presence *Presence) mayBeLate(now time.Time, announcement Announcement) bool {
--- a/internal/core/presence/presence_test.go
+++ b/internal/core/presence/presence_test.go
@@ -1,6 +1,7 @@
 package presence_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -87,3 +88,40 @@
 	_, serving = local.Current()
 	expect(serving).To(gomega.BeTrue())
 }
+
+// Guards against an entry of another writer that takes the place of the local target: the
+// target's own announcements would be outdated from then on, also that it drains (DRAIN).
+func TestForeignAnnouncementChangesNothing(t *testing.T) {
+	at := func(address presence.Address, startMillis presence.StartMillis) presence.Announcement {
+		foreign := announcement("z", startMillis, 99)
+		foreign.Address = address
+		return foreign
+	}
+	now := presence.StartMillis(noon.UnixMilli())
+	cases := []struct {
+		name    string
+		foreign presence.Announcement
+	}{
+		{"another address", at("10.0.0.9:8080", now)},
+		{"an address that cannot be reached", at("nowhere:0", now)},
+		{"a start in the future", at("10.0.0.8:8080", now+2*60_000)},
+		{"a start after any other", at("10.0.0.8:8080", math.MaxInt64)},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			expect := gomega.NewWithT(t).Expect
+			local := &presence.Presence{Address: "10.0.0.8:8080"}
+			own := announcement("a", now-1000, 1)
+			own.Address = "10.0.0.8:8080"
+			expect(local.Announce(noon, own)).To(gomega.Equal(presence.Accepted))
+			expect(local.Announce(noon, test.foreign)).To(gomega.Equal(presence.Foreign))
+			current, serving := local.Current()
+			expect(current).To(gomega.Equal(own))
+			expect(serving).To(gomega.BeTrue())
+			own.Sequence++
+			expect(local.Announce(noon, draining(own))).To(gomega.Equal(presence.Accepted))
+			_, serving = local.Current()
+			expect(serving).To(gomega.BeFalse())
+		})
+	}
+}
--- a/internal/host/dataplane.go
+++ b/internal/host/dataplane.go
@@ -54,7 +54,7 @@
 		return nil
 	}
 	plane := &dataPlane{host: host, background: background, versions: make(chan configuration.Version, 1)}
-	plane.announcedTarget = &announcedTarget{plane: plane, presence: presence.Presence{StartedAt: host.startedAt}}
+	plane.announcedTarget = &announcedTarget{plane: plane, presence: presence.Presence{StartedAt: host.startedAt, Address: presence.Address(host.Settings.Target)}}
 	plane.build()
 	host.dataPlane = plane
 	listeners, err := host.openListeners()
--- a/internal/host/platform.go
+++ b/internal/host/platform.go
@@ -35,10 +35,13 @@
 	target.lock.Lock()
 	defer target.lock.Unlock()
 	before, served := target.presence.Current()
-	verdict := target.presence.Announce(time.Now(), announcement)
+	verdict := presence.Foreign
+	if target.plane.knowsService(announcement.Service) {
+		verdict = target.presence.Announce(time.Now(), announcement)
+	}
 	current, serving := target.presence.Current()
-	if verdict == presence.Outdated {
-		target.logAnnouncement("announcement is outdated", announcement, serving)
+	if verdict != presence.Accepted {
+		target.logAnnouncement("announcement is "+verdict.String(), announcement, serving)
 		return verdict
 	}
 	if before.Instance != current.Instance || served != serving {
@@ -49,6 +52,14 @@
 	return verdict
 }
 
+// knowsService reports whether a service is that of this host or in the configuration in
+// force. Before there is one, all are known.
+func (plane *dataPlane) knowsService(service request.ServiceName) bool {
+	current := plane.host.configuration.Current()
+	_, configured := current.Document.Services[service]
+	return configured || service == plane.host.Settings.Service || current.Version == 0
+}
+
 // confirmTimeout bounds the health check that confirms an announcement, and
 // confirmInterval the time between two of them.
 const (
@@ -124,7 +135,7 @@
 }
 
 func (target *announcedTarget) logAnnouncement(event string, announcement presence.Announcement, serving bool) {
-	target.plane.host.Logger.Info().Str("instance", string(announcement.Instance)).Str("service", string(announcement.Service)).
+	target.plane.host.Logger.Info().Str("instance", string(announcement.Instance)).Str("service", string(announcement.Service)).Str("address", string(announcement.Address)).
 		Int64("birth", int64(announcement.StartMillis)).Int64("sequence", int64(announcement.Sequence)).Int("slots", announcement.Slots).
 		Bool("draining", announcement.Draining).Bool("serving", serving).Msg("target: " + event)
 }
