Count bytes that are read during a look at the socket once

Found by reading: the bytes that wait in the socket were counted first and those that were read after it, so bytes that were read in between counted twice. A confirmation would then have waited for bytes that may never come, up to the deadline of its call.

TestBytesReadDuringLookCountOnce failed before (200 of 100 bytes) and passes since.

--- a/internal/adapter/peer/accepted.go
+++ b/internal/adapter/peer/accepted.go
@@ -71,10 +71,21 @@
 // arrivedSoFar returns the bytes that have arrived, also those that were not read yet. It
 // returns an error if the connection is closed.
 func (accepted *acceptedConn) arrivedSoFar() (position, error) {
-	unread, err := socket.Unread(accepted.Conn)
+	for before := accepted.receivedSoFar(); ; {
+		unread, err := socket.Unread(accepted.Conn)
+		received := accepted.receivedSoFar()
+		if err != nil || received == before {
+			return received + position(unread), err
+		}
+		// Bytes that were read meanwhile may be among the unread ones.
+		before = received
+	}
+}
+
+func (accepted *acceptedConn) receivedSoFar() position {
 	accepted.lock.Lock()
 	defer accepted.lock.Unlock()
-	return accepted.received + position(unread), err
+	return accepted.received
 }
 
 // awaitHandled waits until the bytes up to a position were passed on to the streams, or can
