Note the hand-over of calls without a claim only

An action with a claim runs in another goroutine than the one that refuses its call, so the time of the hand-over could be written and read at once. Found by reading; no test showed it.

--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -34,7 +34,8 @@
 	fingerprint request.Fingerprint
 	unspent     retry.Allowance
 	leftRoot    bool
-	// readAt is when the call was read, and handedAt when it was written to the target.
+	// readAt is when the call was read, and handedAt when it was handed to the target, unless
+	// it runs by a claim.
 	readAt, handedAt time.Time
 	// claimedBody is the buffered body of a call that may run only once.
 	claimedBody []byte
@@ -379,7 +380,12 @@
 	if err := inbound.peerCall.Confirm(ctx); err != nil {
 		return fmt.Errorf("%w: %w", errCallerLeft, err)
 	}
-	return inbound.confirmTarget()
+	if err := inbound.confirmTarget(); err != nil {
+		return err
+	}
+	inbound.handedAt = time.Now()
+	inbound.noteTransit(inbound.handedAt)
+	return nil
 }
 
 // errTargetGone means that a call was not handed to the target for which it was admitted.
@@ -397,8 +403,6 @@
 // setTargetHeaders sets the headers that the target expects. The time left is that of
 // the moment at which the call is written: it may have waited for a connection.
 func (inbound *inboundCall) setTargetHeaders(headers http.Header) {
-	inbound.handedAt = time.Now()
-	inbound.noteTransit(inbound.handedAt)
 	inbound.node.Dialect.SetTargetHeaders(headers, web.TargetMetadata{
 		Root:      inbound.work.Root,
 		Call:      inbound.work.Call,
