Serve customers at a full target by their max-min fair shares

The gate knew no customers.

Change: the gate estimates what each customer asks for, divides what the target completes by progressive filling, weighted by quotas, and puts calls over the share of their customer behind the others of their importance and class, by how far they lie over it. The queue alone is ordered, so no place stays empty; without customers nothing changes. A call that is shed where it enters is still drawn without regard to customers.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -204,6 +204,12 @@
 	return gate.limiter.concurrency()
 }
 
+// CallsPerSecond is the number of calls per second that a full target completes within its
+// rate limit, zero while that is unknown.
+func (gate *Gate) CallsPerSecond(now time.Time) float64 {
+	return gate.serviceRate(now)
+}
+
 // Running is the number of calls that the target works on.
 func (gate *Gate) Running() int {
 	return gate.running.size()
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -15,18 +15,20 @@
 
 const (
 	spentClassCount    = 16
-	ranksPerImportance = spentClassCount * request.BucketCount
+	ranksPerImportance = spentClassCount * ranksPerClass
+	ranksPerClass      = request.ExcessCount * request.BucketCount
 )
 
 // rank orders waiting calls; a higher one is served first and displaced last.
 type rank uint32
 
-// rankOf combines importance, a logarithmic class of the time already spent, and
-// bucket, in this order.
+// rankOf combines importance, a logarithmic class of the time already spent, how
+// far the call lies over the share of its customer, and bucket, in this order.
 func rankOf(work request.Work) rank {
 	class := min(bits.Len64(uint64(max(work.Spent, 0)/spentUnit)), spentClassCount-1)
 	priority := work.Priority
-	return rank(priority.Importance())*ranksPerImportance + rank(class)*request.BucketCount + rank(priority.Bucket())
+	callRank := rank(priority.Importance())*ranksPerImportance + rank(class)*ranksPerClass + rank(priority.Bucket())
+	return callRank + rank(request.MaxExcess-work.Excess)*request.BucketCount
 }
 
 func (callRank rank) importance() request.Importance {
--- a/internal/node/admission_control.go
+++ b/internal/node/admission_control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/core/admission"
+	"github.com/magnoliawall/magnoliawall/internal/core/fairshare"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
@@ -23,6 +24,8 @@
 	gate         admission.Gate
 	waiting      map[request.CallID]chan admission.Decision
 	notices      []admission.Notice
+	// shares holds what customers ask of the target.
+	shares fairshare.Shares
 	// lastHeadroom is the headroom as of the last tick.
 	lastHeadroom headroom
 }
@@ -40,11 +43,15 @@
 	return control
 }
 
-// arrive decides on a call. The channel is non-nil when the call has to wait; it gets
-// the decision.
-func (control *admissionControl) arrive(now time.Time, work request.Work) (admission.Decision, <-chan admission.Decision) {
+// shareInterval is the time between two divisions of a rate among customers.
+const shareInterval = 100 * time.Millisecond
+
+// arrive decides on a call, whose customer has a weight among others. The channel is non-nil
+// when the call has to wait; it gets the decision.
+func (control *admissionControl) arrive(now time.Time, work request.Work, weight fairshare.Weight) (admission.Decision, <-chan admission.Decision) {
 	control.lock.Lock()
 	defer control.lock.Unlock()
+	work.Excess = control.shares.Record(fairshare.Request{Customer: work.Customer, Weight: weight, Priority: work.Priority})
 	decision, notices := control.gate.Arrive(now, work, control.notices[:0])
 	var wake chan admission.Decision
 	if decision.Verdict == admission.Wait {
@@ -115,6 +122,9 @@
 	control.lock.Lock()
 	defer control.lock.Unlock()
 	control.deliver(control.gate.Tick(now, control.notices[:0]))
+	if now.Sub(control.shares.DividedAt()) >= shareInterval {
+		control.shares.Divide(now, fairshare.GuaranteedPart*control.gate.CallsPerSecond(now))
+	}
 	before = control.lastHeadroom
 	control.lastHeadroom = headroom{slots: control.gate.Slots, free: control.gate.Headroom()}
 	return before, control.lastHeadroom
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"cmp"
 	"sync/atomic"
 
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/fairshare"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
@@ -19,6 +21,27 @@
 	// of calls without a route, and repeatable calls over a full link, need at least
 	// this importance.
 	UpperHalf request.Importance
+
+	// unlimitedWeight is the weight of customers without a quota.
+	unlimitedWeight fairshare.Weight
+}
+
+// customerWeight is the weight of a customer among others: its quota, or else that of the
+// customer with the largest one.
+func (active *ActiveConfiguration) customerWeight(name request.CustomerName) fairshare.Weight {
+	if name == "" {
+		return 0
+	}
+	return cmp.Or(fairshare.Weight(active.Document.Customers[name].Rate), active.unlimitedWeight)
+}
+
+// largestWeight is the weight of the customer with the largest quota, or zero.
+func largestWeight(document *configuration.Document) fairshare.Weight {
+	largest := fairshare.Weight(0)
+	for _, customer := range document.Customers {
+		largest = max(largest, fairshare.Weight(customer.Rate))
+	}
+	return largest
 }
 
 // NoConfiguration returns the configuration that a node uses until its first version
@@ -44,6 +67,8 @@
 		Matcher:        matcher,
 		RetryAllowance: retry.Allowance(document.Retry.AllowancePerRoot),
 		UpperHalf:      request.Importance(matcher.ImportanceLevels() / 2),
+
+		unlimitedWeight: largestWeight(document),
 	}, nil
 }
 
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -201,7 +201,7 @@
 // admitAtGate waits for the decision of the admission gate.
 func (inbound *inboundCall) admitAtGate(ctx context.Context) *web.Refusal {
 	control := inbound.node.admissionControl
-	decision, wake := control.arrive(time.Now(), inbound.work)
+	decision, wake := control.arrive(time.Now(), inbound.work, inbound.node.Configuration.Current().customerWeight(inbound.work.Customer))
 	if decision.Verdict == admission.Wait {
 		select {
 		case decision = <-wake:
--- a/internal/request/priority.go
+++ b/internal/request/priority.go
@@ -42,3 +42,13 @@
 func BucketOf(root RootID) Bucket {
 	return Bucket(binary.BigEndian.Uint64(root[8:]) % BucketCount)
 }
+
+// Excess is how far a call lies over the share of its customer: zero within it, and one more
+// for each step by which the share would have to grow.
+type Excess uint8
+
+// ExcessCount is the number of steps of excess, and MaxExcess the largest.
+const (
+	ExcessCount        = 16
+	MaxExcess   Excess = ExcessCount - 1
+)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -142,6 +142,8 @@
 	// Patience is how long the call may wait for a slot; zero leaves it to the
 	// admission gate.
 	Patience time.Duration
+	// Excess is how far the call lies over the share of its customer at the target.
+	Excess Excess
 	// Movable says that the call can go to another target if this one refuses it.
 	Movable bool
 }
