--- a/internal/node/late_call_test.go
+++ b/internal/node/late_call_test.go
@@ -189,6 +189,8 @@
 	text := bytes.Replace(readRoutes(t), []byte(`"connections": 100`), []byte(`"connections": 1`), 1)
 	underTest := newNode(t, "two", "agenda", waiting.target, nil, text, func(underTest *node.Node) {
 		underTest.Drain = waiting.drain
+		// The configuration says so too, but it is applied only once the node runs.
+		underTest.Target.Connections = 1
 		underTest.TargetAnnouncesItself = true
 	})
 	// With more slots than connections, calls pass the gate and wait for a connection.
