Put all requests over their shares where nothing of the rate is left

Found by reading: a share of zero gave a place of zero by zero for the highest bucket, and what a conversion of that is to an integer depends on the processor. On arm64 it was no excess at all, so such a call came before all others of its class.

--- a/internal/core/fairshare/fairshare.go
+++ b/internal/core/fairshare/fairshare.go
@@ -126,6 +126,9 @@
 // excess places a request by its bucket among all that its customer asks for, of which high
 // buckets come first, in units of the share.
 func (known *customer) excess(bucket request.Bucket) request.Excess {
+	if known.share <= 0 {
+		return request.MaxExcess
+	}
 	place := float64(request.BucketCount-1-bucket) / request.BucketCount / known.share
 	if place <= 1 {
 		return 0
--- a/internal/core/fairshare/fairshare_test.go
+++ b/internal/core/fairshare/fairshare_test.go
@@ -145,3 +145,23 @@
 	}
 	g.Expect(within(10)).To(gomega.Equal(200))
 }
+
+// Guards against a place without a number where nothing of the rate is left: its conversion
+// differs between processors.
+func TestNothingLeftPutsAllRequestsOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	shares := &fairshare.Shares{}
+	ask := func(customer request.CustomerName, importance request.Importance, bucket request.Bucket) request.Excess {
+		return shares.Record(fairshare.Request{Customer: customer, Priority: request.NewPriority(importance, bucket)})
+	}
+	for tenth := range 20 {
+		for range 50 {
+			ask("important", 2, request.BucketCount-1)
+			ask("other", 1, request.BucketCount-1)
+		}
+		shares.Divide(noon.Add(time.Duration(tenth)*100*time.Millisecond), 100)
+	}
+	for _, bucket := range []request.Bucket{0, request.BucketCount / 2, request.BucketCount - 1} {
+		g.Expect(ask("other", 1, bucket)).To(gomega.Equal(request.MaxExcess), "bucket %d", bucket)
+	}
+}
