Begin a new reference after an odd statement of when a call was sent

Found by reading: one stamp far from the others became the reference of its connection, or counted as a wait of hours. After a stamp in the future all calls of the peer would have been past their deadlines until it left the window, up to a minute later.

Change: a difference of more than a minute from the reference, longer than any call waits, begins a new one and counts as no wait.

TestOddStatementDoesNotMakeOthersLate failed in its four cases before and passes since.

--- a/internal/core/transit/transit.go
+++ b/internal/core/transit/transit.go
@@ -7,6 +7,9 @@
 // that it waited longer: in buffers of either host, on the link, or for a processor. This
 // is the one-way delay variation of RFC 3393, with the minimum as the reference.
 //
+// A difference that is far from the reference belongs to a clock that was set anew, or to a
+// statement that is wrong. It begins a new reference, and the message counts as fast.
+//
 // Steady clocks drift apart, and a path can become longer, so the reference is the
 // minimum of the current and the previous window only.
 //
@@ -27,6 +30,9 @@
 // in a million drift apart by 6 ms in two windows.
 const window = 30 * time.Second
 
+// maxWait is longer than any message waits: connections to silent peers are closed before.
+const maxWait = time.Minute
+
 // Monitor tracks the smallest difference between the clocks of a sender and a receiver.
 // The zero value is ready for use.
 type Monitor struct {
@@ -43,8 +49,9 @@
 	monitor.lock.Lock()
 	defer monitor.lock.Unlock()
 	difference := received - sent
+	reference := min(monitor.current, monitor.previous)
 	switch {
-	case !monitor.hasWindow:
+	case !monitor.hasWindow, difference < reference-maxWait, difference > reference+maxWait:
 		monitor.hasWindow = true
 		monitor.began, monitor.current, monitor.previous = received, difference, difference
 	case received-monitor.began >= window:
--- a/internal/core/transit/transit_test.go
+++ b/internal/core/transit/transit_test.go
@@ -1,6 +1,7 @@
 package transit_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -52,3 +53,31 @@
 	}
 	g.Expect(waited).To(gomega.BeZero())
 }
+
+// Guards against one odd statement of a peer after which all its calls count as late: their
+// deadlines would have passed before they arrive.
+func TestOddStatementDoesNotMakeOthersLate(t *testing.T) {
+	cases := map[string]time.Duration{
+		"sent far in the future": 24 * time.Hour,
+		"sent long ago":          -24 * time.Hour,
+		"sent before all time":   math.MinInt64 / 2,
+		"sent after all time":    math.MaxInt64 / 2,
+	}
+	for name, odd := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			monitor := &transit.Monitor{}
+			const delay = 8 * time.Millisecond
+			for second := range 10 {
+				sent := time.Duration(second) * time.Second
+				g.Expect(monitor.Record(sent, sent+delay)).To(gomega.BeZero())
+			}
+			g.Expect(monitor.Record(10*time.Second+odd, 10*time.Second+delay)).To(gomega.BeZero())
+			for second := range 10 {
+				sent := time.Duration(11+second) * time.Second
+				g.Expect(monitor.Record(sent, sent+delay)).To(gomega.BeZero())
+			}
+			g.Expect(monitor.Record(30*time.Second, 31*time.Second)).To(gomega.Equal(time.Second - delay))
+		})
+	}
+}
