Look at a kept connection to the target after its call was confirmed

Found by reading: whether a kept connection is still open was asked first, and then the call was confirmed, which may wait for what has arrived at a busy host. A connection that the target closed meanwhile got the call, which then counted as one that may have run.

Change: the order is turned round; the number of looks stays. A call that meets a connection that is of no use any more is confirmed once more for the next one.

TestConnectionIsCheckedAfterConfirmation failed before and passes since.

--- a/internal/adapter/web/resend_test.go
+++ b/internal/adapter/web/resend_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/socket"
 )
 
 // deadConn is a connection that fails the first write without taking a byte, and
@@ -82,3 +84,40 @@
 		})
 	}
 }
+
+// Guards against a call whose outcome is unknown because its kept connection was closed while
+// the call was being confirmed: the connection is looked at after that.
+func TestConnectionIsCheckedAfterConfirmation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	accepted := make(chan net.Conn, 2)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = func(connection net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			accepted <- connection
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client := &TargetClient{Address: server.Listener.Addr().String(), Connections: 1}
+	client.Start()
+	send := func(confirm func() error) error {
+		response, err := client.Send(context.Background(), TargetCall{Method: http.MethodPost, Path: "/grants/7", Headers: http.Header{}, Body: bytes.NewBufferString("grant"), BodyLength: 5, Confirm: confirm})
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		return errors.Join(err, response.Body.Close())
+	}
+	g.Expect(send(nil)).To(gomega.Succeed())
+	kept := client.idle[0]
+	confirmed := 0
+	g.Expect(send(func() error {
+		confirmed++
+		if confirmed == 1 {
+			g.Expect((<-accepted).Close()).To(gomega.Succeed())
+			g.Eventually(func() socket.State { return socket.Peek(kept.Conn) }).WithTimeout(time.Minute).Should(gomega.Equal(socket.Closed))
+		}
+		return nil
+	})).To(gomega.Succeed())
+	g.Expect(confirmed).To(gomega.Equal(2), "the call is confirmed for the connection that carries it")
+}
--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -131,6 +131,11 @@
 			client.putIdle(conn)
 			return nil, err
 		}
+		// The confirmation may have taken a while.
+		if reused && !conn.reusable(time.Now()) {
+			conn.discard()
+			continue
+		}
 		response, err := conn.roundTrip(ctx, call)
 		if err == nil {
 			return response, nil
@@ -171,8 +176,8 @@
 	return nil
 }
 
-// acquire returns an idle connection or a new one. It waits while the maximum
-// number of connections is in use.
+// acquire returns an idle connection, which may be unusable by now, or a new one. It waits
+// while the maximum number of connections is in use.
 func (client *TargetClient) acquire(ctx context.Context) (conn *targetConn, reused bool, err error) {
 	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GetConn != nil {
 		trace.GetConn(client.Address)
@@ -191,12 +196,9 @@
 			conn, err = client.dial(ctx)
 			return conn, false, err
 		}
-		if conn.reusable(time.Now()) {
-			conn.hasSentBytes.Store(false)
-			conn.reused = true
-			return conn, true, nil
-		}
-		conn.discard()
+		conn.hasSentBytes.Store(false)
+		conn.reused = true
+		return conn, true, nil
 	}
 }
 
