See that a caller has left behind bytes that it sent before

Found by reading: the look at a caller's connection saw its end only where nothing was unread before it, so an upload whose caller had left was always sent on, and its target got the head and what there was of the body.

Change: the system is asked whether the peer has closed its side, with one call as before. A caller that closes its sending side only counts as one that left; net/http has always cancelled its call when it read that end.

--- a/internal/adapter/socket/socket.go
+++ b/internal/adapter/socket/socket.go
@@ -6,8 +6,8 @@
 //
 // # Usage
 //
-//	if socket.Peek(connection) == socket.Closed {
-//		// The peer has closed the connection, also if that was not read yet.
+//	if socket.ClosedByPeer(connection) {
+//		// Nobody waits for an answer any more.
 //	}
 package socket
 
@@ -41,6 +41,29 @@
 	return state
 }
 
+// ClosedByPeer reports whether the peer has closed or reset a connection, also where bytes
+// that it sent before were not read yet.
+func ClosedByPeer(connection net.Conn) bool {
+	closed := false
+	err := withDescriptor(connection, func(descriptor int) {
+		events, pollErr := poll(descriptor, unix.POLLRDHUP)
+		// Where the system cannot tell, the end is seen once it is read.
+		closed = pollErr == nil && events != 0
+	})
+	return err != nil || closed
+}
+
+// poll returns which events hold for a descriptor, errors among them, without waiting.
+func poll(descriptor int, events int16) (int16, error) {
+	polled := []unix.PollFd{{Fd: int32(descriptor), Events: events}}
+	for {
+		_, err := unix.Poll(polled, 0)
+		if !errors.Is(err, unix.EINTR) {
+			return polled[0].Revents, err
+		}
+	}
+}
+
 // Unread returns how many bytes of a connection have arrived and were not read yet. It
 // returns an error if the connection is closed or the number is unknown.
 func Unread(connection net.Conn) (int, error) {
@@ -54,11 +77,9 @@
 // HasQueued reports whether a connection waits to be accepted by a listener. It returns an
 // error if that is unknown.
 func HasQueued(listener net.Listener) (bool, error) {
-	count, pollErr := 0, error(nil)
-	err := withDescriptor(listener, func(descriptor int) {
-		count, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
-	})
-	return count > 0, errors.Join(err, pollErr)
+	events, pollErr := int16(0), error(nil)
+	err := withDescriptor(listener, func(descriptor int) { events, pollErr = poll(descriptor, unix.POLLIN) })
+	return events != 0, errors.Join(err, pollErr)
 }
 
 // withDescriptor calls use with the descriptor of a connection or listener. It returns an
--- a/internal/node/connection_acceptor.go
+++ b/internal/node/connection_acceptor.go
@@ -209,7 +209,7 @@
 		return true
 	}
 	connection, ok := ctx.Value(connectionKey{}).(callerConnection)
-	return ok && socket.Peek(connection.Conn) == socket.Closed
+	return ok && socket.ClosedByPeer(connection.Conn)
 }
 
 // Shutdown waits for the calls in flight, and closes what is still open when the
--- a/internal/node/departed_caller_test.go
+++ b/internal/node/departed_caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -43,6 +44,10 @@
 	}{
 		{"waiting", func(*net.TCPConn) error { return nil }, false},
 		{"sent more", func(caller *net.TCPConn) error { _, err := caller.Write([]byte("GET")); return err }, false},
+		{"sent more and closed", func(caller *net.TCPConn) error {
+			_, err := caller.Write([]byte("GET"))
+			return errors.Join(err, caller.Close())
+		}, true},
 		{"closed", func(caller *net.TCPConn) error { return caller.Close() }, true},
 		{"reset", func(caller *net.TCPConn) error { _ = caller.SetLinger(0); return caller.Close() }, true},
 	}
--- a/internal/node/late_call_test.go
+++ b/internal/node/late_call_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -43,6 +44,17 @@
 // Guards against calls that run for callers that had left before the node read the call
 // (GONE). The processor lag says nothing of them: the node itself is not busy.
 func TestCallReadAfterItsCallerLeftIsNotSent(t *testing.T) {
+	texts := map[string]string{
+		"lookup":       "GET /visits/7 HTTP/1.1\r\nHost: visits.example\r\n\r\n",
+		"upload":       "POST /photos/7 HTTP/1.1\r\nHost: visits.example\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("photo", 10_000),
+		"whole upload": "POST /photos/7 HTTP/1.1\r\nHost: visits.example\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("photo", 20_000),
+	}
+	for name, text := range texts {
+		t.Run(name, func(t *testing.T) { testCallReadAfterItsCallerLeft(t, text) })
+	}
+}
+
+func testCallReadAfterItsCallerLeft(t *testing.T, text string) {
 	g := gomega.NewWithT(t)
 	held, target := &heldListener{Listener: listen(t), released: make(chan struct{})}, &visits{}
 	entry := runHost(t, newRoutedNode(t, "one", "subsidios", http.NotFoundHandler()), node.Listeners{Callers: held, Target: listen(t), Peers: listen(t)})
@@ -51,7 +63,7 @@
 	for range departedCallers {
 		caller, err := net.Dial("tcp", held.Addr().String())
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		_, err = caller.Write([]byte("GET /visits/7 HTTP/1.1\r\nHost: visits.example\r\n\r\n"))
+		_, err = caller.Write([]byte(text))
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(caller.Close()).To(gomega.Succeed())
 	}
