--- a/internal/host/platform_test.go
+++ b/internal/host/platform_test.go
@@ -174,13 +174,27 @@
 			Should(gomega.Equal("visits.example/visits/7?full=1"), "host %d", index)
 	}
 
+	for name, foreign := range foreignAnnouncements() {
+		cluster.Expect(cluster.platforms[0].targets.Announce(context.Background(), foreign)).To(gomega.Equal(presence.Foreign), name)
+	}
+	status, _ := cluster.get(0)
+	cluster.Expect(status).To(gomega.Equal(http.StatusOK), "the target takes calls after foreign announcements")
+
 	for index, stub := range cluster.platforms[:2] {
 		stub.targets.Announce(context.Background(), announcement(index, 2, true))
 	}
-	status, _ := cluster.get(0)
+	status, _ = cluster.get(0)
 	cluster.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable), "an acknowledged drain takes effect at once")
 }
 
+// foreignAnnouncements are later than those of the first host's target, and of others.
+func foreignAnnouncements() map[string]presence.Announcement {
+	elsewhere, nobody := announcement(7, 1, false), announcement(8, 1, false)
+	elsewhere.StartMillis, elsewhere.Address = 2, "192.0.2.1:8080"
+	nobody.StartMillis, nobody.Service = 2, "nobody"
+	return map[string]presence.Announcement{"of another address": elsewhere, "of a service that is not configured": nobody}
+}
+
 func announcement(index, sequence int, draining bool) presence.Announcement {
 	return presence.Announcement{
 		Instance: request.InstanceID(fmt.Sprintf("instance-%d", index)), StartMillis: 1, Sequence: presence.Sequence(sequence),
