Say why a call was refused whose end could not be looked up

The refusal of a call whose confirmation failed at the node of the target was logged as caller-left without a word of why. Its detail states the error now. No decision changes.

--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -419,9 +419,12 @@
 		if !time.Now().Before(inbound.work.Deadline) {
 			return web.NewRefusal(request.DeadlineTooClose, "")
 		}
-		if ctx.Err() != nil || errors.Is(err, errCallerLeft) {
+		if ctx.Err() != nil {
 			return abandonedRefusal(ctx)
 		}
+		if errors.Is(err, errCallerLeft) {
+			return web.NewRefusal(request.CallerLeft, err.Error())
+		}
 		if errors.Is(err, errTargetGone) {
 			return web.NewRefusal(request.Draining, errTargetGone.Error())
 		}
