Log that the clock of the host cannot be read

A host whose clock cannot be read counted no time under way of calls, in silence. It is logged once at the start now. The close of a cancelled stream says why its error is ignored.

--- a/internal/adapter/peer/accept.go
+++ b/internal/adapter/peer/accept.go
@@ -13,6 +13,7 @@
 
 // Serve accepts connections until the context ends or the listener fails.
 func (transport *Transport) Serve(ctx context.Context, listener net.Listener) error {
+	transport.checkHostTime()
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	for {
--- a/internal/adapter/peer/exchange.go
+++ b/internal/adapter/peer/exchange.go
@@ -235,6 +235,7 @@
 
 // cancel cancels the call at the peer, and ends the wait for its answer.
 func (exchange *Exchange) cancel() {
+	// A stream that cannot be closed belongs to a connection that has ended.
 	_ = exchange.stream.closeReadingUntil(time.Now().Add(lateAnswerTime))
 }
 
