Keep the target of a host whose clock was set back

Change: a start in the future is foreign only beside another run with a likely one, and gives way to such a run.

TestStartInFutureOfOnlyRunCounts failed in five of its six cases before and passes since; the cases of foreign announcements are as they were.

--- a/internal/core/presence/presence.go
+++ b/internal/core/presence/presence.go
@@ -9,7 +9,9 @@
 //
 // An announcement may come from another writer, which mistakes this host for another one or
 // makes it up. It is foreign, and changes nothing, if it states another address than that of
-// the local target, or a start in the future: no later run could replace that one.
+// the local target. So it is if it states a start in the future, which no later run could
+// replace, while another run is current. Where no other run is known, the clock of the host
+// may have been set back, and it counts until one with a likely start comes.
 //
 // A process that has just started does not know which runs drained or were withdrawn
 // before. An announcement of a run that is older than the process may be a late one of
@@ -130,10 +132,10 @@
 	if withdrawn, ok := presence.withdrawn[announcement.Instance]; ok && (withdrawn.startMillis == 0 || announcement.StartMillis <= withdrawn.startMillis) {
 		return Outdated
 	}
-	if presence.known && !presence.isNewer(announcement) {
+	if presence.known && !presence.isNewer(now, announcement) {
 		return Outdated
 	}
-	sameRun := presence.known && announcement.Instance == presence.current.Instance && announcement.StartMillis == presence.current.StartMillis
+	sameRun := presence.known && announcement.sameRun(presence.current)
 	if sameRun && presence.current.Draining {
 		// A run that drains takes no work again.
 		announcement.Draining = true
@@ -147,7 +149,16 @@
 	if presence.Address != "" && announcement.Address != "" && announcement.Address != presence.Address {
 		return true
 	}
-	return int64(announcement.StartMillis) > now.Add(maxClockDifference).UnixMilli()
+	hasOther := presence.known && !presence.currentWithdrawn && !presence.current.sameRun(announcement)
+	return hasOther && announcement.StartMillis.inFuture(now) && !presence.current.StartMillis.inFuture(now)
+}
+
+func (start StartMillis) inFuture(now time.Time) bool {
+	return int64(start) > now.Add(maxClockDifference).UnixMilli()
+}
+
+func (announcement Announcement) sameRun(other Announcement) bool {
+	return announcement.Instance == other.Instance && announcement.StartMillis == other.StartMillis
 }
 
 // mayBeLate reports whether an announcement may have been sent before this process
@@ -168,8 +179,7 @@
 // Confirm records that the target itself has confirmed an announcement, and reports
 // whether that changed anything: the run may not be current any more.
 func (presence *Presence) Confirm(announcement Announcement) bool {
-	sameRun := presence.current.Instance == announcement.Instance && presence.current.StartMillis == announcement.StartMillis
-	if !sameRun || !presence.unconfirmed || presence.currentWithdrawn {
+	if !presence.current.sameRun(announcement) || !presence.unconfirmed || presence.currentWithdrawn {
 		return false
 	}
 	presence.unconfirmed = false
@@ -177,8 +187,11 @@
 }
 
 // isNewer reports whether an announcement replaces the current one.
-func (presence *Presence) isNewer(announcement Announcement) bool {
+func (presence *Presence) isNewer(now time.Time, announcement Announcement) bool {
 	current := presence.current
+	if current.StartMillis.inFuture(now) && !announcement.StartMillis.inFuture(now) {
+		return true
+	}
 	if announcement.StartMillis != current.StartMillis {
 		return announcement.StartMillis > current.StartMillis
 	}
--- a/internal/core/presence/presence_test.go
+++ b/internal/core/presence/presence_test.go
@@ -125,3 +125,41 @@
 		})
 	}
 }
+
+// Guards against a target that is lost because the clock of its host was set back: its start
+// lies in the future then, and so it did for a writer that made one up.
+func TestStartInFutureOfOnlyRunCounts(t *testing.T) {
+	future := presence.StartMillis(noon.Add(time.Hour).UnixMilli())
+	past := presence.StartMillis(noon.Add(-time.Hour).UnixMilli())
+	cases := []struct {
+		name     string
+		arrivals []presence.Announcement
+		withdraw request.InstanceID
+		last     presence.Announcement
+		verdict  presence.Verdict
+		current  request.InstanceID
+	}{
+		{"the only run", nil, "", announcement("a", future, 1), presence.Accepted, "a"},
+		{"the same run goes on", []presence.Announcement{announcement("a", future, 1)}, "", announcement("a", future, 2), presence.Accepted, "a"},
+		{"the next run", []presence.Announcement{announcement("a", future, 1)}, "", announcement("b", future+1, 1), presence.Accepted, "b"},
+		{"after the run before was withdrawn", []presence.Announcement{announcement("a", past, 1)}, "a", announcement("b", future, 1), presence.Accepted, "b"},
+		{"beside a run with a likely start", []presence.Announcement{announcement("a", past, 1)}, "", announcement("z", future, 1), presence.Foreign, "a"},
+		{"before a run with a likely start", []presence.Announcement{announcement("z", future, 1)}, "", announcement("a", past, 1), presence.Accepted, "a"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			expect := gomega.NewWithT(t).Expect
+			local := &presence.Presence{}
+			for _, arrival := range test.arrivals {
+				expect(local.Announce(noon, arrival)).To(gomega.Equal(presence.Accepted))
+			}
+			if test.withdraw != "" {
+				local.Withdraw(noon, test.withdraw)
+			}
+			expect(local.Announce(noon, test.last)).To(gomega.Equal(test.verdict))
+			current, serving := local.Current()
+			expect(current.Instance).To(gomega.Equal(test.current))
+			expect(serving).To(gomega.BeTrue())
+		})
+	}
+}
