--- a/internal/adapter/peer/confirm_test.go
+++ b/internal/adapter/peer/confirm_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -29,26 +28,12 @@
 
 func startConfirmFixture(t *testing.T) *confirmFixture {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	fixture := &confirmFixture{
 		client:  &Transport{Self: Hello{Node: "one"}},
-		address: Address(listener.Addr().String()),
 		arrived: make(chan arrivedCall, 1),
 		proceed: make(chan struct{}),
 	}
-	server := &Transport{Self: Hello{Node: "two"}, Handlers: map[StreamKind]Handler{KindCall: ServeCalls(fixture.serve)}}
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(ctx, listener) }()
-	t.Cleanup(func() {
-		stop()
-		_ = fixture.client.Close()
-		_ = server.Close()
-		<-ended
-	})
+	fixture.address = startCallServer(t, fixture.client, fixture.serve)
 	return fixture
 }
 
--- a/internal/adapter/peer/silence_test.go
+++ b/internal/adapter/peer/silence_test.go
@@ -49,28 +49,34 @@
 
 func startSilenceFixture(t *testing.T) *silenceFixture {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	fixture := &silenceFixture{
-		address: Address(listener.Addr().String()),
 		conns:   make(chan *pausableConn, 4),
 		started: make(chan struct{}),
 		finish:  make(chan struct{}),
 	}
-	server := &Transport{Self: Hello{Node: "two"}, Handlers: map[StreamKind]Handler{KindCall: ServeCalls(fixture.serve)}}
 	fixture.client = &Transport{Self: Hello{Node: "one"}, PingInterval: 30 * time.Millisecond, Dial: fixture.dial}
+	fixture.address = startCallServer(t, fixture.client, fixture.serve)
+	return fixture
+}
+
+// startCallServer serves calls until the test ends, and then closes the client as well.
+func startCallServer(t *testing.T, client *Transport, serve CallHandler) Address {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &Transport{Self: Hello{Node: "two"}, Handlers: map[StreamKind]Handler{KindCall: ServeCalls(serve)}}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(ctx, listener) }()
 	t.Cleanup(func() {
 		stop()
-		_ = fixture.client.Close()
+		_ = client.Close()
 		_ = server.Close()
 		<-ended
 	})
-	return fixture
+	return Address(listener.Addr().String())
 }
 
 func (fixture *silenceFixture) dial(ctx context.Context, address Address) (net.Conn, error) {
--- a/internal/core/admission/chain_test.go
+++ b/internal/core/admission/chain_test.go
@@ -52,6 +52,27 @@
 	return popped
 }
 
+// waitingCalls holds the callbacks that get the decisions on queued calls.
+type waitingCalls map[request.CallID]func(admission.Decision)
+
+// await passes a decision on, at once or when it comes.
+func (waiting waitingCalls) await(call request.CallID, decision admission.Decision, onDecision func(admission.Decision)) {
+	if decision.Verdict == admission.Wait {
+		waiting[call] = onDecision
+		return
+	}
+	onDecision(decision)
+}
+
+// deliver passes on the decisions that have come.
+func (waiting waitingCalls) deliver(notices []admission.Notice) {
+	for _, notice := range notices {
+		onDecision := waiting[notice.Call]
+		delete(waiting, notice.Call)
+		onDecision(notice.Decision)
+	}
+}
+
 // instance is one target with its node.
 type instance struct {
 	gate        gate
--- a/internal/core/admission/customers_test.go
+++ b/internal/core/admission/customers_test.go
@@ -20,7 +20,7 @@
 type customerLoad struct {
 	*chain
 	gate    *admission.Gate
-	waiting map[request.CallID]func(admission.Decision)
+	waiting waitingCalls
 	// excess tells how far a call lies over the share of its customer, and divide is called
 	// ten times a second. Nil means that customers are not told apart.
 	excess   func(request.Work) request.Excess
@@ -48,7 +48,7 @@
 	load := &customerLoad{
 		chain:   &chain{now: epoch, random: rand.New(rand.NewPCG(7, 9))},
 		gate:    &admission.Gate{Slots: customerSlots, Warm: true},
-		waiting: map[request.CallID]func(admission.Decision){},
+		waiting: waitingCalls{},
 		held:    map[request.CustomerName]int{},
 		asked:   map[request.CustomerName]int{},
 		served:  map[request.CustomerName]int{},
@@ -86,7 +86,7 @@
 func (load *customerLoad) run(rates map[request.CustomerName]float64) {
 	var tick func()
 	tick = func() {
-		load.deliver(load.gate.Tick(load.now, nil))
+		load.waiting.deliver(load.gate.Tick(load.now, nil))
 		load.schedule(10*time.Millisecond, tick)
 	}
 	var divide func()
@@ -138,24 +138,12 @@
 			if counted {
 				load.served[customer]++
 			}
-			load.deliver(load.gate.Finish(load.now, work.Call, admission.Sample{Latency: latency, Result: admission.Succeeded}, nil))
+			load.waiting.deliver(load.gate.Finish(load.now, work.Call, admission.Sample{Latency: latency, Result: admission.Succeeded}, nil))
 		})
 	}
 	decision, notices := load.gate.Arrive(load.now, work, nil)
-	load.deliver(notices)
-	if decision.Verdict == admission.Wait {
-		load.waiting[work.Call] = onDecision
-		return
-	}
-	onDecision(decision)
-}
-
-func (load *customerLoad) deliver(notices []admission.Notice) {
-	for _, notice := range notices {
-		onDecision := load.waiting[notice.Call]
-		delete(load.waiting, notice.Call)
-		onDecision(notice.Decision)
-	}
+	load.waiting.deliver(notices)
+	load.waiting.await(work.Call, decision, onDecision)
 }
 
 // sortedCustomers makes the runs of a load alike.
--- a/internal/core/admission/limited_targets_test.go
+++ b/internal/core/admission/limited_targets_test.go
@@ -29,7 +29,7 @@
 type limitedTarget struct {
 	*admission.Gate
 	limit    request.Rate
-	waiting  map[request.CallID]func(admission.Decision)
+	waiting  waitingCalls
 	admitted []time.Time
 }
 
@@ -52,13 +52,13 @@
 	}
 	view := balancer.View{Service: "agenda"}
 	for index, limit := range limits {
-		target := &limitedTarget{Gate: &admission.Gate{Slots: limitedSlots, Warm: true}, limit: limit, waiting: map[request.CallID]func(admission.Decision){}}
+		target := &limitedTarget{Gate: &admission.Gate{Slots: limitedSlots, Warm: true}, limit: limit, waiting: waitingCalls{}}
 		service.targets = append(service.targets, target)
 		place := request.Place{Region: "norte", Domain: request.DomainName(fmt.Sprint("domain-", index))}
 		view.Targets = append(view.Targets, balancer.Target{Node: request.NodeID(fmt.Sprint(index)), Address: fmt.Sprint(index), Place: place, Slots: limitedSlots})
 		var tick func()
 		tick = func() {
-			target.deliver(target.Tick(service.now, nil))
+			target.waiting.deliver(target.Tick(service.now, nil))
 			service.schedule(10*time.Millisecond, tick)
 		}
 		service.schedule(time.Duration(index)*time.Millisecond, tick)
@@ -71,14 +71,6 @@
 	return service
 }
 
-func (target *limitedTarget) deliver(notices []admission.Notice) {
-	for _, notice := range notices {
-		onDecision := target.waiting[notice.Call]
-		delete(target.waiting, notice.Call)
-		onDecision(notice.Decision)
-	}
-}
-
 // run offers calls at a rate; one in four is more important.
 func (service *limitedService) run(perSecond float64) {
 	at := time.Duration(0)
@@ -144,14 +136,14 @@
 		target.admitted = append(target.admitted, handedAt)
 		service.schedule(time.Duration(float64(limitedOwnTime)*(0.5+service.random.Float64())), func() {
 			sample := admission.Sample{Latency: service.now.Sub(handedAt), Result: admission.Succeeded}
-			target.deliver(target.Finish(service.now, work.Call, sample, nil))
+			target.waiting.deliver(target.Finish(service.now, work.Call, sample, nil))
 			stated := admission.RateStatement{Limited: target.limit >= 0, Limit: target.limit, HandedAt: handedAt}
-			target.deliver(target.RecordRate(service.now, stated, nil))
+			target.waiting.deliver(target.RecordRate(service.now, stated, nil))
 			answer(request.OK)
 		})
 	}
 	decision, notices := target.Arrive(service.now, work, nil)
-	target.deliver(notices)
+	target.waiting.deliver(notices)
 	if decision.Verdict == admission.Wait {
 		target.waiting[work.Call] = onDecision
 		return
--- a/internal/core/admission/trees_test.go
+++ b/internal/core/admission/trees_test.go
@@ -16,10 +16,9 @@
 // tree fails if one of its lookups is refused or late.
 type treeLoad struct {
 	*chain
-	random *rand.Rand
-	gates  []*admission.Gate
-	// waiting holds the callbacks that get the decisions on queued lookups.
-	waiting map[request.CallID]func(admission.Decision)
+	random  *rand.Rand
+	gates   []*admission.Gate
+	waiting waitingCalls
 	// sharedPriority gives the lookups of a tree the bucket of the tree and the
 	// time already spent on it; otherwise each lookup has a bucket of its own.
 	sharedPriority bool
@@ -46,7 +45,7 @@
 		trees.gates = append(trees.gates, gate)
 		var tick func()
 		tick = func() {
-			trees.applyNotices(gate.Tick(trees.now, nil))
+			trees.waiting.deliver(gate.Tick(trees.now, nil))
 			trees.schedule(10*time.Millisecond, tick)
 		}
 		trees.schedule(time.Duration(index)*time.Millisecond, tick)
@@ -83,33 +82,21 @@
 		}
 		latency := time.Duration(float64(meanLookupTime) * (0.5 + trees.random.Float64()))
 		trees.schedule(latency, func() {
-			trees.applyNotices(gate.Finish(trees.now, work.Call, admission.Sample{Latency: latency, Result: admission.Succeeded}, nil))
+			trees.waiting.deliver(gate.Finish(trees.now, work.Call, admission.Sample{Latency: latency, Result: admission.Succeeded}, nil))
 			if trees.now.Before(work.Deadline) {
 				trees.lookup(enteredAt, bucket, left-1)
 			}
 		})
 	}
 	decision, notices := gate.Arrive(trees.now, work, nil)
-	trees.applyNotices(notices)
-	if decision.Verdict == admission.Wait {
-		trees.waiting[work.Call] = onDecision
-		return
-	}
-	onDecision(decision)
-}
-
-func (trees *treeLoad) applyNotices(notices []admission.Notice) {
-	for _, notice := range notices {
-		onDecision := trees.waiting[notice.Call]
-		delete(trees.waiting, notice.Call)
-		onDecision(notice.Decision)
-	}
+	trees.waiting.deliver(notices)
+	trees.waiting.await(work.Call, decision, onDecision)
 }
 
 // runTrees is the number of trees that succeed, relative to what the targets can
 // serve.
 func runTrees(sharedPriority bool, load float64) float64 {
-	trees := &treeLoad{chain: &chain{now: epoch}, random: rand.New(rand.NewPCG(1, 2)), waiting: map[request.CallID]func(admission.Decision){}, sharedPriority: sharedPriority}
+	trees := &treeLoad{chain: &chain{now: epoch}, random: rand.New(rand.NewPCG(1, 2)), waiting: waitingCalls{}, sharedPriority: sharedPriority}
 	trees.run(load)
 	capacity := loadTime.Seconds() * targetCount * slotsPerTarget / (lookupsPerTree * meanLookupTime.Seconds())
 	return float64(trees.succeeded) / capacity
