Send twice as many requests in the case of the planned stop

On a slower machine more than 20 ms could pass between two connections, at which the node closes its listener at once and the case shows nothing.

--- a/review/standin/planned_stop.go
+++ b/review/standin/planned_stop.go
@@ -63,12 +63,12 @@
 	return judgeLost(run, results, began.Add(time.Second), instances), nil
 }
 
-// steadyRequests sends a request each 12 ms for a time and returns all outcomes.
+// steadyRequests sends a request each 6 ms for a time and returns all outcomes.
 func steadyRequests(cluster *cluster, at *machine, watch *readinessWatch, length time.Duration) []outcome {
 	var lock sync.Mutex
 	var results []outcome
 	group := sync.WaitGroup{}
-	for began := time.Now(); time.Since(began) < length; time.Sleep(12 * time.Millisecond) {
+	for began := time.Now(); time.Since(began) < length; time.Sleep(6 * time.Millisecond) {
 		if !watch.getsWork() {
 			continue
 		}
