--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -75,14 +75,14 @@
 	result, err := cases[os.Args[1]](run)
 	switch {
 	case err != nil:
-		run.note("could not run: %v", err)
+		run.end("could not run: %v", err)
 		return fail(err)
 	case result.broken:
-		run.note("BROKEN: %s", result.reason)
+		run.end("BROKEN: %s", result.reason)
 		fmt.Println("BROKEN:", result.reason)
 		return 1
 	}
-	run.note("HELD: %s", result.reason)
+	run.end("HELD: %s", result.reason)
 	fmt.Println("HELD:", result.reason)
 	return 0
 }
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -15,6 +15,7 @@
 	lock  sync.Mutex
 	file  *os.File
 	lines *bufio.Writer
+	ended bool
 }
 
 func newRecord(path string) (*record, error) {
@@ -28,6 +29,22 @@
 func (record *record) note(format string, values ...any) {
 	record.lock.Lock()
 	defer record.lock.Unlock()
+	if record.ended {
+		return
+	}
+	record.write(format, values...)
+}
+
+// end writes the last line.
+func (record *record) end(format string, values ...any) {
+	record.lock.Lock()
+	defer record.lock.Unlock()
+	record.write(format, values...)
+	record.ended = true
+}
+
+// write writes a line. The lock is held.
+func (record *record) write(format string, values ...any) {
 	_, _ = fmt.Fprintf(record.lines, "%9.3f ", time.Since(record.began).Seconds())
 	_, _ = fmt.Fprintf(record.lines, format+"\n", values...)
 }
