--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the review's scripts. Run after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-GOWORK=off go build -o ../../target/review-standin .
+GOWORK=off go build -buildvcs=false -o ../../target/review-standin .
