Refuse calls that a planned stop would cut

Cause: the node knows from the SIGTERM on when it ends its calls, but only the end of the stop looked at that. Nothing between reading a call and handing it over compared what the call needs with what is left. Evidence: one call comes each 6 ms and takes 2.4 s; those read later than 5.3 s less 2.4 s are cut, and none before.

Change: before each attempt the node compares the time left with the latency of recent calls of the kind (new core/latency; rule in core/drain), stricter for calls that may not be repeated. A call that would be cut is refused as not run (2017), with a Retry-After that names when the next process will be ready. The patience that a call states leaves time to run it.

The tests fail before: TestStoppingNodeRefusesCallsThatItWouldCut, TestNodeThatWaitsForItsTargetRefusesCallsThatItWouldCut and TestStoppingNodeBeginsNoAttemptThatItWouldCut expect 503 and get 200.

--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -6,6 +6,9 @@
 // when the last request has ended. [Drain.EndEarly], called on a second signal, or
 // the timeout ends the wait before that.
 //
+// Callers that do not know yet that the node leaves still send it calls to pass on. A
+// [Forecast] tells which of them end before the node stops.
+//
 // # Usage
 //
 //	tracker := &drain.Drain{Timeout: 10 * time.Minute}
@@ -17,6 +20,11 @@
 //	tracker.Begin(now) // on SIGTERM, or when the platform drains the node
 //	for !tracker.Done(now) { ... }
 //
+//	forecast := drain.Forecast{Bound: deadline.Sub(now), Recent: estimate}
+//	if forecast.Duration() > stopAt.Sub(now) {
+//		return request.Stopping
+//	}
+//
 // All methods are safe for concurrent use.
 package drain
 
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -74,10 +75,12 @@
 func (node *Node) finishCall(ctx context.Context, writer http.ResponseWriter, outbound *outboundCall, attempt *attempt) {
 	node.logCallEnd(outbound, attempt)
 	if attempt.refusal != nil {
+		node.recordDuration(outbound, attempt)
 		node.refuse(writer, outbound.refusalForCaller(attempt.refusal))
 		return
 	}
 	node.deliver(ctx, writer, outbound, attempt)
+	node.recordDuration(outbound, attempt)
 }
 
 // maxMoves bounds how often a call is offered to another target after the node of one
@@ -198,9 +201,12 @@
 		return
 	}
 	drawn := outbound.retryAfter(now)
-	if refusal.Code == request.RateLimited {
+	switch refusal.Code {
+	case request.RateLimited:
 		// There is no room sooner than that.
 		drawn = max(drawn, refusal.RetryAfter)
+	case request.Stopping:
+		drawn += refusal.RetryAfter
 	}
 	refusal.RetryAfter = drawn
 }
@@ -253,6 +259,9 @@
 		attempt.refusal = web.NewRefusal(request.CallerLeft, "")
 		return attempt
 	}
+	if attempt.refusal = node.refuseBeforeStop(attempt.started, outbound); attempt.refusal != nil {
+		return attempt
+	}
 	if !outbound.kind.Routed && node.admissionControl.downstreamRefuses(attempt.started, outbound) {
 		attempt.refusal = web.NewRefusal(request.OverloadedBelow, "")
 		attempt.refusal.RetryAfter = admission.RetryAfter(outbound.work.Priority)
@@ -378,7 +387,7 @@
 		RequestId:            outbound.requestID,
 		Customer:             string(outbound.work.Customer),
 		ObjectiveUs:          outbound.kind.Objective.Microseconds(),
-		PatienceUs:           node.patience(outbound).Microseconds(),
+		PatienceUs:           node.patience(attempt.started, outbound).Microseconds(),
 		Repeat:               outbound.retried || outbound.inherited,
 		KnownTarget:          node.peerTargets.find(attempt.choice.Target.Node),
 		Movable:              outbound.kind.Routed && outbound.moves < maxMoves && attempt.choice.HasAlternative && !outbound.body.cannotResend(),
@@ -391,14 +400,23 @@
 const entryPatienceShare = 0.6
 
 // patience is how long the call may wait for a slot, or zero where its kind has no
-// objective.
-func (node *Node) patience(outbound *outboundCall) time.Duration {
+// objective. While this node stops, time is left to run the call after its wait.
+func (node *Node) patience(now time.Time, outbound *outboundCall) time.Duration {
+	patience := outbound.kind.Objective
 	if node.entry.fromOutside(outbound.kind.Name) {
-		return time.Duration(entryPatienceShare * float64(outbound.kind.Objective))
+		patience = time.Duration(entryPatienceShare * float64(outbound.kind.Objective))
 	}
-	return outbound.kind.Objective
+	slack, stopping := node.stopSlack(now, outbound)
+	if !stopping {
+		return patience
+	}
+	slack = max(slack, minPatience)
+	return min(cmp.Or(patience, slack), slack)
 }
 
+// minPatience is the shortest patience that is stated; zero would mean none is.
+const minPatience = time.Millisecond
+
 // callFailure returns the refusal for a call whose exchange with the target's node
 // failed.
 func callFailure(ctx context.Context, outbound *outboundCall, err error) *web.Refusal {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -43,11 +43,11 @@
 	group.Add(func() error {
 		<-ctx.Done()
 		began := time.Now()
-		node.Drain.Begin(began)
 		if node.Grace > 0 {
 			deadline := began.Add(node.Grace - stopMargin)
 			node.stopDeadline.Store(&deadline)
 		}
+		node.Drain.Begin(began)
 		node.announceDrain()
 		node.linger(interrupted)
 		node.awaitIdle(interrupted)
--- /dev/null
+++ b/internal/node/export_test.go
@@ -0,0 +1,15 @@
+package node
+
+import (
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// RecordCalls records recent calls of a kind that took the given time, as if this node had
+// sent them on.
+func (node *Node) RecordCalls(kind request.KindName, service request.ServiceName, took time.Duration, count int) {
+	for range count {
+		node.recentCalls.Record(time.Now(), callClass{kind: kind, service: service}, took)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/balancer"
 	"github.com/magnoliawall/magnoliawall/internal/core/correlation"
 	"github.com/magnoliawall/magnoliawall/internal/core/drain"
+	"github.com/magnoliawall/magnoliawall/internal/core/latency"
 	"github.com/magnoliawall/magnoliawall/internal/core/quarantine"
 	"github.com/magnoliawall/magnoliawall/internal/core/retry"
 	"github.com/magnoliawall/magnoliawall/internal/core/schedlag"
@@ -125,6 +126,10 @@
 	peerTargets       peerTargets
 	stopDeadline      atomic.Pointer[time.Time]
 	newestPeerVersion atomic.Uint64
+	// recentCalls tells how long recent calls that this node sent on took, and readyAfter how
+	// long this node took to be ready, as a [time.Duration]. Both are used while it stops.
+	recentCalls latency.Table[callClass]
+	readyAfter  atomic.Int64
 }
 
 // connectionCheckInterval is the time between two checks of the idle connections to the
@@ -285,11 +290,13 @@
 	ticker, connections := time.NewTicker(gateTickInterval), time.NewTicker(connectionCheckInterval)
 	defer ticker.Stop()
 	defer connections.Stop()
+	startedAt := time.Now()
 	for {
 		select {
 		case now := <-ticker.C:
 			node.lagMonitor.RecordTick(time.Now())
 			node.applyConfiguration()
+			node.noteReady(startedAt, time.Now())
 			node.tickGate(now)
 		case now := <-connections.C:
 			node.Target.CloseUnusable(now)
--- /dev/null
+++ b/internal/node/patience_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// Guards against calls that wait at their target until the stop of the node that sent them
+// has no time left to run them (LOST).
+func TestPatienceLeavesTimeToRunBeforeStop(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	const objective, took = 3 * time.Second, time.Second
+	stops := []struct {
+		name      string
+		stopAfter time.Duration
+		objective time.Duration
+		patience  time.Duration
+	}{
+		{"not stopping", 0, objective, objective},
+		{"enough time", 10 * time.Second, objective, objective},
+		{"little time", 2500 * time.Millisecond, objective, 1500 * time.Millisecond},
+		{"no objective", 2500 * time.Millisecond, 0, 1500 * time.Millisecond},
+		{"no time", 500 * time.Millisecond, objective, minPatience},
+	}
+	for _, test := range stops {
+		t.Run(test.name, func(t *testing.T) {
+			node := &Node{}
+			outbound := &outboundCall{kind: &configuration.CompiledKind{Name: "visits", Repeat: request.Repeatable, Objective: test.objective}}
+			outbound.work.Deadline = now.Add(time.Minute)
+			node.recentCalls.Record(now, outbound.class(), took)
+			if test.stopAfter > 0 {
+				stop := now.Add(test.stopAfter)
+				node.stopDeadline.Store(&stop)
+			}
+			// The latency is rounded up to the width of a bucket.
+			gomega.NewWithT(t).Expect(node.patience(now, outbound)).To(gomega.And(
+				gomega.BeNumerically("<=", test.patience), gomega.BeNumerically(">=", min(test.patience, test.patience-took/16+minPatience))))
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/stopping.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"time"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
+	"github.com/magnoliawall/magnoliawall/internal/core/drain"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// callClass is a class of calls that take about as long: those of one kind to one service.
+type callClass struct {
+	kind    request.KindName
+	service request.ServiceName
+}
+
+func (outbound *outboundCall) class() callClass {
+	return callClass{kind: outbound.kind.Name, service: outbound.kind.Service}
+}
+
+// recordDuration records how long the last attempt of a call took, if its target worked on
+// it to the end or until the deadline.
+func (node *Node) recordDuration(outbound *outboundCall, attempt *attempt) {
+	if attempt.refusal != nil && attempt.refusal.Code != request.DeadlinePassed {
+		return
+	}
+	now := time.Now()
+	node.recentCalls.Record(now, outbound.class(), now.Sub(attempt.started))
+}
+
+// stopSlack returns how much longer than expected a call may take that begins now, before
+// the stop of this node ends it, and false if the node is not stopping. The slack is
+// negative if the stop will probably end the call.
+func (node *Node) stopSlack(now time.Time, outbound *outboundCall) (time.Duration, bool) {
+	left, stopping := node.timeUntilStop(now)
+	if !stopping {
+		return 0, false
+	}
+	repeatable := outbound.kind.Repeat == request.Repeatable
+	forecast := drain.Forecast{
+		Repeatable: repeatable,
+		Bound:      outbound.work.Deadline.Sub(now),
+		Objective:  outbound.kind.Objective,
+		Recent:     node.recentCalls.Estimate(now, outbound.class(), drain.LateShare(repeatable)),
+	}
+	return left - forecast.Duration(), true
+}
+
+// timeUntilStop returns how long calls may still take, and false if the node is not
+// stopping or has no grace time.
+func (node *Node) timeUntilStop(now time.Time) (time.Duration, bool) {
+	deadline := node.stopDeadline.Load()
+	if deadline == nil {
+		return 0, false
+	}
+	return deadline.Sub(now), true
+}
+
+// refuseBeforeStop refuses a call that the stop of this node would probably end. Nobody has
+// begun to work on it, so its caller may send it again once the process is back.
+func (node *Node) refuseBeforeStop(now time.Time, outbound *outboundCall) *web.Refusal {
+	slack, stopping := node.stopSlack(now, outbound)
+	if !stopping || slack >= 0 {
+		return nil
+	}
+	refusal := web.NewRefusal(request.Stopping, "")
+	refusal.RetryAfter = node.timeUntilRestarted(now)
+	return refusal
+}
+
+// timeUntilRestarted returns when the next process will be ready at the latest, if the end
+// of this one starts it: after the grace time, and the time that this one took to be ready.
+func (node *Node) timeUntilRestarted(now time.Time) time.Duration {
+	return node.stopDeadline.Load().Add(stopMargin).Sub(now) + time.Duration(node.readyAfter.Load())
+}
+
+// noteReady records how long the node took from its start until it was ready.
+func (node *Node) noteReady(startedAt, now time.Time) {
+	if node.readyAfter.Load() == 0 && node.Ready() {
+		node.readyAfter.Store(int64(now.Sub(startedAt)))
+	}
+}
--- /dev/null
+++ b/internal/node/stopping_test.go
@@ -0,0 +1,144 @@
+package node_test
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/drain"
+	"github.com/magnoliawall/magnoliawall/internal/node"
+	"github.com/magnoliawall/magnoliawall/internal/request"
+)
+
+// The grace time of a planned stop, and how long calls take that end within it and that do
+// not. All are so long that no verdict depends on how fast a test runs.
+const (
+	stopGrace      = 5 * time.Minute
+	endsInGrace    = 2 * time.Minute
+	outlastsGrace  = 8 * time.Minute
+	stoppedTimeout = "10m"
+)
+
+// startStoppableHost starts a host for a test that tells it to stop. It goes on serving
+// callers for the linger time, and for as long as its target works.
+func startStoppableHost(t testing.TB, id request.NodeID, linger time.Duration, target http.Handler) *host {
+	t.Helper()
+	text := strings.ReplaceAll(string(readRoutes(t)), `"timeout": "30s"`, `"timeout": "`+stoppedTimeout+`"`)
+	lingering := func(underTest *node.Node) { underTest.Linger, underTest.Grace = linger, stopGrace }
+	underTest := newNode(t, id, "agenda", target, nil, []byte(text), lingering)
+	listeners := node.Listeners{Callers: listen(t), Target: listen(t), Peers: listen(t)}
+	started := runHost(t, underTest, listeners)
+	// Ends the linger time, and with it the node.
+	t.Cleanup(func() { _ = listeners.Callers.Close() })
+	return started
+}
+
+// beginStop tells a host to stop and waits until its drain has begun.
+func (host *host) beginStop(g gomega.Gomega) {
+	host.stop()
+	g.Eventually(func() drain.State {
+		state, _ := host.node.Drain.State()
+		return state
+	}).WithTimeout(testTimeout).ShouldNot(gomega.Equal(drain.Running))
+}
+
+// expectStopping expects a refusal that says that the call has not run, and to come back
+// once the next process is up.
+func expectStopping(g gomega.Gomega, answer *http.Response, body []byte) {
+	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable), string(body))
+	g.Expect(string(body)).To(gomega.And(gomega.ContainSubstring(`"code":2017`), gomega.ContainSubstring(`"outcome":"not-run"`)))
+	seconds, err := strconv.Atoi(answer.Header.Get("Retry-After"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(time.Duration(seconds) * time.Second).To(gomega.BeNumerically("~", stopGrace, testTimeout))
+}
+
+// Guards against accepted calls that a planned stop cuts without an answer (LOST).
+func TestStoppingNodeRefusesCallsThatItWouldCut(t *testing.T) {
+	cases := []struct {
+		name, method, path string
+		kind               request.KindName
+		took               time.Duration
+		served             bool
+	}{
+		{"not repeatable, ends in time", http.MethodPost, "/visits/grants/7", "route/grants", endsInGrace, true},
+		{"not repeatable, would be cut", http.MethodPost, "/visits/grants/7", "route/grants", outlastsGrace, false},
+		{"repeatable, ends in time", http.MethodGet, "/visits/7", "route/visits", endsInGrace, true},
+		{"repeatable, would be cut", http.MethodGet, "/visits/7", "route/visits", outlastsGrace, false},
+		{"upload, ends in time", http.MethodPost, "/photos/7", "route/photos", endsInGrace, true},
+		{"upload, would be cut", http.MethodPost, "/photos/7", "route/photos", outlastsGrace, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			target := &visits{}
+			stopping, other := startStoppableHost(t, "one", stopGrace, http.NotFoundHandler()), startRoutedHost(t, "two", "agenda", target)
+			connectHosts(stopping, other)
+			stopping.node.SetLocalTarget(node.LocalTarget{Service: "agenda"})
+			stopping.node.RecordCalls(test.kind, "agenda", test.took, 100)
+			stopping.beginStop(g)
+			answer, body := sendCall(t, stopping.callers, "visits.example", test.method, test.path, strings.NewReader("grant"))
+			if test.served {
+				g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusOK), string(body))
+				return
+			}
+			expectStopping(g, answer, body)
+			g.Expect(target.arrived.Load()).To(gomega.BeZero())
+		})
+	}
+}
+
+// Guards against calls that are accepted late in the grace time, because the node waits for
+// its own target, and cut at its end (LOST).
+func TestNodeThatWaitsForItsTargetRefusesCallsThatItWouldCut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	working, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	own := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(working)
+		<-release
+	})
+	target := &visits{}
+	stopping, other := startStoppableHost(t, "one", 0, own), startRoutedHost(t, "two", "agenda", target)
+	connectHosts(stopping, other)
+	other.node.SetLocalTarget(node.LocalTarget{Service: "agenda"})
+	held := make(chan int)
+	go func() {
+		answer, _ := sendCall(t, other.callers, "visits.example", http.MethodGet, "/visits/1", nil)
+		held <- answer.StatusCode
+	}()
+	g.Eventually(working).WithTimeout(testTimeout).Should(gomega.BeClosed())
+	other.node.SetLocalTarget(node.LocalTarget{Service: "agenda", Serving: true})
+	stopping.node.RecordCalls("route/grants", "agenda", outlastsGrace, 100)
+	stopping.beginStop(g)
+	answer, body := sendCall(t, stopping.callers, "visits.example", http.MethodPost, "/visits/grants/7", strings.NewReader("grant"))
+	expectStopping(g, answer, body)
+	g.Expect(target.arrived.Load()).To(gomega.BeZero())
+	release <- struct{}{}
+	g.Eventually(held).WithTimeout(testTimeout).Should(gomega.Receive(gomega.Equal(http.StatusOK)))
+}
+
+// Guards against a second attempt that begins during a planned stop and is cut (LOST).
+func TestStoppingNodeBeginsNoAttemptThatItWouldCut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	arrived := atomic.Int64{}
+	var stopping *host
+	stopAndAbort := http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+		if arrived.Add(1) == 1 {
+			stopping.beginStop(g)
+			abortConnection(writer, incoming)
+		}
+	})
+	stopping = startStoppableHost(t, "one", stopGrace, http.NotFoundHandler())
+	first, second := startRoutedHost(t, "two", "agenda", stopAndAbort), startRoutedHost(t, "three", "agenda", stopAndAbort)
+	connectHosts(stopping, first, second)
+	stopping.node.SetLocalTarget(node.LocalTarget{Service: "agenda"})
+	stopping.node.RecordCalls("route/visits", "agenda", outlastsGrace, 100)
+	answer, body := sendCall(t, stopping.callers, "visits.example", http.MethodGet, "/visits/7", nil)
+	expectStopping(g, answer, body)
+	g.Expect(arrived.Load()).To(gomega.BeEquivalentTo(1))
+}
--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -38,6 +38,7 @@
 	OverQuota        Code = 2014
 	KeysUnconfirmed  Code = 2015
 	QuotaUnknown     Code = 2016
+	Stopping         Code = 2017
 
 	NoTarget          Code = 3001
 	TargetUnreachable Code = 3002
@@ -104,6 +105,7 @@
 	{OverQuota, "over-quota", http.StatusTooManyRequests, NotRun, false, true, time.Second, "the customer sends more requests per second than its quota"},
 	{KeysUnconfirmed, "keys-unconfirmed", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "the node has not reached the control plane for so long that the key may have been withdrawn"},
 	{QuotaUnknown, "quota-unknown", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "no replica answers whether the customer has quota left, and this node's own part of it is used up"},
+	{Stopping, "stopping", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "the node will stop before the call would have ended"},
 
 	{NoTarget, "no-target", http.StatusServiceUnavailable, NotRun, false, true, time.Second, "no target of the service is known in reach"},
 	{TargetUnreachable, "target-unreachable", http.StatusBadGateway, NotRun, true, true, time.Second, "the chosen target could not be reached"},
