Hand over no call that the stop of its target's node would cut

Callers saw (by reading, and by the test): a call of another host that waits for a slot at the target of a stopping node, or for its claim, gets it late in the grace time, runs, and is cut when the process ends, though another target could have taken it.

A draining node refuses new calls of its peers, but those that it had taken before wait at the gate as long as their patience lasts, and nothing looks at the time left when their turn comes.

Change: an admitted call is refused as draining, not run, if the target's recent runs of its kind take longer than what is left. Its caller's node sends it elsewhere.

TestStoppingNodeHandsOverNoCallThatItWouldCut fails before: two calls arrive at the target, one is expected.

--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -185,13 +185,17 @@
 	inbound.finishSuspect(inbound.runAtTarget(ctx))
 }
 
-// admit asks the gate for a slot at the target and then the quarantine guard. The
-// call counts as in flight at the target only after both agreed.
+// admit asks the gate for a slot at the target, whether time is left to run the call, and
+// then the quarantine guard. The call counts as in flight at the target only after all
+// agreed.
 func (inbound *inboundCall) admit(ctx context.Context) *web.Refusal {
 	if refusal := inbound.admitAtGate(ctx); refusal != nil {
 		return refusal
 	}
-	refusal := inbound.admitSuspect(ctx)
+	refusal := inbound.refuseBeforeStop(time.Now())
+	if refusal == nil {
+		refusal = inbound.admitSuspect(ctx)
+	}
 	if refusal != nil {
 		inbound.node.admissionControl.cancel(time.Now(), inbound.work.Call)
 	}
@@ -353,6 +357,9 @@
 		Result:         result,
 	}
 	run.ownTime = max(sample.Latency-sample.DownstreamTime, time.Microsecond)
+	if result == admission.Succeeded {
+		run.inbound.node.recentRuns.Record(now, run.inbound.kind.Name, sample.Latency)
+	}
 	run.inbound.node.admissionControl.finish(now, run.inbound.work.Call, sample)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,9 +126,11 @@
 	peerTargets       peerTargets
 	stopDeadline      atomic.Pointer[time.Time]
 	newestPeerVersion atomic.Uint64
-	// recentCalls tells how long recent calls that this node sent on took, and readyAfter how
-	// long this node took to be ready, as a [time.Duration]. Both are used while it stops.
+	// recentCalls tells how long recent calls that this node sent on took, recentRuns how
+	// long the local target took for recent calls, and readyAfter how long this node took to
+	// be ready, as a [time.Duration]. They are used while the node stops.
 	recentCalls latency.Table[callClass]
+	recentRuns  latency.Table[request.KindName]
 	readyAfter  atomic.Int64
 }
 
--- a/internal/node/stopping.go
+++ b/internal/node/stopping.go
@@ -80,3 +80,24 @@
 		node.readyAfter.Store(int64(now.Sub(startedAt)))
 	}
 }
+
+// refuseBeforeStop refuses an admitted call that the stop of this node would probably end
+// while the target works on it. It may have waited for a slot, or for its claim, since the
+// stop began, and goes to another target.
+func (inbound *inboundCall) refuseBeforeStop(now time.Time) *web.Refusal {
+	left, stopping := inbound.node.timeUntilStop(now)
+	if !stopping {
+		return nil
+	}
+	repeatable := inbound.kind.Repeat == request.Repeatable
+	forecast := drain.Forecast{
+		Repeatable: repeatable,
+		Bound:      inbound.work.Deadline.Sub(now),
+		Objective:  inbound.objective,
+		Recent:     inbound.node.recentRuns.Estimate(now, inbound.kind.Name, drain.LateShare(repeatable)),
+	}
+	if forecast.Duration() <= left {
+		return nil
+	}
+	return web.NewRefusal(request.Draining, "the node stops before the target would have answered")
+}
--- a/internal/node/stopping_test.go
+++ b/internal/node/stopping_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/magnoliawall/magnoliawall/internal/core/balancer"
 	"github.com/magnoliawall/magnoliawall/internal/core/drain"
 	"github.com/magnoliawall/magnoliawall/internal/node"
 	"github.com/magnoliawall/magnoliawall/internal/request"
@@ -26,11 +27,11 @@
 
 // startStoppableHost starts a host for a test that tells it to stop. It goes on serving
 // callers for the linger time, and for as long as its target works.
-func startStoppableHost(t testing.TB, id request.NodeID, linger time.Duration, target http.Handler) *host {
+func startStoppableHost(t testing.TB, id request.NodeID, linger time.Duration, target http.Handler, prepare ...func(*node.Node)) *host {
 	t.Helper()
 	text := strings.ReplaceAll(string(readRoutes(t)), `"timeout": "30s"`, `"timeout": "`+stoppedTimeout+`"`)
-	lingering := func(underTest *node.Node) { underTest.Linger, underTest.Grace = linger, stopGrace }
-	underTest := newNode(t, id, "agenda", target, nil, []byte(text), lingering)
+	prepare = append(prepare, func(underTest *node.Node) { underTest.Linger, underTest.Grace = linger, stopGrace })
+	underTest := newNode(t, id, "agenda", target, nil, []byte(text), prepare...)
 	listeners := node.Listeners{Callers: listen(t), Target: listen(t), Peers: listen(t)}
 	started := runHost(t, underTest, listeners)
 	// Ends the linger time, and with it the node.
@@ -142,3 +143,40 @@
 	expectStopping(g, answer, body)
 	g.Expect(arrived.Load()).To(gomega.BeEquivalentTo(1))
 }
+
+// Guards against calls that wait at the target of a stopping node, get their slot late and
+// are cut while they run (LOST). They go to another target.
+func TestStoppingNodeHandsOverNoCallThatItWouldCut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	arrived, release := atomic.Int64{}, make(chan struct{})
+	own := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if arrived.Add(1) == 1 {
+			<-release
+		}
+	})
+	other := &visits{}
+	oneSlot := func(underTest *node.Node) {
+		underTest.TargetAnnouncesItself = true
+		underTest.SetLocalTarget(node.LocalTarget{Service: "agenda", Slots: 1, Serving: true})
+	}
+	stopping, caller := startStoppableHost(t, "one", 0, own, oneSlot), startStoppableHost(t, "two", 0, other)
+	caller.node.Balancer.Update(time.Now(), balancer.View{Service: "agenda", Targets: []balancer.Target{stopping.target}})
+	statuses := make(chan string, 2)
+	call := func() {
+		answer, body := sendCall(t, caller.callers, "visits.example", http.MethodPost, "/visits/grants/7", strings.NewReader("grant"))
+		statuses <- answer.Status + string(body)
+	}
+	go call()
+	g.Eventually(arrived.Load).WithTimeout(testTimeout).Should(gomega.BeEquivalentTo(1))
+	go call()
+	g.Eventually(stopping.node.Waiting).WithTimeout(testTimeout).Should(gomega.Equal(1))
+	connectHosts(stopping, caller)
+	stopping.node.RecordCalls("route/grants", "agenda", outlastsGrace, 100)
+	stopping.beginStop(g)
+	close(release)
+	for range 2 {
+		g.Expect(<-statuses).To(gomega.Equal("200 OK"))
+	}
+	g.Expect(arrived.Load()).To(gomega.BeEquivalentTo(1))
+	g.Expect(other.arrived.Load()).To(gomega.BeEquivalentTo(1))
+}
