Answer the calls that a planned stop has to end

Callers saw: calls that are still in flight when the time of a planned stop is over had their connection closed. A closed connection does not tell whether the call may have run, nor does it differ from a crash.

Cause: the stop closes the connections of all calls at once at its deadline; the handlers that could say what is known of each call are not told.

Change: the contexts of callers' calls have one parent, which ends at the deadline. Handlers then answer 2017: not run where the call was not sent, else outcome unknown. Connections are closed 0.2 s later; the deadline itself and the end of the process stay.

TestCallsThatOutlastTheStopAreAnswered and TestDrainEndsCallsWhenTheirTimeIsOver need what the change adds; without the parent the first one never ends.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -242,6 +242,9 @@
 	if !hasLeft(ctx) {
 		return nil
 	}
+	if errors.Is(context.Cause(ctx), errStopped) {
+		return errStopped
+	}
 	node.noteDepartedCaller(ctx, outbound)
 	return errCallerLeft
 }
@@ -255,11 +258,11 @@
 		attempt.refusal = web.NewRefusal(request.DeadlineTooClose, "")
 		return attempt
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		attempt.refusal = web.NewRefusal(request.CallerLeft, "")
+	if attempt.refusal = node.refuseBeforeStop(attempt.started, outbound); attempt.refusal != nil {
 		return attempt
 	}
-	if attempt.refusal = node.refuseBeforeStop(attempt.started, outbound); attempt.refusal != nil {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		attempt.refusal = web.NewRefusal(request.CallerLeft, "")
 		return attempt
 	}
 	if !outbound.kind.Routed && node.admissionControl.downstreamRefuses(attempt.started, outbound) {
@@ -334,15 +337,19 @@
 	node.applyReport(outbound, attempt)
 	if answer.GetCode() != 0 {
 		attempt.refusal = refusalOf(answer)
-		correctDeadlineCode(outbound, attempt.refusal)
+		correctCallerLeft(ctx, outbound, attempt.refusal)
 	}
 }
 
-// correctDeadlineCode replaces caller-left by deadline-passed once the deadline has
-// passed: the target's node sees a closed stream in both cases.
-func correctDeadlineCode(outbound *outboundCall, refusal *web.Refusal) {
-	if refusal.Code == request.CallerLeft && !time.Now().Before(outbound.work.Deadline) {
+// correctCallerLeft replaces caller-left by what ended the call, if that was its deadline or
+// the stop of this node: the target's node sees a closed stream in all cases.
+func correctCallerLeft(ctx context.Context, outbound *outboundCall, refusal *web.Refusal) {
+	switch {
+	case refusal.Code != request.CallerLeft:
+	case !time.Now().Before(outbound.work.Deadline):
 		refusal.Code = request.DeadlinePassed
+	case errors.Is(context.Cause(ctx), errStopped):
+		refusal.Code = request.Stopping
 	}
 }
 
@@ -427,6 +434,8 @@
 		return refusal
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return withSentOutcome(web.NewRefusal(request.DeadlinePassed, ""), err)
+	case errors.Is(context.Cause(ctx), errStopped):
+		return withSentOutcome(web.NewRefusal(request.Stopping, "the time to finish calls is over"), err)
 	case ctx.Err() != nil, errors.Is(err, errCallerLeft):
 		return withSentOutcome(web.NewRefusal(request.CallerLeft, ""), err)
 	case errors.Is(err, peer.ErrIncompatible):
--- a/internal/node/connection_acceptor.go
+++ b/internal/node/connection_acceptor.go
@@ -24,6 +24,8 @@
 	limits func() configuration.Limits
 	// logProblem reports a problem that no caller can be told.
 	logProblem func(problem string, err error)
+	// base is the parent of the contexts of all calls; nil means that they have none.
+	base context.Context
 
 	// served is closed when Serve has returned.
 	served chan struct{}
@@ -167,6 +169,7 @@
 			IdleTimeout:       time.Duration(limits.IdleTimeout),
 			MaxHeaderBytes:    int(limits.MaxHeader),
 			ConnContext:       withConnection,
+			BaseContext:       acceptor.baseContext,
 		},
 		listener: handoffListener{address: address, connections: make(chan net.Conn), done: make(chan struct{})},
 	}
@@ -180,6 +183,13 @@
 	return server
 }
 
+func (acceptor *connectionAcceptor) baseContext(net.Listener) context.Context {
+	if acceptor.base == nil {
+		return context.Background()
+	}
+	return acceptor.base
+}
+
 // connectionKey is the context key of a call's connection.
 type connectionKey struct{}
 
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -46,6 +46,7 @@
 		if node.Grace > 0 {
 			deadline := began.Add(node.Grace - stopMargin)
 			node.stopDeadline.Store(&deadline)
+			node.endCallsAt(deadline)
 		}
 		node.Drain.Begin(began)
 		node.announceDrain()
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -19,3 +19,6 @@
 func (node *Node) Waiting() int {
 	return node.admissionControl.state(time.Now(), "").waiting
 }
+
+// EndCalls ends the calls in flight as at the end of the grace time.
+func (node *Node) EndCalls() { node.endCallsAt(time.Now()) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,10 +121,14 @@
 	claimedRuns      sync.WaitGroup
 	lastCallID       atomic.Uint64
 	// localTargetLock guards changes of localTarget.
-	localTargetLock   sync.Mutex
-	localTarget       atomic.Pointer[LocalTarget]
-	peerTargets       peerTargets
-	stopDeadline      atomic.Pointer[time.Time]
+	localTargetLock sync.Mutex
+	localTarget     atomic.Pointer[LocalTarget]
+	peerTargets     peerTargets
+	stopDeadline    atomic.Pointer[time.Time]
+	// calls is the parent of the contexts of the calls of this node's callers; endCalls ends
+	// it with its cause.
+	calls             context.Context
+	endCalls          context.CancelCauseFunc
 	newestPeerVersion atomic.Uint64
 	// recentCalls tells how long recent calls that this node sent on took, recentRuns how
 	// long the local target took for recent calls, and readyAfter how long this node took to
@@ -178,6 +182,7 @@
 	if node.Claims != nil {
 		node.claimDriver = newClaimDriver(node.ID, node.Claims, node.startAttempt)
 	}
+	node.calls, node.endCalls = context.WithCancelCause(context.Background())
 	node.lastCallID.Store(uint64(time.Now().UnixNano()))
 	if node.Transport.Handlers == nil {
 		node.Transport.Handlers = make(map[peer.StreamKind]peer.Handler)
@@ -223,6 +228,7 @@
 		return
 	}
 	acceptor := newConnectionAcceptor(node.closeWhileDraining(handler), node.limits, node.logProblem)
+	acceptor.base = node.calls
 	group.Add(func() error {
 		return acceptor.Serve(listener)
 	}, func(error) {
@@ -243,11 +249,12 @@
 	return node.Configuration.Current().Document.Limits
 }
 
-// shutDown lets the requests in flight end, within the grace time.
+// shutDown lets the requests in flight end, within the grace time, and those that it ends
+// be answered.
 func (node *Node) shutDown(acceptor *connectionAcceptor) {
 	ctx := context.Background()
 	if deadline := node.stopDeadline.Load(); deadline != nil {
-		bounded, cancel := context.WithDeadline(ctx, *deadline)
+		bounded, cancel := context.WithDeadline(ctx, deadline.Add(endedCallMargin))
 		defer cancel()
 		ctx = bounded
 	}
--- a/internal/node/patience_test.go
+++ b/internal/node/stop_time_test.go
@@ -1,12 +1,15 @@
 package node
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/oklog/run"
 	"github.com/onsi/gomega"
 
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
+	"github.com/magnoliawall/magnoliawall/internal/core/drain"
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
@@ -43,3 +46,18 @@
 		})
 	}
 }
+
+// Guards against a stop that leaves calls in flight until the process is killed (LOST): the
+// drain ends them when their time is over.
+func TestDrainEndsCallsWhenTheirTimeIsOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	node := &Node{Grace: stopMargin, Drain: &drain.Drain{}}
+	node.calls, node.endCalls = context.WithCancelCause(t.Context())
+	stopped, stop := context.WithCancel(t.Context())
+	stop()
+	group := run.Group{}
+	node.addDrain(stopped, &group)
+	g.Expect(group.Run()).To(gomega.Succeed())
+	g.Eventually(node.calls.Done()).WithTimeout(time.Minute).Should(gomega.BeClosed())
+	g.Expect(context.Cause(node.calls)).To(gomega.MatchError(errStopped))
+}
--- a/internal/node/stopping.go
+++ b/internal/node/stopping.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
@@ -8,6 +9,20 @@
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
+// errStopped is the cause of the end of the calls that are in flight when the time that a
+// stop leaves them is over.
+var errStopped = errors.New("the node stops")
+
+// endedCallMargin is the part of stopMargin in which the calls that a stop has ended are
+// answered.
+const endedCallMargin = 200 * time.Millisecond
+
+// endCallsAt ends all calls of callers at a time. They get a refusal that says whether they
+// may have run, which a closed connection does not tell.
+func (node *Node) endCallsAt(deadline time.Time) {
+	time.AfterFunc(time.Until(deadline), func() { node.endCalls(errStopped) })
+}
+
 // callClass is a class of calls that take about as long: those of one kind to one service.
 type callClass struct {
 	kind    request.KindName
--- a/internal/node/stopping_test.go
+++ b/internal/node/stopping_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -180,3 +181,26 @@
 	g.Expect(arrived.Load()).To(gomega.BeEquivalentTo(1))
 	g.Expect(other.arrived.Load()).To(gomega.BeEquivalentTo(1))
 }
+
+// Guards against calls that end without an answer because a stop leaves them no more time
+// (LOST): they are told that they may have run.
+func TestCallsThatOutlastTheStopAreAnswered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	working := make(chan struct{})
+	target := http.HandlerFunc(func(_ http.ResponseWriter, incoming *http.Request) {
+		_, _ = io.Copy(io.Discard, incoming.Body)
+		close(working)
+		<-incoming.Context().Done()
+	})
+	stopping, other := startStoppableHost(t, "one", stopGrace, http.NotFoundHandler()), startRoutedHost(t, "two", "agenda", target)
+	connectHosts(stopping, other)
+	stopping.node.SetLocalTarget(node.LocalTarget{Service: "agenda"})
+	go func() {
+		<-working
+		stopping.beginStop(g)
+		stopping.node.EndCalls()
+	}()
+	answer, body := sendCall(t, stopping.callers, "visits.example", http.MethodPost, "/visits/grants/7", strings.NewReader("grant"))
+	g.Expect(answer.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable), string(body))
+	g.Expect(string(body)).To(gomega.And(gomega.ContainSubstring(`"code":2017`), gomega.ContainSubstring(`"outcome":"unknown"`)))
+}
