Break off an answer without end at the operators' command line

Cause: the client read the response to its end, whatever its length.

Change: 64 MiB are read at most; then the command fails, and says to ask another node.

--- a/internal/adapter/operator/http.go
+++ b/internal/adapter/operator/http.go
@@ -83,6 +83,12 @@
 // Unwrap returns the reason.
 func (unanswered *UnansweredError) Unwrap() error { return unanswered.Reason }
 
+// maxResponseBytes is the largest response that is read: several times the largest list of a
+// fleet of 3,000 nodes.
+const maxResponseBytes = 64 << 20
+
+var errResponseTooLarge = errors.New("the response is over 64 MiB: ask another node")
+
 // Call sends a request to the node and decodes its response. It returns a
 // [*FailureError] for a failure response, an [*UnansweredError] when no response
 // arrived, and another error for a request that cannot be built or a response
@@ -103,7 +109,10 @@
 		return answer, &UnansweredError{Reason: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(response.Body)
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(content) > maxResponseBytes {
+		err = errResponseTooLarge
+	}
 	if err != nil {
 		return answer, &UnansweredError{Reason: err}
 	}
