Bound the answers of claimed calls that a node holds together

Cause: an answer of a claimed call is held whole, 4 MiB at most, until it is recorded and told. 256 attempts may be pending, so the sum was bounded by 1 GiB; a node on the users' platform has 284 MB.

Change: answerMemory counts what is held, from the read to the record and the write to the caller, and bounds it by 32 MiB. A claimed call is refused as not run once less than one largest answer is free; an answer that finds no room in spite of that is not kept, and its outcome is unknown, as for an answer that is too large.

TestAnswersOfUnrecordedActionsAreBoundedTogether fails before: the ninth action gets 201 where 503 is due.

--- a/internal/core/claim/attempt.go
+++ b/internal/core/claim/attempt.go
@@ -85,6 +85,11 @@
 	return nil
 }
 
+// IsPending reports whether an attempt has not ended: its answer or its record is due.
+func (coordinator *Coordinator) IsPending(attemptID request.AttemptID) bool {
+	return coordinator.findAttempt(attemptID) != nil
+}
+
 // findJoinable returns the attempt with this kind and key, unless it is being
 // released.
 func (coordinator *Coordinator) findJoinable(kind request.KindName, key request.IdempotencyKey) *claimAttempt {
--- a/internal/node/claim_driver.go
+++ b/internal/node/claim_driver.go
@@ -49,9 +49,12 @@
 	waiting         map[request.CallID]chan claimOutcome
 	pendingAttempts atomic.Int64
 	ctx             context.Context
+	// held is how many bytes of memory the answers of attempts take that are not recorded yet.
+	held   map[request.AttemptID]int64
+	memory *answerMemory
 }
 
-func newClaimDriver(id request.NodeID, proposer Proposer, startAttempt func(request.AttemptID)) *claimDriver {
+func newClaimDriver(id request.NodeID, proposer Proposer, startAttempt func(request.AttemptID), memory *answerMemory) *claimDriver {
 	return &claimDriver{
 		coordinator: claim.Coordinator{
 			Node:                id,
@@ -65,6 +68,8 @@
 		startAttempt: startAttempt,
 		events:       make(chan func(time.Time) []claim.Action, maxQueuedClaimEvents),
 		waiting:      make(map[request.CallID]chan claimOutcome),
+		held:         make(map[request.AttemptID]int64),
+		memory:       memory,
 	}
 }
 
@@ -83,10 +88,21 @@
 		case <-ctx.Done():
 			return
 		}
+		driver.releaseAnswers()
 		driver.pendingAttempts.Store(int64(driver.coordinator.Pending()))
 	}
 }
 
+// releaseAnswers gives back the memory of answers whose attempts have ended.
+func (driver *claimDriver) releaseAnswers() {
+	for attempt, length := range driver.held {
+		if !driver.coordinator.IsPending(attempt) {
+			delete(driver.held, attempt)
+			driver.memory.give(length)
+		}
+	}
+}
+
 func (driver *claimDriver) setTimer(timer *time.Timer) {
 	delay := time.Hour
 	if wake, due := driver.coordinator.NextWake(); due {
@@ -176,8 +192,12 @@
 	})
 }
 
+// answered passes on an answer for which memory was taken.
 func (driver *claimDriver) answered(attempt request.AttemptID, answer *claim.Answer) {
-	driver.post(func(now time.Time) []claim.Action { return driver.coordinator.Answered(now, attempt, answer) })
+	driver.post(func(now time.Time) []claim.Action {
+		driver.held[attempt] = int64(len(answer.GetBody()))
+		return driver.coordinator.Answered(now, attempt, answer)
+	})
 }
 
 func (driver *claimDriver) notStarted(attempt request.AttemptID, code request.Code) {
--- a/internal/node/claimed_call.go
+++ b/internal/node/claimed_call.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -20,9 +21,6 @@
 	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
-// maxClaimedAnswerBytes is the largest answer of an action that may run only once.
-const maxClaimedAnswerBytes = 4 << 20
-
 // attemptTable holds the calls whose attempt may still be granted.
 type attemptTable struct {
 	lock  sync.Mutex
@@ -75,9 +73,12 @@
 	}
 }
 
-// refusalBeforeClaim refuses a call that the gate would refuse anyway, which spares
-// the ledger a claim.
+// refusalBeforeClaim refuses a call whose answer may find no memory, and one that the gate
+// would refuse anyway, which spares the ledger a claim.
 func (inbound *inboundCall) refusalBeforeClaim() *web.Refusal {
+	if inbound.node.answerMemory.mayLack() {
+		return web.NewRefusal(request.Overloaded, errNoAnswerMemory.Error())
+	}
 	if inbound.node.admissionControl.state(time.Now(), inbound.work.RootKind).level.Level <= inbound.work.Priority {
 		return nil
 	}
@@ -141,7 +142,10 @@
 		inbound.refuse(refusal)
 		return
 	}
-	header := &peerpb.AnswerHeader{Status: outcome.answer.GetStatus(), BodyLength: int64(len(outcome.answer.GetBody()))}
+	length := int64(len(outcome.answer.GetBody()))
+	inbound.node.answerMemory.hold(length)
+	defer inbound.node.answerMemory.give(length)
+	header := &peerpb.AnswerHeader{Status: outcome.answer.GetStatus(), BodyLength: length}
 	for _, kept := range outcome.answer.GetHeader() {
 		header.Headers = append(header.Headers, &peerpb.Header{Name: kept.GetName(), Value: kept.GetValue()})
 	}
@@ -196,15 +200,16 @@
 		return nil, inbound.targetFailure(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxClaimedAnswerBytes+1))
+	body, err := inbound.node.answerMemory.read(response.Body, response.ContentLength)
+	if errors.Is(err, errAnswerTooLarge) || errors.Is(err, errNoAnswerMemory) {
+		run.end(admissionResult(response))
+		return nil, web.NewRefusal(request.AnswerCut, err.Error())
+	}
 	if err != nil {
 		run.end(admission.Failed)
 		return nil, inbound.targetFailure(ctx, &web.SentError{Reason: err})
 	}
 	run.end(admissionResult(response))
-	if len(body) > maxClaimedAnswerBytes {
-		return nil, web.NewRefusal(request.AnswerCut, "")
-	}
 	answer := &claim.Answer{Status: uint32(response.StatusCode), Body: body}
 	for _, header := range web.EncodeHeaders(response.Header) {
 		answer.Header = append(answer.Header, &ledgerpb.Header{Name: header.GetName(), Value: header.GetValue()})
--- /dev/null
+++ b/internal/node/claimed_memory_test.go
@@ -0,0 +1,69 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
+	"github.com/magnoliawall/magnoliawall/internal/core/ledger/ledgerpb"
+)
+
+// unrecordingLedger grants claims, and records no outcome while held is set.
+type unrecordingLedger struct {
+	fakeLedger
+	held atomic.Bool
+}
+
+func (unrecording *unrecordingLedger) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	decoded := &ledgerpb.Command{}
+	if err := proto.Unmarshal(command, decoded); err != nil {
+		return nil, err
+	}
+	if unrecording.held.Load() && decoded.GetFinish() != nil {
+		return nil, errors.New("ledger records no outcomes")
+	}
+	return unrecording.fakeLedger.Propose(ctx, command)
+}
+
+// Guards against large answers of actions whose outcomes cannot be recorded, which take all
+// memory of a node, so that all its calls end with its process (LOST). An action whose
+// answer may find no memory is not run.
+func TestAnswersOfUnrecordedActionsAreBoundedTogether(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const answerBytes, mostHeld = 4 << 20, 8
+	runs := atomic.Int64{}
+	target := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		writer.WriteHeader(http.StatusCreated)
+		_, _ = writer.Write(make([]byte, answerBytes))
+	})
+	shared := &unrecordingLedger{fakeLedger: fakeLedger{machine: ledger.New()}}
+	entry := startHostWithLedger(t, "one", "consumo", http.NotFoundHandler(), shared)
+	agenda := startHostWithLedger(t, "two", "agenda", target, shared)
+	connectHosts(entry, agenda)
+	shared.held.Store(true)
+	for number := range mostHeld {
+		status, content, _ := book(t, entry, "k"+strconv.Itoa(number), "tuesday")
+		g.Expect(status).To(gomega.Equal(http.StatusCreated))
+		g.Expect(content).To(gomega.HaveLen(answerBytes))
+	}
+	for number := range 3 {
+		status, content, _ := book(t, entry, "m"+strconv.Itoa(number), "tuesday")
+		g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable), content)
+	}
+	g.Expect(runs.Load()).To(gomega.BeEquivalentTo(mostHeld))
+	shared.held.Store(false)
+	number := 0
+	g.Eventually(func() int {
+		number++
+		status, _, _ := book(t, entry, "n"+strconv.Itoa(number), "tuesday")
+		return status
+	}).WithTimeout(testTimeout).Should(gomega.Equal(http.StatusCreated))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,6 +119,7 @@
 	claimDriver      *claimDriver
 	claimedAttempts  attemptTable
 	claimedRuns      sync.WaitGroup
+	answerMemory     answerMemory
 	lastCallID       atomic.Uint64
 	// localTargetLock guards changes of localTarget.
 	localTargetLock sync.Mutex
@@ -180,7 +181,7 @@
 	// start. That is a matter of time, which fewer concurrent calls would not shorten.
 	node.admissionControl.gate.Warm = node.TargetAnnouncesItself
 	if node.Claims != nil {
-		node.claimDriver = newClaimDriver(node.ID, node.Claims, node.startAttempt)
+		node.claimDriver = newClaimDriver(node.ID, node.Claims, node.startAttempt, &node.answerMemory)
 	}
 	node.calls, node.endCalls = context.WithCancelCause(context.Background())
 	node.lastCallID.Store(uint64(time.Now().UnixNano()))
