Refuse the body of a claimed call that is larger than nodes send

Callers saw (by the test): a faulty peer that sends the body of a claimed call without end fills the memory of the target's node.

Cause: the size is checked by the node that sends the call; the one that gets it read the body to its end.

Change: the target's node reads one part, 64 KiB, which is what a node sends at most, and refuses more with 1004, not run. Bodies of other calls are passed on part by part, as before.

TestClaimedBodyWithoutEndIsRefused fails before: 3004 where 1004 is due.

--- a/internal/node/claimed_call.go
+++ b/internal/node/claimed_call.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
 	"github.com/magnoliawall/magnoliawall/internal/adapter/web"
 	"github.com/magnoliawall/magnoliawall/internal/core/admission"
@@ -52,10 +53,15 @@
 		inbound.refuse(web.NewRefusal(request.ClaimUnavailable, "this node has no ledger replica to claim from"))
 		return
 	}
-	body, err := io.ReadAll(inbound.peerCall.Body())
+	// The node of the caller sends no larger one. What a faulty peer sends is held here.
+	body, err := io.ReadAll(io.LimitReader(inbound.peerCall.Body(), peer.MaxBodyPartBytes+1))
 	if err != nil {
 		return
 	}
+	if len(body) > peer.MaxBodyPartBytes {
+		inbound.refuse(web.NewRefusal(request.BodyTooLarge, ""))
+		return
+	}
 	inbound.claimedBody = body
 	if refusal := inbound.refusalBeforeClaim(); refusal != nil {
 		inbound.refuse(refusal)
--- a/internal/node/claimed_memory_test.go
+++ b/internal/node/claimed_memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -11,8 +12,11 @@
 	"github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer"
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger/ledgerpb"
+	"github.com/magnoliawall/magnoliawall/internal/request"
 )
 
 // unrecordingLedger grants claims, and records no outcome while held is set.
@@ -67,3 +71,38 @@
 		return status
 	}).WithTimeout(testTimeout).Should(gomega.Equal(http.StatusCreated))
 }
+
+// endlessBody counts the bytes that are read of it. It ends after bodyEnd of them, so that a
+// test fails where nothing else ends it.
+type endlessBody struct{ read atomic.Int64 }
+
+const bodyEnd = 256 << 20
+
+func (body *endlessBody) Read(data []byte) (int, error) {
+	if body.read.Add(int64(len(data))) > bodyEnd {
+		return 0, io.EOF
+	}
+	return len(data), nil
+}
+
+// Guards against a peer that sends the body of an action without end, which the target's
+// node holds whole (LOST).
+func TestClaimedBodyWithoutEndIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target := &bookings{}
+	_, agenda, _ := startClaimingPair(t, target)
+	transport := &peer.Transport{Self: peer.Hello{Node: "caller", Place: testPlace, Service: "subsidios"}}
+	defer func() { _ = transport.Close() }()
+	body := &endlessBody{}
+	header := &peerpb.CallHeader{
+		Service: "agenda", Kind: "agenda/book", Method: http.MethodPost, Path: "/visits", BodyLength: -1, AwaitContinue: true,
+		RemainingUs: testTimeout.Microseconds(), Root: make([]byte, len(request.RootID{})),
+		Headers: []*peerpb.Header{{Name: "Idempotency-Key", Value: "k1"}},
+	}
+	exchange, answer, err := transport.Call(t.Context(), peer.Address(agenda.target.Address), peer.Outbound{Call: 1, Header: header, Body: body})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	exchange.Abort()
+	g.Expect(answer.GetCode()).To(gomega.BeEquivalentTo(request.BodyTooLarge))
+	g.Expect(body.read.Load()).To(gomega.BeNumerically("<", bodyEnd))
+	g.Expect(target.runs.Load()).To(gomega.BeZero())
+}
