--- a/internal/core/latency/latency_test.go
+++ b/internal/core/latency/latency_test.go
@@ -53,3 +53,11 @@
 	table.Record(start, "visits", time.Hour)
 	expect(table.Estimate(start, "visits", 0).Within).To(gomega.Equal(latency.Longest))
 }
+
+func BenchmarkRecord(b *testing.B) {
+	table := &latency.Table[string]{}
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Record(start, "visits", 123*time.Millisecond)
+	}
+}
