Expect a quarter more, not twice as much, where few recent calls are known

Cause: with fewer than 20 recent calls of a kind, calls that may not be repeated were expected to take twice what is known. One known call of 3.3 s makes 6.6 s, more than the grace time.

Change: a quarter is added instead. Two loads with hardly a known call are in the model; both fail before, with 200 and 1 refusals of calls that have time within the first second.

--- a/internal/core/drain/forecast.go
+++ b/internal/core/drain/forecast.go
@@ -13,9 +13,9 @@
 	lateShareOnce       = 0.001
 	lateShareRepeatable = 0.01
 	// With fewer recent calls than fewCalls, or none, calls that may not be repeated are
-	// expected to take fewCallsFactor times as long as what is known.
-	fewCalls       = 20
-	fewCallsFactor = 2
+	// expected to take longer than what is known by this share of it.
+	fewCalls        = 20
+	fewCallsReserve = 0.25
 )
 
 // LateShare returns the share of recent calls that an estimate for a [Forecast] leaves out.
@@ -47,7 +47,7 @@
 		return forecast.Bound
 	}
 	if !forecast.Repeatable && forecast.Recent.Calls < fewCalls {
-		expected *= fewCallsFactor
+		expected += time.Duration(fewCallsReserve * float64(expected))
 	}
 	return min(expected, forecast.Bound)
 }
--- a/internal/core/drain/forecast_test.go
+++ b/internal/core/drain/forecast_test.go
@@ -1,6 +1,7 @@
 package drain_test
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -71,11 +72,13 @@
 	Slow       configuration.Duration `json:"slow"`
 	SlowEvery  int                    `json:"slow-every"`
 	Timeout    configuration.Duration `json:"timeout"`
+	Objective  configuration.Duration `json:"objective"`
+	Learning   configuration.Duration `json:"learning"`
 	Repeatable bool                   `json:"repeatable"`
 }
 
-// The load of the model: a call comes each callInterval for learningTime before the signal
-// and until the process stops, timeToStop after it.
+// The load of the model: a call comes each callInterval, for learningTime before the signal
+// where a case states no other, and until the process stops, timeToStop after it.
 const (
 	callInterval = 5 * time.Millisecond
 	learningTime = 20 * time.Second
@@ -92,7 +95,7 @@
 	type ending struct{ at, took time.Duration }
 	var endings []ending
 	tenths := make([]calls, timeToStop/(100*time.Millisecond))
-	for number, at := 1, -learningTime; at < timeToStop; number, at = number+1, at+callInterval {
+	for number, at := 1, -cmp.Or(time.Duration(test.Learning), learningTime); at < timeToStop; number, at = number+1, at+callInterval {
 		for len(endings) > 0 && endings[0].at <= at {
 			recent.Record(start.Add(endings[0].at), "grants", endings[0].took)
 			endings = endings[1:]
@@ -148,6 +151,7 @@
 				forecast := drain.Forecast{
 					Repeatable: test.Repeatable,
 					Bound:      time.Duration(test.Timeout),
+					Objective:  time.Duration(test.Objective),
 					Recent:     recent.Estimate(now, "grants", drain.LateShare(test.Repeatable)),
 				}
 				return forecast.Duration() <= left
