--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -401,29 +400,6 @@
 	}
 }
 
-// entryPatienceShare is the share of its objective for which a call from outside may
-// wait for a slot, so that time is left to run it. A call of a target may wait for
-// all of its objective: its caller's work has begun and is wasted if the call fails.
-const entryPatienceShare = 0.6
-
-// patience is how long the call may wait for a slot, or zero where its kind has no
-// objective. While this node stops, time is left to run the call after its wait.
-func (node *Node) patience(now time.Time, outbound *outboundCall) time.Duration {
-	patience := outbound.kind.Objective
-	if node.entry.fromOutside(outbound.kind.Name) {
-		patience = time.Duration(entryPatienceShare * float64(outbound.kind.Objective))
-	}
-	slack, stopping := node.stopSlack(now, outbound)
-	if !stopping {
-		return patience
-	}
-	slack = max(slack, minPatience)
-	return min(cmp.Or(patience, slack), slack)
-}
-
-// minPatience is the shortest patience that is stated; zero would mean none is.
-const minPatience = time.Millisecond
-
 // callFailure returns the refusal for a call whose exchange with the target's node
 // failed.
 func callFailure(ctx context.Context, outbound *outboundCall, err error) *web.Refusal {
--- /dev/null
+++ b/internal/node/patience.go
@@ -0,0 +1,29 @@
+package node
+
+import (
+	"cmp"
+	"time"
+)
+
+// entryPatienceShare is the share of its objective for which a call from outside may
+// wait for a slot, so that time is left to run it. A call of a target may wait for
+// all of its objective: its caller's work has begun and is wasted if the call fails.
+const entryPatienceShare = 0.6
+
+// patience is how long the call may wait for a slot, or zero where its kind has no
+// objective. While this node stops, time is left to run the call after its wait.
+func (node *Node) patience(now time.Time, outbound *outboundCall) time.Duration {
+	patience := outbound.kind.Objective
+	if node.entry.fromOutside(outbound.kind.Name) {
+		patience = time.Duration(entryPatienceShare * float64(outbound.kind.Objective))
+	}
+	slack, stopping := node.stopSlack(now, outbound)
+	if !stopping {
+		return patience
+	}
+	slack = max(slack, minPatience)
+	return min(cmp.Or(patience, slack), slack)
+}
+
+// minPatience is the shortest patience that is stated; zero would mean none is.
+const minPatience = time.Millisecond
