Do not say "not run" at a stop after an attempt that may have run

Callers saw (found by reading the change once more): a repeatable call whose first attempt may have run, and whose retry is refused as the node stops, was told that it has not run. That is not true; the platform's dialect made a 503 of it, which promises it.

Change: a call notes that an earlier attempt may have run, and the refusal then says unknown.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -127,6 +127,7 @@
 			outbound.endWait(time.Now(), nil)
 			return attempt
 		}
+		outbound.mayHaveRun = outbound.mayHaveRun || attempt.refusal.Outcome != request.NotRun
 		if outbound.mayMove(attempt) && ctx.Err() == nil {
 			outbound.moves++
 			retriesUsed--
@@ -435,14 +436,6 @@
 	return refusal
 }
 
-// takeAllowance takes the share of the root's retry allowance that goes with an
-// attempt.
-func (outbound *outboundCall) takeAllowance() retry.Allowance {
-	outbound.root.lock.Lock()
-	defer outbound.root.lock.Unlock()
-	return outbound.root.allowance.TakeShare()
-}
-
 // applyReport takes over what the report of an answer says: the unspent retry
 // allowance, the peer's configuration version and its admission level.
 func (node *Node) applyReport(outbound *outboundCall, attempt *attempt) {
--- a/internal/node/outbound.go
+++ b/internal/node/outbound.go
@@ -61,6 +61,8 @@
 	// retried says that the present attempt is a retry, and inherited that the call is
 	// made for a request that is one, as far as is known.
 	retried, inherited bool
+	// mayHaveRun says that a target may have begun to work on the call in an earlier attempt.
+	mayHaveRun bool
 	// fingerprint identifies the request if it crashes targets. suspect says that the
 	// request was in flight at a crash.
 	fingerprint request.Fingerprint
--- a/internal/node/retry_budget.go
+++ b/internal/node/retry_budget.go
@@ -158,3 +158,11 @@
 	}
 	return found
 }
+
+// takeAllowance takes the share of the root's retry allowance that goes with an
+// attempt.
+func (outbound *outboundCall) takeAllowance() retry.Allowance {
+	outbound.root.lock.Lock()
+	defer outbound.root.lock.Unlock()
+	return outbound.root.allowance.TakeShare()
+}
--- a/internal/node/stopping.go
+++ b/internal/node/stopping.go
@@ -71,8 +71,9 @@
 	return deadline.Sub(now), true
 }
 
-// refuseBeforeStop refuses a call that the stop of this node would probably end. Nobody has
-// begun to work on it, so its caller may send it again once the process is back.
+// refuseBeforeStop refuses a call that the stop of this node would probably end. Its caller
+// may send it again once the process is back. It has not run, unless an earlier attempt may
+// have.
 func (node *Node) refuseBeforeStop(now time.Time, outbound *outboundCall) *web.Refusal {
 	slack, stopping := node.stopSlack(now, outbound)
 	if !stopping || slack >= 0 {
@@ -80,6 +81,9 @@
 	}
 	refusal := web.NewRefusal(request.Stopping, "")
 	refusal.RetryAfter = node.timeUntilRestarted(now)
+	if outbound.mayHaveRun {
+		refusal.Outcome = request.Unknown
+	}
 	return refusal
 }
 
