--- a/review/harness/first.go
+++ b/review/harness/first.go
@@ -12,8 +12,8 @@
 const (
 	// startSpread is the time within which all machines start, and killAfter when all
 	// processes of the core are killed, counted from the first start.
-	startSpread = 300 * time.Millisecond
-	killAfter   = 310 * time.Millisecond
+	startSpread = 250 * time.Millisecond
+	killAfter   = 260 * time.Millisecond
 	// downTime is how long the processes are down.
 	downTime = 500 * time.Millisecond
 	// waitForService is how long the operator and the requesters wait.
