Log and count what the group of replicas has and lacks

The leader, and a replica without one, log one line when that changes, at level warn when the loss of one more voter would stop the group, with the last and the committed index. A replica without a log says how many of the addresses that it asks have answered. The same stands in seven gauges. No decision changes.

--- a/internal/core/quorum/leader.go
+++ b/internal/core/quorum/leader.go
@@ -122,6 +122,16 @@
 	return peer != nil && peer.matchIndex >= replica.log.commitIndex
 }
 
+// MatchIndex returns the last index that a leader knows a member to have synced, or
+// false if this replica does not lead or the id is not that of a member.
+func (replica *Replica) MatchIndex(id ReplicaID) (Index, bool) {
+	peer := replica.peer(id)
+	if replica.role != Leader || peer == nil {
+		return 0, false
+	}
+	return peer.matchIndex, true
+}
+
 func (replica *Replica) appendEntry(kind EntryKind, data []byte) Index {
 	entry := Entry{Index: replica.log.lastIndex() + 1, Term: replica.hardState.Term, Kind: kind, Data: data}
 	replica.log.append(entry)
--- a/internal/host/monitoring.go
+++ b/internal/host/monitoring.go
@@ -14,6 +14,7 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger"
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
 	"github.com/magnoliawall/magnoliawall/internal/node"
+	"github.com/magnoliawall/magnoliawall/internal/replica"
 )
 
 const (
@@ -96,9 +97,14 @@
 	if err == nil {
 		err = plane.Peek(ctx, state.collect)
 	}
+	var group replica.GroupState
+	if err == nil {
+		group, err = plane.replica.Group(ctx)
+	}
 	writeGauge(page, "replica_up", gaugeValue(err == nil))
 	if err == nil {
 		writeReplicaMetrics(page, status)
+		writeGroupMetrics(page, group)
 		state.write(page)
 	} else {
 		plane.host.logMissingMetrics(err, "replica")
@@ -119,6 +125,16 @@
 	writeGauge(page, "replica_snapshot_index", uint64(status.SnapshotIndex))
 }
 
+func writeGroupMetrics(page io.Writer, group replica.GroupState) {
+	writeGauge(page, "replica_without_log", gaugeValue(group.WithoutLog))
+	writeGauge(page, "replica_voters", uint64(group.Voters))
+	writeGauge(page, "replica_voters_needed", uint64(group.Needed))
+	writeGauge(page, "replica_voters_in_contact", uint64(group.InContact))
+	writeGauge(page, "replica_learners", uint64(group.Learners))
+	writeGauge(page, "replica_learner_lag", uint64(group.Lag))
+	writeGauge(page, "replica_change_waiting", gaugeValue(group.Waiting != ""))
+}
+
 // ledgerState holds the metrics of the replicated state.
 type ledgerState struct {
 	applied, version      uint64
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -11,6 +11,8 @@
 	ticks         int
 	round         uint64
 	emptyReplicas map[string]quorum.Member
+	// answered are the addresses that have answered, in any round.
+	answered map[string]bool
 	// waitLogged is set once it was logged that this replica waits to join a log.
 	waitLogged bool
 }
@@ -77,6 +79,7 @@
 	if replica.hasLog() || greeting.GetRound() != replica.bootstrap.round {
 		return
 	}
+	replica.noteAnswer(message.GetSenderAddress())
 	if greeting.GetFormed() {
 		replica.logExistingGroup(message.GetSenderAddress())
 		replica.askNamedReplicas(greeting.GetMembers())
@@ -86,6 +89,13 @@
 	replica.bootstrapIfReady()
 }
 
+func (replica *Replica[M]) noteAnswer(address string) {
+	if replica.bootstrap.answered == nil {
+		replica.bootstrap.answered = make(map[string]bool)
+	}
+	replica.bootstrap.answered[address] = true
+}
+
 // logExistingGroup logs once that this replica waits to be added to a group.
 func (replica *Replica[M]) logExistingGroup(address string) {
 	if !replica.bootstrap.waitLogged {
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -35,6 +36,10 @@
 	joiners     map[quorum.ReplicaID]joiner
 	// namedAddresses are the addresses of members that were named in answers.
 	namedAddresses []string
+	// waiting names the change that is due and what it waits for.
+	waiting string
+	// loggedGroup is the state of the group that was logged last.
+	loggedGroup string
 }
 
 // joiner is a host without a log that asked to join.
@@ -92,6 +97,7 @@
 		replica.membership.leading = leads
 		replica.membership.leaderSince = replica.membership.ticks
 	}
+	replica.membership.waiting = ""
 	if !replica.membership.leading {
 		return
 	}
@@ -100,6 +106,9 @@
 		return
 	}
 	_, _, err := replica.core.ProposeChange(change)
+	if err != nil {
+		replica.membership.waiting = fmt.Sprintf("%s of replica %d at %s: %v", change.Kind, change.Member.ID, change.Member.Address, err)
+	}
 	switch {
 	case err == nil:
 		replica.logInfo("proposed change of members: %s of replica %d at %s", change.Kind, change.Member.ID, change.Member.Address)
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -89,6 +89,7 @@
 	replica.transferPauseTicks--
 	replica.askForLogs()
 	replica.manageMembership()
+	replica.logGroup()
 	replica.resendProposals()
 	replica.reads.tick(replica.ElectionTicks)
 }
