Test that a group with a long log replaces lost disks in time

The test plays it in the group of replicas with messages that take time by their size: a log of 20 MB that a host handles in 8 s, settings as in production, a split that heals, two disks lost right after an acknowledged command, back 1 s later with empty disks, and two others lost 4 s after that.

It fails, as the fault is not fixed yet; with a short log it passes.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 
@@ -15,18 +16,29 @@
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum/quorumpb"
 )
 
-// commandList is a state machine that lists its commands, each of them once.
-type commandList struct{ Commands []string }
+// commandList is a state machine that lists its commands, each of them once. A
+// command may carry a text after a zero byte, which replaces the text before it.
+type commandList struct {
+	Commands []string
+	Text     string
+}
 
 func (list *commandList) Apply(_ uint64, command []byte) ([]byte, error) {
-	at := slices.Index(list.Commands, string(command))
+	name, text, replaces := strings.Cut(string(command), textSeparator)
+	if replaces {
+		list.Text = text
+	}
+	at := slices.Index(list.Commands, name)
 	if at < 0 {
 		at = len(list.Commands)
-		list.Commands = append(list.Commands, string(command))
+		list.Commands = append(list.Commands, name)
 	}
 	return fmt.Append(nil, at), nil
 }
 
+// textSeparator separates the name of a command from its text.
+const textSeparator = "\x00"
+
 func (list *commandList) Snapshot() []byte {
 	encoded, _ := json.Marshal(list)
 	return encoded
@@ -104,6 +116,10 @@
 	if messenger.cluster.faults.intercept(address, copied) {
 		return
 	}
+	if messenger.cluster.links != nil {
+		messenger.cluster.links.send(messenger.address, address, copied)
+		return
+	}
 	select {
 	case target.messenger.received <- copied:
 	default:
@@ -132,6 +148,8 @@
 	prepare func(started *host)
 	// faults delays and duplicates messages; nil delivers each message once.
 	faults *messageFaults
+	// links gives messages a delay by their size; nil delivers them at once.
+	links *linkModel
 }
 
 func newCluster(t *testing.T, size int) *testCluster {
@@ -163,6 +181,7 @@
 	cluster.lock.Lock()
 	defer cluster.lock.Unlock()
 	started := cluster.hosts[address]
+	cluster.links.reset(address)
 	cluster.seed += 1 << 32
 	started.messenger = &testMessenger{cluster, address, make(chan *quorumpb.Message, 10_000)}
 	started.up = true
@@ -181,8 +200,10 @@
 }
 
 func (cluster *testCluster) runRound() {
+	cluster.links.advance()
 	for _, address := range cluster.order {
 		if each := cluster.hosts[address]; each.up {
+			cluster.links.deliver(each)
 			each.tick()
 			each.drainInputs()
 			cluster.Expect(each.process()).To(gomega.Succeed())
--- /dev/null
+++ b/internal/replica/disk_loss_test.go
@@ -0,0 +1,200 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
+)
+
+const (
+	// catchUpTicks is how long a host counts as lost after it is back: 4 s.
+	catchUpTicks = 80
+	// downTicks is how long a host is down that loses its disk: 1 s.
+	downTicks = 20
+	// recoveryTicks is how long service may take to resume after a fault that goes
+	// beyond what is tolerated at one time but loses no more disks: 15 s.
+	recoveryTicks = 300
+
+	// A host handles a log of 20 MB in 8 s.
+	smallProcessorBytes = 125 << 10
+	smallLinkBytes      = 4 * smallProcessorBytes
+	longLogCommands     = 100
+	longLogCommandBytes = 200 << 10
+)
+
+// lossCluster is a seedCluster with the settings of production, whose hosts lose
+// their disks as often as is tolerated.
+type lossCluster struct {
+	*seedCluster
+	lostDisks int
+	commands  []string
+}
+
+func newLossCluster(t *testing.T, size, lostDisks int) *lossCluster {
+	cluster := &lossCluster{seedCluster: newSeedCluster(t, 0), lostDisks: lostDisks}
+	for number := range size {
+		cluster.order = append(cluster.order, fmt.Sprintf("host-%d", number))
+	}
+	cluster.seeds = slices.Clone(cluster.order[:min(3, size)])
+	cluster.adjust = func(started *host) {
+		started.LostDisks = lostDisks
+		started.SnapshotEntries, started.KeptEntries, started.TransferSnapshotBytes = 0, 0, 0
+	}
+	for _, address := range cluster.order {
+		cluster.loseDisk(address)
+		cluster.startWithSeeds(address, true)
+	}
+	cluster.await("a whole group", cluster.isWhole)
+	return cluster
+}
+
+// record waits until a command with a text of a size is acknowledged.
+func (cluster *lossCluster) record(size int) {
+	name := fmt.Sprint("command-", len(cluster.commands))
+	cluster.propose(cluster.leader(), name+textSeparator+strings.Repeat("x", size))
+	cluster.commands = append(cluster.commands, name)
+}
+
+func (cluster *lossCluster) slowDown() {
+	cluster.links = newLinkModel(cluster.testCluster, 1)
+}
+
+func (cluster *lossCluster) runRounds(count int) {
+	for range count {
+		cluster.runRound()
+	}
+}
+
+// loseDisks stops hosts and starts them with empty disks after downTicks.
+func (cluster *lossCluster) loseDisks(addresses ...string) {
+	cluster.loseDisksFor(downTicks, addresses...)
+}
+
+// loseDisksFor stops hosts and starts them with empty disks after some ticks.
+func (cluster *lossCluster) loseDisksFor(ticks int, addresses ...string) {
+	for _, address := range addresses {
+		cluster.loseDisk(address)
+	}
+	cluster.runRounds(ticks)
+	for _, address := range addresses {
+		cluster.startWithSeeds(address, false)
+	}
+}
+
+// splitInTwo blocks the links between the first and the second half of the hosts.
+func (cluster *seedCluster) splitInTwo() {
+	for index, from := range cluster.order {
+		for other, to := range cluster.order {
+			if half := len(cluster.order) / 2; (index < half) != (other < half) {
+				cluster.blocked[[2]string{from, to}] = true
+			}
+		}
+	}
+}
+
+// ticksUntil runs rounds until a condition holds, at most limit, and returns their
+// number.
+func (cluster *lossCluster) ticksUntil(limit int, reached func() bool) int {
+	for ticks := range limit {
+		if reached() {
+			return ticks
+		}
+		cluster.runRound()
+	}
+	return limit
+}
+
+// expectWholeWithin checks that the group is whole after at most so many ticks and
+// has kept the acknowledged commands.
+func (cluster *lossCluster) expectWholeWithin(ticks int) {
+	taken := cluster.ticksUntil(ticks, cluster.isWhole)
+	cluster.Expect(cluster.isWhole()).To(gomega.BeTrue(), "not whole after %d ticks:\n%s", taken, cluster.describe())
+	cluster.Expect(cluster.read(cluster.leader())).To(gomega.ContainElements(cluster.commands))
+}
+
+// describe lists the state of each host and the members that it knows.
+func (cluster *seedCluster) describe() string {
+	var lines []string
+	for _, address := range cluster.order {
+		each := cluster.hosts[address]
+		if each.Replica == nil {
+			lines = append(lines, fmt.Sprintf("%s down", address))
+			continue
+		}
+		status := each.core.Status()
+		line := fmt.Sprintf("%s id %d up %t %s in term %d, log to %d, committed %d:", address, status.ID, each.up, status.Role, status.Term, status.LastIndex, status.CommitIndex)
+		for _, member := range status.Membership.Members {
+			line += " " + cluster.describeMember(member)
+		}
+		lines = append(lines, line)
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (cluster *seedCluster) describeMember(member quorum.Member) string {
+	line := fmt.Sprint(member.Address, "/", member.ID)
+	if member.Learner {
+		line += " (learner)"
+	}
+	if holder := cluster.hosts[member.Address]; holder == nil || holder.Replica == nil || holder.core.ID != member.ID {
+		line += " (disk lost)"
+	}
+	return line
+}
+
+// hostsExcept gives so many hosts other than the given ones, in their order.
+func (cluster *lossCluster) hostsExcept(count int, except ...string) []string {
+	var addresses []string
+	for _, address := range cluster.order {
+		if !slices.Contains(except, address) && len(addresses) < count {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// leaderAddress waits until there is a leader.
+func (cluster *lossCluster) leaderAddress() string {
+	cluster.await("a leader", func() bool { return cluster.leader() != nil })
+	return cluster.leader().Address
+}
+
+// A group must replace lost disks before others are lost. With a long log it was left
+// without a majority for good, since an empty host took longer to catch up than the
+// time after which other hosts may lose their disks.
+func TestNextLostDisksFindFormerOnesReplaced(t *testing.T) {
+	for _, length := range []int{0, longLogCommands} {
+		for _, leaderLost := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d commands, leader lost %t", length, leaderLost), func(t *testing.T) {
+				cluster := newLossCluster(t, 6, 2)
+				for range length {
+					cluster.record(longLogCommandBytes)
+				}
+				cluster.slowDown()
+				cluster.splitInTwo()
+				cluster.runRounds(80)
+				clear(cluster.blocked)
+				cluster.leaderAddress()
+				cluster.record(longLogCommandBytes)
+
+				first := cluster.hostsExcept(2, cluster.leaderAddress())
+				if leaderLost {
+					first[1] = cluster.leaderAddress()
+				}
+				cluster.loseDisks(first...)
+				cluster.runRounds(catchUpTicks)
+				second := cluster.hostsExcept(2, first...)
+				if leaderLost {
+					second = append(cluster.hostsExcept(1, append(first, cluster.leaderAddress())...), cluster.leaderAddress())
+				}
+				cluster.loseDisks(second...)
+				cluster.expectWholeWithin(recoveryTicks)
+			})
+		}
+	}
+}
--- a/internal/replica/membership_test.go
+++ b/internal/replica/membership_test.go
@@ -18,6 +18,8 @@
 type seedCluster struct {
 	*testCluster
 	seeds []string
+	// adjust changes further settings of each host before it starts.
+	adjust func(started *host)
 }
 
 func newSeedCluster(t *testing.T, size int) *seedCluster {
@@ -41,6 +43,9 @@
 		started.Seeds = func() []string { return cluster.seeds }
 		started.FailureDomain = "domain-of-" + address[:len("host-0")]
 		started.Node = address
+		if cluster.adjust != nil {
+			cluster.adjust(started)
+		}
 	}
 	cluster.start(address)
 }
