Test that hosts may lose their disks twice in a row

A host that loses its disk again before its first id is removed counts as lost all along. The group adds the new ids as voters before it removes the old ones. When the disks are lost again meanwhile, both ids of each host are voters that are lost for good, for example four of eight, and no majority is left.

--- a/internal/replica/disk_loss_test.go
+++ b/internal/replica/disk_loss_test.go
@@ -198,3 +198,29 @@
 		}
 	}
 }
+
+// Hosts may lose their disks again before their first ids are removed: with the new
+// ids voting too, the group was left without a majority for good.
+func TestHostsLoseDisksTwiceInRow(t *testing.T) {
+	for _, size := range []int{3, 5, 6, 7, 9} {
+		for _, down := range []int{2, downTicks} {
+			t.Run(fmt.Sprintf("%d hosts, down for %d ticks", size, down), func(t *testing.T) {
+				var failed []string
+				for ticks := 2; ticks < catchUpTicks; ticks += 3 {
+					cluster := newLossCluster(t, size, (size-1)/2)
+					cluster.record(0)
+					cluster.slowDown()
+					lost := cluster.hostsExcept(cluster.lostDisks, cluster.leaderAddress())
+					for range 2 {
+						cluster.loseDisksFor(down, lost...)
+						cluster.runRounds(ticks)
+					}
+					if cluster.ticksUntil(recoveryTicks, cluster.isWhole); !cluster.isWhole() {
+						failed = append(failed, fmt.Sprintf("again after %d ticks:\n%s", ticks, cluster.describe()))
+					}
+				}
+				gomega.NewWithT(t).Expect(failed).To(gomega.BeEmpty())
+			})
+		}
+	}
+}
