Test that empty hosts rejoin whatever their seeds are

An empty host asks only its seeds, and the members that these name. When the seeds are lost together, which three lost disks of seven are, they ask each other for good and the rest of the group never takes them in.

TestJoinerWaitsForSeed demands the behaviour that this test calls a fault; the fix has to replace it.

--- a/internal/replica/disk_loss_test.go
+++ b/internal/replica/disk_loss_test.go
@@ -224,3 +224,48 @@
 		}
 	}
 }
+
+// vote reports whether hosts vote with their present disks.
+func (cluster *lossCluster) vote(addresses []string) bool {
+	leader := cluster.leader()
+	return leader != nil && !slices.ContainsFunc(addresses, func(address string) bool {
+		return !leader.core.Status().CommittedMembership.IsVoter(cluster.hosts[address].core.ID)
+	})
+}
+
+// A host with an empty disk must be taken in whatever its seeds are: it waited for
+// good when these were lost, empty or wrong.
+func TestEmptyHostsRejoinWithoutSeeds(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		size      int
+		lostDisks int
+		// lost are the hosts that lose their disks, down those that stay down.
+		lost, down int
+		seeds      []string
+	}{
+		{name: "the seeds are lost themselves", size: 7, lostDisks: 3, lost: 3},
+		{name: "the seeds are lost themselves, among others", size: 9, lostDisks: 4, lost: 4},
+		{name: "the seeds are down", size: 9, lostDisks: 4, lost: 1, down: 3},
+		{name: "the seeds are wrong", size: 6, lostDisks: 2, lost: 2, seeds: []string{"host-96", "host-97"}},
+		{name: "there are no seeds", size: 5, lostDisks: 2, lost: 2, seeds: []string{}},
+		{name: "it is its own seed", size: 3, lostDisks: 1, lost: 1, seeds: []string{"host-0"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			cluster := newLossCluster(t, test.size, test.lostDisks)
+			cluster.record(0)
+			cluster.slowDown()
+			if test.seeds != nil {
+				cluster.seeds = test.seeds
+			}
+			for _, address := range cluster.order[:test.down] {
+				cluster.stop(address)
+			}
+			lost := cluster.order[test.down : test.down+test.lost]
+			cluster.loseDisks(lost...)
+			taken := cluster.ticksUntil(recoveryTicks, func() bool { return cluster.vote(lost) })
+			cluster.Expect(cluster.vote(lost)).To(gomega.BeTrue(), "not taken in after %d ticks:\n%s", taken, cluster.describe())
+			cluster.Expect(cluster.read(cluster.leader())).To(gomega.ContainElements(cluster.commands))
+		})
+	}
+}
