--- a/internal/replica/disk_loss_test.go
+++ b/internal/replica/disk_loss_test.go
@@ -31,12 +31,13 @@
 // their disks as often as is tolerated.
 type lossCluster struct {
 	*seedCluster
+	t         *testing.T
 	lostDisks int
 	commands  []string
 }
 
 func newLossCluster(t *testing.T, size, lostDisks int) *lossCluster {
-	cluster := &lossCluster{seedCluster: newSeedCluster(t, 0), lostDisks: lostDisks}
+	cluster := &lossCluster{seedCluster: newSeedCluster(t, 0), t: t, lostDisks: lostDisks}
 	for number := range size {
 		cluster.order = append(cluster.order, fmt.Sprintf("host-%d", number))
 	}
@@ -269,3 +270,51 @@
 		})
 	}
 }
+
+// A host with an empty disk must vote in the place of its lost id by the time at which
+// it does not count as lost any more, whatever the size of the log: other hosts may
+// lose their disks then.
+func TestEmptyHostsReplaceLostIDsInTime(t *testing.T) {
+	for _, size := range []int{3, 5, 6, 7, 9} {
+		for _, commandBytes := range []int{0, longLogCommandBytes / 10, longLogCommandBytes} {
+			t.Run(fmt.Sprintf("%d hosts, %d commands of %d bytes", size, longLogCommands, commandBytes), func(t *testing.T) {
+				cluster := newLossCluster(t, size, (size-1)/2)
+				for range longLogCommands {
+					cluster.record(commandBytes)
+				}
+				cluster.slowDown()
+				leader := cluster.leaderAddress()
+				cluster.expectReplacedWithin(catchUpTicks, cluster.hostsExcept(cluster.lostDisks, leader))
+				lost := append(cluster.hostsExcept(cluster.lostDisks-1, leader), cluster.leaderAddress())
+				cluster.expectReplacedWithin(catchUpTicks+electionRounds, lost)
+			})
+		}
+	}
+}
+
+// expectReplacedWithin lets hosts lose their disks and checks that they replace their
+// lost ids within some ticks after they are back.
+func (cluster *lossCluster) expectReplacedWithin(limit int, lost []string) {
+	cluster.loseDisks(lost...)
+	var taken []int
+	remaining := slices.Clone(lost)
+	for ticks := range 10 * recoveryTicks {
+		leader := cluster.leader()
+		remaining = slices.DeleteFunc(remaining, func(address string) bool {
+			replaced := leader != nil && replacesFormerIDs(leader.core.Status().CommittedMembership, cluster.hosts[address])
+			if replaced {
+				taken = append(taken, ticks)
+			}
+			return replaced
+		})
+		if len(remaining) == 0 {
+			break
+		}
+		cluster.runRound()
+	}
+	cluster.t.Logf("%d hosts were replaced after %v ticks, the leader among them: %t", len(lost), taken, limit > catchUpTicks)
+	cluster.Expect(remaining).To(gomega.BeEmpty(), cluster.describe())
+	if taken[len(taken)-1] > limit {
+		cluster.t.Errorf("%d hosts were replaced after %v ticks, not within %d", len(lost), taken, limit)
+	}
+}
--- a/internal/replica/history_test.go
+++ b/internal/replica/history_test.go
@@ -100,6 +100,9 @@
 }
 
 func (history *clusterHistory) deliverDelayed() {
+	if history.faults == nil {
+		return
+	}
 	var remaining []delayedMessage
 	for _, delayed := range history.faults.delayed {
 		target := history.hosts[delayed.address]
@@ -118,6 +121,11 @@
 
 // send proposes a command at a random host, if that is up.
 func (history *clusterHistory) send() {
+	history.sendWith("")
+}
+
+// sendWith proposes a command with a suffix that [commandList] does not list.
+func (history *clusterHistory) sendWith(suffix string) {
 	at := history.hosts[history.order[history.random.IntN(len(history.order))]]
 	if !at.up {
 		return
@@ -125,7 +133,7 @@
 	history.lastNumber++
 	command := fmt.Sprint("command-", history.lastNumber)
 	history.acknowledgedBefore[command] = slices.Clone(history.acknowledged)
-	history.unacknowledged[command] = history.submit(at, command)
+	history.unacknowledged[command] = history.submit(at, command+suffix)
 }
 
 // awaitWhole runs rounds until the group is whole.
