Bound the log in bytes, so that an empty disk is filled in time

Changes that had been acknowledged could not be read, and nodes that started again went on with an older version.

On the platform each change replaces the whole document, so an entry weighs nearly as much as that. A host with an empty disk got every change since the first start, one host after the other, and the next loss, which may come 4 s after its return, found the group without it.

--- a/internal/core/quorum/entry_log.go
+++ b/internal/core/quorum/entry_log.go
@@ -85,6 +85,19 @@
 	*log = entryLog{baseIndex: index, baseTerm: term, stableIndex: index, commitIndex: index, deliveredIndex: index}
 }
 
+// baseOfLast returns the index before the last entries up to an index that are at most
+// so many and have at most maxBytes together.
+func (log *entryLog) baseOfLast(index Index, maxEntries, maxBytes int) Index {
+	size := 0
+	for base := index; base > log.baseIndex; base-- {
+		size += len(log.entries[base-log.baseIndex-1].Data) + entryOverheadBytes
+		if size > maxBytes || index-base >= Index(maxEntries) {
+			return base
+		}
+	}
+	return log.baseIndex
+}
+
 // compactTo drops the entries up to and including index. It copies the rest, so
 // that the memory of the dropped entries is freed.
 func (log *entryLog) compactTo(index Index) {
--- a/internal/core/quorum/leader.go
+++ b/internal/core/quorum/leader.go
@@ -62,7 +62,7 @@
 		if membership.IsVoter(peer.id) && (peer.recentlyActive || peer.id == replica.ID) {
 			active++
 		}
-		peer.recentlyActive = false
+		peer.wasActive, peer.recentlyActive = peer.recentlyActive, false
 	}
 	return active >= membership.Majority()
 }
--- a/internal/core/quorum/peer.go
+++ b/internal/core/quorum/peer.go
@@ -29,6 +29,8 @@
 	confirmedRound uint64
 	// recentlyActive says that the peer answered since the last quorum check.
 	recentlyActive bool
+	// wasActive is recentlyActive at the last quorum check.
+	wasActive bool
 
 	heartbeatDue bool
 	// awaitingResult stops sending in probe and snapshot mode until the result
--- a/internal/core/quorum/replica.go
+++ b/internal/core/quorum/replica.go
@@ -21,6 +21,8 @@
 	defaultMaxUncommittedBytes = 16 << 20
 	defaultMaxSnapshotBytes    = 1 << 30
 	defaultKeptEntries         = 10_000
+	defaultKeptBytes           = 1 << 20
+	defaultMaxLagBytes         = 16 << 20
 
 	// entryOverheadBytes is counted for each entry in addition to its data.
 	entryOverheadBytes = 32
@@ -56,6 +58,12 @@
 	// that a follower that is slightly behind needs no snapshot. The default is
 	// 10000.
 	KeptEntries int
+	// KeptBytes limits the size of these entries. The default is 1 MiB.
+	KeptBytes int
+	// MaxLagBytes limits the size of the entries that a leader keeps for members that
+	// are catching up, so that they do not need one snapshot after the other. The default
+	// is 16 MiB.
+	MaxLagBytes int
 
 	random    *rand.Rand
 	hardState HardState
@@ -141,6 +149,8 @@
 	setDefault(&replica.MaxUncommittedBytes, defaultMaxUncommittedBytes)
 	setDefault(&replica.MaxSnapshotBytes, defaultMaxSnapshotBytes)
 	setDefault(&replica.KeptEntries, defaultKeptEntries)
+	setDefault(&replica.KeptBytes, defaultKeptBytes)
+	setDefault(&replica.MaxLagBytes, defaultMaxLagBytes)
 }
 
 func setDefault(value *int, defaultValue int) {
--- a/internal/core/quorum/snapshot.go
+++ b/internal/core/quorum/snapshot.go
@@ -30,20 +30,34 @@
 }
 
 // Compact drops the log entries that a stored snapshot replaces, except for the
-// last KeptEntries.
+// last KeptEntries of at most KeptBytes.
 func (replica *Replica) Compact(snapshot Snapshot) {
 	if snapshot.Index <= replica.snapshot.Index {
 		return
 	}
 	replica.snapshot = snapshot
-	if snapshot.Index <= Index(replica.KeptEntries) {
-		return
-	}
-	base := snapshot.Index - Index(replica.KeptEntries)
-	replica.log.compactTo(base)
+	base := replica.log.baseOfLast(snapshot.Index, replica.KeptEntries, replica.KeptBytes)
+	needed := max(replica.neededByPeers(), replica.log.baseOfLast(snapshot.Index, replica.KeptEntries, replica.MaxLagBytes))
+	replica.log.compactTo(min(base, needed))
 	replica.membershipHistory = replica.membershipHistory.compactTo(replica.log.baseIndex)
 }
 
+// neededByPeers returns the index after which a leader's active members still need the
+// entries. On another replica, and with no active member, it is the end of the log.
+func (replica *Replica) neededByPeers() Index {
+	needed := replica.log.lastIndex()
+	for _, peer := range replica.leaderState.peers {
+		switch {
+		case !peer.recentlyActive && !peer.wasActive:
+		case peer.mode == snapshotMode:
+			needed = min(needed, peer.snapshot.Index)
+		case peer.matchIndex > 0:
+			needed = min(needed, peer.matchIndex)
+		}
+	}
+	return needed
+}
+
 // sendChunk sends the next chunk of the snapshot. It sends the chunk again if its
 // result does not arrive within ElectionTicks.
 func (replica *Replica) sendChunk(peer *peer) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -19,6 +19,7 @@
 	defaultTickInterval          = 50 * time.Millisecond
 	defaultElectionTicks         = 10
 	defaultSnapshotEntries       = 10_000
+	defaultSnapshotBytes         = 1 << 20
 	defaultTransferSnapshotBytes = 4 << 20
 	requestQueueLength           = 1024
 	// maxBatchInputs bounds the inputs that are processed with one sync.
@@ -59,9 +60,11 @@
 	// 2*ElectionTicks ticks.
 	Tick          time.Duration
 	ElectionTicks int
-	// SnapshotEntries is the minimum number of entries applied between snapshots.
-	// The size of the entries must also reach that of the last snapshot.
+	// SnapshotEntries and SnapshotBytes are the number and the size of the entries
+	// applied since the last snapshot from which the next one is due. The size of the
+	// entries must also reach that of the last snapshot.
 	SnapshotEntries int
+	SnapshotBytes   int
 	// TransferSnapshotBytes is the size of the last snapshot from which a leader
 	// transfers leadership before it takes the next one.
 	TransferSnapshotBytes int
@@ -123,6 +126,9 @@
 		if replica.SnapshotEntries == 0 {
 			replica.SnapshotEntries = defaultSnapshotEntries
 		}
+		if replica.SnapshotBytes == 0 {
+			replica.SnapshotBytes = defaultSnapshotBytes
+		}
 		if replica.TransferSnapshotBytes == 0 {
 			replica.TransferSnapshotBytes = defaultTransferSnapshotBytes
 		}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -234,3 +235,16 @@
 	_, err = cluster.hosts[leader.Address].Propose(ctx, []byte("stopped"))
 	cluster.Expect(err).To(gomega.MatchError(port.ErrUnavailable))
 }
+
+// Guards against a log that grows without a snapshot as long as its entries are few,
+// however large they are.
+func TestSnapshotIsDueAfterLargeEntries(t *testing.T) {
+	cluster := newCluster(t, 3)
+	leader := cluster.leader()
+	leader.SnapshotEntries, leader.SnapshotBytes = defaultSnapshotEntries, defaultSnapshotBytes
+	before := leader.core.Status().SnapshotIndex
+	for number := range 3 {
+		cluster.propose(leader, fmt.Sprint(number, strings.Repeat("x", defaultSnapshotBytes/2)))
+	}
+	cluster.Expect(leader.core.Status().SnapshotIndex).To(gomega.BeNumerically(">", before))
+}
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -47,12 +47,12 @@
 }
 
 // snapshotDue reports whether enough was applied since the last snapshot: a number of
-// entries, and as many bytes as the snapshot has, so that writing snapshots costs no
-// more than writing the log.
+// entries or of bytes, and as many bytes as the snapshot has, so that writing snapshots
+// costs no more than writing the log.
 func (replica *Replica[M]) snapshotDue(factor float64) bool {
-	entries := float64(replica.appliedIndex - replica.snapshotIndex)
-	return entries >= factor*float64(replica.SnapshotEntries) &&
-		float64(replica.appliedBytes) >= factor*float64(replica.snapshotSize)
+	entries, size := float64(replica.appliedIndex-replica.snapshotIndex), float64(replica.appliedBytes)
+	many := entries >= factor*float64(replica.SnapshotEntries) || size >= factor*float64(replica.SnapshotBytes)
+	return many && size >= factor*float64(replica.snapshotSize)
 }
 
 // snapshotFactor is from one to two, and differs between the members, so that they
