End elections in one round where every voter that is left is needed

Cause: with as many voters left as are needed, one vote that is not granted ends an election, and the next one begins 10 to 20 ticks later. A vote was not granted when the one asked had heard the former leader a tick later than the one that stood, when two stood at the same time and split the votes, and when the one that stood lacked an entry, which it may do again and again while the one that could win waits.

Of two that begin at the same time with equal logs the one with the higher id goes first, for three ticks. A follower that is asked for a pre-vote waits for that election, at most to the longest election timeout, and one whose log is longer stands within three ticks.

--- a/internal/core/quorum/election.go
+++ b/internal/core/quorum/election.go
@@ -40,27 +40,34 @@
 	replica.leaderID = None
 	replica.votes = make(map[ReplicaID]bool)
 	replica.resetElectionTimeout()
-	term := replica.hardState.Term + 1
+	replica.campaignKind = kind
 	if kind == campaignPreVote {
 		replica.role = PreCandidate
 		replica.votes[replica.ID] = true
 	} else {
 		replica.role = Candidate
-		replica.hardState = HardState{Term: term, Vote: replica.ID}
+		replica.hardState = HardState{Term: replica.hardState.Term + 1, Vote: replica.ID}
 		replica.ownVoteStored = false
 	}
-	replica.requestVotes(term, kind)
+	replica.repeatVoteRequests()
 	replica.countVotes()
 }
 
-func (replica *Replica) requestVotes(term Term, kind campaignKind) {
+// repeatVoteRequests asks the voters that have not granted their vote. Where every
+// voter that is left is needed, one that still hears of the former leader, or one lost
+// message, would otherwise end the election.
+func (replica *Replica) repeatVoteRequests() {
+	term := replica.hardState.Term
+	if replica.campaignKind == campaignPreVote {
+		term++
+	}
 	for _, member := range replica.membership().Members {
-		if member.Learner || member.ID == replica.ID {
+		if member.Learner || member.ID == replica.ID || replica.votes[member.ID] {
 			continue
 		}
 		replica.sendAfterSync(member.ID, term, &quorumpb.Message{Body: &quorumpb.Message_VoteRequest{VoteRequest: &quorumpb.VoteRequest{
-			Pre:       kind == campaignPreVote,
-			Transfer:  kind == campaignTransfer,
+			Pre:       replica.campaignKind == campaignPreVote,
+			Transfer:  replica.campaignKind == campaignTransfer,
 			LastIndex: uint64(replica.log.lastIndex()),
 			LastTerm:  uint64(replica.log.lastTerm()),
 		}}})
@@ -70,13 +77,38 @@
 // answerPreVote answers a pre-vote request for a newer term. A granted vote
 // carries that term, a refusal the current one.
 func (replica *Replica) answerPreVote(from ReplicaID, term Term, request *quorumpb.VoteRequest) {
-	granted := replica.log.isUpToDate(Index(request.GetLastIndex()), Term(request.GetLastTerm()))
+	lastIndex, lastTerm := Index(request.GetLastIndex()), Term(request.GetLastTerm())
+	upToDate := replica.log.isUpToDate(lastIndex, lastTerm)
+	granted := upToDate && !replica.precedes(from, lastIndex, lastTerm)
 	if !granted {
 		term = replica.hardState.Term
 	}
+	replica.adaptElectionTimeout(upToDate)
 	replica.sendVoteResult(from, term, true, granted)
 }
 
+// adaptElectionTimeout lets a follower that is asked for a pre-vote wait for that election,
+// but not for long, or stand soon itself if the other one lacks entries and cannot win.
+func (replica *Replica) adaptElectionTimeout(upToDate bool) {
+	soon := replica.electionElapsed + electionStaggerTicks
+	switch {
+	case replica.role != Follower:
+	case upToDate:
+		replica.electionTimeout = max(replica.electionTimeout, min(soon, 2*replica.ElectionTicks))
+	default:
+		replica.electionTimeout = min(replica.electionTimeout, soon)
+	}
+}
+
+// precedes reports whether this replica has just begun to ask for votes itself and goes
+// before another one whose log is as long. Both could win the pre-vote, and split the
+// votes of the election. After that time it grants the vote, since it may not reach a
+// majority itself.
+func (replica *Replica) precedes(other ReplicaID, lastIndex Index, lastTerm Term) bool {
+	return replica.role == PreCandidate && replica.electionElapsed < electionStaggerTicks &&
+		lastIndex == replica.log.lastIndex() && lastTerm == replica.log.lastTerm() && replica.ID > other
+}
+
 func (replica *Replica) stepVoteRequest(from ReplicaID, request *quorumpb.VoteRequest) {
 	if request.GetPre() {
 		replica.sendVoteResult(from, replica.hardState.Term, true, false)
--- a/internal/core/quorum/replica.go
+++ b/internal/core/quorum/replica.go
@@ -10,10 +10,10 @@
 const (
 	defaultElectionTicks = 10
 	// firstElectionTicks gives the other replicas of a group time to start when
-	// all start together. firstElectionStaggerTicks, the delay from one voter to
+	// all start together. electionStaggerTicks, the delay from one voter to
 	// the next, is enough for a pre-vote and a vote between regions.
 	firstElectionTicks         = 2
-	firstElectionStaggerTicks  = 3
+	electionStaggerTicks       = 3
 	defaultHeartbeatTicks      = 2
 	defaultMaxMessageBytes     = 256 << 10
 	defaultMaxEntryBytes       = 768 << 10
@@ -81,6 +81,8 @@
 	electionElapsed int
 	electionTimeout int
 	votes           map[ReplicaID]bool
+	// campaignKind is the kind of the election that the replica stands in.
+	campaignKind campaignKind
 	// ownVoteStored says that the candidate's vote for itself is synced.
 	ownVoteStored bool
 
@@ -137,7 +139,7 @@
 			position++
 		}
 	}
-	return firstElectionTicks + position*firstElectionStaggerTicks
+	return firstElectionTicks + position*electionStaggerTicks
 }
 
 func (replica *Replica) setDefaults() {
@@ -209,8 +211,12 @@
 		replica.tickLeader()
 		return
 	}
-	if replica.electionElapsed >= replica.electionTimeout && replica.mayCampaign() {
+	switch {
+	case !replica.mayCampaign():
+	case replica.electionElapsed >= replica.electionTimeout:
 		replica.campaign(campaignPreVote)
+	case replica.role != Follower && replica.electionElapsed%replica.HeartbeatTicks == 0:
+		replica.repeatVoteRequests()
 	}
 }
 
