Change several members with one entry where majorities still meet

ProposeChange takes several changes. It refuses them with ErrUnsafeChange if a majority before them and one after them may have no voter in common, by a count of the voters that stay, leave and join. An exchange of one voter is safe with an even number and not with an odd one. The entry holds the whole membership as before, so that replicas of earlier builds take it in.

A learner is caught up if it has the entries that were committed a heartbeat before the last one, since under a steady load it never has the very last.

--- a/internal/core/quorum/leader.go
+++ b/internal/core/quorum/leader.go
@@ -19,6 +19,11 @@
 	// next round to start.
 	pendingReads []pendingRead
 	queuedReads  []pendingRead
+	// caughtUpIndex is the commit index of the heartbeat before the last one, and
+	// heartbeatCommit that of the last one. A member whose log reaches caughtUpIndex
+	// has caught up: under a steady load none ever reaches the commit index itself.
+	caughtUpIndex   Index
+	heartbeatCommit Index
 	// uncommittedBytes is the size of the uncommitted commands of this term.
 	uncommittedBytes int
 	// successor is the voter that leadership is being transferred to, or None.
@@ -33,7 +38,8 @@
 	replica.leaderID = replica.ID
 	replica.votes = nil
 	replica.electionElapsed = 0
-	replica.leaderState = leaderState{termStart: replica.log.lastIndex() + 1}
+	termStart := replica.log.lastIndex() + 1
+	replica.leaderState = leaderState{termStart: termStart, caughtUpIndex: termStart, heartbeatCommit: termStart}
 	replica.updatePeers()
 	replica.appendEntry(EmptyEntry, nil)
 	replica.scheduleHeartbeats()
@@ -47,6 +53,8 @@
 	replica.leaderState.heartbeatElapsed++
 	if replica.leaderState.heartbeatElapsed >= replica.HeartbeatTicks {
 		replica.leaderState.heartbeatElapsed = 0
+		replica.leaderState.caughtUpIndex = replica.leaderState.heartbeatCommit
+		replica.leaderState.heartbeatCommit = max(replica.leaderState.heartbeatCommit, replica.log.commitIndex)
 		replica.scheduleHeartbeats()
 	}
 }
@@ -93,9 +101,10 @@
 	return replica.appendEntry(CommandEntry, command), replica.hardState.Term, nil
 }
 
-// ProposeChange appends a membership change if this replica is the leader and
-// no other change is uncommitted. It returns the index and term of the entry.
-func (replica *Replica) ProposeChange(change MembershipChange) (Index, Term, error) {
+// ProposeChange appends membership changes as one entry if this replica is the leader
+// and no other change is uncommitted. It returns the index and term of the entry, or
+// [ErrUnsafeChange] if the changes must be made one after the other.
+func (replica *Replica) ProposeChange(changes ...MembershipChange) (Index, Term, error) {
 	if replica.role != Leader {
 		return 0, 0, ErrNotLeader
 	}
@@ -103,12 +112,18 @@
 	if latest.index > replica.log.commitIndex || replica.log.commitIndex < replica.leaderState.termStart {
 		return 0, 0, ErrChangePending
 	}
-	next, err := latest.membership.withChange(change)
-	if err != nil {
-		return 0, 0, err
+	next := latest.membership
+	for _, change := range changes {
+		var err error
+		if next, err = next.withChange(change); err != nil {
+			return 0, 0, err
+		}
+		if change.Kind == Promote && !replica.IsCaughtUp(change.Member.ID) {
+			return 0, 0, ErrNotCaughtUp
+		}
 	}
-	if change.Kind == Promote && !replica.isCaughtUp(change.Member.ID) {
-		return 0, 0, ErrNotCaughtUp
+	if !latest.membership.QuorumsMeet(next) {
+		return 0, 0, ErrUnsafeChange
 	}
 	data, err := marshalMembership(next)
 	if err != nil {
@@ -117,9 +132,11 @@
 	return replica.appendEntry(MembershipEntry, data), replica.hardState.Term, nil
 }
 
-func (replica *Replica) isCaughtUp(id ReplicaID) bool {
+// IsCaughtUp reports whether a leader knows that a member has synced all entries but the
+// latest.
+func (replica *Replica) IsCaughtUp(id ReplicaID) bool {
 	peer := replica.peer(id)
-	return peer != nil && peer.matchIndex >= replica.log.commitIndex
+	return replica.role == Leader && peer != nil && peer.matchIndex >= replica.leaderState.caughtUpIndex
 }
 
 // MatchIndex returns the last index that a leader knows a member to have synced, or
--- a/internal/core/quorum/membership.go
+++ b/internal/core/quorum/membership.go
@@ -65,6 +65,20 @@
 	return membership.VoterCount()/2 + 1
 }
 
+// QuorumsMeet reports whether every majority of this membership has a voter in common
+// with every majority of the next one, so that one entry may lead from one to the other.
+func (membership Membership) QuorumsMeet(next Membership) bool {
+	common := 0
+	for _, member := range membership.Members {
+		if !member.Learner && next.IsVoter(member.ID) {
+			common++
+		}
+	}
+	left := membership.VoterCount() - common
+	joined := next.VoterCount() - common
+	return membership.Majority()-left+next.Majority()-joined > common
+}
+
 // MembershipChangeKind is the kind of a membership change.
 type MembershipChangeKind uint8
 
--- a/internal/core/quorum/protocol_test.go
+++ b/internal/core/quorum/protocol_test.go
@@ -259,3 +259,28 @@
 	expect(simulation.hosts[0].replica.Status().Term).To(gomega.Equal(termBefore))
 	expect(simulation.fault).NotTo(gomega.HaveOccurred())
 }
+
+// Guards against voters of an odd number that change places in one entry: a majority
+// before it and one after it may have no voter in common.
+func TestUnsafeChangesAreRefused(t *testing.T) {
+	for size, safe := range map[int]bool{3: false, 4: true, 5: false, 6: true} {
+		expect, simulation := newScripted(t, size)
+		leader := simulation.hosts[0]
+		simulation.elect(leader)
+		added := simulation.addHost()
+		simulation.start(added)
+		_, _, err := leader.replica.ProposeChange(quorum.MembershipChange{Kind: quorum.AddLearner, Member: quorum.Member{ID: added.id}})
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		for range 20 {
+			simulation.tickAndDeliver(false)
+		}
+		_, _, err = leader.replica.ProposeChange(
+			quorum.MembershipChange{Kind: quorum.Remove, Member: quorum.Member{ID: simulation.hosts[1].id}},
+			quorum.MembershipChange{Kind: quorum.Promote, Member: quorum.Member{ID: added.id}})
+		if safe {
+			expect.Expect(err).NotTo(gomega.HaveOccurred(), "%d voters", size)
+			continue
+		}
+		expect.Expect(err).To(gomega.MatchError(quorum.ErrUnsafeChange), "%d voters", size)
+	}
+}
--- a/internal/core/quorum/types.go
+++ b/internal/core/quorum/types.go
@@ -129,6 +129,7 @@
 	ErrLeadershipTransfer = errors.New("leadership is being transferred: try again soon")
 	ErrTooLarge           = errors.New("the command exceeds the size limit of a log entry")
 	ErrChangePending      = errors.New("another membership change is not committed yet: try again later")
+	ErrUnsafeChange       = errors.New("a majority before the changes and one after them may have no voter in common: make one change at a time")
 	ErrNotCaughtUp        = errors.New("the learner has not caught up yet: try again later")
 	ErrNotMember          = errors.New("the replica is not a member")
 	ErrAlreadyMember      = errors.New("the replica is already a member")
