Let an empty host find the group by messages for its lost id

When the seeds are down, wrong, or lost their disks at the same moment, as three of seven hosts may, it asks nobody who knows, and the group never takes it in.

Cause: the leader goes on sending heartbeats to the id that the host had before its disk was lost, and the host drops them as messages to another id.

Such a message shows a member of the group, so a host without a log asks its sender. The leader hears the question, adds the host, and names the other members. Without seeds the host asks these in each round.

TestJoinerWaitsForSeed demanded that a host at its own address waits for a seed, which is the fault. It is replaced by TestHostWithLostDiskJoinsWithoutSeeds, which asks for more in the same case, and keeps its check for a new host at an address that the group does not know.

--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -27,7 +27,7 @@
 // none. It starts a new round at each election timeout; only answers of the
 // current round count.
 func (replica *Replica[M]) askForLogs() {
-	if len(replica.Peers) == 0 || replica.hasLog() {
+	if (len(replica.Peers) == 0 && !replica.FormsFromSeeds) || replica.hasLog() {
 		return
 	}
 	if replica.bootstrap.ticks%replica.ElectionTicks == 0 {
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -205,21 +205,37 @@
 // askNamedReplicas asks the replicas that an answer names, each once.
 func (replica *Replica[M]) askNamedReplicas(members []*quorumpb.Member) {
 	for _, member := range members {
-		address := member.GetAddress()
-		if address == replica.Address || slices.Contains(replica.membership.namedAddresses, address) {
-			continue
-		}
-		replica.membership.namedAddresses = append(replica.membership.namedAddresses, address)
-		replica.sendGreeting(address, true, replica.bootstrap.round)
+		replica.askNamedReplica(member.GetAddress())
+	}
+}
+
+func (replica *Replica[M]) askNamedReplica(address string) {
+	if address == "" || address == replica.Address || slices.Contains(replica.membership.namedAddresses, address) {
+		return
+	}
+	replica.membership.namedAddresses = append(replica.membership.namedAddresses, address)
+	replica.sendGreeting(address, true, replica.bootstrap.round)
+}
+
+// askSenderForLostID asks the sender of a message to another id whether it has a log. Such
+// a message is meant for the disk that this host has lost, so it shows a member of the
+// group even if no seed does.
+func (replica *Replica[M]) askSenderForLostID(message *quorumpb.Message) {
+	to := quorum.ReplicaID(message.GetTo())
+	if replica.FormsFromSeeds && !replica.hasLog() && to != quorum.None && to != replica.core.ID {
+		replica.askNamedReplica(message.GetSenderAddress())
 	}
 }
 
 // questionAddresses gives the addresses that a replica without a log asks.
 func (replica *Replica[M]) questionAddresses() []string {
-	if !replica.FormsFromSeeds || replica.Seeds == nil {
+	if !replica.FormsFromSeeds {
 		return replica.Peers
 	}
-	addresses := slices.Clone(replica.Seeds())
+	addresses := slices.Clone(replica.Peers)
+	if replica.Seeds != nil {
+		addresses = slices.Clone(replica.Seeds())
+	}
 	for _, address := range replica.membership.namedAddresses {
 		if !slices.Contains(addresses, address) {
 			addresses = append(addresses, address)
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -103,6 +103,7 @@
 		replica.handleGreeting(message, greeting)
 		return
 	}
+	replica.askSenderForLostID(message)
 	replica.core.Step(message)
 }
 
