Remove a lost disk from the group before its successor votes

Cause: a new id became a voter first and the old one was removed after it, 1.5 s of silence later, so that a lost disk added to the votes that are needed. Besides, the leader promoted the first learner over and over, and added the next host only when that voted.

All hosts that ask are added as learners with one entry and catch up side by side. A learner that has caught up takes the place of the voter at its address with the same entry if the number of voters is even; with an odd number that voter is removed first. The silence that is asked for is 0.5 s, since the empty disk at the address already shows that the old one is gone; a learner must have been heard in that time too. The number of dead voters never rises by a return. With n voters of which d are dead, a removal leaves n-d alive and a majority that is not larger, so no step bears fewer losses than the one before it; after it f are borne again:

voters lost further losses borne: after the loss, and after each entry 3 1 0; removed 0; promoted 1 5 2 0; removed 0; exchanged 1; promoted 2 6 2 0; exchanged 1; exchanged 2 7 3 0; removed 0; exchanged 1; exchanged 2; promoted 3 9 4 0; removed 0; exchanged 1, 2, 3; promoted 4

TestLateMessageOfLostDiskRemovesNoMember waited until both ids vote, which no longer happens; it checks the same for a learner beside the old voter, and for both as voters as earlier builds had them, and that neither leaves too early nor the lost one stays.

--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum"
 	"github.com/magnoliawall/magnoliawall/internal/core/quorum/quorumpb"
@@ -18,6 +19,10 @@
 	// unresponsiveTicks is longer than the delay of a message and several
 	// heartbeats; a member that is silent for as long is not in contact now.
 	unresponsiveTicks = 30
+	// lostDiskTicks is how long a member must be silent before a host with an empty
+	// disk at the same address replaces it: five heartbeats. The empty disk already
+	// shows that the other one is gone.
+	lostDiskTicks = 10
 	// joinRequestTicks is how long a request to join is valid, and how long a
 	// learner may be silent and still be promoted.
 	joinRequestTicks = 30
@@ -101,40 +106,93 @@
 	if !replica.membership.leading {
 		return
 	}
-	change, due := replica.nextChange(status.Membership)
-	if !due {
+	changes := replica.nextChanges(status.Membership)
+	if len(changes) == 0 {
 		return
 	}
-	_, _, err := replica.core.ProposeChange(change)
+	_, _, err := replica.core.ProposeChange(changes...)
 	if err != nil {
-		replica.membership.waiting = fmt.Sprintf("%s of replica %d at %s: %v", change.Kind, change.Member.ID, change.Member.Address, err)
+		replica.membership.waiting = fmt.Sprintf("%s: %v", describeChanges(changes), err)
 	}
 	switch {
 	case err == nil:
-		replica.logInfo("proposed change of members: %s of replica %d at %s", change.Kind, change.Member.ID, change.Member.Address)
+		replica.logInfo("proposed change of members: %s", describeChanges(changes))
 	case !errors.Is(err, quorum.ErrNotCaughtUp) && !errors.Is(err, quorum.ErrChangePending):
-		replica.logInfo("change of members refused: %s of replica %d at %s: %v", change.Kind, change.Member.ID, change.Member.Address, err)
+		replica.logInfo("change of members refused: %s: %v", describeChanges(changes), err)
 	}
 }
 
-// nextChange gives the change to make next. A host that lost its disk is added
-// under its new id before its old id is removed, so that the group does not shrink
-// meanwhile.
-func (replica *Replica[M]) nextChange(membership quorum.Membership) (quorum.MembershipChange, bool) {
+func describeChanges(changes []quorum.MembershipChange) string {
+	var parts []string
+	for _, change := range changes {
+		parts = append(parts, fmt.Sprintf("%s of replica %d at %s", change.Kind, change.Member.ID, change.Member.Address))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// nextChanges gives the changes to make with the next entry. All hosts that ask are added
+// as learners at once, so that they catch up side by side. A voter whose disk is lost
+// leaves when the learner at its address has caught up, and not after that votes: no lost
+// disk adds to the votes that are needed, also if the same host loses its disk again.
+func (replica *Replica[M]) nextChanges(membership quorum.Membership) []quorum.MembershipChange {
+	var changes []quorum.MembershipChange
+	for _, joiner := range replica.pendingJoiners(membership) {
+		changes = append(changes, quorum.MembershipChange{Kind: quorum.AddLearner, Member: joiner})
+	}
+	if len(changes) > 0 {
+		return changes
+	}
+	if changes = replica.nextExchange(membership); len(changes) > 0 {
+		return changes
+	}
 	for _, member := range membership.Members {
-		if member.Learner && replica.silentFor(member.ID) < joinRequestTicks {
-			return quorum.MembershipChange{Kind: quorum.Promote, Member: member}, true
+		if _, replaces := voterAt(membership, member.Address); !replaces && replica.isReady(member) {
+			return []quorum.MembershipChange{{Kind: quorum.Promote, Member: member}}
 		}
 	}
 	for _, member := range membership.Members {
 		if replica.isReplaced(membership, member) {
-			return quorum.MembershipChange{Kind: quorum.Remove, Member: member}, true
+			return []quorum.MembershipChange{{Kind: quorum.Remove, Member: member}}
 		}
 	}
-	for _, joiner := range replica.pendingJoiners(membership) {
-		return quorum.MembershipChange{Kind: quorum.AddLearner, Member: joiner}, true
+	return nil
+}
+
+// nextExchange puts a learner that is ready in the place of the voter whose disk it
+// replaces. Where one entry may not do both, the voter is removed first.
+func (replica *Replica[M]) nextExchange(membership quorum.Membership) []quorum.MembershipChange {
+	for _, member := range membership.Members {
+		lost, replaces := voterAt(membership, member.Address)
+		if !replaces || !replica.isReady(member) {
+			continue
+		}
+		if replica.silentFor(lost.ID) < lostDiskTicks {
+			replica.membership.waiting = fmt.Sprintf("promotion of replica %d at %s: replica %d at the same address was heard lately", member.ID, member.Address, lost.ID)
+			continue
+		}
+		removal := quorum.MembershipChange{Kind: quorum.Remove, Member: lost}
+		if membership.VoterCount()%2 == 1 {
+			return []quorum.MembershipChange{removal}
+		}
+		return []quorum.MembershipChange{removal, {Kind: quorum.Promote, Member: member}}
+	}
+	return nil
+}
+
+// isReady reports whether a member is a learner that may vote now.
+func (replica *Replica[M]) isReady(member quorum.Member) bool {
+	return member.Learner && replica.silentFor(member.ID) < lostDiskTicks && replica.core.IsCaughtUp(member.ID)
+}
+
+// voterAt gives the voter at an address.
+func voterAt(membership quorum.Membership, address string) (quorum.Member, bool) {
+	index := slices.IndexFunc(membership.Members, func(member quorum.Member) bool {
+		return !member.Learner && member.Address == address
+	})
+	if index < 0 {
+		return quorum.Member{}, false
 	}
-	return quorum.MembershipChange{}, false
+	return membership.Members[index], true
 }
 
 // silentFor is the number of ticks since a member was last heard, or since this
@@ -149,8 +207,8 @@
 // isReplaced reports whether another voter has replaced a member: one at the same
 // address, which shows that the member's disk is lost, or one in the same failure
 // domain while the member is silent. Of two ids at one address, the one that has
-// been silent for unresponsiveTicks is removed. Which of them was heard last does
-// not decide, since a message of the lost disk may arrive late.
+// been silent for lostDiskTicks is removed. Which of them was heard last does not
+// decide, since a message of the lost disk may arrive late.
 func (replica *Replica[M]) isReplaced(membership quorum.Membership, member quorum.Member) bool {
 	if member.ID == replica.core.ID {
 		return false
@@ -159,8 +217,8 @@
 		if other.ID == member.ID || other.Learner {
 			continue
 		}
-		responsive := replica.silentFor(other.ID) < unresponsiveTicks
-		if other.Address == member.Address && responsive && replica.silentFor(member.ID) >= unresponsiveTicks {
+		responsive := replica.silentFor(other.ID) < lostDiskTicks
+		if other.Address == member.Address && responsive && replica.silentFor(member.ID) >= lostDiskTicks {
 			return true
 		}
 		silent := responsive && replica.silentFor(member.ID) >= lostMemberTicks
--- a/internal/replica/membership_test.go
+++ b/internal/replica/membership_test.go
@@ -243,8 +243,9 @@
 	}
 }
 
-// A message of a lost disk may arrive late, just after a new leader began to count.
-// It must not make the new id at the same address look lost.
+// A message of a lost disk may arrive late, just after a new leader began to count. It
+// must not make the new id at the same address look lost, whether that is still a learner
+// or votes beside the old one, as builds before this one had it.
 func TestLateMessageOfLostDiskRemovesNoMember(t *testing.T) {
 	cluster := newSeedCluster(t, 6)
 	cluster.awaitVoters(cluster.order...)
@@ -253,15 +254,28 @@
 	old := cluster.hosts[lost].core.ID
 	cluster.loseDisk(lost)
 	cluster.startWithSeeds(lost, false)
-	cluster.await("both ids vote", func() bool { return leader.core.Status().Membership.VoterCount() == len(cluster.order)+1 })
 	fresh := cluster.hosts[lost].core.ID
+	cluster.await("the new id is a member", func() bool {
+		_, known := leader.core.Status().CommittedMembership.Find(fresh)
+		return known && leader.core.IsCaughtUp(fresh)
+	})
 	leader.membership.leaderSince = leader.membership.ticks - 1
 	leader.membership.lastHeard[fresh], leader.membership.lastHeard[old] = leader.membership.ticks-1, leader.membership.ticks
-	membership := leader.core.Status().Membership
-	for _, id := range []quorum.ReplicaID{old, fresh} {
-		member, _ := membership.Find(id)
-		cluster.Expect(leader.isReplaced(membership, member)).To(gomega.BeFalse(), "id %d, old %d", id, old)
+	asLearner := leader.core.Status().Membership
+	cluster.Expect(leader.nextChanges(asLearner)).To(gomega.BeEmpty(), "a change while both ids at one address were heard")
+	asVoter := quorum.Membership{Members: slices.Clone(asLearner.Members)}
+	for index := range asVoter.Members {
+		asVoter.Members[index].Learner = false
+	}
+	cluster.Expect(asVoter.VoterCount()).To(gomega.Equal(len(cluster.order) + 1))
+	for _, membership := range []quorum.Membership{asLearner, asVoter} {
+		for _, id := range []quorum.ReplicaID{old, fresh} {
+			member, _ := membership.Find(id)
+			cluster.Expect(leader.isReplaced(membership, member)).To(gomega.BeFalse(), "id %d, old %d", id, old)
+		}
 	}
-	cluster.await("the lost id has left", func() bool { return !leader.core.Status().CommittedMembership.IsVoter(old) })
-	cluster.Expect(leader.core.Status().CommittedMembership.IsVoter(fresh)).To(gomega.BeTrue())
+	cluster.await("the lost id has left, and the new one votes", func() bool {
+		committed := leader.core.Status().CommittedMembership
+		return !committed.IsVoter(old) && committed.IsVoter(fresh)
+	})
 }
