Bound the stored texts of earlier versions in bytes

Cause: the state kept a difference back for each of 16,384 versions. On the users' platform a change replaces the whole document, whose label is at its front, so that the one range of a splice spans nearly the whole text.

Change: the reverse splices are kept up to 2 MiB in total; older versions keep their record without a text. What is dropped follows from the sizes alone, so that all replicas drop at the same command, and a state from a build without the bound is trimmed alike when it is taken in. The log and all results stay as they are: builds with and without the bound differ in the texts that they can show only. A dropped splice is replaced by one that fits no text, which builds without the bound already report as not stored. The operators' service says which texts are stored and what to do, and a stale patch says of which versions it does not know the changes.

--- a/internal/adapter/operator/configuration.go
+++ b/internal/adapter/operator/configuration.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -112,24 +113,20 @@
 
 func (service *Service) viewConfiguration(ctx context.Context, query VersionQuery) (Configuration, error) {
 	answer := Configuration{}
-	found := false
+	var missing error
 	err := service.Ledger.Read(ctx, func(machine *ledger.Machine) {
 		number, _ := machine.CurrentVersion()
 		if query.Version != 0 {
 			number = query.Version
 		}
-		text, ok := machine.VersionText(number)
-		records := machine.Versions(number-1, number)
-		if !ok || number == 0 || len(records) == 0 {
+		text, stored := machine.VersionText(number)
+		if !stored {
+			missing = missingText(machine, number)
 			return
 		}
-		found = true
-		answer = Configuration{VersionRow: versionRow(records[0]), Text: string(text)}
+		answer = Configuration{VersionRow: versionRow(machine.Versions(number-1, number)[0]), Text: string(text)}
 	})
-	if err == nil && !found {
-		return answer, notFound{fmt.Sprintf("version %d does not exist or is no longer stored; check the list of versions", query.Version)}
-	}
-	if err != nil {
+	if err := cmp.Or(err, missing); err != nil {
 		return answer, err
 	}
 	shown, err := configuration.HideKeys([]byte(answer.Text))
@@ -137,6 +134,18 @@
 	return answer, err
 }
 
+// missingText returns the error of a request for the text of a version that is not stored.
+func missingText(machine *ledger.Machine, number configuration.Version) error {
+	current, _ := machine.CurrentVersion()
+	switch {
+	case current == 0:
+		return notFound{"there is no configuration yet; send the first one"}
+	case number == 0 || number > current:
+		return notFound{fmt.Sprintf("version %d does not exist, the latest is %d; check the list of versions", number, current)}
+	}
+	return notFound{fmt.Sprintf("the text of version %d is no longer stored, only those of versions %d to %d; use your own copy of it, and compare its SHA-256 with the digest in the list of versions", number, machine.OldestText(), current)}
+}
+
 func (service *Service) checkConfiguration(_ context.Context, query Configuration) (PatchOutcome, error) {
 	_, err := configuration.Parse([]byte(query.Text))
 	faults := configuration.Faults{}
@@ -185,22 +194,23 @@
 func (service *Service) diffVersions(ctx context.Context, query DifferenceQuery) (Difference, error) {
 	answer := Difference{From: query.From, To: query.To, Changes: []Change{}}
 	var before, after []byte
-	found := true
+	var missing error
 	err := service.Ledger.Read(ctx, func(machine *ledger.Machine) {
 		if query.To == 0 {
 			answer.To, _ = machine.CurrentVersion()
 		}
-		var hasBefore, hasAfter bool
-		before, hasBefore = machine.VersionText(query.From)
-		after, hasAfter = machine.VersionText(answer.To)
-		found = hasBefore && hasAfter
+		var stored bool
+		if before, stored = machine.VersionText(query.From); !stored {
+			missing = missingText(machine, query.From)
+			return
+		}
+		if after, stored = machine.VersionText(answer.To); !stored {
+			missing = missingText(machine, answer.To)
+		}
 	})
-	if err != nil {
+	if err := cmp.Or(err, missing); err != nil {
 		return answer, err
 	}
-	if !found {
-		return answer, notFound{fmt.Sprintf("version %d or %d does not exist or is no longer stored; check the list of versions", query.From, answer.To)}
-	}
 	changes, err := configuration.Diff(before, after)
 	answer.Changes = changeRows(changes)
 	return answer, err
@@ -217,7 +227,7 @@
 func versionChanges(changes []ledger.VersionChange) []VersionChange {
 	rows := make([]VersionChange, 0, len(changes))
 	for _, change := range changes {
-		rows = append(rows, VersionChange{VersionRow: versionRow(change.VersionRecord), Changes: changeRows(change.Changes)})
+		rows = append(rows, VersionChange{VersionRow: versionRow(change.VersionRecord), Unknown: !change.TextsStored, Changes: changeRows(change.Changes)})
 	}
 	return rows
 }
--- a/internal/adapter/operator/messages.go
+++ b/internal/adapter/operator/messages.go
@@ -83,6 +83,9 @@
 type VersionChange struct {
 	VersionRow
 	Changes []Change `json:"changes"`
+	// Unknown says that the texts of this version and the one before are not both stored,
+	// so that Changes is empty.
+	Unknown bool `json:"unknown,omitempty"`
 }
 
 // Difference lists the fields that differ between two versions.
--- a/internal/core/ledger/history.go
+++ b/internal/core/ledger/history.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"math"
 
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger/ledgerpb"
@@ -56,8 +57,12 @@
 // versionHistory holds the current configuration, the differences to its
 // earlier versions, and the outcomes of patches.
 type versionHistory struct {
-	currentText   []byte
-	versions      []*ledgerpb.Version
+	currentText []byte
+	versions    []*ledgerpb.Version
+	// oldestText is the index in versions of the oldest one whose text is stored.
+	oldestText int
+	// reverseBytes is the total size of the reverse splices of the versions after it.
+	reverseBytes  int
 	patchOutcomes []*ledgerpb.PatchOutcome
 	outcomeByID   map[string]*ledgerpb.PatchOutcome
 	// oldestDecidableBase is the lowest base for which patches are still decided.
@@ -145,8 +150,9 @@
 		TextDigest:       patch.GetTextDigest(),
 	})
 	history.currentText = text
+	history.addReverse(len(history.versions) - 1)
 	if len(history.versions) > MaxVersions {
-		history.versions = dropFirst(history.versions)
+		history.dropOldestVersion()
 	}
 }
 
@@ -169,10 +175,61 @@
 	return list[1:]
 }
 
+// addReverse counts the reverse splice of the newest version, and drops the oldest ones
+// over the limit.
+func (history *versionHistory) addReverse(index int) {
+	if index <= history.oldestText {
+		history.dropReverse(index)
+		return
+	}
+	history.reverseBytes += len(history.versions[index].GetBack().GetInserted())
+	for history.reverseBytes > MaxReverseBytes {
+		history.dropOldestText()
+	}
+}
+
+// dropOldestText drops the text of the oldest version that has one.
+func (history *versionHistory) dropOldestText() {
+	history.oldestText++
+	history.reverseBytes -= len(history.versions[history.oldestText].GetBack().GetInserted())
+	history.dropReverse(history.oldestText)
+}
+
+// dropReverse drops the reverse splice of a version. It replaces the whole version, since
+// a [FrozenState] may share the old one.
+func (history *versionHistory) dropReverse(index int) {
+	version := history.versions[index]
+	history.versions[index] = &ledgerpb.Version{
+		Number:           version.GetNumber(),
+		PatchId:          version.GetPatchId(),
+		Operator:         version.GetOperator(),
+		Note:             version.GetNote(),
+		UnixMilliseconds: version.GetUnixMilliseconds(),
+		Back:             droppedReverse,
+		TextDigest:       version.GetTextDigest(),
+	}
+}
+
+func (history *versionHistory) dropOldestVersion() {
+	if history.oldestText == 0 {
+		history.dropOldestText()
+	}
+	history.versions = dropFirst(history.versions)
+	history.oldestText--
+}
+
+// droppedReverse takes the place of a reverse splice that was dropped. It fits no text, so
+// that builds without [MaxReverseBytes] also know that the earlier text is not stored.
+var droppedReverse = &ledgerpb.Splice{At: math.MaxUint32}
+
+func isDropped(reverse *ledgerpb.Splice) bool {
+	return reverse.GetAt() == droppedReverse.GetAt()
+}
+
 // textAt reconstructs the text of a version by applying the reverse splices
 // from the current text backwards.
 func (history *versionHistory) textAt(number uint64) ([]byte, bool) {
-	if number == 0 || number > history.currentVersion() || history.versions[0].GetNumber() > number {
+	if number == 0 || number > history.currentVersion() || number < history.versions[history.oldestText].GetNumber() {
 		return nil, false
 	}
 	text := history.currentText
--- a/internal/core/ledger/machine.go
+++ b/internal/core/ledger/machine.go
@@ -63,6 +63,10 @@
 	// MaxVersions is the maximum number of configuration versions in the
 	// history.
 	MaxVersions = 16_384
+	// MaxReverseBytes caps the total size of the differences back to the texts of
+	// earlier versions. The texts of the versions before are not stored, only their
+	// records.
+	MaxReverseBytes = 2 << 20
 	// MaxOutcomes is the maximum number of patch outcomes that are kept.
 	MaxOutcomes = 32_768
 	// MaxSettlements is the maximum number of settlements that are kept.
--- a/internal/core/ledger/queries.go
+++ b/internal/core/ledger/queries.go
@@ -24,7 +24,17 @@
 	return configuration.Version(machine.history.currentVersion()), machine.history.currentText
 }
 
-// VersionText returns the text of a version, or false if it is not in the history.
+// OldestText returns the oldest version whose text is stored, or zero before the first
+// version.
+func (machine *Machine) OldestText() configuration.Version {
+	if len(machine.history.versions) == 0 {
+		return 0
+	}
+	return configuration.Version(machine.history.versions[machine.history.oldestText].GetNumber())
+}
+
+// VersionText returns the text of a version, or false if it is not stored, see
+// [Machine.OldestText].
 func (machine *Machine) VersionText(number configuration.Version) ([]byte, bool) {
 	return machine.history.textAt(uint64(number))
 }
@@ -51,10 +61,12 @@
 }
 
 // VersionChange is a version with its changes from the version before. Changes is
-// empty if the history does not hold both texts.
+// empty if TextsStored is false.
 type VersionChange struct {
 	VersionRecord
-	Changes []configuration.Change
+	// TextsStored reports whether the texts of both versions are stored.
+	TextsStored bool
+	Changes     []configuration.Change
 }
 
 // VersionChanges returns the versions with a number above after and at most upTo,
@@ -69,6 +81,7 @@
 		before, hasBefore := machine.VersionText(record.Number - 1)
 		text, hasText := machine.VersionText(record.Number)
 		if hasBefore && hasText {
+			change.TextsStored = true
 			change.Changes, _ = configuration.Diff(before, text)
 		}
 		changes = append(changes, change)
--- a/internal/core/ledger/restore.go
+++ b/internal/core/ledger/restore.go
@@ -46,6 +46,25 @@
 	for _, outcome := range history.patchOutcomes {
 		history.outcomeByID[outcome.GetId()] = outcome
 	}
+	history.restoreReverses()
+}
+
+// restoreReverses drops the reverse splices that a build without [MaxReverseBytes], or with
+// a higher one, has kept over the limit.
+func (history *versionHistory) restoreReverses() {
+	oldest := max(0, len(history.versions)-1)
+	for oldest > 0 && !isDropped(history.versions[oldest].GetBack()) {
+		size := len(history.versions[oldest].GetBack().GetInserted())
+		if history.reverseBytes+size > MaxReverseBytes {
+			break
+		}
+		history.reverseBytes += size
+		oldest--
+	}
+	history.oldestText = oldest
+	for index := range history.versions[:min(oldest+1, len(history.versions))] {
+		history.dropReverse(index)
+	}
 }
 
 func (table *claimTable) restore(state *ledgerpb.State) error {
--- a/magnolia/internal/command/patch/outcome/outcome.go
+++ b/magnolia/internal/command/patch/outcome/outcome.go
@@ -24,6 +24,9 @@
 	}
 	for _, version := range answer.Since {
 		streams.Printf("  version %d by %s: %s\n", version.Version, version.Operator, version.Note)
+		if version.Unknown {
+			streams.Printf("    changes are not known: the texts are no longer stored, use your own copies\n")
+		}
 		for _, change := range version.Changes {
 			streams.Printf("    %s\n", change.Text)
 		}
