Keep only patches that together are smaller than the text

Cause: a replica keeps the latest 1,024 patches for nodes that are behind, whatever they weigh. A patch that replaces the document is as large as the document, and patches that together are as large as the text are never sent.

Change: the steps that would never be sent are dropped when a version is published.

A node at a version whose step is dropped gets the whole text, as before.

--- a/internal/core/distribution/publisher.go
+++ b/internal/core/distribution/publisher.go
@@ -6,14 +6,15 @@
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 )
 
-// DefaultKeptPatches is the number of patches that a [Publisher] keeps if its
+// DefaultKeptPatches is the largest number of patches that a [Publisher] keeps if its
 // KeptPatches is zero.
 const DefaultKeptPatches = 1024
 
 // Publisher holds the newest version and the latest patches, which a replica
 // sends to nodes. It is not safe for concurrent use.
 type Publisher struct {
-	// KeptPatches is the number of latest patches that are kept.
+	// KeptPatches is the largest number of latest patches that are kept. Fewer are kept
+	// where together they are as large as the text.
 	KeptPatches int
 
 	newest Version
@@ -43,7 +44,7 @@
 		return &OrderError{Newest: publisher.newest.Number, Got: version.Number}
 	}
 	follows := version.Number == publisher.newest.Number+1 && version.Patch != nil && publisher.newest.Number > 0
-	publisher.newest = version
+	publisher.newest = Version{Number: version.Number, Text: version.Text}
 	publisher.digest = DigestOf(version.Text)
 	if !follows {
 		publisher.base = VersionID{Number: version.Number, Digest: publisher.digest}
@@ -92,13 +93,18 @@
 	return nil, false
 }
 
+// trimSteps drops the oldest steps over the number that is kept, and those that would never
+// be sent, since with the later ones they are as large as the whole text.
 func (publisher *Publisher) trimSteps() {
 	kept := publisher.KeptPatches
 	if kept == 0 {
 		kept = DefaultKeptPatches
 	}
-	excess := len(publisher.steps) - kept
-	if excess <= 0 {
+	excess := max(0, len(publisher.steps)-kept)
+	for size := patchBytes(publisher.steps[excess:]); size >= len(publisher.newest.Text) && excess < len(publisher.steps); excess++ {
+		size -= len(publisher.steps[excess].Patch)
+	}
+	if excess == 0 {
 		return
 	}
 	last := publisher.steps[excess-1]
