Bound the stored faults of patches in bytes

Change: faults are kept up to 1 MiB in total; older outcomes keep their state, and say that the faults are no longer stored. All replicas drop at the same command, and trim a state from a build without the bound alike. The state, version and base of every result stay as they are; while hosts are upgraded one by one, the fault lines of an old patch that is sent again may differ between the hosts that answer.

Evidence: TestFaultsAreBoundedInBytes, 32,868 faulty patches of 2.5 KB each.

--- a/internal/core/ledger/history.go
+++ b/internal/core/ledger/history.go
@@ -44,14 +44,21 @@
 	Faults []string
 }
 
+// faultsDropped is shown in place of faults that are no longer stored.
+const faultsDropped = "the faults are no longer stored; check the document again"
+
 func decodePatchOutcome(recorded *ledgerpb.PatchOutcome) PatchOutcome {
-	return PatchOutcome{
+	decoded := PatchOutcome{
 		ID:      PatchID(recorded.GetId()),
 		State:   recorded.GetState(),
 		Version: configuration.Version(recorded.GetVersion()),
 		Base:    configuration.Version(recorded.GetBase()),
 		Faults:  recorded.GetFaults(),
 	}
+	if decoded.State == PatchFaulty && len(decoded.Faults) == 0 {
+		decoded.Faults = []string{faultsDropped}
+	}
+	return decoded
 }
 
 // versionHistory holds the current configuration, the differences to its
@@ -65,6 +72,10 @@
 	reverseBytes  int
 	patchOutcomes []*ledgerpb.PatchOutcome
 	outcomeByID   map[string]*ledgerpb.PatchOutcome
+	// oldestFaults is the index in patchOutcomes from which on faults are stored, and
+	// faultBytes their total size.
+	oldestFaults int
+	faultBytes   int
 	// oldestDecidableBase is the lowest base for which patches are still decided.
 	// It is above the base of every accepted or stale patch whose outcome was
 	// dropped, so that a retry of such a patch is not decided a second time. It
@@ -159,15 +170,53 @@
 func (history *versionHistory) recordOutcome(outcome *ledgerpb.PatchOutcome) {
 	history.patchOutcomes = append(history.patchOutcomes, outcome)
 	history.outcomeByID[outcome.GetId()] = outcome
-	if len(history.patchOutcomes) <= MaxOutcomes {
-		return
+	history.faultBytes += faultSize(outcome)
+	for history.faultBytes > MaxFaultBytes {
+		history.dropOldestFaults()
+	}
+	if len(history.patchOutcomes) > MaxOutcomes {
+		history.dropOldestOutcome()
+	}
+}
+
+func (history *versionHistory) dropOldestOutcome() {
+	if history.oldestFaults == 0 {
+		history.dropOldestFaults()
 	}
 	dropped := history.patchOutcomes[0]
 	history.patchOutcomes = dropFirst(history.patchOutcomes)
+	history.oldestFaults--
 	delete(history.outcomeByID, dropped.GetId())
 	history.oldestDecidableBase = max(history.oldestDecidableBase, dropped.GetVersion())
 }
 
+// dropOldestFaults drops the faults of the oldest outcome that may have some. It replaces
+// the whole outcome, since a [FrozenState] may share the old one.
+func (history *versionHistory) dropOldestFaults() {
+	outcome := history.patchOutcomes[history.oldestFaults]
+	history.faultBytes -= faultSize(outcome)
+	if len(outcome.GetFaults()) > 0 {
+		outcome = &ledgerpb.PatchOutcome{
+			Id:      outcome.GetId(),
+			State:   outcome.GetState(),
+			Version: outcome.GetVersion(),
+			Base:    outcome.GetBase(),
+			Content: outcome.GetContent(),
+		}
+		history.patchOutcomes[history.oldestFaults] = outcome
+		history.outcomeByID[outcome.GetId()] = outcome
+	}
+	history.oldestFaults++
+}
+
+func faultSize(outcome *ledgerpb.PatchOutcome) int {
+	size := 0
+	for _, fault := range outcome.GetFaults() {
+		size += len(fault)
+	}
+	return size
+}
+
 // dropFirst removes the first element without copying the list. The next append
 // that exceeds the capacity of the array copies it.
 func dropFirst[T any](list []*T) []*T {
--- a/internal/core/ledger/history_size_test.go
+++ b/internal/core/ledger/history_size_test.go
@@ -41,10 +41,14 @@
 	base, before := replica.machine.CurrentVersion()
 	text := document.text(base + 1)
 	digest := sha256.Sum256(text)
-	command, err := proto.Marshal(&ledgerpb.Command{Body: &ledgerpb.Command_Patch{Patch: &ledgerpb.Patch{
+	return replica.applyPatch(&ledgerpb.Patch{
 		Id: fmt.Sprint("replace-", base), Content: digest[:], Base: uint64(base), Operator: "ana", TextDigest: digest[:],
 		Splice: &ledgerpb.Splice{Removed: uint64(len(before)), Inserted: text},
-	}}})
+	})
+}
+
+func (replica *testReplica) applyPatch(patch *ledgerpb.Patch) []byte {
+	command, err := proto.Marshal(&ledgerpb.Command{Body: &ledgerpb.Command_Patch{Patch: patch}})
 	if err != nil {
 		panic(err)
 	}
@@ -135,3 +139,33 @@
 	}
 	expect(upgraded.machine.Snapshot()).To(gomega.Equal(replica.machine.Snapshot()))
 }
+
+// TestFaultsAreBoundedInBytes guards against a state that grows with each faulty patch by
+// the names that its faults cite.
+func TestFaultsAreBoundedInBytes(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	replica := newTestReplica()
+	replica.submit(ledger.Submission{ID: "first", Operator: "ana", Text: []byte(document)})
+	before := heapBytes()
+	const patches = ledger.MaxOutcomes + 100
+	for number := range patches {
+		replica.applyPatch(&ledgerpb.Patch{Id: fmt.Sprint("faulty-", number), Base: 1, Operator: "bea", Faults: []string{strings.Repeat("name ", 500), "a second fault"}})
+	}
+	limit := ledger.MaxFaultBytes + patches*recordBytes/4
+	t.Logf("snapshot %d B, heap %d B", len(replica.machine.Snapshot()), int64(heapBytes())-int64(before))
+	expect(len(replica.machine.Snapshot())).To(gomega.BeNumerically("<", limit))
+	expect(int64(heapBytes()) - int64(before)).To(gomega.BeNumerically("<", limit))
+	snapshot := replica.machine.Snapshot()
+	for range 2 {
+		latest, _ := replica.machine.PatchOutcome(ledger.PatchID(fmt.Sprint("faulty-", patches-1)))
+		expect(latest.Faults).To(gomega.HaveLen(2))
+		dropped, recorded := replica.machine.PatchOutcome(ledger.PatchID(fmt.Sprint("faulty-", patches/2)))
+		expect(recorded).To(gomega.BeTrue())
+		expect(dropped.State).To(gomega.Equal(ledger.PatchFaulty))
+		expect(dropped.Faults).To(gomega.Equal([]string{"the faults are no longer stored; check the document again"}))
+		replica.restartFromSnapshot()
+		expect(bytes.Equal(replica.machine.Snapshot(), snapshot)).To(gomega.BeTrue())
+	}
+	replica.applyPatch(&ledgerpb.Patch{Id: "one-more", Base: 1, Operator: "bea", Faults: []string{"a third fault"}})
+	expect(len(replica.machine.Snapshot())).To(gomega.BeNumerically("<", limit))
+}
--- a/internal/core/ledger/machine.go
+++ b/internal/core/ledger/machine.go
@@ -69,6 +69,9 @@
 	MaxReverseBytes = 2 << 20
 	// MaxOutcomes is the maximum number of patch outcomes that are kept.
 	MaxOutcomes = 32_768
+	// MaxFaultBytes caps the total size of the faults in the outcomes. Older outcomes
+	// keep their state without the faults.
+	MaxFaultBytes = 1 << 20
 	// MaxSettlements is the maximum number of settlements that are kept.
 	MaxSettlements = 4_096
 )
--- a/internal/core/ledger/restore.go
+++ b/internal/core/ledger/restore.go
@@ -45,6 +45,10 @@
 	history.oldestDecidableBase = state.GetForgottenBase()
 	for _, outcome := range history.patchOutcomes {
 		history.outcomeByID[outcome.GetId()] = outcome
+		history.faultBytes += faultSize(outcome)
+	}
+	for history.faultBytes > MaxFaultBytes {
+		history.dropOldestFaults()
 	}
 	history.restoreReverses()
 }
