Publish the newest version alone where the changes exceed the text

Nodes get the whole text anyway where the differences together are larger, which they are after two changes that replace the document.

Change: the reconciler asks the state for the texts after the version that it has published, with a limit. The state adds up the sizes of the changes, which it knows, before it rebuilds a text, and walks back once for all of them.

--- a/internal/core/ledger/fuzz_test.go
+++ b/internal/core/ledger/fuzz_test.go
@@ -31,6 +31,7 @@
 		machine.OpenClaims()
 		machine.VersionText(1)
 		machine.VersionChanges(0, 3, 5)
+		machine.TextsAfter(0, 1<<20)
 		restored := ledger.New()
 		if err := restored.Restore(machine.Snapshot()); err != nil {
 			t.Fatal(err)
--- a/internal/core/ledger/history.go
+++ b/internal/core/ledger/history.go
@@ -291,3 +291,28 @@
 	}
 	return text, true
 }
+
+// textsAfter adds up the sizes of the changes before it rebuilds a text.
+func (history *versionHistory) textsAfter(base, maxInserted uint64) [][]byte {
+	newest := len(history.versions) - 1
+	first, inserted := newest, uint64(0)
+	for ; first >= 0 && history.versions[first].GetNumber() > base; first-- {
+		// What the reverse splice removes is what the change inserted.
+		inserted += history.versions[first].GetBack().GetRemoved()
+		if first <= history.oldestText || inserted >= maxInserted {
+			return nil
+		}
+	}
+	texts := make([][]byte, newest-first)
+	text, fits := history.currentText, true
+	for index := newest; index > first; index-- {
+		if index < newest {
+			text, fits = applySplice(text, history.versions[index+1].GetBack())
+		}
+		if !fits {
+			return nil
+		}
+		texts[index-first-1] = text
+	}
+	return texts
+}
--- a/internal/core/ledger/history_size_test.go
+++ b/internal/core/ledger/history_size_test.go
@@ -169,3 +169,30 @@
 	replica.applyPatch(&ledgerpb.Patch{Id: "one-more", Base: 1, Operator: "bea", Faults: []string{"a third fault"}})
 	expect(len(replica.machine.Snapshot())).To(gomega.BeNumerically("<", limit))
 }
+
+// TestTextsAfterBaseStopAtLimit guards against texts that are rebuilt for nothing, and
+// against ones of other versions.
+func TestTextsAfterBaseStopAtLimit(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	document, replica := newWideDocument(10), newTestReplica()
+	for range 30 {
+		replica.replaceText(document)
+	}
+	size := len(document.text(30))
+	expect(replica.machine.TextsAfter(30, size)).To(gomega.BeEmpty())
+	expect(replica.machine.TextsAfter(29, size)).To(gomega.Equal([][]byte{document.text(30)}))
+	expect(replica.machine.TextsAfter(28, size)).To(gomega.BeNil())
+	expect(replica.machine.TextsAfter(28, 2*size)).To(gomega.Equal([][]byte{document.text(29), document.text(30)}))
+	expect(replica.machine.TextsAfter(1, 100*size)).To(gomega.HaveLen(29))
+	expect(replica.machine.TextsAfter(0, 100*size)).To(gomega.BeNil())
+
+	large, wide := newTestReplica(), newWideDocument(1_750)
+	for range 20 {
+		large.replaceText(wide)
+	}
+	oldest := large.machine.OldestText()
+	expect(large.machine.TextsAfter(oldest, 20<<20)).To(gomega.HaveLen(int(20 - oldest)))
+	expect(large.machine.TextsAfter(oldest-1, 20<<20)).To(gomega.BeNil())
+	_, newest := large.machine.CurrentVersion()
+	expect(testing.AllocsPerRun(10, func() { large.machine.TextsAfter(oldest, len(newest)) })).To(gomega.BeZero())
+}
--- a/internal/core/ledger/queries.go
+++ b/internal/core/ledger/queries.go
@@ -39,6 +39,13 @@
 	return machine.history.textAt(uint64(number))
 }
 
+// TextsAfter returns the texts of the versions after a base, oldest first. It returns nil if
+// one of them or that of the base is not stored, or if the changes from one to the next
+// insert maxInserted bytes or more in total.
+func (machine *Machine) TextsAfter(base configuration.Version, maxInserted int) [][]byte {
+	return machine.history.textsAfter(uint64(base), uint64(max(0, maxInserted)))
+}
+
 // Versions returns the records in the history with a number above after and at
 // most upTo, oldest first.
 func (machine *Machine) Versions(after, upTo configuration.Version) []VersionRecord {
--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -168,29 +168,28 @@
 	versions []distribution.Version
 }
 
-// collect is called by the replica's goroutine and must be quick. Without a base
-// text, or many versions behind, it collects only the latest version, with its
-// whole text.
+// collect is called by the replica's goroutine and must be quick. It collects only the
+// latest version, with its whole text, if there is no base text, or where nodes would get
+// the whole text anyway: many versions behind, or after changes as large as the text.
 func (pending *pendingVersions) collect(machine *ledger.Machine) {
 	current, text := machine.CurrentVersion()
 	if current <= pending.base {
 		return
 	}
-	if pending.baseText == nil || current-pending.base > maxVersionSteps {
+	var texts [][]byte
+	if pending.baseText != nil && current-pending.base <= maxVersionSteps {
+		texts = machine.TextsAfter(pending.base, len(text))
+	}
+	if len(texts) == 0 {
 		pending.versions = []distribution.Version{newVersion(current, nil, text)}
 		return
 	}
-	before := pending.baseText
-	for number := pending.base + 1; number < current; number++ {
-		between, ok := machine.VersionText(number)
-		if !ok {
-			pending.versions = nil
-			break
-		}
-		pending.versions = append(pending.versions, newVersion(number, before, between))
-		before = between
+	number, before := pending.base, pending.baseText
+	for _, text := range texts {
+		number++
+		pending.versions = append(pending.versions, newVersion(number, before, text))
+		before = text
 	}
-	pending.versions = append(pending.versions, newVersion(current, before, text))
 }
 
 func newVersion(number configuration.Version, before, text []byte) distribution.Version {
