--- a/internal/core/ledger/history.go
+++ b/internal/core/ledger/history.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"math"
 
 	"github.com/magnoliawall/magnoliawall/internal/configuration"
 	"github.com/magnoliawall/magnoliawall/internal/core/ledger/ledgerpb"
@@ -43,23 +44,38 @@
 	Faults []string
 }
 
+// faultsDropped is shown in place of faults that are no longer stored.
+const faultsDropped = "the faults are no longer stored; check the document again"
+
 func decodePatchOutcome(recorded *ledgerpb.PatchOutcome) PatchOutcome {
-	return PatchOutcome{
+	decoded := PatchOutcome{
 		ID:      PatchID(recorded.GetId()),
 		State:   recorded.GetState(),
 		Version: configuration.Version(recorded.GetVersion()),
 		Base:    configuration.Version(recorded.GetBase()),
 		Faults:  recorded.GetFaults(),
 	}
+	if decoded.State == PatchFaulty && len(decoded.Faults) == 0 {
+		decoded.Faults = []string{faultsDropped}
+	}
+	return decoded
 }
 
 // versionHistory holds the current configuration, the differences to its
 // earlier versions, and the outcomes of patches.
 type versionHistory struct {
-	currentText   []byte
-	versions      []*ledgerpb.Version
+	currentText []byte
+	versions    []*ledgerpb.Version
+	// oldestText is the index in versions of the oldest one whose text is stored.
+	oldestText int
+	// reverseBytes is the total size of the reverse splices of the versions after it.
+	reverseBytes  int
 	patchOutcomes []*ledgerpb.PatchOutcome
 	outcomeByID   map[string]*ledgerpb.PatchOutcome
+	// oldestFaults is the index in patchOutcomes from which on faults are stored, and
+	// faultBytes their total size.
+	oldestFaults int
+	faultBytes   int
 	// oldestDecidableBase is the lowest base for which patches are still decided.
 	// It is above the base of every accepted or stale patch whose outcome was
 	// dropped, so that a retry of such a patch is not decided a second time. It
@@ -145,23 +161,62 @@
 		TextDigest:       patch.GetTextDigest(),
 	})
 	history.currentText = text
+	history.addReverse(len(history.versions) - 1)
 	if len(history.versions) > MaxVersions {
-		history.versions = dropFirst(history.versions)
+		history.dropOldestVersion()
 	}
 }
 
 func (history *versionHistory) recordOutcome(outcome *ledgerpb.PatchOutcome) {
 	history.patchOutcomes = append(history.patchOutcomes, outcome)
 	history.outcomeByID[outcome.GetId()] = outcome
-	if len(history.patchOutcomes) <= MaxOutcomes {
-		return
+	history.faultBytes += faultSize(outcome)
+	for history.faultBytes > MaxFaultBytes {
+		history.dropOldestFaults()
+	}
+	if len(history.patchOutcomes) > MaxOutcomes {
+		history.dropOldestOutcome()
+	}
+}
+
+func (history *versionHistory) dropOldestOutcome() {
+	if history.oldestFaults == 0 {
+		history.dropOldestFaults()
 	}
 	dropped := history.patchOutcomes[0]
 	history.patchOutcomes = dropFirst(history.patchOutcomes)
+	history.oldestFaults--
 	delete(history.outcomeByID, dropped.GetId())
 	history.oldestDecidableBase = max(history.oldestDecidableBase, dropped.GetVersion())
 }
 
+// dropOldestFaults drops the faults of the oldest outcome that may have some. It replaces
+// the whole outcome, since a [FrozenState] may share the old one.
+func (history *versionHistory) dropOldestFaults() {
+	outcome := history.patchOutcomes[history.oldestFaults]
+	history.faultBytes -= faultSize(outcome)
+	if len(outcome.GetFaults()) > 0 {
+		outcome = &ledgerpb.PatchOutcome{
+			Id:      outcome.GetId(),
+			State:   outcome.GetState(),
+			Version: outcome.GetVersion(),
+			Base:    outcome.GetBase(),
+			Content: outcome.GetContent(),
+		}
+		history.patchOutcomes[history.oldestFaults] = outcome
+		history.outcomeByID[outcome.GetId()] = outcome
+	}
+	history.oldestFaults++
+}
+
+func faultSize(outcome *ledgerpb.PatchOutcome) int {
+	size := 0
+	for _, fault := range outcome.GetFaults() {
+		size += len(fault)
+	}
+	return size
+}
+
 // dropFirst removes the first element without copying the list. The next append
 // that exceeds the capacity of the array copies it.
 func dropFirst[T any](list []*T) []*T {
@@ -169,10 +224,61 @@
 	return list[1:]
 }
 
+// addReverse counts the reverse splice of the newest version, and drops the oldest ones
+// over the limit.
+func (history *versionHistory) addReverse(index int) {
+	if index <= history.oldestText {
+		history.dropReverse(index)
+		return
+	}
+	history.reverseBytes += len(history.versions[index].GetBack().GetInserted())
+	for history.reverseBytes > MaxReverseBytes {
+		history.dropOldestText()
+	}
+}
+
+// dropOldestText drops the text of the oldest version that has one.
+func (history *versionHistory) dropOldestText() {
+	history.oldestText++
+	history.reverseBytes -= len(history.versions[history.oldestText].GetBack().GetInserted())
+	history.dropReverse(history.oldestText)
+}
+
+// dropReverse drops the reverse splice of a version. It replaces the whole version, since
+// a [FrozenState] may share the old one.
+func (history *versionHistory) dropReverse(index int) {
+	version := history.versions[index]
+	history.versions[index] = &ledgerpb.Version{
+		Number:           version.GetNumber(),
+		PatchId:          version.GetPatchId(),
+		Operator:         version.GetOperator(),
+		Note:             version.GetNote(),
+		UnixMilliseconds: version.GetUnixMilliseconds(),
+		Back:             droppedReverse,
+		TextDigest:       version.GetTextDigest(),
+	}
+}
+
+func (history *versionHistory) dropOldestVersion() {
+	if history.oldestText == 0 {
+		history.dropOldestText()
+	}
+	history.versions = dropFirst(history.versions)
+	history.oldestText--
+}
+
+// droppedReverse takes the place of a reverse splice that was dropped. It fits no text, so
+// that builds without [MaxReverseBytes] also know that the earlier text is not stored.
+var droppedReverse = &ledgerpb.Splice{At: math.MaxUint32}
+
+func isDropped(reverse *ledgerpb.Splice) bool {
+	return reverse.GetAt() == droppedReverse.GetAt()
+}
+
 // textAt reconstructs the text of a version by applying the reverse splices
 // from the current text backwards.
 func (history *versionHistory) textAt(number uint64) ([]byte, bool) {
-	if number == 0 || number > history.currentVersion() || history.versions[0].GetNumber() > number {
+	if number == 0 || number > history.currentVersion() || number < history.versions[history.oldestText].GetNumber() {
 		return nil, false
 	}
 	text := history.currentText
@@ -185,3 +291,28 @@
 	}
 	return text, true
 }
+
+// textsAfter adds up the sizes of the changes before it rebuilds a text.
+func (history *versionHistory) textsAfter(base, maxInserted uint64) [][]byte {
+	newest := len(history.versions) - 1
+	first, inserted := newest, uint64(0)
+	for ; first >= 0 && history.versions[first].GetNumber() > base; first-- {
+		// What the reverse splice removes is what the change inserted.
+		inserted += history.versions[first].GetBack().GetRemoved()
+		if first <= history.oldestText || inserted >= maxInserted {
+			return nil
+		}
+	}
+	texts := make([][]byte, newest-first)
+	text, fits := history.currentText, true
+	for index := newest; index > first; index-- {
+		if index < newest {
+			text, fits = applySplice(text, history.versions[index+1].GetBack())
+		}
+		if !fits {
+			return nil
+		}
+		texts[index-first-1] = text
+	}
+	return texts
+}
--- a/internal/core/ledger/queries.go
+++ b/internal/core/ledger/queries.go
@@ -24,11 +24,28 @@
 	return configuration.Version(machine.history.currentVersion()), machine.history.currentText
 }
 
-// VersionText returns the text of a version, or false if it is not in the history.
+// OldestText returns the oldest version whose text is stored, or zero before the first
+// version.
+func (machine *Machine) OldestText() configuration.Version {
+	if len(machine.history.versions) == 0 {
+		return 0
+	}
+	return configuration.Version(machine.history.versions[machine.history.oldestText].GetNumber())
+}
+
+// VersionText returns the text of a version, or false if it is not stored, see
+// [Machine.OldestText].
 func (machine *Machine) VersionText(number configuration.Version) ([]byte, bool) {
 	return machine.history.textAt(uint64(number))
 }
 
+// TextsAfter returns the texts of the versions after a base, oldest first. It returns nil if
+// one of them or that of the base is not stored, or if the changes from one to the next
+// insert maxInserted bytes or more in total.
+func (machine *Machine) TextsAfter(base configuration.Version, maxInserted int) [][]byte {
+	return machine.history.textsAfter(uint64(base), uint64(max(0, maxInserted)))
+}
+
 // Versions returns the records in the history with a number above after and at
 // most upTo, oldest first.
 func (machine *Machine) Versions(after, upTo configuration.Version) []VersionRecord {
@@ -51,10 +68,12 @@
 }
 
 // VersionChange is a version with its changes from the version before. Changes is
-// empty if the history does not hold both texts.
+// empty if TextsStored is false.
 type VersionChange struct {
 	VersionRecord
-	Changes []configuration.Change
+	// TextsStored reports whether the texts of both versions are stored.
+	TextsStored bool
+	Changes     []configuration.Change
 }
 
 // VersionChanges returns the versions with a number above after and at most upTo,
@@ -69,6 +88,7 @@
 		before, hasBefore := machine.VersionText(record.Number - 1)
 		text, hasText := machine.VersionText(record.Number)
 		if hasBefore && hasText {
+			change.TextsStored = true
 			change.Changes, _ = configuration.Diff(before, text)
 		}
 		changes = append(changes, change)
