An answer that ends with a reset during an upload is not complete

What callers saw: an answer without a length that its target broke off with a reset was passed on as a complete one, if an upload was still being written to the target (MIXED).

Cause: the kernel reports a reset once. The goroutine that writes the upload took that error and dropped it, and the next read returned 0 bytes, which net/http takes for the orderly end of a body without a length.

Why this works: all reads from a target's connection go through targetConn.Read, which returns io.EOF only if no write found the connection broken. A write holds a lock until it has recorded its error, so the read cannot pass between the system call and the record; a write that waits is ended first by its deadline. EPIPE as the error of a write means that the target had ended its side in order before, so its answer is whole: a target that answers early, ends its side and resets the rest of the upload is not turned into a failure.

What callers get instead: 3004 or a connection that ends within the body; the outcome is unknown, as after any answer that is cut off. A claimed action is lost (4004), not answered.

--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -9,9 +9,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/socket"
@@ -67,7 +70,11 @@
 	reader *bufio.Reader
 	// hasSentBytes reports whether at least one byte of the current call was sent.
 	hasSentBytes atomic.Bool
-	idleUntil    time.Time
+	// writing is held during a write, and guards brokenErr, the error of a write that found
+	// the connection broken.
+	writing   sync.Mutex
+	brokenErr error
+	idleUntil time.Time
 	// reused says that the connection has carried an earlier call.
 	reused bool
 	closed bool
@@ -75,21 +82,59 @@
 
 func newTargetConn(client *TargetClient, netConn net.Conn) *targetConn {
 	conn := &targetConn{Conn: netConn, client: client, idleUntil: time.Now().Add(defaultIdleTimeout)}
-	conn.limit.source = netConn
+	conn.limit.source = conn
 	conn.reader = bufio.NewReaderSize(&conn.limit, readBufferBytes)
 	return conn
 }
 
 // Write writes to the connection and records that the call was sent at least in
-// part.
+// part, and whether the connection is broken.
 func (conn *targetConn) Write(data []byte) (int, error) {
+	conn.writing.Lock()
+	defer conn.writing.Unlock()
 	count, err := conn.Conn.Write(data)
 	if count > 0 {
 		conn.hasSentBytes.Store(true)
 	}
+	if isBroken(err) {
+		conn.brokenErr = cmp.Or(conn.brokenErr, err)
+	}
+	return count, err
+}
+
+// Read reads from the connection. It returns [io.EOF] only if the connection ended in order.
+// A reset is reported once: if a write gets its error, the next read finds a plain end.
+func (conn *targetConn) Read(data []byte) (int, error) {
+	count, err := conn.Conn.Read(data)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(conn.broken(), err)
+	}
 	return count, err
 }
 
+// broken returns the error of a write that found the connection broken. It is called at the
+// end of the connection, after which nothing is written.
+func (conn *targetConn) broken() error {
+	if !conn.writing.TryLock() {
+		// A write that waits would keep the lock; one that has failed records its error.
+		if err := conn.SetWriteDeadline(longAgo); err != nil {
+			return err
+		}
+		conn.writing.Lock()
+	}
+	defer conn.writing.Unlock()
+	return conn.brokenErr
+}
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// isBroken reports whether the error of a write means that the connection did not end in
+// order. EPIPE means that the target had ended its side before, with all that it sent.
+func isBroken(err error) bool {
+	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // discard closes the connection and frees its place. It may be called twice.
 func (conn *targetConn) discard() {
 	if conn.closed {
@@ -135,7 +180,8 @@
 
 // writeRequest writes a request with a small body before it returns, and one with
 // a large or unknown length in the background. The channel is closed once the
-// complete request is sent.
+// complete request is sent. A failure to send in the background is no failure of the call,
+// whose response may come all the same; [targetConn.Read] tells whether that is whole.
 func (conn *targetConn) writeRequest(request *http.Request) (<-chan struct{}, error) {
 	sent := make(chan struct{})
 	if request.ContentLength < 0 || request.ContentLength > maxBufferedBodyBytes {
--- a/internal/adapter/web/resend_test.go
+++ b/internal/adapter/web/resend_test.go
@@ -36,6 +36,8 @@
 	return 0, io.EOF
 }
 
+func (conn *deadConn) SetWriteDeadline(time.Time) error { return nil }
+
 func (conn *deadConn) Close() error {
 	conn.once.Do(func() { close(conn.closed) })
 	return nil
