A call whose write returns late counts as sent

What callers could see: "not run" (3002, a 503 on a platform) for an upload of which the target had a part.

Cause: the goroutine that writes a large upload noted that bytes were sent after the system call had returned. If the connection ended in between, Send looked at the note first.

Why this works: Send looks after it has closed the connection, under the lock that a write holds until it has noted what it sent. No write begins on a closed connection, and one that waits returns at once.

--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -68,11 +67,11 @@
 	client *TargetClient
 	limit  headLimiter
 	reader *bufio.Reader
-	// hasSentBytes reports whether at least one byte of the current call was sent.
-	hasSentBytes atomic.Bool
-	// writing is held during a write, and guards brokenErr, the error of a write that found
-	// the connection broken.
-	writing   sync.Mutex
+	// writing is held during a write, and guards the two fields below.
+	writing sync.Mutex
+	// hasSentBytes says that at least one byte of the current call was sent.
+	hasSentBytes bool
+	// brokenErr is the error of a write that found the connection broken.
 	brokenErr error
 	idleUntil time.Time
 	// reused says that the connection has carried an earlier call.
@@ -94,7 +93,7 @@
 	defer conn.writing.Unlock()
 	count, err := conn.Conn.Write(data)
 	if count > 0 {
-		conn.hasSentBytes.Store(true)
+		conn.hasSentBytes = true
 	}
 	if isBroken(err) {
 		conn.brokenErr = cmp.Or(conn.brokenErr, err)
@@ -135,6 +134,22 @@
 	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// sentBytes reports whether at least one byte of the current call was sent. It is called on
+// a closed connection, so that a write that has not returned yet does so, and no other begins.
+func (conn *targetConn) sentBytes() bool {
+	conn.writing.Lock()
+	defer conn.writing.Unlock()
+	return conn.hasSentBytes
+}
+
+// beginCall prepares an idle connection for another call.
+func (conn *targetConn) beginCall() {
+	conn.writing.Lock()
+	defer conn.writing.Unlock()
+	conn.hasSentBytes = false
+	conn.reused = true
+}
+
 // discard closes the connection and frees its place. It may be called twice.
 func (conn *targetConn) discard() {
 	if conn.closed {
--- a/internal/adapter/web/reset_test.go
+++ b/internal/adapter/web/reset_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -204,3 +205,39 @@
 		})
 	}
 }
+
+// slowWriteConn takes the bytes of a write, and returns from it some time after the connection
+// was closed. Its reads find the end of the connection once the write has begun.
+type slowWriteConn struct {
+	net.Conn
+	writing, closed chan struct{}
+	once            sync.Once
+}
+
+func (conn *slowWriteConn) Write(data []byte) (int, error) {
+	close(conn.writing)
+	<-conn.closed
+	for range 10_000 {
+		runtime.Gosched()
+	}
+	return len(data), net.ErrClosed
+}
+
+func (conn *slowWriteConn) Read([]byte) (int, error) {
+	<-conn.writing
+	return 0, syscall.ECONNRESET
+}
+
+func (conn *slowWriteConn) Close() error {
+	conn.once.Do(func() { close(conn.closed) })
+	return nil
+}
+
+// Guards against a call that its target has got and that counts as not sent: the connection
+// ended before the writer of the upload had noted what it sent (REFUSED, TWICE).
+func TestUploadWhoseWriteReturnsLateCountsAsSent(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	_, err := sendOver(t, &slowWriteConn{writing: make(chan struct{}), closed: make(chan struct{})})
+	sent := &SentError{}
+	expect(errors.As(err, &sent)).To(gomega.BeTrue(), "%v", err)
+}
--- a/internal/adapter/web/target.go
+++ b/internal/adapter/web/target.go
@@ -141,7 +141,7 @@
 			return response, nil
 		}
 		conn.discard()
-		if conn.hasSentBytes.Load() {
+		if conn.sentBytes() {
 			return nil, &SentError{Reason: err}
 		}
 		if !reused || ctx.Err() != nil || call.BodyLength != 0 {
@@ -196,8 +196,7 @@
 			conn, err = client.dial(ctx)
 			return conn, false, err
 		}
-		conn.hasSentBytes.Store(false)
-		conn.reused = true
+		conn.beginCall()
 		return conn, true, nil
 	}
 }
