A status line that is none of HTTP/1 ends the call

What callers saw: an answer with status 000 or 099 was taken for an interim answer, and its body was read as the next head. With a head in that body, the caller got a 200 that no target had given (MIXED); a health check of that kind counted as healthy, and a claimed action kept it. The same held for an interim answer that announces a body. 600, 999, HTTP/2.0 and HTTP/0.9 were passed on.

Cause: http.ReadResponse takes each status of three characters that strconv reads, "+20" and "-00" among them, and each version. It gives a status below 200 no body, and the client of targets skipped all of them.

Why this works: each head that ReadResponse has read is checked before anything follows from it, in the one place where the client of targets reads heads. Final statuses are 200 to 599, interim ones 100 to 199 without a body, the major version is 1. RFC 9110 calls other statuses invalid.

--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -231,6 +231,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errUnrequestedUpgrade
 		}
--- /dev/null
+++ b/internal/adapter/web/head.go
@@ -0,0 +1,34 @@
+package web
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// errMalformedHead means that a response is none of HTTP/1, or has a head that readers take in
+// different ways. Nothing of it is passed on.
+var errMalformedHead = errors.New("the head of the response is malformed")
+
+// maxStatus is the largest status of HTTP.
+const maxStatus = 599
+
+// checkHead checks what [http.ReadResponse] takes though it is no response of HTTP/1. That
+// function returns no body for a status below 200, and would read one as the next head.
+func checkHead(response *http.Response) error {
+	switch {
+	case response.ProtoMajor != 1:
+		return fmt.Errorf("%w: version %s", errMalformedHead, response.Proto)
+	case response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus:
+		return fmt.Errorf("%w: status %d", errMalformedHead, response.StatusCode)
+	case response.StatusCode < http.StatusOK && hasBody(response):
+		return fmt.Errorf("%w: an interim response with a body", errMalformedHead)
+	}
+	return nil
+}
+
+// hasBody reports whether a head announces a body, whether or not its status allows one.
+func hasBody(response *http.Response) bool {
+	length := response.Header.Get("Content-Length")
+	return len(response.TransferEncoding) > 0 || length != "" && length != "0"
+}
