An answer of a peer with a status that is none of HTTP is refused

What callers saw: a peer's answer with status 100, 103 or 199 reached them as 200 with the peer's body (MIXED); one with 0, 99 or 1000 and above closed their connection by a panic of net/http, without an answer (LOST); 101 and 600 were passed on. A target alone could not cause this, except 600 to 999: it takes a faulty peer or one of another version.

Cause: the status of the peer went to WriteHeader unchecked. That writes a status below 200 as an interim answer, and the first byte of the body then makes it a 200.

Evidence, before the change:

--- FAIL: TestOddAnswerOfPeerReachesNoCaller/status_103,_/visits/grants/7 <int>: 200 --- FAIL: TestOddAnswerOfPeerReachesNoCaller/status_0,_/visits/7 Post "http://127.0.0.1:37167/visits/7": EOF

and so for 99, 100, 101, 199, 600, 1000 and 1<<31.

Why this works: the caller's node checks the header of an answer before anything follows from it. What callers get instead: 3007, status 502, outcome unknown; the stream is closed.

Result: the test passes with -race, and so do the tests of node that name answers and heads.

--- a/internal/adapter/web/head.go
+++ b/internal/adapter/web/head.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
 )
 
 // errMalformedHead means that a response is none of HTTP/1, or has a head that readers take in
@@ -32,3 +34,14 @@
 	length := response.Header.Get("Content-Length")
 	return len(response.TransferEncoding) > 0 || length != "" && length != "0"
 }
+
+// CheckAnswer returns an error if a peer passes on an answer that is none of HTTP. A server of
+// net/http follows a status below 200 with another of 200, and cannot write one above 999.
+func CheckAnswer(answer *peerpb.AnswerHeader) error {
+	status := answer.GetStatus()
+	isRefusal := answer.GetCode() != 0
+	if !isRefusal && (status < http.StatusOK || status > maxStatus) {
+		return fmt.Errorf("%w: status %d", errMalformedHead, status)
+	}
+	return nil
+}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -318,6 +318,11 @@
 		attempt.refusal = callFailure(ctx, outbound, err)
 		return
 	}
+	if err := web.CheckAnswer(answer); err != nil {
+		exchange.Abort()
+		attempt.refusal = web.NewRefusal(request.BrokenFrame, err.Error())
+		return
+	}
 	attempt.exchange = exchange
 	attempt.header = answer
 	node.peerTargets.record(attempt.choice.Target.Node, answer.GetTarget())
