An answer with a blank in a header name ends the call

What callers saw: "Content-Length : 2" and "Transfer-Encoding : chunked" were passed on as headers and not obeyed, so the body was another one than the target meant: chunks with their sizes, or all bytes up to the end of the connection, as a whole answer (MIXED). "X Y: 1" was passed on to the caller's node, where net/http drops it without a word.

Cause: textproto takes a blank within a name, and leaves such a name as it is, so that no code that looks for Content-Length finds it.

Why this works: a blank is the only byte outside a token that textproto takes, so one look at each name is enough. RFC 9112 lets a proxy strip blanks before a colon; here the framing has been decided by then, so the answer is refused instead. A folded line goes on being joined with one blank, as the RFC allows. Trailers reach no caller, so a name there changes nothing.

What callers get instead: 3008 or 3003 from a target, 3007 from a peer that passed such a name on; status 502, outcome unknown.

--- a/internal/adapter/web/head.go
+++ b/internal/adapter/web/head.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/magnoliawall/magnoliawall/internal/adapter/peer/peerpb"
 )
@@ -26,6 +27,20 @@
 	case response.StatusCode < http.StatusOK && hasBody(response):
 		return fmt.Errorf("%w: an interim response with a body", errMalformedHead)
 	}
+	for name := range response.Header {
+		if err := checkName(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkName refuses a header name with a blank, the only byte outside a token that net/http
+// takes. It would ignore "Content-Length : 2", which others obey, so the body is in doubt.
+func checkName(name string) error {
+	if strings.Contains(name, " ") {
+		return fmt.Errorf("%w: header name %q", errMalformedHead, name)
+	}
 	return nil
 }
 
@@ -43,5 +58,10 @@
 	if !isRefusal && (status < http.StatusOK || status > maxStatus) {
 		return fmt.Errorf("%w: status %d", errMalformedHead, status)
 	}
+	for _, header := range answer.GetHeaders() {
+		if err := checkName(header.GetName()); err != nil {
+			return err
+		}
+	}
 	return nil
 }
--- a/internal/node/peer_answer_test.go
+++ b/internal/node/peer_answer_test.go
@@ -37,27 +37,30 @@
 func TestOddAnswerOfPeerReachesNoCaller(t *testing.T) {
 	tests := []struct {
 		status   uint32
+		header   string
 		expected int
 	}{
-		{200, 200},
-		{599, 599},
-		{0, 502},
-		{99, 502},
-		{100, 502},
-		{101, 502},
-		{103, 502},
-		{199, 502},
-		{600, 502},
-		{1000, 502},
-		{1 << 31, 502},
+		{200, "X-Y", 200},
+		{599, "X-Y", 599},
+		{0, "X-Y", 502},
+		{99, "X-Y", 502},
+		{100, "X-Y", 502},
+		{101, "X-Y", 502},
+		{103, "X-Y", 502},
+		{199, "X-Y", 502},
+		{600, "X-Y", 502},
+		{1000, "X-Y", 502},
+		{1 << 31, "X-Y", 502},
+		{200, "X Y", 502},
+		{200, "Content-Length ", 502},
 	}
 	var passed atomic.Pointer[peerpb.AnswerHeader]
 	entry := startAnsweringPeer(t, &passed)
 	for _, test := range tests {
 		for _, path := range []string{"/visits/7", "/visits/grants/7"} {
-			t.Run(fmt.Sprintf("status %d, %s", test.status, path), func(t *testing.T) {
+			t.Run(fmt.Sprintf("status %d, header %q, %s", test.status, test.header, path), func(t *testing.T) {
 				expect := gomega.NewWithT(t).Expect
-				passed.Store(&peerpb.AnswerHeader{Status: test.status, BodyLength: -1})
+				passed.Store(&peerpb.AnswerHeader{Status: test.status, BodyLength: -1, Headers: []*peerpb.Header{{Name: test.header, Value: "1"}}})
 				outgoing, err := http.NewRequestWithContext(t.Context(), http.MethodPost, entry.callers+path, nil)
 				expect(err).NotTo(gomega.HaveOccurred())
 				outgoing.Host = "visits.example"
