A cut answer without a length resets the connection of an HTTP/1.0 caller

Found while every place was read that ends an answer with its connection: the node itself writes such answers.

Cause: HTTP/1.0 has no chunks, so net/http ends an answer without a length by closing the connection, and the node ends one that is cut off in the same way.

Why this works: the connection of such a caller is closed with a reset, which HTTP/1.0 clients see as an error. Answers of up to 64 KB have a length by then, and callers of HTTP/1.1 get chunks, whose end is missing; nothing changes for them.

What remains: a process that is killed closes its connections in order.

--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -30,7 +30,7 @@
 	}
 	if err := copyVerified(answer, attempt.buffered, attempt.exchange.Body()); err != nil {
 		attempt.exchange.Abort()
-		node.abortAnswer(writer, answer, callFailure(ctx, outbound, err))
+		node.abortAnswer(ctx, answer, outbound, callFailure(ctx, outbound, err))
 		return
 	}
 	node.applyReport(outbound, attempt)
@@ -42,15 +42,32 @@
 
 // abortAnswer refuses a call whose answer was cut off, or closes the caller's
 // connection when a part of the answer is written already.
-func (node *Node) abortAnswer(writer http.ResponseWriter, answer *answerWriter, refusal *web.Refusal) {
+func (node *Node) abortAnswer(ctx context.Context, answer *answerWriter, outbound *outboundCall, refusal *web.Refusal) {
 	if !answer.started {
-		node.refuse(writer, refusal)
+		node.refuse(answer.writer, refusal)
 		return
 	}
 	increment(node.counters.refusals, refusal.Code)
+	if outbound.takesNoChunks {
+		node.resetOnClose(ctx)
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetOnClose makes the close of the caller's connection a reset, as an orderly end would
+// complete an answer without a length.
+func (node *Node) resetOnClose(ctx context.Context) {
+	connection, ok := ctx.Value(connectionKey{}).(callerConnection)
+	if !ok {
+		return
+	}
+	if tcp, ok := connection.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			node.logProblem("callers: the connection of an answer that was cut off cannot be reset", err)
+		}
+	}
+}
+
 // answerWriter writes the status and headers of an answer together with its first
 // bytes.
 type answerWriter struct {
--- a/internal/node/outbound.go
+++ b/internal/node/outbound.go
@@ -69,6 +69,8 @@
 	suspect     bool
 	// hasKey says that the call carries an idempotency key.
 	hasKey bool
+	// takesNoChunks says that an answer without a length ends with the caller's connection.
+	takesNoChunks bool
 }
 
 // avoidsFullLink reports whether the call is refused rather than sent over a full
@@ -112,6 +114,7 @@
 		remoteAddress: incoming.RemoteAddr,
 		readAt:        now,
 		headers:       web.EncodeHeaders(incoming.Header),
+		takesNoChunks: !incoming.ProtoAtLeast(1, 1),
 	}
 	node.assignRoot(outbound, incoming, origin, now, current)
 	if outbound.depth > maxCallDepth {
