An HTTP/1.0 answer with a Transfer-Encoding ends the call

Cause: http.ReadResponse drops the header in HTTP/1.0 before anyone can see it.

Evidence, before the change:

--- FAIL: TestHeadThatIsNoAnswerIsRefused/HTTP/1.0_in_chunks,_new_connection --- FAIL: TestHeadThatIsNoAnswerReachesNoCaller/HTTP/1.0_with_two_lengths_of_a_body,_once --- FAIL: TestHeadThatIsNoAnswerIsNotKept/HTTP/1.0_in_chunks --- FAIL: TestHeadThatIsNoAnswerIsNotHealthy/HTTP/1.0_in_chunks

Why this works: a head that begins with HTTP/1.0 is looked through in the read buffer before it is parsed. RFC 9112 calls the framing of such an answer faulty. A head of HTTP/1.0 that does not fit into the buffer (4 KB) is refused as well, as it cannot be looked through; in HTTP/1.1 the bound stays 128 KB.

--- a/internal/adapter/web/connection.go
+++ b/internal/adapter/web/connection.go
@@ -227,13 +227,10 @@
 	conn.limit.beginHead()
 	defer conn.limit.endHead()
 	for mismatched := 0; mismatched <= maxMismatchedResponses; {
-		response, err := http.ReadResponse(conn.reader, request)
+		response, err := readHead(conn.reader, request)
 		if err != nil {
 			return nil, err
 		}
-		if err := checkHead(response); err != nil {
-			return nil, err
-		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errUnrequestedUpgrade
 		}
--- a/internal/adapter/web/head_test.go
+++ b/internal/adapter/web/head_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -71,3 +72,21 @@
 		}
 	}
 }
+
+// A long head is taken in HTTP/1.1. In HTTP/1.0 it is refused, as it cannot be looked through.
+func TestLongHeadOfOldVersionIsRefused(t *testing.T) {
+	for version, taken := range map[string]bool{"HTTP/1.1": true, "HTTP/1.0": false} {
+		t.Run(version, func(t *testing.T) {
+			expect := gomega.NewWithT(t).Expect
+			target := startScriptedTarget(t, version+" 200 OK\r\nX-Y: "+strings.Repeat("1", 8<<10)+"\r\nContent-Length: 2\r\n\r\nok<close>")
+			body, err := sendAndReadBody(target.client(nil), newCall(http.MethodGet, "/a", ""))
+			if taken {
+				expect(err).NotTo(gomega.HaveOccurred())
+				expect(body).To(gomega.Equal("ok"))
+				return
+			}
+			sent := &web.SentError{}
+			expect(errors.As(err, &sent)).To(gomega.BeTrue(), "%v", err)
+		})
+	}
+}
