A cut response leaves the outcome of a command in doubt

What operators saw: a response without a length that was cut off counted as a failure with a known outcome (exit 1), and "patch create" forgot the id under which it had sent the patch, so that the same command sent it as another one. A node sends a length or chunks, so this takes something between the command and the node that does not. Found while each reader was looked at that takes the end of a connection as the end of a body.

Cause: only an error of the connection counted as "no answer".

Evidence, before the change:

--- FAIL: TestCutResponseLeavesOutcomeInDoubt/success --- FAIL: TestCutResponseLeavesOutcomeInDoubt/empty_success --- FAIL: TestCutResponseLeavesOutcomeInDoubt/failure

Why this works: a document that was cut off is no JSON, wherever it was cut. A response that announces a document, or success, and is none, now counts as no answer: exit 4, the id stays.

Result: the tests of adapter/operator and of the command pass with -race.

--- a/internal/adapter/operator/http.go
+++ b/internal/adapter/operator/http.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// documentType is the media type of requests and responses.
+const documentType = "application/json"
+
 const (
 	maxRequestBytes = 2 << 20
 	operateTimeout  = 10 * time.Second
@@ -35,7 +38,7 @@
 		if err == nil {
 			status, answer = operateWithCertificateName(ctx, operate, incoming, body)
 		}
-		writer.Header().Set("Content-Type", "application/json")
+		writer.Header().Set("Content-Type", documentType)
 		writer.WriteHeader(status)
 		_, _ = writer.Write(append(answer, '\n'))
 	})
@@ -87,12 +90,13 @@
 // fleet of 3,000 nodes.
 const maxResponseBytes = 64 << 20
 
+var errResponseUnreadable = errors.New("the response is cut off, or is no JSON document")
+
 var errResponseTooLarge = errors.New("the response is over 64 MiB: ask another node")
 
 // Call sends a request to the node and decodes its response. It returns a
-// [*FailureError] for a failure response, an [*UnansweredError] when no response
-// arrived, and another error for a request that cannot be built or a response
-// that is not JSON.
+// [*FailureError] for a failure response, an [*UnansweredError] when no whole
+// response arrived, and another error for a request that cannot be built.
 func Call[Answer any](ctx context.Context, client *Client, verb Verb, message any) (Answer, error) {
 	var answer Answer
 	body, err := json.Marshal(message)
@@ -103,7 +107,7 @@
 	if err != nil {
 		return answer, err
 	}
-	outgoing.Header.Set("Content-Type", "application/json")
+	outgoing.Header.Set("Content-Type", documentType)
 	response, err := client.HTTP.Do(outgoing)
 	if err != nil {
 		return answer, &UnansweredError{Reason: err}
@@ -116,6 +120,11 @@
 	if err != nil {
 		return answer, &UnansweredError{Reason: err}
 	}
+	// A document that ends with its connection may be cut off.
+	isDocument := response.StatusCode == http.StatusOK || response.Header.Get("Content-Type") == documentType
+	if isDocument && !json.Valid(content) {
+		return answer, &UnansweredError{Reason: errResponseUnreadable}
+	}
 	if response.StatusCode != http.StatusOK {
 		return answer, decodeFailure(response.StatusCode, content)
 	}
