--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -113,8 +113,8 @@
 	{AnswerCut, "answer-cut", http.StatusBadGateway, Unknown, false, true, time.Second, "the answer ended early and was thrown away"},
 	{DeadlinePassed, "deadline-passed", http.StatusGatewayTimeout, Unknown, false, false, 0, "the deadline passed while the target worked on the call"},
 	{PeerIncompatible, "peer-incompatible", http.StatusBadGateway, NotRun, true, true, time.Second, "the peer speaks another version of the protocol"},
-	{BrokenFrame, "broken-frame", http.StatusBadGateway, Unknown, false, true, time.Second, "a frame between nodes had a wrong length or checksum"},
-	{AnswerBroken, "answer-broken", http.StatusBadGateway, Unknown, true, true, time.Second, "the target broke its answer off, and is still there"},
+	{BrokenFrame, "broken-frame", http.StatusBadGateway, Unknown, false, true, time.Second, "a frame or an answer between nodes was malformed"},
+	{AnswerBroken, "answer-broken", http.StatusBadGateway, Unknown, true, true, time.Second, "the target broke its answer off or sent none of HTTP, and is still there"},
 
 	{ClaimUnavailable, "claim-unavailable", http.StatusServiceUnavailable, NotRun, false, true, time.Minute, "the quorum holds as many claims as it can, and none on this key; the action was not started"},
 	{ClaimInDoubt, "claim-in-doubt", http.StatusServiceUnavailable, Unknown, false, true, time.Second, "no quorum answered; this attempt did not start the action, but an earlier one with this key may have"},
