Offer nodes no version of a replica that no quorum has confirmed yet

It published that state, and a node without a version put it in force after 2 s: version 12 or 14 of 16 that were acknowledged.

A replica publishes what it has applied only after a quorum read has succeeded once since its start. A replica that is cut off later goes on to serve what it had, so that the nodes of its failure domain go on too.

--- a/internal/host/reconcile.go
+++ b/internal/host/reconcile.go
@@ -99,11 +99,9 @@
 	defer cancel()
 	reconciler.syncMembers(reading)
 	began := time.Now()
-	local := &pendingVersions{base: reconciler.publishedVersion, baseText: reconciler.publishedText}
-	if err := reconciler.plane.Peek(reading, local.collect); err != nil {
+	if err := reconciler.publishLocal(ctx, reading); err != nil {
 		return
 	}
-	reconciler.publish(ctx, local)
 	committed := &pendingVersions{base: reconciler.publishedVersion, baseText: reconciler.publishedText}
 	if err := reconciler.plane.Read(reading, committed.collect); err != nil {
 		return
@@ -113,6 +111,22 @@
 	reconciler.runLeaderTasks(ctx)
 }
 
+// publishLocal publishes what this replica has applied without asking the others, but not
+// before a quorum has confirmed its state once since the start: until then it may be that of
+// an old snapshot, or of a log that is still arriving, and a node without a version would
+// put it in force.
+func (reconciler *reconciler) publishLocal(ctx, reading context.Context) error {
+	if reconciler.confirmedAt.Load() == nil {
+		return nil
+	}
+	local := &pendingVersions{base: reconciler.publishedVersion, baseText: reconciler.publishedText}
+	if err := reconciler.plane.Peek(reading, local.collect); err != nil {
+		return err
+	}
+	reconciler.publish(ctx, local)
+	return nil
+}
+
 // syncMembers copies the members of the group to the registry and the replica
 // directory, if the group forms from its seeds.
 func (reconciler *reconciler) syncMembers(ctx context.Context) {
