--- a/internal/replica/disk_loss_test.go
+++ b/internal/replica/disk_loss_test.go
@@ -318,3 +318,24 @@
 		cluster.t.Errorf("%d hosts were replaced after %v ticks, not within %d", len(lost), taken, limit)
 	}
 }
+
+// Guards against an empty host that gets an old snapshot and then as many entries as a large
+// snapshot has bytes, since the next snapshot is due only after these.
+func TestEmptyHostGetsFreshSnapshot(t *testing.T) {
+	for number := range 8 {
+		cluster := newLossCluster(t, 6, 2)
+		for kept := range 15 {
+			cluster.propose(cluster.leader(), fmt.Sprint("kept-", kept, strings.Repeat("x", longLogCommandBytes)))
+		}
+		for range 20 + number {
+			cluster.record(longLogCommandBytes)
+		}
+		leader := cluster.leader()
+		lost := cluster.hostsExcept(1, leader.Address)[0]
+		cluster.loseDisks(lost)
+		cluster.await("a whole group", cluster.isWhole)
+		status := cluster.hosts[lost].core.Status()
+		entries := int(status.LastIndex - status.SnapshotIndex)
+		cluster.Expect(entries*longLogCommandBytes).To(gomega.BeNumerically("<=", 2*defaultSnapshotBytes), "%d entries after the snapshot", entries)
+	}
+}
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -110,6 +110,7 @@
 	if len(changes) == 0 {
 		return
 	}
+	replica.refreshSnapshot(changes)
 	_, _, err := replica.core.ProposeChange(changes...)
 	if err != nil {
 		replica.membership.waiting = fmt.Sprintf("%s: %v", describeChanges(changes), err)
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -33,6 +33,19 @@
 		replica.transferBeforeSnapshot()
 		return nil
 	}
+	return replica.takeSnapshot()
+}
+
+// refreshSnapshot takes a snapshot before new members are added, if they would get more
+// entries after the last one than a snapshot may be behind.
+func (replica *Replica[M]) refreshSnapshot(changes []quorum.MembershipChange) {
+	adds := slices.ContainsFunc(changes, func(change quorum.MembershipChange) bool { return change.Kind == quorum.AddLearner })
+	if adds && replica.appliedBytes >= replica.SnapshotBytes && replica.snapshotSize < replica.TransferSnapshotBytes {
+		replica.fail(replica.takeSnapshot())
+	}
+}
+
+func (replica *Replica[M]) takeSnapshot() error {
 	snapshot, err := replica.core.MakeSnapshot(replica.appliedIndex, replica.Machine.Snapshot())
 	if err != nil {
 		return err
