Keep at most 1 MiB of differences to earlier versions

The differences are the largest part of the state by far; half of them hold half as many earlier texts.

--- a/internal/core/ledger/machine.go
+++ b/internal/core/ledger/machine.go
@@ -66,7 +66,7 @@
 	// MaxReverseBytes caps the total size of the differences back to the texts of
 	// earlier versions. The texts of the versions before are not stored, only their
 	// records.
-	MaxReverseBytes = 2 << 20
+	MaxReverseBytes = 1 << 20
 	// MaxOutcomes is the maximum number of patch outcomes that are kept.
 	MaxOutcomes = 32_768
 	// MaxFaultBytes caps the total size of the faults in the outcomes. Older outcomes
