--- a/internal/host/replacement.go
+++ b/internal/host/replacement.go
@@ -119,7 +119,8 @@
 	if status.CommittedMembership.VoterCount() < needed {
 		return fmt.Errorf("%w: %w, %d of %d", port.ErrUnavailable, errTooFewVoters, status.CommittedMembership.VoterCount(), needed)
 	}
-	// The group never removes voters below the needed number.
+	// Only the exchange of a lost disk takes the group below the needed number, until its
+	// next entry: no fewer disks than before hold what is recorded meanwhile.
 	plane.enoughVoters.Store(true)
 	return nil
 }
