--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -134,6 +134,8 @@
 	disk      *memoryDisk
 	messenger *testMessenger
 	up        bool
+	// frozen stops the host without losing what it has not handled.
+	frozen bool
 }
 
 type testCluster struct {
@@ -202,7 +204,7 @@
 func (cluster *testCluster) runRound() {
 	cluster.links.advance()
 	for _, address := range cluster.order {
-		if each := cluster.hosts[address]; each.up {
+		if each := cluster.hosts[address]; each.up && !each.frozen {
 			cluster.links.deliver(each)
 			each.tick()
 			each.drainInputs()
@@ -224,7 +226,7 @@
 func (cluster *testCluster) leader() *host {
 	for _, address := range cluster.order {
 		each := cluster.hosts[address]
-		if each.up && each.core.Status().Role == quorum.Leader && cluster.reaches(each) {
+		if each.up && !each.frozen && each.core.Status().Role == quorum.Leader && cluster.reaches(each) {
 			return each
 		}
 	}
--- a/internal/replica/disk_loss_model_test.go
+++ b/internal/replica/disk_loss_model_test.go
@@ -308,21 +308,19 @@
 		history.strike(history.pick(history.lostDisks), downTicks)
 	}},
 	{"a host cut off", func(history *lossHistory) {
-		history.awaitTolerable(1)
-		address := history.pick(1)[0]
-		history.recordLoss(address, 0)
-		delete(history.startTick, address)
-		history.note("%s is cut off", address)
-		for _, other := range history.order {
-			history.blocked[[2]string{address, other}], history.blocked[[2]string{other, address}] = true, true
-		}
-		if history.tolerable() > 0 && history.random.IntN(2) == 0 {
-			history.strike(history.pick(1), history.anyDown())
-		}
-		history.ticks(electionRounds + history.random.IntN(catchUpTicks))
-		clear(history.blocked)
-		history.note("%s is back in contact", address)
-		history.lostUntil[address] = history.links.now + catchUpTicks
+		history.disturb("cut off", func(address string) {
+			for _, other := range history.order {
+				history.blocked[[2]string{address, other}], history.blocked[[2]string{other, address}] = true, true
+			}
+		}, func(string) { clear(history.blocked) })
+	}},
+	{"a host frozen", func(history *lossHistory) {
+		history.disturb("frozen", func(address string) { history.hosts[address].frozen = true },
+			func(address string) { history.hosts[address].frozen = false })
+	}},
+	{"a host slowed", func(history *lossHistory) {
+		history.disturb("slowed", func(address string) { history.links.end(address).slowness = 30 },
+			func(address string) { history.links.end(address).slowness = 1 })
 	}},
 	{"a crash of the leader", func(history *lossHistory) {
 		history.awaitTolerable(1)
@@ -340,6 +338,27 @@
 	}},
 }
 
+// disturb lets one host be lost with its disk for a while, the leader or any other.
+func (history *lossHistory) disturb(what string, begin, end func(address string)) {
+	history.awaitTolerable(1)
+	var preferred []string
+	if leader := history.leader(); leader != nil && history.random.IntN(2) == 0 {
+		preferred = append(preferred, leader.Address)
+	}
+	address := history.pick(1, preferred...)[0]
+	history.recordLoss(address, 0)
+	delete(history.startTick, address)
+	history.note("%s is %s", address, what)
+	begin(address)
+	if history.tolerable() > 0 && history.random.IntN(2) == 0 {
+		history.strike(history.pick(1), history.anyDown())
+	}
+	history.ticks(electionRounds + history.random.IntN(catchUpTicks))
+	end(address)
+	history.note("%s is no longer %s", address, what)
+	history.lostUntil[address] = history.links.now + catchUpTicks
+}
+
 // anyDown is how long a host is down that crashed.
 func (history *lossHistory) anyDown() int {
 	if history.random.IntN(2) == 0 {
--- a/internal/replica/link_model_test.go
+++ b/internal/replica/link_model_test.go
@@ -39,6 +39,8 @@
 // linkEnd is the state of the link and the processor of one host.
 type linkEnd struct {
 	sendCredit, processorCredit int
+	// slowness divides what the host can handle.
+	slowness int
 	// outgoing are the messages that are not sent completely, by destination.
 	outgoing map[string][]*sentMessage
 	nextSlot int
@@ -78,7 +80,7 @@
 	}
 	if links.ends[address] == nil {
 		links.ends[address] = &linkEnd{
-			sendCredit: links.linkBytes, processorCredit: links.processorBytes,
+			slowness: 1, sendCredit: links.linkBytes, processorCredit: links.processorBytes,
 			outgoing: make(map[string][]*sentMessage), lastArrival: make(map[string]int),
 		}
 	}
@@ -164,8 +166,8 @@
 	for _, address := range links.cluster.order {
 		end := links.end(address)
 		end.sendCredit = links.linkBytes
-		end.processorCredit = min(end.processorCredit, 0) + links.processorBytes
-		if links.cluster.hosts[address].up {
+		end.processorCredit = min(end.processorCredit, 0) + links.processorBytes/end.slowness
+		if from := links.cluster.hosts[address]; from.up && !from.frozen {
 			links.transmit(address)
 		}
 	}
