Add no more hosts at once than the group may have voters

Learners and hosts about to be added count towards the limit, and a host of a full group is added only for a lost member that no other one replaces.

--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -23,8 +23,7 @@
 	// disk at the same address replaces it: five heartbeats. The empty disk already
 	// shows that the other one is gone.
 	lostDiskTicks = 10
-	// joinRequestTicks is how long a request to join is valid, and how long a
-	// learner may be silent and still be promoted.
+	// joinRequestTicks is how long a request to join is valid.
 	joinRequestTicks = 30
 	// maxVoters bounds the voters, since each further voter makes every commit wait
 	// for one more disk.
@@ -90,8 +89,8 @@
 	}
 }
 
-// manageMembership lets the leader add new hosts and remove lost ones, one change at
-// a time: the log refuses a change while another is pending.
+// manageMembership lets the leader add new hosts and remove lost ones, one entry at a
+// time: the log refuses a change while another is pending.
 func (replica *Replica[M]) manageMembership() {
 	replica.membership.ticks++
 	if !replica.FormsFromSeeds {
@@ -245,7 +244,7 @@
 		switch {
 		case returns:
 			returning = append(returning, joiner.member)
-		case membership.VoterCount() < maxVoters, replica.replacesLostMember(membership, joiner.member):
+		case len(membership.Members)+len(joining) < maxVoters, replica.replacesLostMember(membership, joining, joiner.member):
 			joining = append(joining, joiner.member)
 		}
 	}
@@ -253,12 +252,26 @@
 }
 
 // replacesLostMember reports whether a host that asks to join would replace a silent
-// member of its failure domain. Such a host is added even if the group is full,
-// since the silent member is removed when the new one votes.
-func (replica *Replica[M]) replacesLostMember(membership quorum.Membership, joiner quorum.Member) bool {
-	return membership.VoterCount() == maxVoters && slices.ContainsFunc(membership.Members, func(member quorum.Member) bool {
-		return member.FailureDomain == joiner.FailureDomain && replica.silentFor(member.ID) >= lostMemberTicks
-	})
+// member of its failure domain that no other learner or joiner there replaces. Such a host
+// is added even if the group is full, since the silent member is removed when the new one
+// votes.
+func (replica *Replica[M]) replacesLostMember(membership quorum.Membership, joining []quorum.Member, joiner quorum.Member) bool {
+	lost, replacing := 0, 0
+	for _, member := range membership.Members {
+		switch {
+		case member.FailureDomain != joiner.FailureDomain:
+		case member.Learner:
+			replacing++
+		case replica.silentFor(member.ID) >= lostMemberTicks:
+			lost++
+		}
+	}
+	for _, other := range joining {
+		if other.FailureDomain == joiner.FailureDomain {
+			replacing++
+		}
+	}
+	return membership.VoterCount() <= maxVoters && lost > replacing
 }
 
 // askNamedReplicas asks the replicas that an answer names, each once.
--- a/internal/replica/membership_test.go
+++ b/internal/replica/membership_test.go
@@ -279,3 +279,42 @@
 		return !committed.IsVoter(old) && committed.IsVoter(fresh)
 	})
 }
+
+// Guards against more voters than the group may have when many hosts ask to join at once:
+// each voter makes every commit wait for one more disk.
+func TestManyJoinersBecomeNoMoreVotersThanAllowed(t *testing.T) {
+	cluster := newSeedCluster(t, 14)
+	most := 0
+	for range 400 {
+		cluster.runRound()
+		if leader := cluster.leader(); leader != nil {
+			most = max(most, leader.core.Status().Membership.VoterCount())
+		}
+	}
+	cluster.Expect(most).To(gomega.Equal(maxVoters))
+}
+
+// In a full group one of two new hosts replaces a lost one of their failure domain.
+func TestFullGroupTakesOneHostForEachLostOne(t *testing.T) {
+	cluster := newSeedCluster(t, 9)
+	cluster.awaitVoters(cluster.order...)
+	cluster.stop("host-5")
+	for range lostMemberTicks + 2*unresponsiveTicks {
+		cluster.runRound()
+	}
+	for _, address := range []string{"host-5-again", "host-5-third"} {
+		cluster.order = append(cluster.order, address)
+		cluster.loseDisk(address)
+		cluster.startWithSeeds(address, false)
+	}
+	most := 0
+	for range 300 {
+		cluster.runRound()
+		if leader := cluster.leader(); leader != nil {
+			most = max(most, leader.core.Status().Membership.VoterCount())
+		}
+	}
+	cluster.Expect(most).To(gomega.BeNumerically("<=", maxVoters+1))
+	cluster.Expect(cluster.voters()).To(gomega.HaveLen(maxVoters))
+	cluster.Expect(cluster.voters()).NotTo(gomega.ContainElement("host-5"))
+}
