link: hold back the data of one peer

The first data on a connection between processes contains the name of the one that opened it; HoldPeer stops both directions of the connections of one name, and overlaps like Hold.

Test: TestHoldPeerStopsOnlyItsConnections, with the race detector.

--- a/magnolia-load/internal/link/proxy.go
+++ b/magnolia-load/internal/link/proxy.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -31,23 +32,30 @@
 
 // Proxy forwards TCP connections to a process and injects network faults: it holds
 // back data in one or both directions, delays it, resets connections, or closes
-// one half of them. Faults may overlap. Target is set before Serve; all methods
-// are safe for concurrent use.
+// one half of them. Faults may overlap. The exported fields are set before Serve; all
+// methods are safe for concurrent use.
 type Proxy struct {
 	// Target is the address of the process behind the proxy.
 	Target string
+	// Peers are the names of processes that connect to it. The first data on a connection
+	// contains the name of the process that opened it.
+	Peers []string
 
-	lock        sync.Mutex
-	changed     chan struct{}
-	holdCounts  [directionCount]int
-	chunkDelay  time.Duration
-	connections map[*proxiedConn]struct{}
+	lock       sync.Mutex
+	changed    chan struct{}
+	holdCounts [directionCount]int
+	// peerHoldCounts counts the calls of HoldPeer that are in effect.
+	peerHoldCounts map[string]int
+	chunkDelay     time.Duration
+	connections    map[*proxiedConn]struct{}
 }
 
 // proxiedConn is an accepted connection and the connection to the process that it
 // is forwarded to.
 type proxiedConn struct {
 	client, server *net.TCPConn
+	// peer is the process that opened the connection, or empty as long as it is not known.
+	peer string
 }
 
 // Hold stops data in a direction, on existing and new connections, until Release.
@@ -60,6 +68,22 @@
 	proxy.updateFaults(func() { proxy.holdCounts[direction]-- })
 }
 
+// HoldPeer stops data in both directions, on existing and new connections that a peer
+// opened, until ReleasePeer.
+func (proxy *Proxy) HoldPeer(peer string) {
+	proxy.updateFaults(func() {
+		if proxy.peerHoldCounts == nil {
+			proxy.peerHoldCounts = make(map[string]int)
+		}
+		proxy.peerHoldCounts[peer]++
+	})
+}
+
+// ReleasePeer ends one HoldPeer. After the last one the data that was held back arrives.
+func (proxy *Proxy) ReleasePeer(peer string) {
+	proxy.updateFaults(func() { proxy.peerHoldCounts[peer]-- })
+}
+
 // AddDelay adds to the delay of each chunk read from a connection; a negative
 // value removes an earlier delay.
 func (proxy *Proxy) AddDelay(delay time.Duration) {
@@ -146,8 +170,8 @@
 	})
 	defer stop()
 	copying := sync.WaitGroup{}
-	copying.Go(func() { proxy.copyDirection(ended, end, ToProcess, conn.server, conn.client) })
-	copying.Go(func() { proxy.copyDirection(ended, end, FromProcess, conn.client, conn.server) })
+	copying.Go(func() { proxy.copyDirection(ended, end, ToProcess, conn, conn.server, conn.client) })
+	copying.Go(func() { proxy.copyDirection(ended, end, FromProcess, conn, conn.client, conn.server) })
 	copying.Wait()
 }
 
@@ -168,11 +192,14 @@
 
 // copyDirection copies one direction. It forwards an end of stream after the data
 // before it; any other error ends the whole connection.
-func (proxy *Proxy) copyDirection(ctx context.Context, end context.CancelFunc, direction Direction, to, from *net.TCPConn) {
+func (proxy *Proxy) copyDirection(ctx context.Context, end context.CancelFunc, direction Direction, conn *proxiedConn, to, from *net.TCPConn) {
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		count, err := from.Read(buffer)
-		if !proxy.waitUntilReleased(ctx, direction) {
+		if direction == ToProcess {
+			proxy.identifyPeer(conn, buffer[:count])
+		}
+		if !proxy.waitUntilReleased(ctx, direction, conn) {
 			end()
 			return
 		}
@@ -193,12 +220,27 @@
 	}
 }
 
+// identifyPeer finds out from the first data on a connection which peer opened it.
+func (proxy *Proxy) identifyPeer(conn *proxiedConn, data []byte) {
+	proxy.lock.Lock()
+	defer proxy.lock.Unlock()
+	if conn.peer != "" {
+		return
+	}
+	for _, peer := range proxy.Peers {
+		if bytes.Contains(data, []byte(peer)) {
+			conn.peer = peer
+			return
+		}
+	}
+}
+
 // waitUntilReleased waits until no Hold applies to the direction and the delay has
 // passed. It returns false if the context ended first.
-func (proxy *Proxy) waitUntilReleased(ctx context.Context, direction Direction) bool {
+func (proxy *Proxy) waitUntilReleased(ctx context.Context, direction Direction, conn *proxiedConn) bool {
 	for {
 		proxy.lock.Lock()
-		held, delay := proxy.holdCounts[direction] > 0, proxy.chunkDelay
+		held, delay := proxy.holdCounts[direction] > 0 || proxy.peerHoldCounts[conn.peer] > 0, proxy.chunkDelay
 		if held && proxy.changed == nil {
 			proxy.changed = make(chan struct{})
 		}
--- a/magnolia-load/internal/link/proxy_test.go
+++ b/magnolia-load/internal/link/proxy_test.go
@@ -14,14 +14,14 @@
 
 // newProxiedConnection returns a proxy, a client's connection through it, and the
 // process's end of that connection.
-func newProxiedConnection(t *testing.T) (proxy *link.Proxy, client, server *net.TCPConn) {
+func newProxiedConnection(t *testing.T, peers ...string) (proxy *link.Proxy, client, server *net.TCPConn) {
 	t.Helper()
 	expect := gomega.NewWithT(t).Expect
 	process, err := net.Listen("tcp", "127.0.0.1:0")
 	expect(err).NotTo(gomega.HaveOccurred())
 	front, err := net.Listen("tcp", "127.0.0.1:0")
 	expect(err).NotTo(gomega.HaveOccurred())
-	proxy = &link.Proxy{Target: process.Addr().String()}
+	proxy = &link.Proxy{Target: process.Addr().String(), Peers: peers}
 	ctx, stop := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- proxy.Serve(ctx, front) }()
@@ -104,3 +104,34 @@
 	send(t, server, "still here")
 	expectReceived(t, client, "still here")
 }
+
+// Guards against a split that lets data of a peer through, that stops another peer's, or
+// that does not end with the last of several.
+func TestHoldPeerStopsOnlyItsConnections(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	const greeting = "hello of agenda-norte-a"
+	proxy, client, server := newProxiedConnection(t, "agenda-norte-a", "agenda-norte-b")
+	proxy.HoldPeer("agenda-norte-b")
+	send(t, client, greeting)
+	expectReceived(t, server, greeting)
+	proxy.HoldPeer("agenda-norte-a")
+	proxy.HoldPeer("agenda-norte-a")
+	received := make(chan string, 2)
+	for _, conn := range []net.Conn{client, server} {
+		send(t, conn, "held")
+		go func() {
+			text := make([]byte, len("held"))
+			_, err := io.ReadFull(conn, text)
+			received <- string(text)
+			if err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	proxy.ReleasePeer("agenda-norte-b")
+	proxy.ReleasePeer("agenda-norte-a")
+	expect(received).NotTo(gomega.Receive())
+	proxy.ReleasePeer("agenda-norte-a")
+	expect(<-received).To(gomega.Equal("held"))
+	expect(<-received).To(gomega.Equal("held"))
+}
