soak: lose pairs of disks again and again, and check that the group is whole

The soak lost single disks only, less than half of the replicas in a whole run, with a small configuration, and read the newest version within 20 s of the end without a look at the members.

TestEachBrokenPromiseIsReported breaks the new promise in seven ways. TestPairsStayWithinTolerance counts the lost hosts of 200 plans; without the filter it fails. TestPlanIsDeterminedBySeed moved with the plans and checks three replicas as before.

--- a/magnolia-load/internal/command/soak/soak.go
+++ b/magnolia-load/internal/command/soak/soak.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -35,6 +36,7 @@
 	Seed    uint64        `default:"1" help:"Seed of the first run."`
 	For     time.Duration `default:"20s" help:"Time with faults; 20 s without follow."`
 	Hosts   int           `default:"12" help:"Number of processes, four for each failure domain, 24 at most."`
+	Plan    string        `type:"path" help:"File with a plan that is played instead of the seed's." placeholder:"FILE"`
 	Keep    string        `type:"path" help:"Folder in which plans, logs and data stay." placeholder:"FOLDER"`
 	JSON    bool          `name:"json" help:"Write each report as one JSON document."`
 }
@@ -42,14 +44,15 @@
 // Help returns the long description of the command.
 func (options *Options) Help() string {
 	return `Runs real processes of magnoliad on loopback under faults that a seed gives:
-kills, planned stops, freezes, reloads, lost disks and kills of the whole site,
-alone and overlapping, while callers send requests and operators change the
+kills, planned stops, freezes, reloads, lost disks, splits and kills of the whole
+site, alone and overlapping, while callers send requests and operators change the
 configuration. Ends with a line for each seed and each broken promise, and with
 exit code 1 if any was broken.
 
 Examples:
   magnolia-load soak --program bin/magnoliad --seeds 3
-  magnolia-load soak --program bin/magnoliad --seed 17 --for 1m --keep /tmp/soak-17`
+  magnolia-load soak --program bin/magnoliad --seed 17 --for 1m --keep /tmp/soak-17
+  magnolia-load soak --program bin/magnoliad --for 16s --plan script/soak-plans/pairs.json`
 }
 
 // Run runs the seeds one after the other and prints a report for each. It returns
@@ -87,10 +90,30 @@
 	if options.Keep == "" {
 		defer func() { _ = os.RemoveAll(folder) }()
 	}
-	run := &soak.Run{Program: options.Program, Seed: seed, FaultDuration: options.For, MaxHosts: options.Hosts, Folder: folder}
+	plan, err := options.readPlan()
+	if err != nil {
+		return soak.Report{}, err
+	}
+	run := &soak.Run{Plan: plan, Program: options.Program, Seed: seed, FaultDuration: options.For, MaxHosts: options.Hosts, Folder: folder}
 	return run.Execute(ctx)
 }
 
+// readPlan returns the plan of the file, or nil without one.
+func (options *Options) readPlan() (*soak.Plan, error) {
+	if options.Plan == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(options.Plan)
+	if err != nil {
+		return nil, program.WithCode(program.ExitUsage, oops.Wrapf(err, "reading the plan"))
+	}
+	plan := &soak.Plan{}
+	if err := json.Unmarshal(text, plan); err != nil {
+		return nil, program.WithCode(program.ExitUsage, oops.Wrapf(err, "reading the plan %s", options.Plan))
+	}
+	return plan, nil
+}
+
 func (options *Options) runFolder(seed uint64) (string, error) {
 	if options.Keep == "" {
 		folder, err := os.MkdirTemp("", "magnolia-soak-")
--- a/magnolia-load/internal/mesh/design.go
+++ b/magnolia-load/internal/mesh/design.go
@@ -43,13 +43,28 @@
 	Configuration []byte
 	Places        []request.Place
 	Services      []Service
-	Kinds         []load.Kind
+	// ServicesPerPlace is how many targets a place has, of the services in turn, or zero
+	// for one of each service.
+	ServicesPerPlace int
+	Kinds            []load.Kind
 	// DeepestService is the service at the end of the call chain, and
 	// DeepestServiceTime its mean service time.
 	DeepestService     request.ServiceName
 	DeepestServiceTime time.Duration
 }
 
+// servicesAt returns the services of the targets of a place.
+func (design Design) servicesAt(place int) []Service {
+	if design.ServicesPerPlace == 0 {
+		return design.Services
+	}
+	var services []Service
+	for offset := range design.ServicesPerPlace {
+		services = append(services, design.Services[(place*design.ServicesPerPlace+offset)%len(design.Services)])
+	}
+	return services
+}
+
 // DeepestServiceCapacity returns the calls a second that all targets of the
 // deepest service can answer when their service times are slowdown times longer.
 func (design Design) DeepestServiceCapacity(slowdown float64) float64 {
--- a/magnolia-load/internal/mesh/mesh.go
+++ b/magnolia-load/internal/mesh/mesh.go
@@ -98,8 +98,8 @@
 	}
 	targetsCtx, stopTargets := context.WithCancel(context.WithoutCancel(ctx))
 	mesh.stopTargets = stopTargets
-	for _, place := range mesh.Design.Places {
-		for _, service := range mesh.Design.Services {
+	for index, place := range mesh.Design.Places {
+		for _, service := range mesh.Design.servicesAt(index) {
 			if err := mesh.addHost(targetsCtx, topology, place, service); err != nil {
 				stopTargets()
 				return err
--- a/magnolia-load/internal/mesh/processes.go
+++ b/magnolia-load/internal/mesh/processes.go
@@ -22,13 +22,15 @@
 // test reports a longer stop as a broken promise.
 const plannedStopTimeout = 20 * time.Second
 
-// Processes runs a process of magnoliad for each target, with a replica in each of
-// up to five failure domains. Its exported fields are set before Prepare.
+// Processes runs a process of magnoliad for each target, with a replica in each of the
+// first failure domains. Its exported fields are set before Prepare.
 type Processes struct {
 	// Program is the path of magnoliad.
 	Program string
 	// Folder holds settings, logs and data.
 	Folder string
+	// MaxReplicas is the largest number of replicas.
+	MaxReplicas int
 
 	ports          portReservation
 	processes      []*Process
@@ -45,11 +47,13 @@
 	Admin   string
 	// Link is the proxy through which other processes connect to this one.
 	Link *link.Proxy
+	// LinkAddress is the address of the proxy, which is the process's peer address for
+	// the others.
+	LinkAddress string
 
-	linkAddress string
-	owner       *Processes
-	folder      string
-	settings    map[string]any
+	owner    *Processes
+	folder   string
+	settings map[string]any
 
 	lock    sync.Mutex
 	command *exec.Cmd
@@ -80,20 +84,20 @@
 		}
 		addresses = append(addresses, string(reserved))
 	}
-	process := &Process{Node: added.Node, owner: processes, folder: filepath.Join(processes.Folder, string(added.Node)), Admin: addresses[3], Link: &link.Proxy{Target: addresses[2]}, linkAddress: addresses[4]}
+	process := &Process{Node: added.Node, owner: processes, folder: filepath.Join(processes.Folder, string(added.Node)), Admin: addresses[3], Link: &link.Proxy{Target: addresses[2]}, LinkAddress: addresses[4]}
 	process.settings = map[string]any{
 		"node": added.Node, "region": added.Place.Region, "failure-domain": added.Place.Domain,
 		"service": added.Service.Name, "target": added.TargetAddress,
 		"listen":    map[string]string{"callers": addresses[0], "outbound": addresses[1], "peers": addresses[2], "admin": addresses[3]},
-		"advertise": map[string]string{"peers": process.linkAddress},
+		"advertise": map[string]string{"peers": process.LinkAddress},
 		"security":  map[string]bool{"plaintext-on-loopback": true},
 	}
-	if !processes.replicaDomains[added.Place.Domain] && len(processes.replicaDomains) < maxReplicas {
+	if !processes.replicaDomains[added.Place.Domain] && len(processes.replicaDomains) < processes.MaxReplicas {
 		processes.replicaDomains[added.Place.Domain] = true
 		process.Replica = true
 		process.settings["data-folder"] = "data"
 		if len(processes.seedAddresses) < seedReplicas {
-			processes.seedAddresses = append(processes.seedAddresses, process.linkAddress)
+			processes.seedAddresses = append(processes.seedAddresses, process.LinkAddress)
 		}
 	}
 	processes.processes = append(processes.processes, process)
@@ -110,8 +114,13 @@
 	defer serving.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var nodes []string
 	for _, host := range processes.processes {
-		listener, err := net.Listen("tcp", host.linkAddress)
+		nodes = append(nodes, string(host.Node))
+	}
+	for _, host := range processes.processes {
+		host.Link.Peers = nodes
+		listener, err := net.Listen("tcp", host.LinkAddress)
 		if err != nil {
 			processes.killAll()
 			return oops.Wrapf(err, "listening for the link to %s", host.Node)
--- a/magnolia-load/internal/soak/change_sender.go
+++ b/magnolia-load/internal/soak/change_sender.go
@@ -19,6 +19,13 @@
 const (
 	changeInterval = 1200 * time.Millisecond
 	requestTimeout = 4 * time.Second
+	// In each burstPeriod a burst of changes comes burstInterval apart.
+	burstPeriod   = 5 * time.Second
+	burstDuration = 1500 * time.Millisecond
+	burstInterval = 100 * time.Millisecond
+	// attemptTimeout bounds a request of one that waits for an acknowledged change.
+	attemptTimeout    = time.Second
+	sendBeforeTimeout = 2 * time.Minute
 	// maxSendAttempts is how many times a change without a clear outcome is sent.
 	maxSendAttempts = 5
 	// firstDeadlineMS is the deadline that the first change sets. Each further change
@@ -42,31 +49,99 @@
 	adminAddresses []string
 	random         *rand.Rand
 	client         *http.Client
+	// routes is how many kinds each change sets beside the deadline, and bursts whether
+	// there are times with several changes a second.
+	routes int
+	bursts bool
 
 	lock    sync.Mutex
 	changes []change
+	// lastDeadlineMS is the deadline of the newest change.
+	lastDeadlineMS int
 }
 
 func newChangeSender(adminAddresses []string, seed uint64) *changeSender {
-	return &changeSender{adminAddresses: adminAddresses, random: rand.New(rand.NewPCG(seed, 23)), client: &http.Client{Timeout: requestTimeout}}
+	return &changeSender{adminAddresses: adminAddresses, random: rand.New(rand.NewPCG(seed, 23)), client: &http.Client{Timeout: requestTimeout}, lastDeadlineMS: firstDeadlineMS - 1}
 }
 
 // run sends changes until the context ends.
 func (sender *changeSender) run(ctx context.Context) {
-	for number := 0; wait.For(ctx, changeInterval); number += 2 {
+	for startedAt := time.Now(); wait.For(ctx, sender.interval(time.Since(startedAt))); {
 		base, err := sender.currentVersion(ctx)
 		if err != nil {
 			continue
 		}
 		sending := sync.WaitGroup{}
-		for index := range 1 + sender.random.IntN(2) {
+		for range 1 + sender.random.IntN(2) {
 			order := sender.random.Perm(len(sender.adminAddresses))
-			sending.Go(func() { sender.sendChange(ctx, order, base, firstDeadlineMS+number+index) })
+			sending.Go(func() { sender.sendChange(ctx, order, base) })
 		}
 		sending.Wait()
 	}
 }
 
+// interval is the time until the next changes.
+func (sender *changeSender) interval(elapsed time.Duration) time.Duration {
+	if sender.bursts && elapsed%burstPeriod < burstDuration {
+		return burstInterval
+	}
+	return changeInterval
+}
+
+// sendBefore sends changes one after the other until a number of them is accepted.
+func (sender *changeSender) sendBefore(ctx context.Context, count int) error {
+	ctx, cancel := context.WithTimeout(ctx, sendBeforeTimeout)
+	defer cancel()
+	for range count {
+		if !sender.sendUntilAcknowledged(ctx) {
+			return fmt.Errorf("%d changes were not accepted within %s: %w", count, sendBeforeTimeout, ctx.Err())
+		}
+	}
+	return nil
+}
+
+// sendUntilAcknowledged sends changes until one is accepted, and reports whether one was
+// before the context ended.
+func (sender *changeSender) sendUntilAcknowledged(ctx context.Context) bool {
+	for first := 0; ctx.Err() == nil; first++ {
+		admin := sender.adminAddresses[first%len(sender.adminAddresses)]
+		answer, err := postWithin[status](ctx, sender.client, admin, "view-status", struct{}{})
+		if err == nil && sender.sendChange(ctx, []int{first % len(sender.adminAddresses)}, answer.Version) {
+			return true
+		}
+	}
+	return false
+}
+
+// postWithin is post with attemptTimeout.
+func postWithin[Answer any](ctx context.Context, client *http.Client, admin, verb string, message any) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return post[Answer](ctx, client, admin, verb, message)
+}
+
+// operations sets the deadline that identifies a change, and the further kinds.
+func (sender *changeSender) operations(deadline int) (json.RawMessage, error) {
+	value := fmt.Sprintf("%dms", deadline)
+	operations := []map[string]any{{"op": "replace", "path": "/services/agenda/kinds/day/deadline", "value": value}}
+	if sender.routes > 0 {
+		kinds := make(map[string]any)
+		for number := range sender.routes {
+			kinds[fmt.Sprintf("record-%d", number)] = map[string]any{"method": "GET", "path": fmt.Sprintf("/records-%d/{id}", number), "importance": "visit", "repeat": "repeatable", "deadline": value, "retries": 1}
+		}
+		operations = append(operations, map[string]any{"op": "add", "path": "/services/archive", "value": map[string]any{"slots": 1, "connections": 1, "kinds": kinds}})
+	}
+	return json.Marshal(operations)
+}
+
+// nextDeadline returns the deadline of the next change.
+func (sender *changeSender) nextDeadline() int {
+	sender.lock.Lock()
+	defer sender.lock.Unlock()
+	sender.lastDeadlineMS++
+	return sender.lastDeadlineMS
+}
+
 type status struct {
 	Version int `json:"version"`
 }
@@ -83,11 +158,17 @@
 }
 
 // sendChange sends one change until its outcome is clear or the attempts are used
-// up. A resend has the same id and may go to another host.
-func (sender *changeSender) sendChange(ctx context.Context, order []int, base, deadline int) {
+// up. A resend has the same id and may go to another host. It reports whether the change
+// was accepted.
+func (sender *changeSender) sendChange(ctx context.Context, order []int, base int) bool {
+	deadline := sender.nextDeadline()
+	operations, err := sender.operations(deadline)
+	if err != nil {
+		return false
+	}
 	patch := map[string]any{
 		"id": uuid.NewString(), "base": base, "operator": "soak", "note": "set a deadline",
-		"operations": json.RawMessage(fmt.Sprintf(`[{"op":"replace","path":"/services/agenda/kinds/day/deadline","value":"%dms"}]`, deadline)),
+		"operations": operations,
 	}
 	for attempt := range maxSendAttempts {
 		outcome, err := post[struct {
@@ -104,8 +185,9 @@
 		sender.lock.Lock()
 		sender.changes = append(sender.changes, sent)
 		sender.lock.Unlock()
-		return
+		return sent.AcknowledgedVersion > 0
 	}
+	return false
 }
 
 // post sends one request of an operator. A status other than 200 is an error.
--- a/magnolia-load/internal/soak/plan.go
+++ b/magnolia-load/internal/soak/plan.go
@@ -53,6 +53,13 @@
 	FaultStopAgain FaultKind = "stop-again"
 	// FaultLimit makes the target of a host state a rate limit in its answers.
 	FaultLimit FaultKind = "limit"
+	// FaultLoseDisks is FaultLoseDisk of several replicas at once, right after a change
+	// was acknowledged. FaultLoseDisksKillAll kills all other processes at that moment.
+	FaultLoseDisks        FaultKind = "lose-disks"
+	FaultLoseDisksKillAll FaultKind = "lose-disks-kill-all"
+	// FaultSplit holds back all data between the failure domains of some replicas and the
+	// others.
+	FaultSplit FaultKind = "split"
 )
 
 // Parameters of plans and of the time after the last fault.
@@ -76,24 +83,54 @@
 	checkDuration   = 5 * time.Second
 )
 
-// Fault is one fault of a plan. Host is the index of the process, or for
-// FaultLoseDisk that among the replicas. At is the time since the start of the
-// load.
+// Plan is what a run does to a site.
+type Plan struct {
+	// Replicas is the number of replicas, each in a failure domain of its own.
+	Replicas int `json:"replicas"`
+	// Routes is how many kinds each change of the operators sets.
+	Routes int `json:"routes,omitempty"`
+	// ChangesBefore is how many changes are acknowledged before the load starts.
+	ChangesBefore int `json:"changes-before,omitempty"`
+	// Bursts makes operators send several changes a second at times.
+	Bursts bool    `json:"bursts,omitempty"`
+	Faults []Fault `json:"faults"`
+}
+
+// Fault is one fault of a plan. Host is the index of the process. For the losses of
+// disks and for FaultSplit it is that among the replicas, and Others holds further
+// ones. At is the time since the start of the load.
 type Fault struct {
 	At       time.Duration `json:"at"`
 	Kind     FaultKind     `json:"kind"`
 	Host     int           `json:"host"`
+	Others   []int         `json:"others,omitempty"`
 	Duration time.Duration `json:"for"`
 }
 
 // String returns the fault as one line of text.
 func (fault Fault) String() string {
-	return fmt.Sprintf("%6.2fs %-9s host %d for %.2fs", fault.At.Seconds(), fault.Kind, fault.Host, fault.Duration.Seconds())
+	return fmt.Sprintf("%6.2fs %-9s host %d %v for %.2fs", fault.At.Seconds(), fault.Kind, fault.Host, fault.Others, fault.Duration.Seconds())
+}
+
+// NewPlan returns the plan of a seed, with the faults in the order of their times. All
+// faults are over at the end.
+func NewPlan(seed uint64, end time.Duration, hosts int) Plan {
+	drawn := drawPairs(seed, end, hosts)
+	plan := Plan{Replicas: min(hosts/hostsPerPlace, maxReplicas), Routes: drawn.routes, Bursts: drawn.bursts}
+	if len(drawn.faults) == 0 {
+		plan.Faults = newFaults(seed, end, hosts, plan.Replicas)
+	} else {
+		plan.Replicas = pairedReplicas
+		hosts -= hosts % pairedReplicas
+		plan.Faults = withinTolerance(newFaults(seed, end, hosts, plan.Replicas), drawn.faults, hosts/pairedReplicas)
+		plan.Faults = append(plan.Faults, drawn.faults...)
+	}
+	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
 }
 
-// NewPlan returns the faults of a seed in the order of their times. All faults are
-// over at the end.
-func NewPlan(seed uint64, end time.Duration, hosts, replicas int) []Fault {
+// newFaults returns the faults of a seed that hosts have independently of each other.
+func newFaults(seed uint64, end time.Duration, hosts, replicas int) []Fault {
 	random := rand.New(rand.NewPCG(seed, 17))
 	var plan []Fault
 	// A replica group survives the loss of less than half of its disks. How soon a
@@ -115,7 +152,6 @@
 	for _, separate := range separateKinds {
 		plan = append(plan, separate.faults(seed, end, hosts)...)
 	}
-	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
--- a/magnolia-load/internal/soak/promises.go
+++ b/magnolia-load/internal/soak/promises.go
@@ -46,6 +46,8 @@
 	// kills holds when each host was killed, by the index of the host.
 	kills        map[int][]time.Duration
 	resourceUses []resourceUse
+	// group holds what each replica told of the group after the recovery.
+	group []groupReading
 	// limitedPeriods are the times in which targets stated a rate limit.
 	limitedPeriods []target.LimitedPeriod
 	// floodSentAt holds when each call of the customer over its quota was sent, and
@@ -77,7 +79,7 @@
 
 // brokenPromises describes the promises that were not kept.
 func (observed observations) brokenPromises() []string {
-	return slices.Concat(observed.checkAnswers(), observed.checkCuts(), observed.checkAtMostOnce(), observed.checkChanges(), observed.checkProcesses(), observed.checkRates(), observed.checkRecovery(), observed.checkKeys(), observed.checkNames(), observed.checkQuota())
+	return slices.Concat(observed.checkAnswers(), observed.checkCuts(), observed.checkAtMostOnce(), observed.checkChanges(), observed.checkProcesses(), observed.checkRates(), observed.checkRecovery(), observed.checkWholeGroup(), observed.checkKeys(), observed.checkNames(), observed.checkQuota())
 }
 
 // checkAnswers checks that each success response is complete and for the caller's
--- a/magnolia-load/internal/soak/run.go
+++ b/magnolia-load/internal/soak/run.go
@@ -27,10 +27,9 @@
 )
 
 const (
-	// rateFactorPerPlace multiplies the load of the whole mesh for each of its six
-	// failure domains. The load is about half of what the targets can serve, so that
-	// failures come from faults.
-	rateFactorPerPlace = 0.4 / 6
+	// rateFactorPerHost multiplies the load of the whole mesh for each of its 24 hosts. The
+	// load is about half of what the targets can serve, so that failures come from faults.
+	rateFactorPerHost = 0.4 / 24
 	// maxAttempts is how many times a caller sends a request.
 	maxAttempts      = 3
 	pollInterval     = 500 * time.Millisecond
@@ -51,6 +50,8 @@
 	MaxHosts int
 	// Folder holds the plan, the settings, the logs and the data.
 	Folder string
+	// Plan is played instead of the plan of the seed, unless it is nil.
+	Plan *Plan
 }
 
 // Report is the outcome of a run.
@@ -64,7 +65,10 @@
 	WholeShare      float64  `json:"whole"`
 	RecoveredShare  float64  `json:"recovered"`
 	AcceptedChanges int      `json:"changes-accepted"`
-	BrokenPromises  []string `json:"broken"`
+	Returns         []Return `json:"returns,omitempty"`
+	// SkippedFaults is how many losses of disks came too late for the run.
+	SkippedFaults  int      `json:"skipped,omitempty"`
+	BrokenPromises []string `json:"broken"`
 }
 
 // execution is the state of a run in progress.
@@ -74,9 +78,11 @@
 	processes *mesh.Processes
 	mesh      *mesh.Mesh
 	sender    *changeSender
-	plan      []Fault
+	plan      Plan
 
 	overlaps overlaps
+	losses   losses
+	votes    votes
 	// loadStartedAt is the time from which samples and kills are counted.
 	loadStartedAt time.Time
 
@@ -95,10 +101,18 @@
 // It returns an error if a fault could not be injected, since the run proves
 // nothing then.
 func (run *Run) Execute(ctx context.Context) (Report, error) {
+	plan := NewPlan(run.Seed, run.FaultDuration, run.MaxHosts)
+	if run.Plan != nil {
+		plan = *run.Plan
+	}
 	design := mesh.GotaJusta()
-	design.Places = design.Places[:min(len(design.Places), max(run.MaxHosts/len(design.Services), 1))]
-	current := &execution{run: run, design: design, versionByRun: make(map[string]int), kills: make(map[int][]time.Duration)}
-	current.processes = &mesh.Processes{Program: run.Program, Folder: run.Folder}
+	if plan.Replicas == pairedReplicas {
+		design.ServicesPerPlace = min(run.MaxHosts/pairedReplicas, len(design.Services))
+	} else {
+		design.Places = design.Places[:min(len(design.Places), max(run.MaxHosts/len(design.Services), 1))]
+	}
+	current := &execution{run: run, design: design, plan: plan, versionByRun: make(map[string]int), kills: make(map[int][]time.Duration)}
+	current.processes = &mesh.Processes{Program: run.Program, Folder: run.Folder, MaxReplicas: plan.Replicas}
 	current.mesh = &mesh.Mesh{Design: design, System: current.processes, Seed: run.Seed, Records: target.NewRecords()}
 	if err := current.mesh.Start(ctx); err != nil {
 		return Report{}, err
@@ -118,7 +132,8 @@
 		}
 	}
 	return Report{
-		Seed: execution.run.Seed, Hosts: len(execution.processes.Hosts()), Faults: execution.plan, Requests: len(observed.samples),
+		Seed: execution.run.Seed, Hosts: len(execution.processes.Hosts()), Faults: execution.plan.Faults, Requests: len(observed.samples),
+		Returns: execution.votes.returns(), SkippedFaults: execution.losses.skipped,
 		WholeShare: observed.succeededShare(load.Span{To: observed.recoverySpan.To}), RecoveredShare: observed.succeededShare(observed.recoverySpan), AcceptedChanges: accepted, BrokenPromises: observed.brokenPromises(),
 	}
 }
@@ -135,14 +150,17 @@
 
 func (execution *execution) observe(ctx context.Context) (observations, error) {
 	hosts := execution.processes.Hosts()
-	execution.plan = NewPlan(execution.run.Seed, execution.run.FaultDuration, len(hosts), len(execution.replicas()))
 	if err := execution.writePlan(); err != nil {
 		return observations{}, err
 	}
 	execution.sender = newChangeSender(execution.mesh.AdminAddresses(), execution.run.Seed)
+	execution.sender.routes, execution.sender.bursts = execution.plan.Routes, execution.plan.Bursts
 	if err := execution.setCustomers(ctx); err != nil {
 		return observations{}, err
 	}
+	if err := execution.sender.sendBefore(ctx, execution.plan.ChangesBefore); err != nil {
+		return observations{}, err
+	}
 	execution.mesh.Records.WatchCustomers()
 	callers := execution.mesh.Callers()
 	for _, caller := range callers {
@@ -156,13 +174,19 @@
 	background.Go(func() { execution.sender.run(backgroundCtx) })
 	background.Go(func() { execution.watchVersions(backgroundCtx) })
 	background.Go(func() { flooding.run(backgroundCtx) })
+	background.Go(func() { execution.watchVotes(backgroundCtx) })
 	execution.loadStartedAt = time.Now()
+	group := make(chan []groupReading, 1)
+	go func() {
+		wait.For(ctx, recoverySpan.From)
+		group <- execution.readGroup(ctx)
+	}()
 	injecting := sync.WaitGroup{}
 	injecting.Go(func() { execution.injectFaults(ctx) })
 	runner := &load.Runner{
 		Plan: load.Plan{
 			Seed: execution.run.Seed, Kinds: execution.design.Kinds, EntryNodes: len(callers), MaxAttempts: maxAttempts,
-			Phases: []load.Phase{{Name: "soak", Duration: recoverySpan.To, RateFactor: rateFactorPerPlace * float64(len(execution.design.Places))}},
+			Phases: []load.Phase{{Name: "soak", Duration: recoverySpan.To, RateFactor: rateFactorPerHost * float64(len(hosts))}},
 		},
 		Callers: callers, KeyPrefix: "soak",
 	}
@@ -174,7 +198,7 @@
 	background.Wait()
 	observed := observations{
 		kinds: execution.design.Kinds, samples: samples, records: execution.mesh.Records, finalConfigurations: execution.readConfigurations(ctx), resourceUses: execution.readResourceUses(),
-		recoverySpan: recoverySpan,
+		recoverySpan: recoverySpan, group: <-group,
 	}
 	observed.changes, observed.versionRegressions, observed.overdueStops = execution.sender.changes, execution.versionRegressions, execution.overdueStops
 	observed.kills = execution.kills
@@ -206,7 +230,7 @@
 	startedAt := time.Now()
 	faults := sync.WaitGroup{}
 	defer faults.Wait()
-	for _, fault := range execution.plan {
+	for _, fault := range execution.plan.Faults {
 		if !wait.For(ctx, fault.At-time.Since(startedAt)) {
 			return
 		}
@@ -248,7 +272,12 @@
 		execution.overlaps.begin(down, index)
 		execution.recordKill(index)
 		execution.recordError(replica.LoseData())
+		execution.votes.recordLoss(replica, fault.Duration)
 		execution.startAfter(ctx, fault.Duration, index)
+	case FaultLoseDisks, FaultLoseDisksKillAll:
+		execution.loseDisks(ctx, fault)
+	case FaultSplit:
+		execution.split(ctx, fault)
 	case FaultKillAll:
 		var all []int
 		for index := range execution.processes.Hosts() {
@@ -266,13 +295,18 @@
 		execution.processes.Hosts()[index].Kill()
 	}
 	if len(hosts) == len(execution.processes.Hosts()) {
-		for _, stating := range execution.mesh.HostTargets() {
-			stating.StateRateLimitAnew()
-		}
+		execution.stateRateLimitsAnew()
 	}
 	execution.startAfter(ctx, pause, hosts...)
 }
 
+// stateRateLimitsAnew is called once no process knows the rate limits any more.
+func (execution *execution) stateRateLimitsAnew() {
+	for _, stating := range execution.mesh.HostTargets() {
+		stating.StateRateLimitAnew()
+	}
+}
+
 // stopFor stops a host as planned and starts it again after the fault's duration.
 func (execution *execution) stopFor(ctx context.Context, fault Fault) {
 	host := execution.processes.Hosts()[fault.Host]
@@ -422,38 +456,17 @@
 	return readings
 }
 
-// readResourceUses returns the memory and open files of the processes, from /proc.
-func (execution *execution) readResourceUses() []resourceUse {
-	var uses []resourceUse
-	for _, host := range execution.processes.Hosts() {
-		use, err := readResourceUse(host.PID())
-		use.host, use.err = string(host.Node), err
-		uses = append(uses, use)
-	}
-	return uses
-}
-
-func readResourceUse(id int) (resourceUse, error) {
-	folder := filepath.Join("/proc", strconv.Itoa(id))
-	files, err := os.ReadDir(filepath.Join(folder, "fd"))
-	if err != nil {
-		return resourceUse{}, err
-	}
-	text, err := os.ReadFile(filepath.Join(folder, "statm"))
-	if err != nil {
-		return resourceUse{}, err
-	}
-	var total, resident int
-	if _, err := fmt.Sscan(string(text), &total, &resident); err != nil {
-		return resourceUse{}, err
-	}
-	return resourceUse{memoryBytes: resident * os.Getpagesize(), openFiles: len(files)}, nil
-}
-
 // Lines returns the report as lines of text: a summary, and one line for each
 // broken promise.
 func (report Report) Lines() []string {
 	summary := fmt.Sprintf("seed %d hosts %d faults %d requests %d whole %.3f recovered %.3f changes %d broken %d",
 		report.Seed, report.Hosts, len(report.Faults), report.Requests, report.WholeShare, report.RecoveredShare, report.AcceptedChanges, len(report.BrokenPromises))
-	return slices.Concat([]string{summary}, report.BrokenPromises)
+	if report.SkippedFaults > 0 {
+		summary += fmt.Sprintf(" skipped %d", report.SkippedFaults)
+	}
+	lines := []string{summary}
+	for _, returned := range report.Returns {
+		lines = append(lines, returned.String())
+	}
+	return slices.Concat(lines, report.BrokenPromises)
 }
