soak: delay all links of a plan

A plan file may delay each chunk of data between two processes (link-delay), as links with a round trip and small windows do. On loopback alone an empty replica gets a log of any size at once.

--- a/magnolia-load/internal/soak/plan.go
+++ b/magnolia-load/internal/soak/plan.go
@@ -91,6 +91,8 @@
 	Routes int `json:"routes,omitempty"`
 	// ChangesBefore is how many changes are acknowledged before the load starts.
 	ChangesBefore int `json:"changes-before,omitempty"`
+	// LinkDelay is the delay of each chunk of data between two processes, of 32 KiB at most.
+	LinkDelay time.Duration `json:"link-delay,omitempty"`
 	// Bursts makes operators send several changes a second at times.
 	Bursts bool    `json:"bursts,omitempty"`
 	Faults []Fault `json:"faults"`
--- a/magnolia-load/internal/soak/run.go
+++ b/magnolia-load/internal/soak/run.go
@@ -154,6 +154,9 @@
 		return observations{}, err
 	}
 	execution.sender = newChangeSender(execution.mesh.AdminAddresses(), execution.run.Seed)
+	for _, host := range hosts {
+		host.Link.AddDelay(execution.plan.LinkDelay)
+	}
 	execution.sender.routes, execution.sender.bursts = execution.plan.Routes, execution.plan.Bursts
 	if err := execution.setCustomers(ctx); err != nil {
 		return observations{}, err
