replica: ask a named host only once a round of questions has begun

Cause: since an empty host asks the sender of a message for its lost id, and then the members which that one names. If such a message comes before the host's first tick, its round of questions is still zero, and so is that of the answers. The answer of another empty host is then counted in a table which the first round creates.

The address is remembered as before and asked when the round begins, at the first tick.

TestEmptyHostHearsOfAnotherBeforeItAsks failed before with that panic. The histories always ticked a host before it read its messages.

--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -286,7 +286,9 @@
 		return
 	}
 	replica.membership.namedAddresses = append(replica.membership.namedAddresses, address)
-	replica.sendGreeting(address, true, replica.bootstrap.round)
+	if replica.bootstrap.round > 0 {
+		replica.sendGreeting(address, true, replica.bootstrap.round)
+	}
 }
 
 // askSenderForLostID asks the sender of a message to another id whether it has a log. Such
--- a/internal/replica/membership_test.go
+++ b/internal/replica/membership_test.go
@@ -168,6 +168,28 @@
 	})
 }
 
+// Guards against a host with an empty disk that fails when it hears of another such host
+// before it asks for logs itself.
+func TestEmptyHostHearsOfAnotherBeforeItAsks(t *testing.T) {
+	cluster := newSeedCluster(t, 6)
+	cluster.awaitVoters(cluster.order...)
+	leader := cluster.leader()
+	var lost []*host
+	for _, other := range cluster.others(leader)[:2] {
+		cluster.loseDisk(other.Address)
+		cluster.startWithSeeds(other.Address, false)
+		lost = append(lost, cluster.hosts[other.Address])
+	}
+	for range 2 * leader.ElectionTicks {
+		leader.tick()
+		for _, each := range []*host{leader, lost[0], lost[1], leader, lost[0]} {
+			each.drainInputs()
+			cluster.Expect(each.process()).To(gomega.Succeed())
+		}
+	}
+	cluster.awaitVoters(cluster.order...)
+}
+
 // A new host at an address that the group does not know cannot find it while all seeds are
 // down; it waits and joins when one seed is back.
 func TestJoinerWaitsForSeed(t *testing.T) {
