Let a voter wait for the candidate that it has voted for

Found by the review: a follower that had just voted stood itself three ticks later when a replica with a shorter log asked it for a pre-vote. It changes no vote, but may take the votes of the next election from the candidate.

It does not stand within the shortest election timeout after its vote.

--- a/internal/core/quorum/election.go
+++ b/internal/core/quorum/election.go
@@ -88,7 +88,8 @@
 }
 
 // adaptElectionTimeout lets a follower that is asked for a pre-vote wait for that election,
-// but not for long, or stand soon itself if the other one lacks entries and cannot win.
+// but not for long, or stand soon itself if the other one lacks entries and cannot win. It
+// does not stand within the shortest election timeout after it has voted for another.
 func (replica *Replica) adaptElectionTimeout(upToDate bool) {
 	soon := replica.electionElapsed + electionStaggerTicks
 	switch {
@@ -96,7 +97,7 @@
 	case upToDate:
 		replica.electionTimeout = max(replica.electionTimeout, min(soon, 2*replica.ElectionTicks))
 	default:
-		replica.electionTimeout = min(replica.electionTimeout, soon)
+		replica.electionTimeout = min(replica.electionTimeout, max(soon, replica.ElectionTicks))
 	}
 }
 
