--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -36,11 +36,15 @@
 	return replica.takeSnapshot()
 }
 
+// maxRefreshFactor times TransferSnapshotBytes is the size up to which a leader takes a
+// snapshot for new members: it pauses once for them, and not again and again.
+const maxRefreshFactor = 4
+
 // refreshSnapshot takes a snapshot before new members are added, if they would get more
 // entries after the last one than a snapshot may be behind.
 func (replica *Replica[M]) refreshSnapshot(changes []quorum.MembershipChange) {
 	adds := slices.ContainsFunc(changes, func(change quorum.MembershipChange) bool { return change.Kind == quorum.AddLearner })
-	if adds && replica.appliedBytes >= replica.SnapshotBytes && replica.snapshotSize < replica.TransferSnapshotBytes {
+	if adds && replica.appliedBytes >= replica.SnapshotBytes && replica.snapshotSize < maxRefreshFactor*replica.TransferSnapshotBytes {
 		replica.fail(replica.takeSnapshot())
 	}
 }
