Count no answer to a host that has not asked yet

The round of questions is zero until the first tick of a host without a log, and the table of answers does not exist before. An answer with round zero was counted all the same.

--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -76,7 +76,7 @@
 		replica.sendGreeting(message.GetSenderAddress(), false, greeting.GetRound())
 		return
 	}
-	if replica.hasLog() || greeting.GetRound() != replica.bootstrap.round {
+	if replica.hasLog() || replica.bootstrap.round == 0 || greeting.GetRound() != replica.bootstrap.round {
 		return
 	}
 	replica.noteAnswer(message.GetSenderAddress())
