Check in the histories of lost disks how many disks record a command

The membership that is in effect always needs more voters for a majority than disks may be lost, also while hosts are replaced.

--- a/internal/replica/disk_loss_model_test.go
+++ b/internal/replica/disk_loss_model_test.go
@@ -52,12 +52,28 @@
 	history.notes = append(history.notes, fmt.Sprintf("tick %d: ", history.links.now)+fmt.Sprintf(format, values...))
 }
 
-// require records the first condition that is violated.
+// historyEnd ends a history by a panic after a violated condition.
+type historyEnd struct{}
+
+// require ends the history if a condition is violated.
 func (history *lossHistory) require(holds bool, format string, values ...any) {
-	if !holds && history.violation == nil {
-		history.note("%s", fmt.Sprintf(format, values...))
-		history.violation = fmt.Errorf("%s\n%s\n%s", fmt.Sprintf(format, values...), strings.Join(history.notes, "\n"), history.describe())
+	if holds {
+		return
 	}
+	violated := fmt.Sprintf(format, values...)
+	history.note("%s", violated)
+	history.violation = fmt.Errorf("%s\n%s\n%s", violated, strings.Join(history.notes, "\n"), history.describe())
+	panic(historyEnd{})
+}
+
+// run plays events until a condition is violated.
+func (history *lossHistory) run(events func()) {
+	defer func() {
+		if reason := recover(); reason != nil && reason != (historyEnd{}) {
+			panic(reason)
+		}
+	}()
+	events()
 }
 
 // tick runs one round with the events that are due.
@@ -115,6 +131,8 @@
 	if leader == nil {
 		return
 	}
+	majority := leader.core.Status().Membership.Majority()
+	history.require(majority > history.lostDisks, "commands are recorded with %d disks", majority)
 	now := leader.core.Status().CommittedMembership
 	if !slices.Equal(now.Members, history.membership.Members) {
 		history.membership = now
@@ -158,7 +176,7 @@
 
 // awaitTolerable runs until so many more hosts may be lost.
 func (history *lossHistory) awaitTolerable(count int) {
-	for history.tolerable() < count && history.violation == nil {
+	for history.tolerable() < count {
 		history.tick()
 	}
 }
@@ -250,9 +268,8 @@
 	}
 	history.require(history.isWhole(), "the group is not whole %d ticks after the last loss", history.slack)
 	history.slack = 0
-	if history.violation == nil {
-		history.checkRead()
-	}
+	history.checkRead()
+	history.require(history.violation == nil, "%v", history.violation)
 }
 
 // sendAndAwait sends a command and waits for its acknowledgement for a while.
@@ -296,13 +313,15 @@
 // one that is tolerated.
 func runLossHistory(t *testing.T, seed uint64) *lossHistory {
 	history := newLossHistory(t, seed)
+	history.run(history.loseRepeatedly)
+	return history
+}
+
+func (history *lossHistory) loseRepeatedly() {
 	for range 2 + history.random.IntN(3) {
 		kind := lossKinds[history.random.IntN(len(lossKinds))]
 		history.note("next: %s", kind.name)
 		kind.run(history)
-		if history.violation != nil {
-			return history
-		}
 		switch history.random.IntN(3) {
 		case 0:
 			history.awaitWhole()
@@ -311,14 +330,13 @@
 		}
 	}
 	history.awaitWhole()
-	if history.violation == nil && history.random.IntN(2) == 0 {
+	if history.random.IntN(2) == 0 {
 		history.note("next: disks, and a crash of all others")
 		history.sendAndAwait()
 		history.strike(history.pick(history.lostDisks), downTicks)
 		history.crashOthers()
 		history.awaitWhole()
 	}
-	return history
 }
 
 // lossHistoryCount is lower than that of the histories with little data.
@@ -363,6 +381,16 @@
 			}
 			history.ticks(3 * electionRounds)
 		},
+		"commands are recorded with": func(history *lossHistory) {
+			for _, address := range history.pick(history.lostDisks + 2) {
+				leader := history.leader()
+				if address != leader.Address {
+					removal := quorum.MembershipChange{Kind: quorum.Remove, Member: quorum.Member{ID: history.hosts[address].core.ID}}
+					leader.submitChange(removal, &change{done: make(chan error, 1)})
+					history.ticks(electionRounds)
+				}
+			}
+		},
 		"was acknowledged and is gone": func(history *lossHistory) {
 			history.acknowledged = append(history.acknowledged, "command that no host has")
 			history.awaitWhole()
@@ -373,7 +401,7 @@
 			history.awaitWhole()
 			expect := gomega.NewWithT(t).Expect
 			expect(history.violation).NotTo(gomega.HaveOccurred())
-			violate(history)
+			history.run(func() { violate(history) })
 			expect(history.violation).To(gomega.MatchError(gomega.ContainSubstring(want)), "seed %d", seed)
 		}
 	}
