Ask a voter that has refused no second time in an election

Found by the review: with delays of two ticks and more a repeated request gets the vote of a replica that has begun to stand itself meanwhile, and both split the votes of the election.

Only voters that have not answered are asked again: those that still hear of the former leader say nothing, and a lost message leaves no answer.

--- a/internal/core/quorum/election.go
+++ b/internal/core/quorum/election.go
@@ -53,16 +53,17 @@
 	replica.countVotes()
 }
 
-// repeatVoteRequests asks the voters that have not granted their vote. Where every
-// voter that is left is needed, one that still hears of the former leader, or one lost
-// message, would otherwise end the election.
+// repeatVoteRequests asks the voters that have not answered. Where every voter that is left
+// is needed, one that still hears of the former leader, or one lost message, would
+// otherwise end the election. One that has refused is not asked again: with long delays it
+// may have begun to stand itself, and both would split the votes.
 func (replica *Replica) repeatVoteRequests() {
 	term := replica.hardState.Term
 	if replica.campaignKind == campaignPreVote {
 		term++
 	}
 	for _, member := range replica.membership().Members {
-		if member.Learner || member.ID == replica.ID || replica.votes[member.ID] {
+		if _, answered := replica.votes[member.ID]; answered || member.Learner || member.ID == replica.ID {
 			continue
 		}
 		replica.sendAfterSync(member.ID, term, &quorumpb.Message{Body: &quorumpb.Message_VoteRequest{VoteRequest: &quorumpb.VoteRequest{
