Let a late resend join no call that a stop might cut

What callers saw, by reading: a resend of a repeatable call that carries an idempotency key shares the outcome of the call in flight. Late in a planned stop it joined one that the stop may end, and was broken off with it (LOST).

Cause: the check before a stop is made before each attempt, and a call that joins another one makes no attempt.

Change: the check is also made before a call joins another. A call that must not join goes the usual way, which refuses it as not run.

Evidence: TestLateResendDoesNotJoinCallThatTheStopMightCut waits for the call in flight until its timeout before the change, and passes after it.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -45,10 +45,12 @@
 	}
 	key := sharedCallKey{customer: outbound.work.Customer, fingerprint: outbound.fingerprint}
 	shared, started := node.sharedCalls.joinOrStart(key)
-	if !started {
+	// The stop of this node may end the call in flight before its answer.
+	joined := !started && node.refuseBeforeStop(time.Now(), outbound) == nil
+	if joined {
 		node.counters.joinedCalls.Inc()
 	}
-	if !started && shared.await(ctx) {
+	if joined && shared.await(ctx) {
 		node.finishCall(ctx, writer, outbound, shared.outcome)
 		return
 	}
--- a/internal/node/stopping_test.go
+++ b/internal/node/stopping_test.go
@@ -179,6 +179,39 @@
 	}
 }
 
+// Guards against a late resend that shares the outcome of a call in flight, which the stop
+// may break off (LOST).
+func TestLateResendDoesNotJoinCallThatTheStopMightCut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	arrived, answered := make(chan struct{}), make(chan struct{})
+	release := sync.OnceFunc(func() { close(answered) })
+	target := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(arrived)
+		<-answered
+	})
+	stopping, other := startStoppableHost(t, "one", stopGrace, http.NotFoundHandler(), func(underTest *node.Node) { underTest.ForecastTime = time.Nanosecond }), startRoutedHost(t, "two", "agenda", target)
+	t.Cleanup(release)
+	connectHosts(stopping, other)
+	stopping.node.SetLocalTarget(node.LocalTarget{Service: "agenda"})
+	first := make(chan int, 1)
+	go func() {
+		answer, _ := sendCall(t, stopping.callers, "visits.example", http.MethodGet, "/visits/7", nil, "Idempotency-Key", "k1")
+		first <- answer.StatusCode
+	}()
+	g.Eventually(arrived).WithTimeout(testTimeout).Should(gomega.BeClosed())
+	stopping.beginStop(g)
+	second := make(chan func(), 1)
+	go func() {
+		answer, body := sendCall(t, stopping.callers, "visits.example", http.MethodGet, "/visits/7", nil, "Idempotency-Key", "k1")
+		second <- func() { expectStopping(g, answer, body, request.NotRun) }
+	}()
+	var check func()
+	g.Eventually(second).WithTimeout(testTimeout).Should(gomega.Receive(&check))
+	check()
+	release()
+	g.Eventually(first).WithTimeout(testTimeout).Should(gomega.Receive(gomega.Equal(http.StatusOK)))
+}
+
 // Guards against a second attempt that begins during a planned stop and is cut (LOST). The
 // first one may have run.
 func TestStoppingNodeBeginsNoAttemptThatItWouldCut(t *testing.T) {
