Put no unconfirmed version in force that is older than a peer's

Cause: the wait ends by time alone. What peers have in force was recorded, and only used to go on to another replica.

Change: a follower without a version holds back an unconfirmed one while a peer is known to have a newer one in force, unless the node was offered that one and cannot use it. The node goes on asking other replicas meanwhile, as before.

Evidence: TestUnconfirmedVersionOlderThanKnownOneStaysOut fails before the change; TestUnusableKnownVersionKeepsNoOlderOneOut guards the exception.

--- a/internal/core/distribution/distribution_test.go
+++ b/internal/core/distribution/distribution_test.go
@@ -125,6 +125,46 @@
 	expect.Expect(follower.Current().Number).To(gomega.BeZero())
 }
 
+// Guards against a node that puts an old version in force after a restart, though calls have
+// told it of a newer one (CONFIG): its replica is cut off from the others.
+func TestUnconfirmedVersionOlderThanKnownOneStaysOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	follower := newFollower()
+	offer := func(at time.Time, number int) {
+		text := newVersion(number).Text
+		follower.Apply(at, distribution.Update{Number: configuration.Version(number), Text: text, Digest: distribution.DigestOf(text)})
+	}
+	offer(start, 5)
+	follower.NoteVersion(7)
+	later := start.Add(10 * distribution.DefaultUnconfirmedWait)
+	g.Expect(follower.Tick(later).Changed).To(gomega.BeFalse(), "a peer has version 7 in force")
+	g.Expect(follower.Behind()).To(gomega.BeTrue(), "so that the node asks another replica")
+	offer(later, 7)
+	g.Expect(follower.Tick(later).Changed).To(gomega.BeTrue())
+	g.Expect(follower.Current().Number).To(gomega.BeEquivalentTo(7))
+}
+
+// The newer version may be one that this node cannot use, as while builds are replaced. Then
+// it serves by an older one rather than not at all.
+func TestUnusableKnownVersionKeepsNoOlderOneOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	follower := &distribution.Follower{Check: func(text []byte) error {
+		if string(text) == "unusable" {
+			return errors.New("unknown field")
+		}
+		return nil
+	}}
+	offer := func(number configuration.Version, text string) {
+		follower.Apply(start, distribution.Update{Number: number, Text: []byte(text), Digest: distribution.DigestOf([]byte(text))})
+	}
+	follower.NoteVersion(9)
+	offer(9, "unusable")
+	at := start.Add(distribution.DefaultUnconfirmedWait)
+	g.Expect(follower.Tick(at).Unusable).To(gomega.HaveOccurred())
+	offer(8, "usable")
+	g.Expect(follower.Tick(at).Changed).To(gomega.BeTrue())
+}
+
 // A node that starts without a quorum must take the version of another replica if the
 // first one offers it a version that it cannot use.
 func TestUnusableUnconfirmedVersionKeepsNoOtherOut(t *testing.T) {
--- a/internal/core/distribution/follower.go
+++ b/internal/core/distribution/follower.go
@@ -25,6 +25,9 @@
 	held        VersionID
 	text        []byte
 	newestKnown configuration.Version
+	// inForceAtPeer is the newest version that a peer has in force, and newestUnusable the
+	// newest one that Check has refused.
+	inForceAtPeer, newestUnusable configuration.Version
 	// bestUnconfirmed is the highest unconfirmed version that was offered while
 	// no version is in force.
 	bestUnconfirmed *Update
@@ -59,6 +62,7 @@
 // NoteVersion records a version that a peer has in force.
 func (follower *Follower) NoteVersion(number configuration.Version) {
 	follower.newestKnown = max(follower.newestKnown, number)
+	follower.inForceAtPeer = max(follower.inForceAtPeer, number)
 }
 
 // Behind returns whether a version newer than the one in force is known to
@@ -88,7 +92,8 @@
 }
 
 // Tick installs the highest unconfirmed version once UnconfirmedWait has passed
-// since the first offer.
+// since the first offer, unless a peer has a newer one in force that this node can use as
+// far as it knows.
 func (follower *Follower) Tick(now time.Time) ApplyResult {
 	wait := follower.UnconfirmedWait
 	if wait == 0 {
@@ -97,6 +102,9 @@
 	if follower.bestUnconfirmed == nil || now.Sub(follower.waitingSince) < wait {
 		return ApplyResult{}
 	}
+	if newer := follower.inForceAtPeer; newer > follower.bestUnconfirmed.Number && newer > follower.newestUnusable {
+		return ApplyResult{}
+	}
 	best := *follower.bestUnconfirmed
 	// If it is unusable, it must not keep out a lower one that is offered later.
 	follower.bestUnconfirmed = nil
@@ -146,6 +154,7 @@
 func (follower *Follower) install(held VersionID, text []byte) ApplyResult {
 	if follower.Check != nil {
 		if err := follower.Check(text); err != nil {
+			follower.newestUnusable = max(follower.newestUnusable, held.Number)
 			return ApplyResult{Unusable: err}
 		}
 	}
