Parse each configuration version once at a node

On the platform each version is a whole document, and a node has one processor for it and for calls.

Cause: a node parsed each version to check it, and again to put it in force.

Change: what the check has parsed is kept for the activation, which follows it on the same goroutine. A text that was not checked just before is parsed as before.

--- a/internal/host/dataplane.go
+++ b/internal/host/dataplane.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -38,6 +39,10 @@
 	guard          *quarantine.Guard
 	registryClient *registry.Client
 	versions       chan configuration.Version
+	// checkedText is the configuration text that was checked last, and checkedDocument what
+	// was parsed from it.
+	checkedText     []byte
+	checkedDocument *configuration.Document
 	// background ends when the process stops, after the node has drained.
 	background context.Context
 	// targetDown is set when the target died, and cleared when it accepts
@@ -151,7 +156,7 @@
 		Open:             registry.OpenPeer(host.transport),
 		Links:            plane.balancer.Links,
 		RestrictedTarget: func(now time.Time) *distribution.RestrictedTarget { return plane.node.RestrictedTarget(now) },
-		Follower:         &distribution.Follower{Patch: ledger.ApplyDelta, Check: validateConfiguration},
+		Follower:         &distribution.Follower{Patch: ledger.ApplyDelta, Check: plane.checkConfiguration},
 		Events: registry.Events{
 			Targets:       func(now time.Time, view balancer.View) { plane.balancer.Update(now, view) },
 			Configuration: plane.activate,
@@ -172,19 +177,34 @@
 	return membership.Cold
 }
 
-func validateConfiguration(text []byte) error {
-	_, err := configuration.Parse(text)
+// checkConfiguration returns an error for a text that this node cannot use. Otherwise it keeps
+// what it has parsed for activate, which the registry client calls next. Only that client's
+// goroutine calls both.
+func (plane *dataPlane) checkConfiguration(text []byte) error {
+	document, err := configuration.Parse(text)
+	plane.checkedText, plane.checkedDocument = text, document
 	return err
 }
 
+// checkedConfiguration returns the document of a text, which is parsed unless it was the last
+// one to be checked.
+func (plane *dataPlane) checkedConfiguration(text []byte) (*configuration.Document, error) {
+	document, same := plane.checkedDocument, bytes.Equal(plane.checkedText, text)
+	plane.checkedText, plane.checkedDocument = nil, nil
+	if document != nil && same {
+		return document, nil
+	}
+	return configuration.Parse(text)
+}
+
 // activate makes a configuration version the active one at this node.
 func (plane *dataPlane) activate(number configuration.Version, text []byte) {
-	active, err := node.NewActiveConfiguration(number, text)
+	document, err := plane.checkedConfiguration(text)
 	if err != nil {
 		plane.logProblem("configuration version is invalid and was not activated", err)
 		return
 	}
-	if !plane.host.configuration.Replace(active) {
+	if !plane.host.configuration.Replace(node.CompileConfiguration(number, text, document)) {
 		return
 	}
 	plane.host.Logger.Info().Uint64("version", uint64(number)).Msg("configuration: version in force")
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -59,6 +59,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return CompileConfiguration(version, text, document), nil
+}
+
+// CompileConfiguration compiles a configuration from its text and what was parsed from it.
+func CompileConfiguration(version configuration.Version, text []byte, document *configuration.Document) *ActiveConfiguration {
 	matcher := configuration.Compile(document)
 	return &ActiveConfiguration{
 		Version:        version,
@@ -69,7 +74,7 @@
 		UpperHalf:      request.Importance(matcher.ImportanceLevels() / 2),
 
 		unlimitedWeight: largestWeight(document),
-	}, nil
+	}
 }
 
 // ConfigurationHolder holds the configuration in force. Replace accepts only a newer
