--- a/magnolia-load/internal/link/proxy.go
+++ b/magnolia-load/internal/link/proxy.go
@@ -40,6 +40,10 @@
 	// Peers are the names of processes that connect to it. The first data on a connection
 	// contains the name of the process that opened it.
 	Peers []string
+	// Latencies are the one-way latencies to peers by their names, and BytesPerSecond is the
+	// rate of each direction of a connection. Without latencies the rate has no effect.
+	Latencies      map[string]time.Duration
+	BytesPerSecond int64
 
 	lock       sync.Mutex
 	changed    chan struct{}
@@ -194,6 +198,12 @@
 // before it; any other error ends the whole connection.
 func (proxy *Proxy) copyDirection(ctx context.Context, end context.CancelFunc, direction Direction, conn *proxiedConn, to, from *net.TCPConn) {
 	buffer := make([]byte, copyBufferBytes)
+	write, finish := to.Write, to.CloseWrite
+	if proxy.Latencies != nil {
+		line := newDelayLine(ctx, to, proxy.BytesPerSecond)
+		write = func(data []byte) (int, error) { return len(data), line.Write(data, proxy.latencyOf(conn)) }
+		finish = func() error { return errors.Join(line.Close(), to.CloseWrite()) }
+	}
 	for {
 		count, err := from.Read(buffer)
 		if direction == ToProcess {
@@ -204,13 +214,13 @@
 			return
 		}
 		if count > 0 {
-			if _, failed := to.Write(buffer[:count]); failed != nil {
+			if _, failed := write(buffer[:count]); failed != nil {
 				end()
 				return
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			_ = to.CloseWrite()
+			_ = finish()
 			return
 		}
 		if err != nil {
@@ -235,6 +245,13 @@
 	}
 }
 
+// latencyOf returns the latency of a connection.
+func (proxy *Proxy) latencyOf(conn *proxiedConn) time.Duration {
+	proxy.lock.Lock()
+	defer proxy.lock.Unlock()
+	return proxy.Latencies[conn.peer]
+}
+
 // waitUntilReleased waits until no Hold applies to the direction and the delay has
 // passed. It returns false if the context ended first.
 func (proxy *Proxy) waitUntilReleased(ctx context.Context, direction Direction, conn *proxiedConn) bool {
--- a/magnolia-load/internal/mesh/processes.go
+++ b/magnolia-load/internal/mesh/processes.go
@@ -31,6 +31,10 @@
 	Folder string
 	// MaxReplicas is the largest number of replicas.
 	MaxReplicas int
+	// Latencies are those between the processes' places, and BytesPerSecond is the rate of
+	// each direction of a connection; zero values mean neither.
+	Latencies      link.Latencies
+	BytesPerSecond int64
 
 	ports          portReservation
 	processes      []*Process
@@ -52,6 +56,7 @@
 	LinkAddress string
 
 	owner    *Processes
+	place    request.Place
 	folder   string
 	settings map[string]any
 
@@ -84,7 +89,7 @@
 		}
 		addresses = append(addresses, string(reserved))
 	}
-	process := &Process{Node: added.Node, owner: processes, folder: filepath.Join(processes.Folder, string(added.Node)), Admin: addresses[3], Link: &link.Proxy{Target: addresses[2]}, LinkAddress: addresses[4]}
+	process := &Process{Node: added.Node, owner: processes, place: added.Place, folder: filepath.Join(processes.Folder, string(added.Node)), Admin: addresses[3], Link: &link.Proxy{Target: addresses[2]}, LinkAddress: addresses[4]}
 	process.settings = map[string]any{
 		"node": added.Node, "region": added.Place.Region, "failure-domain": added.Place.Domain,
 		"service": added.Service.Name, "target": added.TargetAddress,
@@ -120,6 +125,7 @@
 	}
 	for _, host := range processes.processes {
 		host.Link.Peers = nodes
+		host.Link.Latencies, host.Link.BytesPerSecond = processes.latenciesTo(host), processes.BytesPerSecond
 		listener, err := net.Listen("tcp", host.LinkAddress)
 		if err != nil {
 			processes.killAll()
@@ -136,6 +142,19 @@
 	return nil
 }
 
+// latenciesTo returns the latency between a process and each other one, or nil if there is
+// none.
+func (processes *Processes) latenciesTo(process *Process) map[string]time.Duration {
+	if processes.Latencies == (link.Latencies{}) {
+		return nil
+	}
+	latencies := make(map[string]time.Duration)
+	for _, other := range processes.processes {
+		latencies[string(other.Node)] = processes.Latencies.Between(process.place, other.place)
+	}
+	return latencies
+}
+
 // serveLink serves the proxy to a process. An early end of the proxy is recorded as
 // an unexpected exit.
 func (process *Process) serveLink(ctx context.Context, listener net.Listener) {
--- a/magnolia-load/internal/soak/change_sender.go
+++ b/magnolia-load/internal/soak/change_sender.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -37,9 +38,12 @@
 type change struct {
 	// DeadlineMS is the deadline that the change sets.
 	DeadlineMS int
+	// Base is the version that the change builds on.
+	Base int
 	// AcknowledgedVersion is the version that the change was acknowledged with, or
-	// zero.
+	// zero, and AcknowledgedAt when that was.
 	AcknowledgedVersion int
+	AcknowledgedAt      time.Time
 }
 
 // changeSender sends configuration changes as operators do, some of them two at a
@@ -49,10 +53,12 @@
 	adminAddresses []string
 	random         *rand.Rand
 	client         *http.Client
-	// routes is how many kinds each change sets beside the deadline, and bursts whether
-	// there are times with several changes a second.
-	routes int
-	bursts bool
+	// routes is how many kinds each change sets beside the deadline.
+	routes atomic.Int64
+	// usualInterval is the time between two changes, and bursts whether there are times with
+	// several a second.
+	usualInterval time.Duration
+	bursts        bool
 
 	lock    sync.Mutex
 	changes []change
@@ -61,7 +67,7 @@
 }
 
 func newChangeSender(adminAddresses []string, seed uint64) *changeSender {
-	return &changeSender{adminAddresses: adminAddresses, random: rand.New(rand.NewPCG(seed, 23)), client: &http.Client{Timeout: requestTimeout}, lastDeadlineMS: firstDeadlineMS - 1}
+	return &changeSender{adminAddresses: adminAddresses, random: rand.New(rand.NewPCG(seed, 23)), client: &http.Client{Timeout: requestTimeout}, usualInterval: changeInterval, lastDeadlineMS: firstDeadlineMS - 1}
 }
 
 // run sends changes until the context ends.
@@ -85,7 +91,7 @@
 	if sender.bursts && elapsed%burstPeriod < burstDuration {
 		return burstInterval
 	}
-	return changeInterval
+	return sender.usualInterval
 }
 
 // sendBefore sends changes one after the other until a number of them is accepted.
@@ -124,9 +130,9 @@
 func (sender *changeSender) operations(deadline int) (json.RawMessage, error) {
 	value := fmt.Sprintf("%dms", deadline)
 	operations := []map[string]any{{"op": "replace", "path": "/services/agenda/kinds/day/deadline", "value": value}}
-	if sender.routes > 0 {
+	if routes := sender.routes.Load(); routes > 0 {
 		kinds := make(map[string]any)
-		for number := range sender.routes {
+		for number := range routes {
 			kinds[fmt.Sprintf("record-%d", number)] = map[string]any{"method": "GET", "path": fmt.Sprintf("/records-%d/{id}", number), "importance": "visit", "repeat": "repeatable", "deadline": value, "retries": 1}
 		}
 		operations = append(operations, map[string]any{"op": "add", "path": "/services/archive", "value": map[string]any{"slots": 1, "connections": 1, "kinds": kinds}})
@@ -134,6 +140,30 @@
 	return json.Marshal(operations)
 }
 
+// grow adds to the kinds that changes set, until the context ends.
+func (sender *changeSender) grow(ctx context.Context, growths []Growth) {
+	startedAt := time.Now()
+	for _, growth := range growths {
+		if !wait.For(ctx, growth.At-time.Since(startedAt)) {
+			return
+		}
+		sender.routes.Add(int64(growth.Routes))
+	}
+}
+
+// newestAcknowledged returns the newest version that was acknowledged before a time, or zero.
+func (sender *changeSender) newestAcknowledged(before time.Time) int {
+	sender.lock.Lock()
+	defer sender.lock.Unlock()
+	newest := 0
+	for _, sent := range sender.changes {
+		if sent.AcknowledgedVersion > newest && sent.AcknowledgedAt.Before(before) {
+			newest = sent.AcknowledgedVersion
+		}
+	}
+	return newest
+}
+
 // nextDeadline returns the deadline of the next change.
 func (sender *changeSender) nextDeadline() int {
 	sender.lock.Lock()
@@ -178,9 +208,9 @@
 		if err != nil {
 			continue
 		}
-		sent := change{DeadlineMS: deadline}
+		sent := change{DeadlineMS: deadline, Base: base}
 		if outcome.State == "accepted" {
-			sent.AcknowledgedVersion = outcome.Version
+			sent.AcknowledgedVersion, sent.AcknowledgedAt = outcome.Version, time.Now()
 		}
 		sender.lock.Lock()
 		sender.changes = append(sender.changes, sent)
--- a/magnolia-load/internal/soak/plan.go
+++ b/magnolia-load/internal/soak/plan.go
@@ -93,11 +93,32 @@
 	ChangesBefore int `json:"changes-before,omitempty"`
 	// LinkDelay is the delay of each chunk of data between two processes, of 32 KiB at most.
 	LinkDelay time.Duration `json:"link-delay,omitempty"`
+	// Links are the links between the places of the processes.
+	Links Links `json:"links,omitzero"`
+	// Growths add to Routes while the load runs.
+	Growths []Growth `json:"growths,omitempty"`
+	// ChangeInterval replaces the usual time between two changes of the operators.
+	ChangeInterval time.Duration `json:"change-interval,omitempty"`
 	// Bursts makes operators send several changes a second at times.
 	Bursts bool    `json:"bursts,omitempty"`
 	Faults []Fault `json:"faults"`
 }
 
+// Links are the links between the places of the processes: one-way latencies, and the rate of
+// each direction of a connection in bytes per second. Zero values mean neither.
+type Links struct {
+	BetweenDomains time.Duration `json:"between-domains"`
+	BetweenRegions time.Duration `json:"between-regions"`
+	BytesPerSecond int64         `json:"bytes-per-second"`
+}
+
+// Growth is how many more kinds each change of the operators sets from a time on, counted from
+// the start of the load.
+type Growth struct {
+	At     time.Duration `json:"at"`
+	Routes int           `json:"routes"`
+}
+
 // Fault is one fault of a plan. Host is the index of the process. For the losses of
 // disks and for FaultSplit it is that among the replicas, and Others holds further
 // ones. At is the time since the start of the load.
--- a/magnolia-load/internal/soak/plan_test.go
+++ b/magnolia-load/internal/soak/plan_test.go
@@ -1,6 +1,10 @@
 package soak
 
 import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -113,3 +117,26 @@
 	}
 	return []int{fault.Host / hostsPerReplica}
 }
+
+// Guards against plan files with fields that are not read, and faults of replicas that are not
+// there.
+func TestPlanFilesAreRead(t *testing.T) {
+	files, err := filepath.Glob("../../../script/soak-plans/*.json")
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.NewWithT(t).Expect(files).NotTo(gomega.BeEmpty())
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			expect := gomega.NewWithT(t).Expect
+			text, err := os.ReadFile(file)
+			expect(err).NotTo(gomega.HaveOccurred())
+			decoder := json.NewDecoder(bytes.NewReader(text))
+			decoder.DisallowUnknownFields()
+			plan := Plan{}
+			expect(decoder.Decode(&plan)).To(gomega.Succeed())
+			expect(plan.Faults).NotTo(gomega.BeEmpty())
+			for _, fault := range plan.Faults {
+				expect(append(fault.Others, fault.Host)).To(gomega.HaveEach(gomega.BeNumerically("<", plan.Replicas)))
+			}
+		})
+	}
+}
--- a/magnolia-load/internal/soak/promises.go
+++ b/magnolia-load/internal/soak/promises.go
@@ -39,6 +39,9 @@
 	// versionRegressions lists the cases where the version in force on a process decreased
 	// before that process ended.
 	versionRegressions []string
+	// outdated lists the cases where a process had an older version in force than one that
+	// was acknowledged some time ago, and staleReads those where a read gave an older one.
+	outdated, staleReads []string
 	// unexpectedExits lists processes that ended without being told to, and
 	// overdueStops planned stops that took too long.
 	unexpectedExits []string
@@ -131,7 +134,7 @@
 // every host reports the newest one at the end.
 func (observed observations) checkChanges() []string {
 	var broken []string
-	byVersion := make(map[int]int)
+	byVersion, byBase := make(map[int]int), make(map[int]int)
 	newest := change{}
 	for _, sent := range observed.changes {
 		if sent.AcknowledgedVersion == 0 {
@@ -141,6 +144,10 @@
 			broken = append(broken, fmt.Sprintf("one version: version %d was acknowledged for two changes, which set the deadlines %d ms and %d ms", sent.AcknowledgedVersion, other, sent.DeadlineMS))
 		}
 		byVersion[sent.AcknowledgedVersion] = sent.DeadlineMS
+		if other, taken := byBase[sent.Base]; taken {
+			broken = append(broken, fmt.Sprintf("one winner: versions %d and %d were acknowledged on top of version %d", other, sent.AcknowledgedVersion, sent.Base))
+		}
+		byBase[sent.Base] = sent.AcknowledgedVersion
 		if sent.AcknowledgedVersion > newest.AcknowledgedVersion {
 			newest = sent
 		}
@@ -158,7 +165,7 @@
 	for _, regression := range observed.versionRegressions {
 		broken = append(broken, "never back: "+regression)
 	}
-	return broken
+	return slices.Concat(broken, observed.outdated, observed.staleReads)
 }
 
 // deadlineText returns a deadline as it appears in the configuration text.
--- a/magnolia-load/internal/soak/promises_test.go
+++ b/magnolia-load/internal/soak/promises_test.go
@@ -26,7 +26,7 @@
 		kinds:               []load.Kind{bookKind},
 		samples:             []load.Sample{{Key: "one", ArrivedAt: time.Second, Attempts: []load.Attempt{{Result: load.ResultWhole}}}},
 		records:             records,
-		changes:             []change{{DeadlineMS: 1000, AcknowledgedVersion: 2}, {DeadlineMS: 1001}},
+		changes:             []change{{DeadlineMS: 1000, Base: 1, AcknowledgedVersion: 2}, {DeadlineMS: 1001, Base: 2}},
 		finalConfigurations: []configurationReading{{host: "agenda-norte-a", version: 2, text: `"deadline": "1000ms"`}},
 		resourceUses:        []resourceUse{{host: "agenda-norte-a", memoryBytes: 1 << 20, openFiles: 20}},
 		recoverySpan:        load.Span{To: 2 * time.Second},
@@ -77,6 +77,13 @@
 		"one version": func(observed *observations) {
 			observed.changes = append(observed.changes, change{DeadlineMS: 1002, AcknowledgedVersion: 2})
 		},
+		"one winner": func(observed *observations) {
+			observed.changes = append(observed.changes, change{DeadlineMS: 999, Base: 1, AcknowledgedVersion: 1})
+		},
+		"in force": func(observed *observations) { observed.outdated = []string{"in force: agenda-norte-a had version 1"} },
+		"read": func(observed *observations) {
+			observed.staleReads = []string{"read: agenda-norte-a answered with version 1"}
+		},
 		"never lost": func(observed *observations) { observed.changes[1].AcknowledgedVersion = 3 },
 		"never lost: agenda-norte-a reports a version 2 that differs": func(observed *observations) { observed.finalConfigurations[0].text = `"deadline": "1001ms"` },
 		"configuration": func(observed *observations) { observed.finalConfigurations[0].err = errors.New("503") },
--- a/magnolia-load/internal/soak/run.go
+++ b/magnolia-load/internal/soak/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -81,6 +82,7 @@
 	plan      Plan
 
 	overlaps overlaps
+	calm     calm
 	losses   losses
 	votes    votes
 	// loadStartedAt is the time from which samples and kills are counted.
@@ -95,6 +97,9 @@
 	// reported, by node and process id.
 	versionByRun       map[string]int
 	versionRegressions []string
+	// outdated lists the processes that had an old version in force, and staleReads the
+	// replicas that answered a read with one.
+	outdated, staleReads []string
 }
 
 // Execute starts the site, injects the faults of the plan and returns the report.
@@ -112,7 +117,7 @@
 		design.Places = design.Places[:min(len(design.Places), max(run.MaxHosts/len(design.Services), 1))]
 	}
 	current := &execution{run: run, design: design, plan: plan, versionByRun: make(map[string]int), kills: make(map[int][]time.Duration)}
-	current.processes = &mesh.Processes{Program: run.Program, Folder: run.Folder, MaxReplicas: plan.Replicas}
+	current.processes = &mesh.Processes{Program: run.Program, Folder: run.Folder, MaxReplicas: plan.Replicas, Latencies: link.Latencies{BetweenDomains: plan.Links.BetweenDomains, BetweenRegions: plan.Links.BetweenRegions}, BytesPerSecond: plan.Links.BytesPerSecond}
 	current.mesh = &mesh.Mesh{Design: design, System: current.processes, Seed: run.Seed, Records: target.NewRecords()}
 	if err := current.mesh.Start(ctx); err != nil {
 		return Report{}, err
@@ -157,7 +162,8 @@
 	for _, host := range hosts {
 		host.Link.AddDelay(execution.plan.LinkDelay)
 	}
-	execution.sender.routes, execution.sender.bursts = execution.plan.Routes, execution.plan.Bursts
+	execution.sender.routes.Store(int64(execution.plan.Routes))
+	execution.sender.usualInterval, execution.sender.bursts = cmp.Or(execution.plan.ChangeInterval, changeInterval), execution.plan.Bursts
 	if err := execution.setCustomers(ctx); err != nil {
 		return observations{}, err
 	}
@@ -175,7 +181,9 @@
 	defer stopBackground()
 	background := sync.WaitGroup{}
 	background.Go(func() { execution.sender.run(backgroundCtx) })
+	background.Go(func() { execution.sender.grow(backgroundCtx, execution.plan.Growths) })
 	background.Go(func() { execution.watchVersions(backgroundCtx) })
+	background.Go(func() { execution.watchReads(backgroundCtx) })
 	background.Go(func() { flooding.run(backgroundCtx) })
 	background.Go(func() { execution.watchVotes(backgroundCtx) })
 	execution.loadStartedAt = time.Now()
@@ -204,7 +212,7 @@
 		recoverySpan: recoverySpan, group: <-group,
 	}
 	observed.changes, observed.versionRegressions, observed.overdueStops = execution.sender.changes, execution.versionRegressions, execution.overdueStops
-	observed.kills = execution.kills
+	observed.kills, observed.outdated, observed.staleReads = execution.kills, execution.outdated, execution.staleReads
 	var err error
 	if observed.logsWithKeys, err = logsWithKeys(execution.run.Folder); err != nil {
 		return observations{}, err
@@ -245,6 +253,9 @@
 // fault has ended.
 func (execution *execution) injectFault(ctx context.Context, fault Fault) {
 	host := execution.processes.Hosts()[fault.Host]
+	if fault.Kind != FaultLimit {
+		defer execution.calm.begin()()
+	}
 	switch fault.Kind {
 	case FaultKill:
 		execution.killFor(ctx, fault.Duration, fault.Host)
@@ -404,6 +415,7 @@
 	for wait.For(ctx, pollInterval) {
 		for _, host := range execution.processes.Hosts() {
 			processRun := fmt.Sprintf("%s (%d)", host.Node, host.PID())
+			askedAt := time.Now()
 			version, ok := readGauge(client, host.Admin, "magnoliawall_configuration_version")
 			// Skip the answer if the process was restarted during the request.
 			if !ok || processRun != fmt.Sprintf("%s (%d)", host.Node, host.PID()) {
@@ -413,6 +425,7 @@
 				execution.versionRegressions = append(execution.versionRegressions, fmt.Sprintf("%s had version %d in force after %d", processRun, version, previous))
 			}
 			execution.versionByRun[processRun] = version
+			execution.checkInForce(processRun, version, askedAt)
 		}
 	}
 }
