--- a/magnolia-load/internal/soak/freshness_test.go
+++ b/magnolia-load/internal/soak/freshness_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/magnoliawall/magnoliawall/internal/wait"
 )
 
 // Guards against a check that misses an old version in force, or blames a process that is out
@@ -30,7 +32,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				execution := &execution{sender: newChangeSender(nil, 1)}
 				execution.calm.begin()()
-				time.Sleep(test.calm)
+				wait.For(t.Context(), test.calm)
 				execution.sender.changes = []change{{AcknowledgedVersion: 7, AcknowledgedAt: time.Now().Add(-test.sinceAck)}}
 				if test.during {
 					execution.calm.begin()
@@ -50,7 +52,7 @@
 		sender.routes.Store(2)
 		go sender.grow(t.Context(), []Growth{{At: time.Second, Routes: 3}, {At: 2 * time.Second, Routes: 4}})
 		for _, expected := range []int64{2, 5, 9} {
-			time.Sleep(900 * time.Millisecond)
+			wait.For(t.Context(), 900*time.Millisecond)
 			synctest.Wait()
 			expect(sender.routes.Load()).To(gomega.Equal(expected))
 		}
