List each replica once, also while its lost disk is replaced

Cause: while a lost disk is replaced, the group lists the lost id and its successor at one address. A node learned that address twice, first in its list. Where its replica lacked a version that a peer had, it went on to the next address: the same replica, again each 0.1 s, until the lost id had left the group.

Ruled out: the group (changes were acknowledged all the while, r249 to r270 in 4.2 s), and processor time (other nodes had each version at once).

Change: a directory learns each address once.

--- a/internal/adapter/peer/directory.go
+++ b/internal/adapter/peer/directory.go
@@ -72,7 +72,9 @@
 }
 
 // Learn replaces the learned replicas and reports whether they changed. An empty
-// list is ignored.
+// list is ignored. An address is learned once: while a lost disk is replaced, the group has two
+// ids at one address, and a node that goes on to the next address has to get to another
+// replica.
 func (directory *Directory) Learn(places []ReplicaPlace) bool {
 	directory.lock.Lock()
 	defer directory.lock.Unlock()
@@ -80,10 +82,17 @@
 	slices.SortStableFunc(sorted, func(left, right ReplicaPlace) int {
 		return cmp.Or(directory.domainRank(left)-directory.domainRank(right), directory.compareAddresses(left.Address, right.Address))
 	})
-	if len(places) == 0 || slices.Equal(sorted, directory.learned) {
+	var learned []ReplicaPlace
+	for _, place := range sorted {
+		known := func(other ReplicaPlace) bool { return other.Address == place.Address }
+		if !slices.ContainsFunc(learned, known) {
+			learned = append(learned, place)
+		}
+	}
+	if len(learned) == 0 || slices.Equal(learned, directory.learned) {
 		return false
 	}
-	directory.learned = sorted
+	directory.learned = learned
 	return true
 }
 
