Give each replica time to deliver the version that a node lacks

What callers saw: the same as with a replica that was listed twice.

Cause: a node that has lacked a peer's version for 0.3 s leaves its replica. The time went on at the next replica, so that each further one got a single tick. Between regions that is two round trips and a half, and a configuration of 1,400 routes has 350 KB.

Change: the time begins anew when the node registers.

Evidence: TestEachReplicaHasTimeToDeliverVersion fails before the change: the next replica is left at the next tick.

--- a/internal/adapter/registry/agent.go
+++ b/internal/adapter/registry/agent.go
@@ -80,7 +80,7 @@
 	// coldSince is when the target entered its current state.
 	coldSince time.Time
 	// behindSince is when the node was last known not to be behind a version in force
-	// at a peer.
+	// at a peer, or when it registered with its replica if that is later.
 	behindSince time.Time
 	// reports holds those that were made while no replica was connected, and those sent
 	// within the last reportRepeatTime.
@@ -103,7 +103,7 @@
 		agent.self.Sequence++
 	}
 	agent.replica = replica
-	agent.unansweredSince, agent.renewedAt = now, now
+	agent.unansweredSince, agent.renewedAt, agent.behindSince = now, now, now
 	agent.registerAt = time.Time{}
 	agent.leaseEnd = now.Add(membership.DefaultLeaseTime)
 	agent.renewAt = now.Add(membership.DefaultRenewInterval)
--- a/internal/adapter/registry/agent_test.go
+++ b/internal/adapter/registry/agent_test.go
@@ -57,3 +57,19 @@
 	agent.receive(renewed.Add(2*time.Second), lease)
 	expect(confirmed).To(gomega.Equal(renewed))
 }
+
+// Guards against a node that goes from replica to replica and stays too short at each to be
+// sent the version that it lacks, which so comes into force late (CONFIG): a large one takes
+// more than a tick from another region.
+func TestEachReplicaHasTimeToDeliverVersion(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	agent := &agent{view: &membership.View{}, follower: &distribution.Follower{}}
+	agent.attach(startTime, "near")
+	expect(agent.replicaOutdated(startTime)).To(gomega.BeFalse())
+	agent.follower.NoteVersion(7)
+	left := startTime.Add(maxVersionLag)
+	expect(agent.replicaOutdated(left)).To(gomega.BeTrue())
+	agent.attach(left.Add(TickInterval), "far")
+	expect(agent.replicaOutdated(left.Add(2 * TickInterval))).To(gomega.BeFalse())
+	expect(agent.replicaOutdated(left.Add(TickInterval + maxVersionLag))).To(gomega.BeTrue())
+}
