--- a/review/cases-3/cluster.go
+++ b/review/cases-3/cluster.go
@@ -144,7 +144,9 @@
 	return nil
 }
 
-func (cluster *cluster) cores() []*host { return cluster.only(func(host *host) bool { return host.core }) }
+func (cluster *cluster) cores() []*host {
+	return cluster.only(func(host *host) bool { return host.core })
+}
 
 func (cluster *cluster) sidecars() []*host {
 	return cluster.only(func(host *host) bool { return !host.core })
