--- a/review/cases-3/cluster.go
+++ b/review/cases-3/cluster.go
@@ -31,6 +31,8 @@
 	ended                   chan struct{}
 	stopping                bool
 	instance                *instance
+	// serve takes the place of the instance's own server, if it is set.
+	serve func(instance *instance, listener net.Listener)
 }
 
 // cluster is a small deployment on loopback addresses.
--- a/review/cases-3/early_answer.go
+++ b/review/cases-3/early_answer.go
@@ -144,18 +144,12 @@
 		return false, err
 	}
 	defer cluster.close()
-	if err := cluster.startAll(); err != nil {
-		return false, err
-	}
 	target, from := cluster.sidecars()[0], cluster.sidecars()[1]
-	_ = target.instance.server.Close()
-	listener, err := net.Listen("tcp", cluster.at(target, cluster.ports.app))
-	if err != nil {
+	server := &earlyServer{record: record, early: trouble}
+	target.serve = server.listen
+	if err := cluster.startAll(); err != nil {
 		return false, err
 	}
-	defer listener.Close()
-	server := &earlyServer{instance: target.instance, record: record, early: trouble}
-	go server.listen(listener)
 	if err := cluster.mustPut(manifest(map[string]any{"r-photo": route("evidencia.example", "/photo/", "upload", "evidencia")}, "evidencia", "subsidios")); err != nil {
 		return false, err
 	}
@@ -191,8 +185,11 @@
 	return server.wrong > 0, nil
 }
 
-func (server *earlyServer) listen(listener net.Listener) {
+func (server *earlyServer) listen(instance *instance, listener net.Listener) {
+	server.instance = instance
+	defer listener.Close()
 	for {
+		// Ends with this process.
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
--- a/review/cases-3/instance.go
+++ b/review/cases-3/instance.go
@@ -47,7 +47,11 @@
 	}
 	made.server = &http.Server{Handler: made, IdleTimeout: 10 * time.Second}
 	host.instance = made
-	go func() { _ = made.server.Serve(listener) }()
+	if host.serve != nil {
+		go host.serve(made, listener)
+	} else {
+		go func() { _ = made.server.Serve(listener) }()
+	}
 	go made.beat()
 	return nil
 }
