Show that uploads reach their instance long after their requester left

Cause: nothing reads the connection of a requester whose upload waits for a slot at the target's node, and its end is looked at only before the call is sent there.

--- a/review/cases-3/cluster.go
+++ b/review/cases-3/cluster.go
@@ -47,6 +47,8 @@
 	run      map[bool][]string
 	template map[bool]string
 	label    int
+	// slots is what each instance states.
+	slots int
 }
 
 const internalPorts = 16
@@ -63,7 +65,7 @@
 		return nil, err
 	}
 	made := &cluster{
-		record: record, root: root, folder: folder,
+		record: record, root: root, folder: folder, slots: defaultSlots,
 		run: map[bool][]string{}, template: map[bool]string{},
 		fields: map[string]any{
 			"grace-period-s": 6, "retry-budget-ratio": 0.2, "retry-budget-slack": 49, "budget-window-s": 10,
--- a/review/cases-3/instance.go
+++ b/review/cases-3/instance.go
@@ -23,8 +23,15 @@
 	done    chan struct{}
 	closing sync.Once
 
-	lock sync.Mutex
-	runs []run
+	lock     sync.Mutex
+	runs     []run
+	arrivals []arrival
+}
+
+// arrival is a request whose head has reached an instance.
+type arrival struct {
+	id string
+	at time.Time
 }
 
 // run is a request that an instance began to work on.
@@ -34,7 +41,7 @@
 	at               time.Time
 }
 
-const slots = 62
+const defaultSlots = 62
 
 func (cluster *cluster) startInstance(host *host) error {
 	listener, err := net.Listen("tcp", cluster.at(host, cluster.ports.app))
@@ -67,7 +74,7 @@
 func (instance *instance) beat() {
 	for sequence := 1; ; sequence++ {
 		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold-remaining-s":0,"seq":%d,"born":%d}`,
-			instance.host.service, instance.cluster.at(instance.host, instance.cluster.ports.app), instance.host.zone, slots, sequence, instance.born)
+			instance.host.service, instance.cluster.at(instance.host, instance.cluster.ports.app), instance.host.zone, instance.cluster.slots, sequence, instance.born)
 		request, err := http.NewRequest(http.MethodPut, "http://"+instance.cluster.at(instance.host, instance.cluster.ports.control)+"/magnoliawall/instances/"+instance.id, bytes.NewReader([]byte(body)))
 		if err != nil {
 			panic(err)
@@ -106,8 +113,13 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	instance.lock.Lock()
+	instance.arrivals = append(instance.arrivals, arrival{id: id, at: time.Now()})
+	instance.lock.Unlock()
+	instance.cluster.record.add("request %s reaches %s", id, instance.id)
 	body, err := io.ReadAll(incoming.Body)
 	if err != nil {
+		instance.cluster.record.add("the body of request %s ends early at %s", id, instance.id)
 		return
 	}
 	instance.lock.Lock()
