--- a/review/cases-3/frozen_peer.go
+++ b/review/cases-3/frozen_peer.go
@@ -38,7 +38,7 @@
 		return false, err
 	}
 	target, from := cluster.sidecars()[0], cluster.sidecars()[1]
-	target.instance.work = func(writer http.ResponseWriter, incoming *http.Request, _ []byte) {
+	target.instance.work = func(writer http.ResponseWriter, _ *http.Request, _ []byte) {
 		time.Sleep(visitWork)
 		text := "visit plan\n"
 		writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
