Freeze one machine of ten, as the site's share has it

The site file's share of node_freeze is 0.11, and case 13 had stopped one of two sidecars. It has ten now.

--- a/review/cases-3/frozen_peer.go
+++ b/review/cases-3/frozen_peer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -29,7 +30,9 @@
 // another machine, which is in touch, send requests to it. These have to be answered at the
 // timeout of their route, in whatever way. Without the disruption nothing is frozen.
 func frozenPeer(record *record, trouble bool) (bool, error) {
-	cluster, err := newCluster(record, 3, "agenda", "subsidios")
+	// One machine of ten is frozen.
+	services := append([]string{"agenda"}, slices.Repeat([]string{"subsidios"}, 9)...)
+	cluster, err := newCluster(record, 3, services...)
 	if err != nil {
 		return false, err
 	}
